--- /dev/null
+++ b/endivesill/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m endivesill` is the command-line tool."""
+
+from endivesill.cli import main
+
+main()
--- /dev/null
+++ b/endivesill/configuration/model.py
@@ -0,0 +1,336 @@
+"""The configuration: typed items by kind and name, with a revision.
+
+An item is one attrs object, such as a service or a target. Its document (a JSON
+object) is what the control log and the deltas carry, keyed by `kind/name`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import attrs
+
+from endivesill import schema
+from endivesill.findings import Finding
+
+__all__ = [
+    "ITEM_KINDS",
+    "CallPattern",
+    "Configuration",
+    "DataCentre",
+    "Limits",
+    "Organisation",
+    "Service",
+    "Target",
+    "Vm",
+    "configuration_from_documents",
+    "item_from_document",
+    "item_kind",
+    "item_to_document",
+]
+
+T = TypeVar("T")
+
+ITEM_KINDS: dict[str, type] = {}
+
+
+def item_kind(name: str) -> Callable[[type[T]], type[T]]:
+    """Register an attrs class as the item `[name NAME]` of the folder."""
+
+    def register(kind: type[T]) -> type[T]:
+        ITEM_KINDS[name] = kind
+        return kind
+
+    return register
+
+
+@attrs.frozen
+class CallPattern:
+    """Calls by method and path prefix, such as `POST /bookings`."""
+
+    method: str
+    path_prefix: str
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tell whether a call falls under the pattern."""
+        if self.method not in ("*", method):
+            return False
+        prefix = self.path_prefix.rstrip("/")
+        return path == prefix or path.startswith(prefix + "/")
+
+
+def _check_calls(words: tuple[str, ...]) -> str | None:
+    for word in words:
+        method, _, path = word.partition(":")
+        if not method or not path.startswith("/"):
+            return f"{word!r} is not METHOD:/PATH"
+    return None
+
+
+def _check_path(path: str) -> str | None:
+    if path and not path.startswith("/"):
+        return f"{path!r} does not begin with /"
+    return None
+
+
+def _check_url(url: str) -> str | None:
+    if not url.startswith(("http://", "https://")):
+        return f"{url!r} does not begin with http:// or https://"
+    return None
+
+
+def _check_hash(text: str) -> str | None:
+    if len(text) != 64 or any(c not in "0123456789abcdef" for c in text):
+        return "is not a SHA-256 in hex"
+    return None
+
+
+@item_kind("data-centre")
+@attrs.frozen
+class DataCentre:
+    """A data centre; one that is taken out gets no new work."""
+
+    name: str
+    region: str = schema.field("region of the data centre")
+    taken_out: bool = schema.field("gets no new work", default=False)
+
+
+@item_kind("vm")
+@attrs.frozen
+class Vm:
+    """A VM of the system itself."""
+
+    name: str
+    data_centre: str = schema.field("data centre that the VM is in")
+    leaving: bool = schema.field("the VM is to leave the fleet", default=False)
+
+
+@item_kind("service")
+@attrs.frozen
+class Service:
+    """What callers ask for: a model (protocol engine) or a plain service."""
+
+    name: str
+    protocol: str = schema.field(
+        "how its targets are spoken to", choices=("engine", "plain")
+    )
+    path_prefix: str = schema.field(
+        "callers' path prefix of a plain service", default="", check=_check_path
+    )
+    deadline_s: float = schema.field(
+        "longest wait for the first byte", default=30.0, minimum=0.1, maximum=3600
+    )
+    gap_target_ms: float = schema.field(
+        "time between tokens that 95 in 100 stay under",
+        default=71.0,
+        minimum=1,
+        maximum=10_000,
+    )
+    first_token_target_ms: float = schema.field(
+        "time to the first token that 95 in 100 stay under",
+        default=880.0,
+        minimum=1,
+        maximum=600_000,
+    )
+    priority: int = schema.field(
+        "priority at the engines and in the queue; 0 is first",
+        default=1,
+        minimum=0,
+        maximum=9,
+    )
+    queue_limit: int = schema.field(
+        "requests that wait at one entry", default=200, minimum=0, maximum=100_000
+    )
+    prior_output_tokens: int = schema.field(
+        "expected output length before any is known",
+        default=300,
+        minimum=1,
+        maximum=1_000_000,
+    )
+    non_repeatable: tuple[str, ...] = schema.field(
+        "calls that run at most once, as METHOD:/PATH words; * is any method",
+        default=(),
+        check=_check_calls,
+    )
+    routing_policy: str = schema.field(
+        "name of the routing policy", default="least-outstanding"
+    )
+
+    def is_repeatable(self, method: str, path: str) -> bool:
+        """Tell whether a call may be sent again after an unknown outcome."""
+        patterns = (word.partition(":") for word in self.non_repeatable)
+        return not any(
+            CallPattern(verb, prefix).matches(method, path)
+            for verb, _, prefix in patterns
+        )
+
+
+@item_kind("target")
+@attrs.frozen
+class Target:
+    """A back end: a model engine or an instance of a plain service."""
+
+    name: str
+    service: str = schema.field("service that the target belongs to")
+    url: str = schema.field("base address of the target", check=_check_url)
+    data_centre: str = schema.field("data centre that the target is in")
+    leaving: bool = schema.field("gets no new work", default=False)
+    checks_fencing: bool = schema.field(
+        "the target refuses orders with an old fencing token", default=False
+    )
+    cold_slots: int = schema.field(
+        "requests at once that it bears in cold start", default=2, minimum=1
+    )
+    maximum_slots: int = schema.field(
+        "requests at once that it bears when warm", default=64, minimum=1
+    )
+    memory_tokens: int = schema.field(
+        "tokens that its memory holds; 0 for a plain service", default=0, minimum=0
+    )
+
+
+@item_kind("organisation")
+@attrs.frozen
+class Organisation:
+    """A customer's organisation, known by the hash of its key."""
+
+    name: str
+    key_sha256: str = schema.field("SHA-256 of its key, in hex", check=_check_hash)
+    weight: float = schema.field(
+        "share in the queues", default=1.0, minimum=0.01, maximum=1000
+    )
+    maximum_requests: int = schema.field(
+        "requests at once at one entry", default=200, minimum=1, maximum=100_000
+    )
+
+
+@item_kind("limits")
+@attrs.frozen
+class Limits:
+    """Bounds on what callers send; one item named `default`."""
+
+    name: str
+    body_bytes: int = schema.field(
+        "largest request body", default=1_048_576, minimum=1024, maximum=1 << 30
+    )
+    header_bytes: int = schema.field(
+        "largest request header block", default=16_384, minimum=1024, maximum=65_536
+    )
+    slow_sender_s: float = schema.field(
+        "longest time for a request body", default=10.0, minimum=0.1, maximum=600
+    )
+    slow_reader_s: float = schema.field(
+        "longest time that a caller may leave an answer unread",
+        default=30.0,
+        minimum=0.1,
+        maximum=3600,
+    )
+    idempotency_age_s: float = schema.field(
+        "how long answers of idempotency keys are kept",
+        default=86_400.0,
+        minimum=60,
+        maximum=2_592_000,
+    )
+    idempotency_entries: int = schema.field(
+        "how many idempotency keys are kept", default=100_000, minimum=100
+    )
+    weight_store_loads_per_minute: float = schema.field(
+        "weight loads that a data centre may start in a minute",
+        default=6.0,
+        minimum=0.1,
+        maximum=10_000,
+    )
+
+
+@attrs.frozen
+class Configuration:
+    """All items at one revision."""
+
+    revision: int = 0
+    data_centres: dict[str, DataCentre] = attrs.Factory(dict)
+    vms: dict[str, Vm] = attrs.Factory(dict)
+    services: dict[str, Service] = attrs.Factory(dict)
+    targets: dict[str, Target] = attrs.Factory(dict)
+    organisations: dict[str, Organisation] = attrs.Factory(dict)
+    limits: Limits = attrs.Factory(lambda: Limits("default"))
+
+    def takes_new_work(self, target: Target) -> bool:
+        """Tell whether operators let a target have new work."""
+        data_centre = self.data_centres.get(target.data_centre)
+        if target.leaving or data_centre is None:
+            return False
+        return not data_centre.taken_out
+
+    def findings(self, place: Callable[[str], tuple[str, int]]) -> list[Finding]:
+        """Return what is wrong between items.
+
+        Args:
+          place: gives file and line of an item's key, such as `target/e1`.
+        """
+        found = []
+        for target in self.targets.values():
+            key = f"target/{target.name}"
+            if target.service not in self.services:
+                text = f"target {target.name}: no service {target.service}"
+                found.append(Finding(*place(key), text))
+            if target.data_centre not in self.data_centres:
+                text = f"target {target.name}: no data centre {target.data_centre}"
+                found.append(Finding(*place(key), text))
+        for vm in self.vms.values():
+            if vm.data_centre not in self.data_centres:
+                text = f"vm {vm.name}: no data centre {vm.data_centre}"
+                found.append(Finding(*place(f"vm/{vm.name}"), text))
+        for service in self.services.values():
+            if service.protocol == "plain" and not service.path_prefix:
+                text = f"service {service.name}: a plain service needs path_prefix"
+                found.append(Finding(*place(f"service/{service.name}"), text))
+        return found
+
+
+_COLLECTIONS = {
+    "data-centre": "data_centres",
+    "vm": "vms",
+    "service": "services",
+    "target": "targets",
+    "organisation": "organisations",
+}
+
+
+def item_to_document(item: Any) -> dict[str, Any]:
+    """Return an item's document, without its name and its defaults."""
+    document = {}
+    for attribute in attrs.fields(type(item)):
+        value = getattr(item, attribute.name)
+        if attribute.name == "name" or value == attribute.default:
+            continue
+        document[attribute.name] = list(value) if isinstance(value, tuple) else value
+    return document
+
+
+def item_from_document(key: str, document: dict[str, Any]) -> Any:
+    """Return the item of a key and document; unknown fields are left out."""
+    kind_name, _, name = key.partition("/")
+    kind = ITEM_KINDS[kind_name]
+    known = {a.name for a in attrs.fields(kind)}
+    values = {
+        field: tuple(value) if isinstance(value, list) else value
+        for field, value in document.items()
+        if field in known
+    }
+    return kind(name=name, **values)
+
+
+def configuration_from_documents(
+    revision: int, documents: dict[str, dict[str, Any]]
+) -> Configuration:
+    """Build the typed configuration from documents by key."""
+    collections: dict[str, dict[str, Any]] = {n: {} for n in _COLLECTIONS.values()}
+    limits = Limits("default")
+    for key, document in documents.items():
+        item = item_from_document(key, document)
+        if isinstance(item, Limits):
+            limits = item
+            continue
+        collections[_COLLECTIONS[key.partition("/")[0]]][item.name] = item
+    return Configuration(revision=revision, limits=limits, **collections)
--- /dev/null
+++ b/endivesill/events.py
@@ -0,0 +1,81 @@
+"""Numbered log events.
+
+Each package defines its events with `define` in its own module and its own
+range of numbers; docs/EVENTS.md lists them all and is checked by a test.
+
+Ranges: 1000 process, 2000 entry, 3000 routing, 4000 targets, 5000
+configuration, 6000 control, 7000 membership, 8000 orders and placement.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import eliot
+
+from endivesill import errors
+
+__all__ = ["CATALOGUE", "EventKind", "define", "emit", "markdown_catalogue"]
+
+
+@attrs.frozen
+class EventKind:
+    """One kind of log event.
+
+    Attributes:
+      number: the event's number, unique in the catalogue.
+      name: its short name.
+      text: what it says, for the catalogue.
+    """
+
+    number: int
+    name: str
+    text: str
+
+
+CATALOGUE: dict[int, EventKind] = {}
+
+_listeners: list[Callable[[EventKind, dict[str, Any]], None]] = []
+
+
+def define(number: int, name: str, text: str) -> EventKind:
+    """Add a kind of event to the catalogue.
+
+    Raises:
+      EndivesillError: the number is taken.
+    """
+    if number in CATALOGUE:
+        raise errors.EndivesillError(f"event {number} is defined twice")
+    kind = EventKind(number, name, text)
+    CATALOGUE[number] = kind
+    return kind
+
+
+def emit(kind: EventKind, **fields: Any) -> None:
+    """Write one event to the log."""
+    eliot.log_message(message_type=kind.name, event=kind.number, **fields)
+    for listener in _listeners:
+        listener(kind, fields)
+
+
+def listen(listener: Callable[[EventKind, dict[str, Any]], None]) -> Callable[[], None]:
+    """Call a listener for each event; return what removes it again."""
+    _listeners.append(listener)
+    return lambda: _listeners.remove(listener)
+
+
+def markdown_catalogue() -> str:
+    """Return the catalogue as the table of docs/EVENTS.md."""
+    rows = ["| number | name | meaning |", "| --- | --- | --- |"]
+    for number in sorted(CATALOGUE):
+        kind = CATALOGUE[number]
+        rows.append(f"| {number} | {kind.name} | {kind.text} |")
+    return "\n".join(rows) + "\n"
+
+
+PROCESS_STARTED = define(1001, "process-started", "The daemon has started.")
+PROCESS_STOPPING = define(1002, "process-stopping", "A planned stop has begun.")
+PROCESS_STOPPED = define(1003, "process-stopped", "The daemon has stopped.")
+TASK_FAILED = define(1004, "task-failed", "A background task failed; it restarts.")
--- /dev/null
+++ b/endivesill/metrics.py
@@ -0,0 +1,103 @@
+"""Counters, gauges and hdrhistogram recorders, served as Prometheus text."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Counter", "Metrics", "Recorder"]
+
+QUANTILES = (0.5, 0.95, 0.99, 0.999)
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_FIGURES = 2
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Counter:
+    """A number that only grows."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+
+    def add(self, amount: float = 1.0) -> None:
+        """Add to the counter."""
+        self.value += amount
+
+
+class Recorder:
+    """A histogram of durations, kept in microseconds."""
+
+    def __init__(self) -> None:
+        self.histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_FIGURES)
+        self.sum_s = 0.0
+
+    def record_s(self, duration_s: float) -> None:
+        """Record one duration in seconds."""
+        self.sum_s += duration_s
+        self.histogram.record_value(max(1, int(duration_s * 1_000_000)))
+
+    def quantile_s(self, quantile: float) -> float:
+        """Return the duration that this share of the recorded ones stays under."""
+        return self.histogram.get_value_at_percentile(100 * quantile) / 1_000_000
+
+    @property
+    def count(self) -> int:
+        """How many durations were recorded."""
+        return self.histogram.get_total_count()
+
+
+class Metrics:
+    """A process's metrics by name and labels."""
+
+    def __init__(self) -> None:
+        self._counters: dict[tuple[str, Labels], Counter] = {}
+        self._recorders: dict[tuple[str, Labels], Recorder] = {}
+        self._gauges: dict[tuple[str, Labels], Callable[[], float]] = {}
+
+    def counter(self, name: str, **labels: str) -> Counter:
+        """Return the counter of that name and labels, made when first asked for."""
+        key = (name, tuple(sorted(labels.items())))
+        if key not in self._counters:
+            self._counters[key] = Counter()
+        return self._counters[key]
+
+    def recorder(self, name: str, **labels: str) -> Recorder:
+        """Return the recorder of that name and labels, made when first asked for."""
+        key = (name, tuple(sorted(labels.items())))
+        if key not in self._recorders:
+            self._recorders[key] = Recorder()
+        return self._recorders[key]
+
+    def gauge(self, name: str, read: Callable[[], float], **labels: str) -> None:
+        """Register what reads a current value."""
+        self._gauges[name, tuple(sorted(labels.items()))] = read
+
+    def text(self) -> str:
+        """Return everything in the Prometheus text format."""
+        lines = []
+        for (name, labels), counter in sorted(self._counters.items()):
+            lines.append(_line(f"endivesill_{name}_total", labels, counter.value))
+        for (name, labels), read in sorted(self._gauges.items()):
+            lines.append(_line(f"endivesill_{name}", labels, read()))
+        for (name, labels), recorder in sorted(self._recorders.items()):
+            full_name = f"endivesill_{name}_seconds"
+            for quantile in QUANTILES:
+                with_quantile = (*labels, ("quantile", str(quantile)))
+                value = recorder.quantile_s(quantile)
+                lines.append(_line(full_name, with_quantile, value))
+            lines.append(_line(f"{full_name}_sum", labels, recorder.sum_s))
+            lines.append(_line(f"{full_name}_count", labels, recorder.count))
+        return "\n".join(lines) + "\n"
+
+
+def _line(name: str, labels: Labels, value: float) -> str:
+    if not labels:
+        return f"{name} {value:g}"
+    inner = ",".join(f'{key}="{_escape(text)}"' for key, text in labels)
+    return f"{name}{{{inner}}} {value:g}"
+
+
+def _escape(text: str) -> str:
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of endivesill; a module mirrors each module of the package."""
--- /dev/null
+++ b/tests/test_timer.py
@@ -0,0 +1,34 @@
+"""Tests of the timer service."""
+
+import asyncio
+import unittest
+
+from endivesill import errors
+from endivesill.timer import ManualTimer
+
+
+class ManualTimerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_sleep_ends_when_its_time_has_come(self):
+        timer = ManualTimer()
+        task = asyncio.ensure_future(timer.sleep(2.0))
+        await timer.advance(1.9)
+        self.assertFalse(task.done())
+        await timer.advance(0.2)
+        self.assertTrue(task.done())
+
+    async def test_wait_for_raises_when_the_time_is_over(self):
+        timer = ManualTimer()
+        future = asyncio.get_running_loop().create_future()
+        task = asyncio.ensure_future(timer.wait_for(future, 1.0))
+        await timer.advance(1.1)
+        with self.assertRaises(errors.DeadlineExceededError):
+            task.result()
+
+    async def test_periodic_calls_keep_their_period_until_cancelled(self):
+        timer = ManualTimer()
+        calls = []
+        handle = timer.call_every(1.0, lambda: calls.append(timer.now_s()))
+        await timer.advance(3.5)
+        handle.cancel()
+        await timer.advance(3.0)
+        self.assertEqual([1001.0, 1002.0, 1003.0], calls)
