--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -10,6 +10,7 @@
     "EndivesillError",
     "FindingsError",
     "NotLeaderError",
+    "OutcomeUnknownError",
     "PeerUnreachableError",
     "RefusedError",
     "RequestError",
@@ -66,6 +67,10 @@
         self.leader_address = leader_address
 
 
+class OutcomeUnknownError(EndivesillError):
+    """A proposal that may or may not have been committed."""
+
+
 class ConflictError(EndivesillError):
     """An operator's change that lost against another one."""
 
