--- a/endivesill/control/__init__.py
+++ b/endivesill/control/__init__.py
@@ -2,12 +2,32 @@
 
 from endivesill.control.client import ControlClient, LocalControl
 from endivesill.control.commands import CommandContext, State, command, query
+from endivesill.control.disk import Disk, FileDisk
+from endivesill.control.entries import EntryKind
+from endivesill.control.machine import Applied
+from endivesill.control.memory_disk import MemoryDisk
+from endivesill.control.remote import RemoteControlClient
+from endivesill.control.replica import NEWEST_PATH, ControlReplica
+from endivesill.control.settings import ControlSettings
+from endivesill.control.voters import ChangeResult, ClusterStatus, VoterOperations
 
 __all__ = [
+    "NEWEST_PATH",
+    "Applied",
+    "ChangeResult",
+    "ClusterStatus",
     "CommandContext",
     "ControlClient",
+    "ControlReplica",
+    "ControlSettings",
+    "Disk",
+    "EntryKind",
+    "FileDisk",
     "LocalControl",
+    "MemoryDisk",
+    "RemoteControlClient",
     "State",
+    "VoterOperations",
     "command",
     "query",
 ]
--- /dev/null
+++ b/endivesill/control/bootstrap.py
@@ -0,0 +1,157 @@
+"""The first start of a cluster, and the way of an empty disk into an old one.
+
+The first voters are all replicas of the settings' list, each with the identity
+that it has on its empty disk. A replica writes them only after it has heard
+from all the others that they have the same list and no state. If one has a
+state, the cluster exists: an empty replica then asks to be a learner.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+
+from endivesill import errors, events
+from endivesill.control.core import ReplicaCore
+from endivesill.control.events import (
+    BOOTSTRAP_CONFLICT,
+    BOOTSTRAPPED,
+    LEARNER_JOINED,
+)
+from endivesill.control.messages import from_message, to_message
+from endivesill.control.snapshots import Snapshot
+from endivesill.control.voter_set import VoterSet
+from endivesill.peers import Message
+
+__all__ = ["HELLO_PATH", "JOIN_PATH", "Bootstrap", "Hello"]
+
+HELLO_PATH = "/control/hello"
+JOIN_PATH = "/control/join"
+
+FIRST_INDEX = 1
+FIRST_TERM = 1
+CALL_TIMEOUT_S = 1.0
+RETRY_S = 0.5
+JOIN_RETRY_S = 2.0
+
+
+@attrs.frozen
+class Hello:
+    """What a replica says of itself before there is a cluster.
+
+    Attributes:
+      identity: its identity.
+      cluster: its cluster's id; empty without a state.
+      addresses: the control addresses of its settings.
+      voters: the voters that it knows, by identity.
+    """
+
+    identity: str
+    cluster: str
+    addresses: list[str]
+    voters: dict[str, str]
+
+
+class Bootstrap:
+    """The part of a replica that finds or founds its cluster.
+
+    Args:
+      core: the replica's shared state.
+      addresses: the control addresses of the settings.
+    """
+
+    def __init__(self, core: ReplicaCore, addresses: tuple[str, ...]) -> None:
+        self._core = core
+        self._addresses = tuple(sorted(set(addresses)))
+
+    @property
+    def _is_listed(self) -> bool:
+        return self._core.transport.address in self._addresses
+
+    async def handle_hello(self, message: Message) -> Message:
+        """Answer another replica that looks for its cluster."""
+        return to_message(self._hello())
+
+    def _hello(self) -> Hello:
+        core = self._core
+        voters = dict(core.voter_set.voters)
+        return Hello(core.identity, core.cluster, list(self._addresses), voters)
+
+    async def run(self) -> None:
+        """Work until this replica has a state."""
+        core = self._core
+        while not core.cluster:
+            hellos = await self._ask_all()
+            existing = [hello for hello in hellos.values() if hello.cluster]
+            if existing:
+                await self._adopt_or_join(existing)
+            elif self._is_listed and len(hellos) == len(self._addresses):
+                await self._found(hellos)
+            if not core.cluster:
+                await core.timer.sleep(RETRY_S)
+
+    async def _ask_all(self) -> dict[str, Hello]:
+        core = self._core
+
+        async def ask(address: str) -> tuple[str, Hello] | None:
+            if address == core.transport.address:
+                return address, self._hello()
+            try:
+                message = await core.transport.call(
+                    address, HELLO_PATH, {}, CALL_TIMEOUT_S
+                )
+                return address, from_message(Hello, message)
+            except errors.PeerUnreachableError:
+                return None
+
+        answers = await asyncio.gather(*(ask(a) for a in self._addresses))
+        return dict(answer for answer in answers if answer is not None)
+
+    async def _found(self, hellos: dict[str, Hello]) -> None:
+        """Write the first voters; every replica of the list writes the same."""
+        lists = {tuple(hello.addresses) for hello in hellos.values()}
+        if lists != {self._addresses}:
+            events.emit(BOOTSTRAP_CONFLICT, lists=sorted(map(list, lists)))
+            return
+        await self._write({h.identity: a for a, h in hellos.items()})
+
+    async def _write(self, voters: dict[str, str]) -> None:
+        core = self._core
+        voter_set = VoterSet(voters)
+        cluster = voter_set.cluster_id()
+        snapshot = Snapshot(FIRST_INDEX, FIRST_TERM, 0.0, cluster, voter_set)
+        await core.storage.save_snapshot(snapshot.to_text(), snapshot.head())
+        await core.log.reset(FIRST_INDEX, FIRST_TERM)
+        core.install(snapshot)
+        events.emit(BOOTSTRAPPED, cluster=cluster, voters=voters)
+
+    async def _adopt_or_join(self, existing: list[Hello]) -> None:
+        core = self._core
+        clusters = {hello.cluster for hello in existing}
+        if len(clusters) > 1:
+            events.emit(BOOTSTRAP_CONFLICT, clusters=sorted(clusters))
+            return
+        founded = [h.voters for h in existing if core.identity in h.voters]
+        if founded and VoterSet(founded[0]).cluster_id() in clusters:
+            await self._write(founded[0])
+            return
+        await self._join()
+
+    async def _join(self) -> None:
+        """Ask every replica until the leader takes this one as a learner."""
+        core = self._core
+        message = {"identity": core.identity, "address": core.transport.address}
+        events.emit(LEARNER_JOINED, **message)
+        for address in self._addresses:
+            if address == core.transport.address:
+                continue
+            try:
+                answer = await core.transport.call(
+                    address, JOIN_PATH, message, CALL_TIMEOUT_S
+                )
+            except errors.PeerUnreachableError:
+                continue
+            if answer.get("joined"):
+                break
+        await core.timer.sleep(JOIN_RETRY_S)
--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ConflictError",
     "DeadlineExceededError",
+    "DiskFullError",
     "EndivesillError",
     "FindingsError",
     "NotLeaderError",
@@ -21,6 +22,7 @@
     "TargetGoneError",
     "TargetRefusedError",
     "UnavailableError",
+    "UnsafeChangeError",
 ]
 
 
@@ -71,6 +73,10 @@
     """A proposal that may or may not have been committed."""
 
 
+class UnsafeChangeError(EndivesillError):
+    """A change of voters that would risk the quorum; nothing was changed."""
+
+
 class ConflictError(EndivesillError):
     """An operator's change that lost against another one."""
 
@@ -79,6 +85,10 @@
     """A disk that refused a write or a sync."""
 
 
+class DiskFullError(StorageError):
+    """A write that found no space; it may be tried again."""
+
+
 class StorageCorruptError(StorageError):
     """A damaged record that is not the torn tail of a log."""
 
