--- a/endivesill/control/log.py
+++ b/endivesill/control/log.py
@@ -135,7 +135,7 @@
             self._dirty.set()
         while self.synced_index < index:
             if self._failures != failures or self.failure is not None:
-                raise self.last_error or errors.StorageError("the log has failed")
+                raise _copy(self.last_error or self.failure)
             if index > self.last_index:
                 raise errors.StorageError(f"entry {index} was cut off")
             await self._changed.wait()
@@ -162,7 +162,7 @@
 
     async def _flush(self) -> None:
         if self.failure is not None:
-            raise self.failure
+            raise _copy(self.failure)
         batch = self.entries(self.synced_index + 1, self.last_index)
         if not batch:
             return
@@ -310,6 +310,13 @@
             await self.reset(index, term)
 
 
+def _copy(error: errors.StorageError | None) -> errors.StorageError:
+    """Return an error to raise in another task, with a traceback of its own."""
+    if isinstance(error, errors.DiskFullError):
+        return errors.DiskFullError(str(error))
+    return errors.StorageError(str(error or "the log has failed"))
+
+
 def _encode_batch(batch: list[LogEntry], start: int) -> tuple[bytes, list[int]]:
     data = bytearray()
     offsets = []
--- a/endivesill/control/remote.py
+++ b/endivesill/control/remote.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import uuid
+from collections.abc import Callable
 
 from endivesill import errors
 from endivesill.control.client import ControlClient
@@ -33,14 +34,20 @@
       timer: the timer service.
       transport: how peers are called.
       addresses: peer addresses of the control VMs.
+      hint: returns the address of the leader, if this process knows it.
     """
 
     def __init__(
-        self, timer: TimerService, transport: PeerTransport, addresses: tuple[str, ...]
+        self,
+        timer: TimerService,
+        transport: PeerTransport,
+        addresses: tuple[str, ...],
+        hint: Callable[[], str | None] = lambda: None,
     ) -> None:
         self._timer = timer
         self._transport = transport
         self._addresses = list(addresses)
+        self._hint = hint
         self._leader: str | None = None
         self._position = 0
         self._client = uuid.uuid4().hex
@@ -99,11 +106,12 @@
         end_s = self._timer.now_s() + timeout_s
         backoff_s = BACKOFF_S
         unknown = False
+        address: str | None = None
         while True:
             left_s = end_s - self._timer.now_s()
             if left_s <= 0:
                 break
-            address = self._next_address()
+            address = self._next_address(address)
             redirected = False
             try:
                 return await self._attempt(
@@ -126,9 +134,10 @@
             raise errors.OutcomeUnknownError(f"no answer within {timeout_s} s")
         raise errors.UnavailableError(f"no leader within {timeout_s} s")
 
-    def _next_address(self) -> str:
-        if self._leader is not None:
-            return self._leader
+    def _next_address(self, last_address: str | None) -> str:
+        known = self._leader or self._hint()
+        if known is not None and known != last_address:
+            return known
         self._position = (self._position + 1) % len(self._addresses)
         return self._addresses[self._position]
 
--- a/endivesill/control/replica.py
+++ b/endivesill/control/replica.py
@@ -87,7 +87,9 @@
         self._snapshotter = Snapshotter(self._core)
         self._bootstrap = Bootstrap(self._core, addresses)
         self._manager = VoterManager(self._core)
-        self._client = RemoteControlClient(timer, transport, addresses)
+        self._client = RemoteControlClient(
+            timer, transport, addresses, lambda: self._core.leader_address
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._newest_fields: dict[str, Callable[[], Any]] = {}
         self.voters = VoterOperations(self._client)
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
+import unittest
 
 from endivesill.control import (
     CommandContext,
@@ -120,8 +122,6 @@
 
     async def run(self, coroutine, timeout_s: float = 30.0):
         """Advance until a coroutine has its result."""
-        import asyncio
-
         task = asyncio.ensure_future(coroutine)
         end_s = self.timer.now_s() + timeout_s
         await self.timer.advance(0)
@@ -144,3 +144,22 @@
         for address in list(self.replicas):
             self.network.remove(address)
             await self.replicas.pop(address).halt()
+
+
+class ClusterTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test with a cluster that is closed at its end."""
+
+    async def asyncSetUp(self):
+        # The debug mode notes a stack with each task; there are very many.
+        asyncio.get_running_loop().set_debug(False)
+
+    async def start(self, size: int = 3, settings=SETTINGS, seed: int = 1) -> Cluster:
+        cluster = Cluster(size, settings, seed)
+        self.addAsyncCleanup(cluster.close)
+        await cluster.start()
+        return cluster
+
+    def assert_equal_states(self, cluster: Cluster) -> None:
+        states = [replica.state.sections for replica in cluster.replicas.values()]
+        for state in states[1:]:
+            self.assertEqual(states[0], state)
