--- /dev/null
+++ b/endivesill/load/record.py
@@ -0,0 +1,167 @@
+"""What the load tool keeps of each request, and its summary."""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["RequestRecord", "Summary", "format_summary", "summarize"]
+
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_FIGURES = 3
+
+
+@attrs.define
+class RequestRecord:
+    """One request from its scheduled time to its end.
+
+    Attributes:
+      number: its place in the experiment.
+      stream: the name of its `[stream]` section.
+      organisation: who asked.
+      key: the idempotency key, or an empty string.
+      scheduled_s: when the arrival process wanted it sent.
+      first_s: when its first byte of content came; None if none came.
+      end_s: when it ended.
+      status: the HTTP status; 0 without an answer.
+      run: the `run` member of a problem answer.
+      reason: the title of a problem answer, or what broke.
+      generation: the generation's id.
+      tokens: tokens that arrived.
+      disorder: tokens that were doubled, lost or out of order.
+      resumes: how often the caller reconnected.
+      complete: whether the whole answer came.
+      gaps_s: times between blocks of tokens.
+    """
+
+    number: int
+    stream: str
+    organisation: str
+    key: str = ""
+    scheduled_s: float = 0.0
+    first_s: float | None = None
+    end_s: float = 0.0
+    status: int = 0
+    run: str = ""
+    reason: str = ""
+    generation: str = ""
+    tokens: int = 0
+    disorder: int = 0
+    resumes: int = 0
+    complete: bool = False
+    gaps_s: list[float] = attrs.Factory(list)
+
+
+@attrs.frozen
+class Summary:
+    """An experiment's result.
+
+    Attributes:
+      sent: requests that were sent.
+      complete: requests that got their whole answer.
+      refused: refusals by reason and run state.
+      broken: requests that neither completed nor were refused, by reason.
+      tokens: tokens that arrived.
+      disorder: tokens that were doubled, lost or out of order.
+      resumes: reconnections of callers.
+      goodput_tokens_per_s: tokens of complete answers a second.
+      stall_s: time beyond the stall threshold, summed over all gaps.
+      first_ms: quantiles of the time from the scheduled send to the first byte.
+      gap_ms: quantiles of the time between tokens.
+      total_ms: quantiles of the time from the scheduled send to the end.
+    """
+
+    sent: int
+    complete: int
+    refused: dict[str, int]
+    broken: dict[str, int]
+    tokens: int
+    disorder: int
+    resumes: int
+    goodput_tokens_per_s: float
+    stall_s: float
+    first_ms: dict[str, float]
+    gap_ms: dict[str, float]
+    total_ms: dict[str, float]
+
+
+def summarize(
+    records: list[RequestRecord], duration_s: float, stall_threshold_s: float
+) -> Summary:
+    """Sum up an experiment.
+
+    Args:
+      records: one for each request sent.
+      duration_s: the time that the goodput is taken over.
+      stall_threshold_s: gaps count as stall beyond this.
+    """
+    first, gaps, total = _histogram(), _histogram(), _histogram()
+    refused: collections.Counter[str] = collections.Counter()
+    broken: collections.Counter[str] = collections.Counter()
+    stall_s = 0.0
+    for record in records:
+        if record.first_s is not None:
+            _record(first, record.first_s - record.scheduled_s)
+        for gap_s in record.gaps_s:
+            _record(gaps, gap_s)
+            stall_s += max(0.0, gap_s - stall_threshold_s)
+        if record.complete:
+            _record(total, record.end_s - record.scheduled_s)
+        elif record.status >= 400:
+            refused[f"{record.reason} ({record.run})"] += 1
+        else:
+            broken[record.reason] += 1
+    whole = [record for record in records if record.complete]
+    return Summary(
+        sent=len(records),
+        complete=len(whole),
+        refused=dict(refused),
+        broken=dict(broken),
+        tokens=sum(record.tokens for record in records),
+        disorder=sum(record.disorder for record in records),
+        resumes=sum(record.resumes for record in records),
+        goodput_tokens_per_s=sum(r.tokens for r in whole) / duration_s,
+        stall_s=stall_s,
+        first_ms=_quantiles_ms(first),
+        gap_ms=_quantiles_ms(gaps),
+        total_ms=_quantiles_ms(total),
+    )
+
+
+def format_summary(summary: Summary) -> str:
+    """Return the summary as a table for people."""
+    lines = [
+        f"sent {summary.sent}, complete {summary.complete}, "
+        f"{summary.tokens} tokens, {summary.goodput_tokens_per_s:.0f} tokens/s",
+        f"disorder {summary.disorder}, reconnections {summary.resumes}, "
+        f"stall time {summary.stall_s:.3f} s",
+    ]
+    lines += [f"refused: {n} x {why}" for why, n in sorted(summary.refused.items())]
+    lines += [f"broken: {n} x {why}" for why, n in sorted(summary.broken.items())]
+    for name, values in (
+        ("first token", summary.first_ms),
+        ("gap", summary.gap_ms),
+        ("whole answer", summary.total_ms),
+    ):
+        shown = ", ".join(f"{q} {value:.1f} ms" for q, value in values.items())
+        lines.append(f"{name}: {shown}")
+    return "\n".join(lines)
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, HIGHEST_US, SIGNIFICANT_FIGURES)
+
+
+def _record(histogram: HdrHistogram, duration_s: float) -> None:
+    histogram.record_value(max(1, int(duration_s * 1_000_000)))
+
+
+def _quantiles_ms(histogram: HdrHistogram) -> dict[str, float]:
+    if not histogram.get_total_count():
+        return {}
+    return {
+        f"p{percent}": histogram.get_value_at_percentile(percent) / 1000
+        for percent in (50, 95, 99)
+    }
