--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,337 @@
+"""A small fleet of real processes on loopback, for the demo and the soak.
+
+The script that uses it starts every process; no daemon starts another.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+
+from endivesill.keys import hash_key
+
+__all__ = ["Fleet", "FleetPlan", "ManagedProcess", "free_ports"]
+
+PEER_KEY = "fleet-key-for-one-run"
+CALLER_KEY = "caller-key-for-one-run"
+STARTUP_LIMIT_S = 30.0
+POLL_S = 0.1
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of loopback that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class ManagedProcess:
+    """A child process that can be killed, stopped, suspended and restarted.
+
+    Args:
+      name: its name, for the log files.
+      arguments: its command line.
+      folder: where its output goes.
+    """
+
+    def __init__(
+        self, name: str, arguments: Sequence[str], folder: pathlib.Path
+    ) -> None:
+        self.name = name
+        self._arguments = list(arguments)
+        self._output = folder / f"{name}.out"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def running(self) -> bool:
+        """Whether the process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def pid(self) -> int:
+        """The process's id; 0 before the start."""
+        return self._process.pid if self._process else 0
+
+    def start(self) -> None:
+        """Start the process."""
+        with self._output.open("ab") as output:
+            self._process = subprocess.Popen(
+                self._arguments, stdout=output, stderr=output, stdin=subprocess.DEVNULL
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to a process that is there."""
+        if self._process is not None and self.running:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    async def stopped(self, limit_s: float) -> int | None:
+        """Wait for the end of a planned stop; return its exit code."""
+        waited_s = 0.0
+        while self.running and waited_s < limit_s:
+            await asyncio.sleep(POLL_S)
+            waited_s += POLL_S
+        return self._process.poll() if self._process else None
+
+
+@attrs.frozen
+class FleetPlan:
+    """How many of each there are; they spread over the data centres in turn.
+
+    Attributes:
+      data_centres: names of the data centres.
+      vms: entries; the first `control` of them are control VMs too.
+      control: how many control VMs.
+      engines: stand-in engines.
+      plains: stand-ins of the plain service.
+      token_s: time between tokens of an engine.
+      balancer_lag_s: the VMs' setting of that name.
+    """
+
+    data_centres: tuple[str, ...] = ("dk-west-a", "dk-west-b", "dk-west-c")
+    vms: int = 3
+    control: int = 3
+    engines: int = 2
+    plains: int = 1
+    token_s: float = 0.02
+    balancer_lag_s: float = 1.0
+
+
+class Fleet:
+    """Daemons and stand-ins with their settings in one folder.
+
+    Args:
+      plan: what to run.
+      folder: an empty folder for settings, state and logs.
+    """
+
+    def __init__(self, plan: FleetPlan, folder: pathlib.Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
+        ports = iter(free_ports(3 * plan.vms + plan.engines + plan.plains))
+        self.vm_names = [f"vm-{number}" for number in range(1, plan.vms + 1)]
+        self.caller = {name: f"127.0.0.1:{next(ports)}" for name in self.vm_names}
+        self.operator = {name: f"127.0.0.1:{next(ports)}" for name in self.vm_names}
+        self.peer = {name: f"127.0.0.1:{next(ports)}" for name in self.vm_names}
+        self.engines = {
+            f"engine-{n}": f"127.0.0.1:{next(ports)}"
+            for n in range(1, plan.engines + 1)
+        }
+        self.plains = {
+            f"app-{n}": f"127.0.0.1:{next(ports)}" for n in range(1, plan.plains + 1)
+        }
+        self.key_file = folder / "keys.txt"
+        self.key_file.write_text(PEER_KEY + "\n", encoding="utf-8")
+        self.processes: dict[str, ManagedProcess] = {}
+        self._write_folder()
+        for name in self.vm_names:
+            self._add_daemon(name)
+        self._add_standins()
+
+    @property
+    def operator_folder(self) -> pathlib.Path:
+        """The operators' folder."""
+        return self.folder / "operators"
+
+    def data_centre(self, number: int) -> str:
+        """Return the data centre of the n-th VM, engine or plain service."""
+        return self.plan.data_centres[number % len(self.plan.data_centres)]
+
+    def _write_folder(self) -> None:
+        self.operator_folder.mkdir()
+        lines = []
+        for name in self.plan.data_centres:
+            lines += [f"[data-centre {name}]", "region = dk-west", ""]
+        for number, name in enumerate(self.vm_names):
+            lines += [f"[vm {name}]", f"data_centre = {self.data_centre(number)}", ""]
+        self._write_ini("10-places.ini", lines)
+        lines = [
+            "[service plan-llm]",
+            "protocol = engine",
+            "",
+            "[service stable-app]",
+            "protocol = plain",
+            "path_prefix = /stable",
+            "deadline_s = 10",
+            "non_repeatable = POST:/bookings",
+            "",
+            "[organisation farriers]",
+            f"key_sha256 = {hash_key(CALLER_KEY)}",
+            "maximum_requests = 1000",
+        ]
+        self._write_ini("20-services.ini", lines)
+        lines = []
+        for number, (name, address) in enumerate(self.engines.items()):
+            lines += self._target(name, "plan-llm", address, number)
+            lines += ["memory_tokens = 100000", "checks_fencing = yes", ""]
+        for number, (name, address) in enumerate(self.plains.items()):
+            lines += [*self._target(name, "stable-app", address, number), ""]
+        self._write_ini("30-targets.ini", lines)
+
+    def _target(self, name: str, service: str, address: str, number: int) -> list[str]:
+        return [
+            f"[target {name}]",
+            f"service = {service}",
+            f"url = http://{address}",
+            f"data_centre = {self.data_centre(number)}",
+        ]
+
+    def _write_ini(self, name: str, lines: list[str]) -> None:
+        text = "\n".join(lines) + "\n"
+        (self.operator_folder / name).write_text(text, encoding="utf-8")
+
+    def _add_daemon(self, name: str) -> None:
+        number = self.vm_names.index(name)
+        controls = [self.peer[vm] for vm in self.vm_names[: self.plan.control]]
+        roles = "entry control" if number < self.plan.control else "entry"
+        text = f"""[vm]
+name = {name}
+data_centre = {self.data_centre(number)}
+region = dk-west
+roles = {roles}
+caller_address = {self.caller[name]}
+operator_address = {self.operator[name]}
+peer_address = {self.peer[name]}
+join_addresses = {" ".join(self.peer.values())}
+control_addresses = {" ".join(controls)}
+data_folder = {self.folder / name}
+key_file = {self.key_file}
+log_file = {self.folder / (name + ".log")}
+balancer_lag_s = {self.plan.balancer_lag_s}
+"""
+        settings = self.folder / f"{name}.ini"
+        settings.write_text(text, encoding="utf-8")
+        arguments = [sys.executable, "-m", "endivesill.daemon", str(settings)]
+        self.processes[name] = ManagedProcess(name, arguments, self.folder)
+
+    def _add_standins(self) -> None:
+        token_s = str(self.plan.token_s)
+        for name, address in self.engines.items():
+            arguments = [sys.executable, "-m", "bench.standin_engine", address]
+            arguments += ["--token-s", token_s]
+            self.processes[name] = ManagedProcess(name, arguments, self.folder)
+        for name, address in self.plains.items():
+            arguments = [sys.executable, "-m", "bench.standin_plain", address]
+            self.processes[name] = ManagedProcess(name, arguments, self.folder)
+
+    async def start(self) -> None:
+        """Start everything, apply the folder and wait until all are ready.
+
+        Raises:
+          RuntimeError: the fleet is not ready in time.
+        """
+        for process in self.processes.values():
+            process.start()
+        await self._until_operable()
+        await self.command(
+            "config", "apply", str(self.operator_folder), "--number", "1"
+        )
+        for name in self.vm_names:
+            await self.until_ready(name)
+
+    async def _until_operable(self) -> None:
+        waited_s = 0.0
+        while True:
+            try:
+                await self.command("control", "status")
+                return
+            except RuntimeError:
+                if waited_s > STARTUP_LIMIT_S:
+                    raise
+            await asyncio.sleep(POLL_S)
+            waited_s += POLL_S
+
+    async def until_ready(self, name: str, limit_s: float = STARTUP_LIMIT_S) -> None:
+        """Wait until an entry is ready for the balancer.
+
+        Raises:
+          RuntimeError: it is not ready in time.
+        """
+        waited_s = 0.0
+        while not await self.is_ready(name):
+            if waited_s > limit_s:
+                raise RuntimeError(f"{name} is not ready within {limit_s} s")
+            await asyncio.sleep(POLL_S)
+            waited_s += POLL_S
+
+    async def is_ready(self, name: str) -> bool:
+        """Tell whether an entry says that it is ready."""
+        url = f"http://{self.caller[name]}/health/ready"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(url) as response,
+            ):
+                return response.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    async def command(self, *arguments: str) -> Any:
+        """Run the command-line tool against the fleet; return its JSON.
+
+        Raises:
+          RuntimeError: it exited with an error.
+        """
+        servers: list[str] = []
+        for address in self.operator.values():
+            servers += ["--server", address]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "endivesill",
+            *arguments,
+            *servers,
+            "--key-file",
+            str(self.key_file),
+            "--output",
+            "json",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        output, error = await process.communicate()
+        if process.returncode != 0:
+            text = " ".join(arguments)
+            raise RuntimeError(
+                f"{text} exited {process.returncode}: {error.decode().strip()}"
+            )
+        return json.loads(output) if output.strip() else None
+
+    async def ran(self, standin: str) -> Any:
+        """Return what a stand-in says that it ran."""
+        address = {**self.engines, **self.plains}[standin]
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{address}/standin/ran") as response,
+        ):
+            return await response.json()
+
+    def stop(self) -> None:
+        """Kill whatever still runs."""
+        for process in self.processes.values():
+            if process.running:
+                os.kill(process.pid, signal.SIGCONT)
+                process.kill()
--- /dev/null
+++ b/tests/test_kernel.py
@@ -0,0 +1,58 @@
+"""Tests of the kernel."""
+
+import unittest
+
+from endivesill import errors
+from endivesill.kernel import Kernel, Service
+from endivesill.timer import ManualTimer
+
+
+class Recorder(Service):
+    def __init__(self, name, calls):
+        self.name = name
+        self.calls = calls
+
+    async def start(self):
+        self.calls.append(f"start {self.name}")
+
+    async def stop(self):
+        self.calls.append(f"stop {self.name}")
+
+
+class KernelTest(unittest.IsolatedAsyncioTestCase):
+    async def test_services_stop_in_reverse_order_of_their_start(self):
+        calls = []
+        kernel = Kernel(ManualTimer())
+        for name in "abc":
+            kernel.add(name, Recorder(name, calls))
+        await kernel.start()
+        await kernel.stop()
+        self.assertEqual(
+            ["start a", "start b", "start c", "stop c", "stop b", "stop a"], calls
+        )
+
+    async def test_a_service_is_found_by_name_and_class(self):
+        kernel = Kernel(ManualTimer())
+        service = Recorder("a", [])
+        kernel.add("a", service)
+        self.assertIs(service, kernel.find("a", Recorder))
+        with self.assertRaises(errors.EndivesillError):
+            kernel.find("b", Recorder)
+        with self.assertRaises(errors.EndivesillError):
+            kernel.add("a", service)
+
+    async def test_a_failed_task_starts_again_after_a_backoff(self):
+        timer = ManualTimer()
+        kernel = Kernel(timer)
+        starts = []
+
+        async def run():
+            starts.append(timer.now_s())
+            if len(starts) < 3:
+                raise ValueError("broken")
+
+        with self.assertLogs("endivesill.kernel"):
+            kernel.supervise("task", run)
+            await timer.advance(5.0)
+        self.assertEqual([1000.0, 1000.5, 1001.5], starts)
+        await kernel.stop()
