Add the soak: seeded faults on real daemons, every answer checked

Cause: the promises must be tried on whole processes under failure. Change: bench/soak with its schedule and its checks as pure modules. Conclusion: it runs once the daemon carries the control state.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import json
 import os
 import pathlib
@@ -231,10 +232,11 @@
         token_s = str(self.plan.token_s)
         for name, address in self.engines.items():
             arguments = [sys.executable, "-m", "bench.standin_engine", address]
-            arguments += ["--token-s", token_s]
+            arguments += ["--token-s", token_s, "--record", str(self._record(name))]
             self.processes[name] = ManagedProcess(name, arguments, self.folder)
         for name, address in self.plains.items():
             arguments = [sys.executable, "-m", "bench.standin_plain", address]
+            arguments += ["--record", str(self._record(name))]
             self.processes[name] = ManagedProcess(name, arguments, self.folder)
 
     async def start(self) -> None:
@@ -320,6 +322,22 @@
             )
         return json.loads(output) if output.strip() else None
 
+    def _record(self, standin: str) -> pathlib.Path:
+        return self.folder / f"{standin}.record"
+
+    def recorded(self, standin: str) -> collections.Counter[str]:
+        """Return how often a stand-in ran each tag, over all its restarts."""
+        path = self._record(standin)
+        if not path.exists():
+            return collections.Counter()
+        return collections.Counter(path.read_text(encoding="utf-8").splitlines())
+
+    async def reclaim(self, engine: str, notice_s: float = 5.0) -> None:
+        """Give an engine notice that it will go."""
+        url = f"http://{self.engines[engine]}/standin/leave?in_s={notice_s}"
+        async with aiohttp.ClientSession() as session, session.post(url):
+            return
+
     async def ran(self, standin: str) -> Any:
         """Return what a stand-in says that it ran."""
         address = {**self.engines, **self.plains}[standin]
--- a/endivesill/load/record.py
+++ b/endivesill/load/record.py
@@ -33,6 +33,8 @@
       disorder: tokens that were doubled, lost or out of order.
       resumes: how often the caller reconnected.
       complete: whether the whole answer came.
+      breaks: address and time of each connection that broke with an answer
+        pending.
       gaps_s: times between blocks of tokens.
     """
 
@@ -51,6 +53,7 @@
     disorder: int = 0
     resumes: int = 0
     complete: bool = False
+    breaks: list[tuple[str, float]] = attrs.Factory(list)
     gaps_s: list[float] = attrs.Factory(list)
 
 
--- a/endivesill/load/runner.py
+++ b/endivesill/load/runner.py
@@ -148,33 +148,37 @@
         finally:
             record.end_s = self._timer.now_s()
 
-    def _url(self, arrival: Arrival, attempt: int, path: str) -> str:
+    def _address(self, arrival: Arrival, attempt: int) -> str:
         addresses = self._experiment.settings.addresses
-        address = addresses[(arrival.address_index + attempt) % len(addresses)]
-        return f"http://{address}{path}"
+        return addresses[(arrival.address_index + attempt) % len(addresses)]
+
+    def _tag(self, arrival: Arrival) -> str:
+        """Return the tag by which a target can tell the requests apart."""
+        seed = self._experiment.settings.seed
+        return f"{arrival.stream.name}-{seed}-{arrival.number}"
 
     async def _call(
         self, session: aiohttp.ClientSession, arrival: Arrival, record: RequestRecord
     ) -> None:
         stream = arrival.stream
         headers = {"Authorization": f"Bearer {arrival.organisation.key}"}
-        seed = self._experiment.settings.seed
-        body = f"{stream.name}-{seed}-{arrival.number}"
+        body = self._tag(arrival)
         if stream.idempotency:
             record.key = body
             headers["Idempotency-Key"] = body
         for attempt in range(MAXIMUM_RECONNECTS if stream.idempotency else 1):
+            address = self._address(arrival, attempt)
             try:
                 async with session.request(
                     stream.method,
-                    self._url(arrival, attempt, stream.path),
+                    f"http://{address}{stream.path}",
                     data=body,
                     headers=headers,
                 ) as response:
                     await self._take_answer(response, record)
                     return
             except (aiohttp.ClientError, OSError, TimeoutError) as error:
-                record.reason = type(error).__name__
+                self._take_break(record, address, error)
                 record.resumes += 1
                 await self._timer.sleep(RECONNECT_DELAY_S)
 
@@ -206,10 +210,12 @@
             "prompt": WORD * arrival.prompt_tokens,
             "stream": True,
             "max_tokens": arrival.output_tokens,
+            "user": self._tag(arrival),
         }
         body = json.dumps(document)
         for attempt in range(MAXIMUM_RECONNECTS):
-            url = self._url(arrival, attempt, "/v1/completions")
+            address = self._address(arrival, attempt)
+            url = f"http://{address}/v1/completions"
             if record.generation:
                 last_index = record.tokens - 1
                 headers["Last-Event-ID"] = f"{record.generation}:{last_index}"
@@ -223,13 +229,20 @@
                     await self._read_events(response, record)
                     return
             except (aiohttp.ClientError, OSError, TimeoutError) as error:
-                record.reason = type(error).__name__
+                self._take_break(record, address, error)
                 if not record.generation and not self._never_connected(error):
                     # Without an id the caller cannot tell whether it runs.
                     return
                 record.resumes += 1
                 await self._timer.sleep(RECONNECT_DELAY_S)
 
+    def _take_break(
+        self, record: RequestRecord, address: str, error: Exception
+    ) -> None:
+        record.reason = type(error).__name__
+        if not self._never_connected(error):
+            record.breaks.append((address, self._timer.now_s()))
+
     @staticmethod
     def _never_connected(error: Exception) -> bool:
         return isinstance(error, aiohttp.ClientConnectorError)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,50 @@
+"""Tests of the soak's schedule and checks."""
+
+import unittest
+
+from bench.soak_check import StandinRuns, check_soak
+from bench.soak_schedule import FleetNames, make_schedule
+from endivesill.load import RequestRecord
+
+NAMES = FleetNames(("vm-1", "vm-2"), ("engine-1",), ("a", "b"))
+NON_REPEATABLE = frozenset(("bookings",))
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_a_seed_gives_one_schedule_with_every_kind(self):
+        first = make_schedule(5, NAMES, 180.0)
+        self.assertEqual(first, make_schedule(5, NAMES, 180.0))
+        self.assertNotEqual(first, make_schedule(6, NAMES, 180.0))
+        actions = {fault.action for fault in first}
+        expected = {"kill", "start", "planned-stop", "suspend", "continue"}
+        expected |= {"take-out", "put-back", "apply", "reclaim"}
+        self.assertEqual(expected, actions)
+
+
+class CheckTest(unittest.TestCase):
+    def check(self, record, generations=None, calls=None, stops=()):
+        runs = StandinRuns(generations or {}, calls or {})
+        return check_soak([record], runs, 1, NON_REPEATABLE, stops)
+
+    def test_a_call_that_ran_twice_is_found(self):
+        record = RequestRecord(0, "bookings", "o", complete=True)
+        found = self.check(record, calls={"bookings-1-0": 2})
+        self.assertEqual(1, len(found.doubled_calls))
+
+    def test_an_answer_without_a_run_is_found(self):
+        record = RequestRecord(0, "bookings", "o", complete=True)
+        self.assertEqual(1, len(self.check(record).lost_calls))
+
+    def test_a_false_not_run_is_found_for_calls_and_generations(self):
+        for stream in ("bookings", "plans"):
+            record = RequestRecord(0, stream, "o", status=503, run="not-run")
+            tag = {f"{stream}-1-0": 1}
+            found = self.check(record, generations=tag, calls=tag)
+            self.assertEqual(1, len(found.false_not_run))
+
+    def test_a_break_counts_only_during_a_planned_stop_of_its_entry(self):
+        record = RequestRecord(0, "plans", "o", breaks=[("a:1", 5.0)])
+        during = self.check(record, stops=[("a:1", 4.0, 6.0)])
+        elsewhere = self.check(record, stops=[("b:1", 4.0, 6.0)])
+        self.assertEqual(1, len(during.cut_by_planned_stop))
+        self.assertEqual(0, elsewhere.violations)
