Detect failures of VMs and find homes of targets

SWIM probes within a data centre, delegates between them, news pushed on and piggybacked over UDP datagrams; rendezvous homes kept over changes; leaving targets merged from three sources.

--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -11,6 +11,7 @@
     "FindingsError",
     "NotLeaderError",
     "OutcomeUnknownError",
+    "PeerMessageError",
     "PeerUnreachableError",
     "RefusedError",
     "RequestError",
@@ -21,6 +22,7 @@
     "TargetGoneError",
     "TargetRefusedError",
     "UnavailableError",
+    "VmListError",
 ]
 
 
@@ -51,6 +53,14 @@
     """A peer that did not answer; the message may or may not have arrived."""
 
 
+class PeerMessageError(EndivesillError):
+    """A message from a peer that cannot be read."""
+
+
+class VmListError(EndivesillError):
+    """A VM list that cannot be read."""
+
+
 class UnavailableError(EndivesillError):
     """No quorum, no leader or no lease: nothing was changed."""
 
--- a/endivesill/membership/__init__.py
+++ b/endivesill/membership/__init__.py
@@ -1,10 +1,37 @@
 """Membership: which VMs are there, and which is the home of a target."""
 
+from endivesill.membership.datagrams import (
+    DatagramTransport,
+    MemoryDatagramTransport,
+    UdpDatagramTransport,
+)
+from endivesill.membership.homes import HomeTable, LiveEntry
+from endivesill.membership.leaving import LeavingTargets
+from endivesill.membership.service import SwimMembership
+from endivesill.membership.settings import MembershipSettings
 from endivesill.membership.view import (
     MembershipView,
     StaticMembership,
     VmRecord,
     VmState,
 )
+from endivesill.membership.vm_list import VmList, VmListReader, make_vm_list, vm_list
 
-__all__ = ["MembershipView", "StaticMembership", "VmRecord", "VmState"]
+__all__ = [
+    "DatagramTransport",
+    "HomeTable",
+    "LeavingTargets",
+    "LiveEntry",
+    "MembershipSettings",
+    "MembershipView",
+    "MemoryDatagramTransport",
+    "StaticMembership",
+    "SwimMembership",
+    "UdpDatagramTransport",
+    "VmList",
+    "VmListReader",
+    "VmRecord",
+    "VmState",
+    "make_vm_list",
+    "vm_list",
+]
--- a/endivesill/membership/view.py
+++ b/endivesill/membership/view.py
@@ -2,7 +2,8 @@
 
 `MembershipView` is the base; `StaticMembership` is the sibling for tests. The
 home of a target is the live entry of the target's data centre with the highest
-rendezvous hash; where that data centre has no live entry, of the whole fleet.
+rendezvous hash; where that data centre has no live entry, of its region, and then
+of the whole fleet.
 """
 
 from __future__ import annotations
@@ -69,6 +70,17 @@
         """Tell whether this VM is the target's home."""
         raise NotImplementedError
 
+    def home_since_s(self, target: Target) -> float | None:
+        """Return when this VM became a target's home, on the timer's clock.
+
+        Until the credits that the home before it lent have expired, counted from
+        then, it lends from the cold allowance only.
+
+        Returns:
+          None if this VM is not the home.
+        """
+        raise NotImplementedError
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener after each change of the fleet."""
         self._listeners.append(listener)
@@ -88,6 +100,7 @@
         self._own_name = own_name
         self._vms = vms
         self.homes = homes
+        self.since_s: dict[str, float] = {}
 
     def vms(self) -> tuple[VmRecord, ...]:
         """Return the VMs that were set."""
@@ -102,6 +115,12 @@
         """Tell whether the home that was set is this VM."""
         return self.homes.get(target.name) == self._own_name
 
+    def home_since_s(self, target: Target) -> float | None:
+        """Return what the test set in `since_s`; long ago if it set nothing."""
+        if not self.is_home(target):
+            return None
+        return self.since_s.get(target.name, float("-inf"))
+
     def replace(self, vms: tuple[VmRecord, ...], homes: dict[str, str]) -> None:
         """Set another fleet."""
         self._vms = vms
