Commit, distribute and lease the configuration

Changes of the folder and single changes are commands of the replicated state with one revision. VMs form a tree for the questions to the control replicas; a lease counts from a VM's own question.

--- /dev/null
+++ b/endivesill/configuration/copy.py
@@ -0,0 +1,157 @@
+"""A VM's copy of the configuration: applied upwards only, passed on as deltas."""
+
+from __future__ import annotations
+
+import base64
+import json
+import zlib
+from typing import Any
+
+import attrs
+
+from endivesill.configuration.changes import (
+    Change,
+    ChangeLog,
+    Documents,
+    digest_of_documents,
+    updated_digest,
+)
+from endivesill.configuration.model import Configuration
+from endivesill.peers import Message
+
+__all__ = [
+    "ConfigurationCopy",
+    "CopySnapshot",
+    "pack_documents",
+    "page_of",
+    "unpack_documents",
+]
+
+PAGE_ITEMS = 2_000
+
+
+def pack_documents(documents: Documents) -> str:
+    """Return documents as compressed JSON in base64."""
+    text = json.dumps(documents, separators=(",", ":"))
+    return base64.b64encode(zlib.compress(text.encode())).decode()
+
+
+def unpack_documents(packed: str) -> Documents:
+    """Return the documents that `pack_documents` packed."""
+    return json.loads(zlib.decompress(base64.b64decode(packed)))
+
+
+def page_of(keys: Any, after: str) -> list[str]:
+    """Return the keys of the page of a full copy that follows a key."""
+    return sorted(key for key in keys if key > after)[:PAGE_ITEMS]
+
+
+@attrs.frozen
+class CopySnapshot:
+    """A copy at one revision; its documents are never changed in place."""
+
+    revision: int
+    digest: str
+    documents: Documents
+
+
+class ConfigurationCopy:
+    """The configuration in force on one VM.
+
+    Attributes:
+      configuration: the typed configuration.
+      documents: its documents by key.
+      digest: the digest of the documents.
+      as_of: the log index up to which the documents hold all changes.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = Configuration()
+        self.documents: Documents = {}
+        self.digest = ""
+        self.as_of = 0
+        self._change_log = ChangeLog()
+
+    @property
+    def revision(self) -> int:
+        """The revision in force."""
+        return self.configuration.revision
+
+    def snapshot(self) -> CopySnapshot:
+        """Return what the copy holds now."""
+        return CopySnapshot(self.revision, self.digest, dict(self.documents))
+
+    def confirm(self, revision: int, as_of: int) -> None:
+        """Note that a revision is still the newest at a log index."""
+        if revision == self.revision:
+            self.as_of = max(self.as_of, as_of)
+
+    def apply(self, delta: Message) -> bool:
+        """Put a newer revision in force.
+
+        Returns:
+          False if the result does not match the digest of the delta; then
+          nothing was changed.
+        """
+        revision = delta["revision"]
+        if revision <= self.revision:
+            self.confirm(revision, delta["as_of"])
+            return True
+        change = Change(delta["changed"], tuple(delta["removed"]))
+        before = [
+            (key, self.documents[key])
+            for key in change.touched
+            if key in self.documents
+        ]
+        digest = updated_digest(self.digest, before, change.changed)
+        if digest != delta["digest"]:
+            return False
+        configuration = self.configuration.with_changes(
+            revision, change.changed, change.removed
+        )
+        self.documents.update(change.changed)
+        for key in change.removed:
+            self.documents.pop(key, None)
+        self.digest = digest
+        self.configuration = configuration
+        self.as_of = delta["as_of"]
+        self._change_log.append(revision, change.touched)
+        return True
+
+    def replace(
+        self, revision: int, as_of: int, documents: Documents, digest: str
+    ) -> bool:
+        """Put a full copy in force; see `apply`."""
+        if revision <= self.revision:
+            self.confirm(revision, as_of)
+            return True
+        if digest_of_documents(documents) != digest:
+            return False
+        self.documents = documents
+        self.digest = digest
+        self.configuration = Configuration().with_changes(revision, documents, ())
+        self.as_of = as_of
+        self._change_log.restart(revision)
+        return True
+
+    def delta_since(self, revision: int) -> Message | None:
+        """Return the delta from a revision, or None if it is not known."""
+        keys = self._change_log.keys_since(revision)
+        if keys is None:
+            return None
+        return {
+            "revision": self.revision,
+            "as_of": self.as_of,
+            "digest": self.digest,
+            "changed": {k: self.documents[k] for k in keys if k in self.documents},
+            "removed": [k for k in keys if k not in self.documents],
+        }
+
+    def page(self, after: str) -> Message:
+        """Return one page of a full copy."""
+        keys = page_of(self.documents, after)
+        return {
+            "revision": self.revision,
+            "packed": pack_documents({k: self.documents[k] for k in keys}),
+            "last": keys[-1] if len(keys) == PAGE_ITEMS else "",
+        }
--- /dev/null
+++ b/endivesill/configuration/events.py
@@ -0,0 +1,59 @@
+"""Log events of the configuration and the operator port."""
+
+from endivesill import events
+
+__all__ = [
+    "CHANGE_ANSWERED",
+    "CONFIGURATION_IN_FORCE",
+    "COPY_DAMAGED",
+    "COPY_FETCHED",
+    "COPY_NOT_KEPT",
+    "KEYS_KEPT",
+    "KEYS_RELOADED",
+    "LEASE_GAINED",
+    "LEASE_LOST",
+    "UPSTREAM_FAILED",
+]
+
+CONFIGURATION_IN_FORCE = events.define(
+    5001, "configuration-in-force", "A newer revision is in force on this VM."
+)
+LEASE_GAINED = events.define(
+    5002, "configuration-lease-gained", "This VM may start new work."
+)
+LEASE_LOST = events.define(
+    5003,
+    "configuration-lease-lost",
+    "No majority of the control replicas confirmed the configuration in time; "
+    "this VM starts no new work.",
+)
+UPSTREAM_FAILED = events.define(
+    5004,
+    "configuration-upstream-failed",
+    "The VM that passes the configuration on did not answer; this VM asks the "
+    "control replicas itself for a while.",
+)
+COPY_FETCHED = events.define(
+    5005,
+    "configuration-copy-fetched",
+    "A full copy was fetched, because the changes known do not reach back.",
+)
+COPY_DAMAGED = events.define(
+    5006,
+    "configuration-copy-damaged",
+    "The configuration does not match its digest; a full copy is fetched.",
+)
+CHANGE_ANSWERED = events.define(
+    5007, "change-answered", "An operator's change was answered."
+)
+COPY_NOT_KEPT = events.define(
+    5008,
+    "configuration-copy-not-kept",
+    "The copy could not be written to disk; a restart will fetch a full copy.",
+)
+KEYS_RELOADED = events.define(5101, "keys-reloaded", "The key file was read again.")
+KEYS_KEPT = events.define(
+    5102,
+    "keys-kept",
+    "The key file has changed but cannot be used; the former keys stay valid.",
+)
--- a/endivesill/configuration/folder.py
+++ b/endivesill/configuration/folder.py
@@ -13,10 +13,20 @@
 
 from endivesill import errors, schema
 from endivesill.configuration import model
+from endivesill.configuration.changes import Change, difference
 from endivesill.findings import Finding
 from endivesill.ini import IniSection, parse_ini
 
-__all__ = ["Folder", "merge_sections", "read_folder"]
+__all__ = [
+    "BASE_REVISION_FILE",
+    "Folder",
+    "merge_sections",
+    "read_base_revision",
+    "read_folder",
+    "write_base_revision",
+]
+
+BASE_REVISION_FILE = ".endivesill-revision"
 
 
 @attrs.frozen
@@ -31,6 +41,17 @@
     documents: dict[str, dict[str, Any]]
     origins: dict[str, dict[str, tuple[str, int]]]
 
+    def change_from(self, documents: dict[str, dict[str, Any]]) -> Change:
+        """Return what turns other documents into the folder's."""
+        return difference(documents, self.documents)
+
+    def origin_texts(self, key: str) -> dict[str, str]:
+        """Return `FILE:LINE` of each value of an item, without the folder."""
+        return {
+            field: f"{pathlib.PurePath(file).name}:{line}"
+            for field, (file, line) in self.origins.get(key, {}).items()
+        }
+
 
 def read_folder(path: str) -> Folder:
     """Read, merge and check all `*.ini` files of a folder.
@@ -78,7 +99,7 @@
         if key not in merged:
             merged[key] = IniSection(section.name, section.file, section.line)
         merged[key].values.update(section.values)
-    items: dict[str, Any] = {}
+    documents: dict[str, dict[str, Any]] = {}
     for key, section in merged.items():
         kind, _, name = key.partition("/")
         item, item_findings = schema.read_section(
@@ -86,13 +107,8 @@
         )
         findings.extend(item_findings)
         if item is not None:
-            items[key] = item
-    documents = {key: model.item_to_document(item) for key, item in items.items()}
-    if len(items) == len(merged):
-        configuration = model.configuration_from_documents(0, documents)
-        findings.extend(
-            configuration.findings(lambda key: (merged[key].file, merged[key].line))
-        )
+            documents[key] = model.item_to_document(item)
+    findings.extend(_whole_findings(documents, merged))
     if findings:
         raise errors.FindingsError(sorted(findings))
     origins = {
@@ -100,3 +116,39 @@
         for key, section in merged.items()
     }
     return Folder(documents, origins)
+
+
+def _whole_findings(
+    documents: dict[str, dict[str, Any]], merged: dict[str, IniSection]
+) -> list[Finding]:
+    """Return what is wrong between items; an item at fault still counts as known."""
+    findings = []
+    owners: dict[str, str] = {}
+    for key, document in documents.items():
+        section = merged[key]
+        problems = model.reference_findings(key, document, merged.__contains__)
+        if key.startswith("limits/") and key != "limits/default":
+            problems.append("the limits are one item named default")
+        owner = owners.setdefault(document.get("key_sha256", key), key)
+        if owner != key:
+            problems.append(f"{key} has the same key as {owner}")
+        for text in problems:
+            findings.append(Finding(section.file, section.line, text))
+    return findings
+
+
+def read_base_revision(path: str) -> int | None:
+    """Return the revision that a folder was made from, or None if not known."""
+    file = pathlib.Path(path) / BASE_REVISION_FILE
+    try:
+        return int(file.read_text(encoding="utf-8"))
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError) as error:
+        raise errors.FindingsError([Finding(str(file), 1, str(error))]) from None
+
+
+def write_base_revision(path: str, revision: int) -> None:
+    """Note the revision that a folder now stands for."""
+    file = pathlib.Path(path) / BASE_REVISION_FILE
+    file.write_text(f"{revision}\n", encoding="utf-8")
--- a/endivesill/configuration/model.py
+++ b/endivesill/configuration/model.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
 import attrs
 
 from endivesill import schema
-from endivesill.findings import Finding
 
 __all__ = [
     "ITEM_KINDS",
@@ -25,9 +24,11 @@
     "Target",
     "Vm",
     "configuration_from_documents",
+    "document_findings",
     "item_from_document",
     "item_kind",
     "item_to_document",
+    "reference_findings",
 ]
 
 T = TypeVar("T")
@@ -262,31 +263,45 @@
             return False
         return not data_centre.taken_out
 
-    def findings(self, place: Callable[[str], tuple[str, int]]) -> list[Finding]:
-        """Return what is wrong between items.
+    def with_changes(
+        self,
+        revision: int,
+        changed: dict[str, dict[str, Any]],
+        removed: Iterable[str],
+    ) -> Configuration:
+        """Return the configuration after a change; this one stays as it is.
 
         Args:
-          place: gives file and line of an item's key, such as `target/e1`.
+          revision: the revision after the change.
+          changed: the documents of new and changed items by key.
+          removed: the keys of items that are gone.
         """
-        found = []
-        for target in self.targets.values():
-            key = f"target/{target.name}"
-            if target.service not in self.services:
-                text = f"target {target.name}: no service {target.service}"
-                found.append(Finding(*place(key), text))
-            if target.data_centre not in self.data_centres:
-                text = f"target {target.name}: no data centre {target.data_centre}"
-                found.append(Finding(*place(key), text))
-        for vm in self.vms.values():
-            if vm.data_centre not in self.data_centres:
-                text = f"vm {vm.name}: no data centre {vm.data_centre}"
-                found.append(Finding(*place(f"vm/{vm.name}"), text))
-        for service in self.services.values():
-            if service.protocol == "plain" and not service.path_prefix:
-                text = f"service {service.name}: a plain service needs path_prefix"
-                found.append(Finding(*place(f"service/{service.name}"), text))
-        return found
-
+        collections: dict[str, dict[str, Any]] = {}
+        limits = self.limits
+        for key, document in [*((k, None) for k in removed), *changed.items()]:
+            kind, _, name = key.partition("/")
+            if kind == "limits":
+                found = Limits("default") if document is None else None
+                limits = found or item_from_document(key, document or {})
+                continue
+            field = _COLLECTIONS.get(kind)
+            if field is None:
+                continue
+            collection = collections.get(field)
+            if collection is None:
+                collection = collections[field] = dict(getattr(self, field))
+            if document is None:
+                collection.pop(name, None)
+            else:
+                collection[name] = item_from_document(key, document)
+        return attrs.evolve(self, revision=revision, limits=limits, **collections)
+
+
+# The kinds that an item of a kind names in its fields.
+REFERENCES: dict[str, tuple[str, ...]] = {
+    "target": ("service", "data-centre"),
+    "vm": ("data-centre",),
+}
 
 _COLLECTIONS = {
     "data-centre": "data_centres",
@@ -325,12 +340,43 @@
     revision: int, documents: dict[str, dict[str, Any]]
 ) -> Configuration:
     """Build the typed configuration from documents by key."""
-    collections: dict[str, dict[str, Any]] = {n: {} for n in _COLLECTIONS.values()}
-    limits = Limits("default")
-    for key, document in documents.items():
-        item = item_from_document(key, document)
-        if isinstance(item, Limits):
-            limits = item
-            continue
-        collections[_COLLECTIONS[key.partition("/")[0]]][item.name] = item
-    return Configuration(revision=revision, limits=limits, **collections)
+    return Configuration().with_changes(revision, documents, ())
+
+
+def document_findings(key: str, document: dict[str, Any]) -> list[str]:
+    """Return what is wrong in one document by itself."""
+    kind_name, _, name = key.partition("/")
+    kind = ITEM_KINDS.get(kind_name)
+    if kind is None or not name:
+        return [f"{key} is not of a known kind"]
+    if kind is Limits and name != "default":
+        return ["the limits are one item named default"]
+    return schema.check_values(kind, document)
+
+
+def reference_findings(
+    key: str, document: dict[str, Any], known: Callable[[str], bool]
+) -> list[str]:
+    """Return what an item refers to in vain.
+
+    Args:
+      key: the item's key.
+      document: its document.
+      known: tells whether there is an item of a key.
+    """
+    kind, _, name = key.partition("/")
+    found = []
+    for referenced in REFERENCES.get(kind, ()):
+        value = document.get(referenced.replace("-", "_"))
+        if value is not None and not known(f"{referenced}/{value}"):
+            words = referenced.replace("-", " ")
+            found.append(f"{kind} {name}: no {words} {value}")
+    if kind == "service" and document.get("protocol") == "plain":
+        found.extend(_plain_service_findings(name, document))
+    return found
+
+
+def _plain_service_findings(name: str, document: dict[str, Any]) -> list[str]:
+    if document.get("path_prefix"):
+        return []
+    return [f"service {name}: a plain service needs path_prefix"]
--- a/endivesill/ini.py
+++ b/endivesill/ini.py
@@ -1,4 +1,8 @@
-"""INI files with the line of each section and key."""
+"""INI files with the line of each section and key.
+
+configparser reads the values. A scan adds the lines and finds what configparser
+would stop at, so that one run reports every fault of a file.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,9 @@
 _HEADER = re.compile(r"^\[(?P<name>[^\]]+)\]\s*$")
 _KEY = re.compile(r"^(?P<key>[^\s#;=:\[][^=:]*?)\s*[=:]")
 
+# No section has this name, so that [DEFAULT] is a section like any other.
+_NO_DEFAULT_SECTION = "\0"
+
 
 @attrs.frozen
 class IniValue:
@@ -42,24 +49,18 @@
 
 
 def parse_ini(text: str, file: str) -> tuple[list[IniSection], list[Finding]]:
-    """Parse one file; configparser reads, a scan adds the lines.
+    """Parse one file.
 
     Args:
       text: the file's content.
       file: its name, for the findings.
 
     Returns:
-      The sections, and the findings; with findings the sections are not whole.
+      The sections without the lines at fault, and a finding for each of these.
     """
-    parser = configparser.ConfigParser(
-        interpolation=None, strict=True, inline_comment_prefixes=None
-    )
-    parser.optionxform = str  # type: ignore[assignment,method-assign]
-    try:
-        parser.read_string(text, source=file)
-    except configparser.Error as error:
-        return [], _findings_of(error, file)
-    lines = _scan_lines(text)
+    parser, findings = _read(text, file)
+    lines, duplicates = _scan_lines(text, file)
+    findings.extend(duplicates)
     sections = []
     for name in parser.sections():
         section = IniSection(name, file, lines.get((name, None), 0))
@@ -67,34 +68,59 @@
             line = lines.get((name, key), section.line)
             section.values[key] = IniValue(value, file, line)
         sections.append(section)
-    return sections, []
-
-
-def _findings_of(error: configparser.Error, file: str) -> list[Finding]:
-    if isinstance(error, configparser.ParsingError) and getattr(error, "errors", None):
-        return [
-            Finding(file, line, f"not an INI line: {text.strip()}")
-            for line, text in error.errors
-        ]
-    line = getattr(error, "lineno", 0) or 0
-    if isinstance(error, configparser.DuplicateSectionError):
-        return [Finding(file, line, f"section [{error.section}] stands twice")]
-    if isinstance(error, configparser.DuplicateOptionError):
-        text = f"key {error.option} stands twice in [{error.section}]"
-        return [Finding(file, line, text)]
-    return [Finding(file, line, error.message.splitlines()[0])]
+    return sections, sorted(findings)
+
+
+def _read(text: str, file: str) -> tuple[configparser.ConfigParser, list[Finding]]:
+    """Read with configparser; blank each line that it stops at and go on."""
+    lines = text.splitlines()
+    findings: list[Finding] = []
+    while True:
+        parser = _new_parser()
+        try:
+            parser.read_string("\n".join(lines), source=file)
+            return parser, findings
+        except configparser.MissingSectionHeaderError as error:
+            faults = [error.lineno]
+        except configparser.ParsingError as error:
+            faults = [line for line, _ in error.errors]
+        for number in faults:
+            shown = lines[number - 1].strip()
+            findings.append(Finding(file, number, f"not an INI line: {shown}"))
+            lines[number - 1] = ""
+
+
+def _new_parser() -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        strict=False,
+        inline_comment_prefixes=None,
+        default_section=_NO_DEFAULT_SECTION,
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    return parser
 
 
-def _scan_lines(text: str) -> dict[tuple[str, str | None], int]:
+def _scan_lines(
+    text: str, file: str
+) -> tuple[dict[tuple[str, str | None], int], list[Finding]]:
     lines: dict[tuple[str, str | None], int] = {}
+    findings: list[Finding] = []
     section = ""
     for number, line in enumerate(text.splitlines(), start=1):
         header = _HEADER.match(line)
+        match = _KEY.match(line)
         if header:
             section = header["name"]
-            lines[section, None] = number
+            place: tuple[str, str | None] = (section, None)
+            fault = f"section [{section}] stands twice"
+        elif match:
+            place = (section, match["key"].strip())
+            fault = f"key {place[1]} stands twice in [{section}]"
+        else:
             continue
-        key = _KEY.match(line)
-        if key:
-            lines.setdefault((section, key["key"].strip()), number)
-    return lines
+        if place in lines:
+            findings.append(Finding(file, number, fault))
+        else:
+            lines[place] = number
+    return lines, findings
--- a/endivesill/schema.py
+++ b/endivesill/schema.py
@@ -15,7 +15,7 @@
 from endivesill.findings import Finding
 from endivesill.ini import IniSection, IniValue
 
-__all__ = ["field", "markdown_keys", "read_section"]
+__all__ = ["check_values", "field", "markdown_keys", "read_section"]
 
 T = TypeVar("T")
 
@@ -89,8 +89,59 @@
     return kind(**values), []
 
 
+def check_values(kind: type, values: dict[str, Any]) -> list[str]:
+    """Check typed values, such as those of a JSON document, against a class.
+
+    Args:
+      kind: the attrs class.
+      values: the values by field; fields with a default may be missing.
+
+    Returns:
+      What is wrong, one text for each field.
+    """
+    problems = []
+    hints = typing.get_type_hints(kind)
+    attributes = {a.name: a for a in attrs.fields(kind) if "doc" in a.metadata}
+    for name in sorted(values.keys() - attributes.keys()):
+        problems.append(f"unknown key {name}")
+    for name, attribute in attributes.items():
+        if name not in values:
+            if attribute.default is attrs.NOTHING:
+                problems.append(f"needs the key {name}")
+            continue
+        value = values[name]
+        if not _has_type(value, hints[name]):
+            problems.append(f"{name}: {value!r} has the wrong type")
+            continue
+        if isinstance(value, list):
+            value = tuple(value)
+        try:
+            _check(value, attribute.metadata)
+        except ValueError as error:
+            problems.append(f"{name}: {error}")
+    return problems
+
+
+def _has_type(value: Any, hint: Any) -> bool:
+    if typing.get_origin(hint) is tuple:
+        is_sequence = isinstance(value, (list, tuple))
+        return is_sequence and all(isinstance(word, str) for word in value)
+    if hint is bool:
+        return isinstance(value, bool)
+    if isinstance(value, bool):
+        return False
+    if hint is float:
+        return isinstance(value, (int, float)) and abs(value) < float("inf")
+    return isinstance(value, hint)
+
+
 def _parse(given: IniValue, hint: Any, metadata: Any) -> Any:
     value = _convert(given.text.strip(), hint)
+    _check(value, metadata)
+    return value
+
+
+def _check(value: Any, metadata: Any) -> None:
     if isinstance(value, (int, float)) and not isinstance(value, bool):
         if metadata["minimum"] is not None and value < metadata["minimum"]:
             raise ValueError(f"{value} is under {metadata['minimum']}")
@@ -102,7 +153,6 @@
         problem = metadata["check"](value)
         if problem:
             raise ValueError(problem)
-    return value
 
 
 def _convert(text: str, hint: Any) -> Any:
