--- /dev/null
+++ b/endivesill/routing/credits.py
@@ -0,0 +1,347 @@
+"""Credits of one target, as its home lends them.
+
+A ledger bounds the sum of what all borrowers may run. A borrower's exposure is
+the larger of the loans that it may still hold and of what it runs. It shrinks
+only when the borrower has confirmed a smaller loan, or when the loan has
+expired and the target's load report shows that the work has ended.
+"""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+
+from endivesill.configuration.model import Target
+from endivesill.routing.limits import DecodeLimit, MemoryLimit, PrefillLimit
+from endivesill.routing.warmth import ColdStart
+
+__all__ = ["LOAN_LIFE_S", "Ledger", "Loan", "Use"]
+
+LOAN_LIFE_S = 8.0
+TAKEOVER_S = LOAN_LIFE_S + 1.0
+REPORT_LAG_LIMIT_S = 3.0
+RESIDUAL_LIFE_S = 60.0
+FOREIGN_WINDOW_S = 6.0
+TOKENS_PER_SLOT = 512
+ADAPT_PERIOD_S = 1.0
+
+
+@attrs.frozen
+class Use:
+    """What a borrower says of its work at a target.
+
+    Attributes:
+      slots: requests that it runs there.
+      tokens: memory tokens that it has reserved there.
+      ahead_slots: how many it would like to start.
+      ahead_tokens: memory tokens that those would need.
+      serial: serial of the loan that it holds; 0 for none.
+      median_gap_ms: median gap between tokens; 0 if unknown.
+      tail_gap_ms: 95th percentile of the gap; 0 if unknown.
+      answers: answers completed since the last ask.
+      first_token_ms: their mean time to the first token.
+      recooled: whether it has seen the target turn cold.
+    """
+
+    slots: int = 0
+    tokens: int = 0
+    ahead_slots: int = 0
+    ahead_tokens: int = 0
+    serial: int = 0
+    median_gap_ms: float = 0.0
+    tail_gap_ms: float = 0.0
+    answers: int = 0
+    first_token_ms: float = 0.0
+    recooled: bool = False
+
+
+@attrs.frozen
+class Loan:
+    """Credits of one borrower at one target.
+
+    Attributes:
+      slots: requests that it may run at once.
+      tokens: memory tokens that it may reserve.
+      prefill_tokens: prompt tokens that it may have in flight.
+      serial: grows with each loan of a ledger.
+      expires_s: when it ends, on the holder's own clock.
+    """
+
+    slots: int
+    tokens: int
+    prefill_tokens: int
+    serial: int
+    expires_s: float
+
+
+@attrs.define
+class _Account:
+    """A borrower's loans that it may still hold, by serial, and its last use.
+
+    Its base is what it ran when it first asked, on an earlier home's loans.
+    """
+
+    base_slots: int = 0
+    loans: dict[int, Loan] = attrs.Factory(dict)
+    use: Use = attrs.Factory(Use)
+
+    def exposed_slots(self) -> int:
+        return max([self.use.slots, *(loan.slots for loan in self.loans.values())])
+
+    def exposed_tokens(self) -> int:
+        return max([self.use.tokens, *(loan.tokens for loan in self.loans.values())])
+
+    def expires_s(self) -> float:
+        return max((loan.expires_s for loan in self.loans.values()), default=0.0)
+
+
+@attrs.define
+class _Residual:
+    """Work of borrowers that are no longer heard of."""
+
+    slots: int
+    tokens: int
+    since_s: float
+
+
+class Ledger:
+    """What a home lends of one target.
+
+    A new ledger cannot know what an earlier home has lent, so it lends from the
+    cold allowance until those loans have expired; beyond it, only as much as a
+    borrower already runs. A warm ledger keeps the cold allowance back, so that
+    two homes at once stay within what the target bears.
+
+    Args:
+      target: the target.
+      gap_target_ms: the service's bound on the gap between tokens.
+      first_token_target_ms: the service's bound on the first token.
+      now_s: when this home took over.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        gap_target_ms: float,
+        first_token_target_ms: float,
+        now_s: float,
+    ) -> None:
+        self.target = target
+        self._gap_target_ms = gap_target_ms
+        self._first_token_target_ms = first_token_target_ms
+        self.taken_over_s = now_s
+        self._assumed = False
+        warm_slots = max(target.cold_slots, target.maximum_slots - target.cold_slots)
+        self.warmth = ColdStart(target.cold_slots, warm_slots)
+        self.decode = DecodeLimit(warm_slots)
+        self.memory = MemoryLimit()
+        self.prefill = PrefillLimit()
+        self.answering = True
+        self._accounts: dict[str, _Account] = {}
+        self._residuals: list[_Residual] = []
+        self._serial = 0
+        self._adapted_s = now_s
+        self._memory_tokens = target.memory_tokens
+        self._foreign_slots = 0
+        self._reported: collections.deque[tuple[float, int]] = collections.deque()
+        self._known: collections.deque[tuple[float, int]] = collections.deque()
+
+    def allowance_slots(self) -> int:
+        """Return how many requests the target bears at once now."""
+        if not self.answering:
+            return 0
+        return min(self.warmth.slots, self.decode.slots)
+
+    def allowance_tokens(self) -> int:
+        """Return how many memory tokens may be reserved; 0 for a plain service."""
+        return int(self.memory.tokens(self._memory_tokens))
+
+    def lent_slots(self, now_s: float) -> int:
+        """Return the exposure over all borrowers, the lost ones included."""
+        self._expire(now_s)
+        lent = sum(account.exposed_slots() for account in self._accounts.values())
+        return lent + sum(residual.slots for residual in self._residuals)
+
+    def ask(self, borrower: str, use: Use, now_s: float) -> Loan:
+        """Lend to a borrower.
+
+        Args:
+          borrower: the entry's name and instance.
+          use: what it runs and wants.
+          now_s: the home's clock, which the loan's expiry is on.
+        """
+        self._expire(now_s)
+        account = self._accounts.setdefault(borrower, _Account(use.slots))
+        account.use = use
+        held = account.loans.get(use.serial)
+        account.loans = {use.serial: held} if held else {}
+        if use.recooled:
+            self.recool()
+        self._adapt(use, now_s)
+        slots = self._grant_slots(borrower, use, now_s)
+        self._serial += 1
+        loan = Loan(
+            slots,
+            self._grant_tokens(borrower, use),
+            self._prefill_share(),
+            self._serial,
+            now_s + LOAN_LIFE_S,
+        )
+        account.loans[loan.serial] = loan
+        self._note_known(now_s)
+        return loan
+
+    def _adapt(self, use: Use, now_s: float) -> None:
+        if use.answers:
+            target_ms = self._first_token_target_ms
+            self.warmth.answered(use.answers, use.first_token_ms, target_ms)
+        if not use.median_gap_ms or now_s - self._adapted_s < ADAPT_PERIOD_S:
+            return
+        self._adapted_s = now_s
+        running = sum(account.use.slots for account in self._accounts.values())
+        self.decode.observe(use.median_gap_ms, self._gap_target_ms, running)
+        self.prefill.observe(use.tail_gap_ms, self._gap_target_ms)
+
+    def _grant_slots(self, borrower: str, use: Use, now_s: float) -> int:
+        if use.recooled or not self.answering:
+            return 0
+        allowance = self.allowance_slots()
+        others = sum(
+            account.exposed_slots()
+            for name, account in self._accounts.items()
+            if name != borrower
+        )
+        residual = sum(residual.slots for residual in self._residuals)
+        if now_s - self.taken_over_s < TAKEOVER_S:
+            return self._takeover_slots(borrower, use)
+        if not self._assumed:
+            self._assumed = True
+            self.warmth.assume(others + use.slots)
+            allowance = self.allowance_slots()
+        free = allowance - others - max(residual, self._foreign_slots)
+        wants = [a.use.slots + a.use.ahead_slots for a in self._accounts.values()]
+        share = _fair_share(wants, allowance - residual)
+        wanted = min(use.slots + use.ahead_slots, max(share, use.slots))
+        return max(0, min(wanted, free))
+
+    def _takeover_slots(self, borrower: str, use: Use) -> int:
+        """Lend what borrowers ran before, and the cold allowance among all."""
+        bases = sum(account.base_slots for account in self._accounts.values())
+        extra = sum(
+            max(0, account.exposed_slots() - account.base_slots)
+            for name, account in self._accounts.items()
+            if name != borrower
+        )
+        room = max(0, self.target.maximum_slots - bases)
+        cold = max(0, min(self.warmth.cold_slots, room) - extra)
+        base = self._accounts[borrower].base_slots
+        return min(use.slots + use.ahead_slots, base + cold)
+
+    def _grant_tokens(self, borrower: str, use: Use) -> int:
+        if not self._memory_tokens:
+            return 0
+        others = sum(
+            account.exposed_tokens()
+            for name, account in self._accounts.items()
+            if name != borrower
+        )
+        residual = sum(residual.tokens for residual in self._residuals)
+        foreign = self._foreign_slots * TOKENS_PER_SLOT
+        allowance = self.allowance_tokens()
+        free = allowance - others - max(residual, foreign)
+        wants = [a.use.tokens + a.use.ahead_tokens for a in self._accounts.values()]
+        share = _fair_share(wants, allowance - residual)
+        wanted = min(use.tokens + use.ahead_tokens, max(share, use.tokens))
+        return max(0, min(wanted, free))
+
+    def _prefill_share(self) -> int:
+        busy = sum(
+            1 for a in self._accounts.values() if a.use.slots or a.use.ahead_slots
+        )
+        return int(self.prefill.tokens / max(1, busy))
+
+    def _expire(self, now_s: float) -> None:
+        for name, account in list(self._accounts.items()):
+            if account.loans and account.expires_s() > now_s:
+                continue
+            residual = _Residual(
+                account.exposed_slots(), account.exposed_tokens(), now_s
+            )
+            del self._accounts[name]
+            if residual.slots:
+                self._residuals.append(residual)
+        self._residuals = [
+            r for r in self._residuals if now_s - r.since_s < RESIDUAL_LIFE_S
+        ]
+
+    def observe_load(
+        self,
+        boot_id: str,
+        running: int,
+        memory_tokens: int,
+        preemptions: int,
+        now_s: float,
+    ) -> bool:
+        """Take a late load report; return whether it shows a new boot."""
+        self.answering = True
+        if memory_tokens:
+            self._memory_tokens = memory_tokens
+        booted = self.warmth.observe_boot(boot_id)
+        if booted:
+            self._residuals.clear()
+        used = sum(account.use.tokens for account in self._accounts.values())
+        self.memory.observe(preemptions, used / max(1, self.allowance_tokens()))
+        self._expire(now_s)
+        self._note_known(now_s)
+        self._reported.append((now_s, running))
+        self._forget_old(now_s)
+        least = min(count for _, count in self._reported)
+        most_known = max(count for _, count in self._known)
+        self._foreign_slots = max(0, least - most_known)
+        self._settle_residuals(running, now_s)
+        return booted
+
+    def _settle_residuals(self, running: int, now_s: float) -> None:
+        """Release lost borrowers' work that the target no longer runs."""
+        known = sum(account.use.slots for account in self._accounts.values())
+        left = max(0, running - known)
+        for residual in self._residuals:
+            if now_s - residual.since_s < REPORT_LAG_LIMIT_S:
+                continue
+            share = min(1.0, left / residual.slots) if residual.slots else 0.0
+            residual.tokens = int(residual.tokens * share)
+            residual.slots = min(residual.slots, left)
+        self._residuals = [r for r in self._residuals if r.slots]
+
+    def _note_known(self, now_s: float) -> None:
+        known = sum(account.exposed_slots() for account in self._accounts.values())
+        known += sum(residual.slots for residual in self._residuals)
+        self._known.append((now_s, known))
+        self._forget_old(now_s)
+
+    def _forget_old(self, now_s: float) -> None:
+        for window in (self._reported, self._known):
+            while len(window) > 1 and now_s - window[0][0] > FOREIGN_WINDOW_S:
+                window.popleft()
+
+    def silent(self) -> None:
+        """Note that the target does not answer: nothing is lent."""
+        self.answering = False
+        self.warmth.recool()
+
+    def recool(self) -> None:
+        """Fall back to the cold allowance."""
+        self.warmth.recool()
+
+
+def _fair_share(wants: list[int], total: int) -> int:
+    """Return the largest share that, given to each at most, fits the total."""
+    left = max(0, total)
+    ordered = sorted(wants)
+    for index, want in enumerate(ordered):
+        share = left // (len(ordered) - index)
+        if want > share:
+            return share
+        left -= want
+    return max([left, *wants])
