--- a/bench/standin_engine.py
+++ b/bench/standin_engine.py
@@ -7,159 +7,414 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import hashlib
 import json
+import pathlib
 import random
 import uuid
+from collections.abc import AsyncIterator
 from typing import Any
 
+import aiohttp
+import attrs
 import cyclopts
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from bench.standin_generation import StandinGeneration
 from endivesill.server import HttpServer
+from endivesill.timer import SystemTimer, TimerService
 
-__all__ = ["StandinEngine", "main"]
+__all__ = ["EngineOptions", "StandinEngine", "main"]
 
 KEPT_GENERATIONS = 10_000
+KEPT_CACHE_EVENTS = 1000
+CACHED_PREFIXES = 256
+CHARACTERS_PER_TOKEN = 4
+BLOCK_CHARACTERS = 512
+HASH_BYTES = 8
+NOT_RUN = {"X-Run": "not-run"}
 
 
-class Generation:
-    """A generation with the tokens that it has so far."""
-
-    def __init__(self, generation_id: str, length: int, chat: bool) -> None:
-        self.generation_id = generation_id
-        self.length = length
-        self.chat = chat
-        self.tokens = 0
-        self.cancelled = False
-        self.changed = asyncio.Event()
-
-    def event(self, index: int) -> bytes:
-        """Return the server-sent event of a token."""
-        reason = "length" if index + 1 == self.length else None
-        choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
-        text = f"w{index} "
-        if self.chat:
-            choice["delta"] = {"content": text}
-        else:
-            choice["text"] = text
-        data = json.dumps({"choices": [choice]}, separators=(",", ":"))
-        return f"id: {self.generation_id}:{index}\ndata: {data}\n\n".encode()
+@attrs.define
+class EngineOptions:
+    """How a stand-in engine behaves.
+
+    Attributes:
+      token_s: time between tokens while there are enough slots.
+      slots: requests at once before it slows down when warm.
+      cold_slots: the same when cold; 0 starts warm.
+      warm_after: answers after which it is warm.
+      memory_tokens: tokens that its memory holds.
+      report_lag_s: how old the load reports are.
+      checks_fencing: whether orders with an old fencing token are refused.
+      offers_moves: whether it hands generations to other engines.
+      orphan_s: how long a generation goes on with no reader.
+      seed: seed of the lengths that callers leave open.
+    """
+
+    token_s: float = 0.01
+    slots: int = 64
+    cold_slots: int = 0
+    warm_after: int = 20
+    memory_tokens: int = 100_000
+    report_lag_s: float = 0.0
+    checks_fencing: bool = True
+    offers_moves: bool = True
+    orphan_s: float = 30.0
+    seed: int = 1
 
 
 class StandinEngine:
     """The engine's state and HTTP routes.
 
     Args:
-      token_s: time between tokens.
-      seed: seed of the lengths that callers leave open.
+      options: how it behaves.
+      record: file to which the `user` of each generation started is added.
+      timer: the timer service.
+
+    Attributes:
+      starts: how often each generation was started.
+      cancelled: the generations that were cancelled.
+      refusing: whether it refuses new work with its own word.
     """
 
-    def __init__(self, token_s: float = 0.01, seed: int = 1) -> None:
-        self.token_s = token_s
+    def __init__(
+        self,
+        options: EngineOptions | None = None,
+        record: pathlib.Path | None = None,
+        timer: TimerService | None = None,
+    ) -> None:
+        self.options = options or EngineOptions()
+        self.timer = timer or SystemTimer()
         self.boot_id = uuid.uuid4().hex
-        self.generations: dict[str, Generation] = {}
+        self.generations: dict[str, StandinGeneration] = {}
         self.starts: dict[str, int] = {}
+        self.cancelled: list[str] = []
+        self.orders: dict[str, dict[str, Any]] = {}
+        self.fencing_token = 0
         self.running = 0
-        self.memory_tokens = 100_000
-        self._random = random.Random(seed)
+        self.answered = 0
+        self.generated_tokens = 0
+        self.refusing = False
+        self.leaves_at_s: float | None = None
+        self.model, self.adapters, self.role = "", [], "mixed"  # type: ignore[var-annotated]
+        self._record = record
+        self._random = random.Random(self.options.seed)
+        self._reports: collections.deque[tuple[float, dict[str, Any]]] = (
+            collections.deque()
+        )
+        self._prefixes: dict[str, int] = {}
+        self._cache_events: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=KEPT_CACHE_EVENTS
+        )
+        self._sequence = 0
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
+        generation = "/v1/generations/{id}"
         return Starlette(
             routes=[
                 Route("/v1/completions", self._generate, methods=["POST"]),
                 Route("/v1/chat/completions", self._generate, methods=["POST"]),
-                Route("/v1/generations/{id}/resume", self._resume, methods=["POST"]),
-                Route("/v1/generations/{id}/cancel", self._cancel, methods=["POST"]),
+                Route(f"{generation}/resume", self._resume, methods=["POST"]),
+                Route(f"{generation}/cancel", self._cancel, methods=["POST"]),
+                Route(f"{generation}/move", self._move, methods=["POST"]),
+                Route(f"{generation}/adopt", self._adopt, methods=["POST"]),
                 Route("/v1/load", self._load),
+                Route("/v1/cache-events", self._list_cache_events),
+                Route("/v1/orders", self._order, methods=["POST"]),
                 Route("/standin/ran", self._ran),
+                Route("/standin/leave", self._leave, methods=["POST"]),
+                Route("/standin/cool", self._cool, methods=["POST"]),
             ]
         )
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether it bears only a few requests at once."""
+        return self.answered < self.options.warm_after and bool(self.options.cold_slots)
+
+    def slowdown(self) -> float:
+        """Return by how much the load slows each token down."""
+        slots = self.options.cold_slots if self.is_cold else self.options.slots
+        overload = max(1.0, self.running / slots)
+        return overload * overload
+
     async def _generate(self, request: Request) -> Response:
+        if self.refusing:
+            return Response(status_code=503, headers=NOT_RUN)
         document = json.loads(await request.body())
-        generation_id = request.headers["x-generation-id"]
-        length = document.get("max_tokens") or self._random.randint(20, 200)
-        chat = "chat" in request.url.path
-        generation = Generation(generation_id, length, chat)
-        self.generations[generation_id] = generation
-        self.starts[generation_id] = self.starts.get(generation_id, 0) + 1
+        prompt = _prompt_text(document)
+        generation = StandinGeneration(
+            generation_id=request.headers["x-generation-id"],
+            length=document.get("max_tokens") or self._random.randint(20, 200),
+            chat="chat" in request.url.path,
+            prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN + 1,
+            priority=int(request.headers.get("x-priority", "1")),
+        )
+        self.starts[generation.generation_id] = (
+            self.starts.get(generation.generation_id, 0) + 1
+        )
+        self._note(str(document.get("user", generation.generation_id)))
+        self._cache(prompt)
+        self._begin(generation)
+        return self._streaming(request, generation, 0)
+
+    def _note(self, tag: str) -> None:
+        if self._record is not None:
+            with self._record.open("a", encoding="utf-8") as record:
+                record.write(tag + "\n")
+
+    def _begin(self, generation: StandinGeneration) -> None:
+        generation.orphaned_s = self.timer.now_s()
+        self.generations[generation.generation_id] = generation
         while len(self.generations) > KEPT_GENERATIONS:
             self.generations.pop(next(iter(self.generations)))
         asyncio.ensure_future(self._decode(generation))
-        return self._streaming(request, generation, 0)
 
-    async def _decode(self, generation: Generation) -> None:
+    async def _decode(self, generation: StandinGeneration) -> None:
         self.running += 1
         try:
-            while generation.tokens < generation.length and not generation.cancelled:
-                await asyncio.sleep(self.token_s)
+            while not generation.is_over:
+                await self.timer.sleep(self.options.token_s * self.slowdown())
+                if generation.is_over or self._is_orphan(generation):
+                    break
                 generation.tokens += 1
-                generation.changed.set()
+                self.generated_tokens += 1
+                generation.notify()
         finally:
             self.running -= 1
+        if generation.tokens >= generation.length:
+            self.answered += 1
+
+    def _is_orphan(self, generation: StandinGeneration) -> bool:
+        if generation.readers:
+            return False
+        if self.timer.now_s() - generation.orphaned_s < self.options.orphan_s:
+            return False
+        generation.cancelled = True
+        return True
 
     def _streaming(
-        self, request: Request, generation: Generation, next_index: int
+        self, request: Request, generation: StandinGeneration, next_index: int
     ) -> Response:
-        headers = {"X-Attempt-Id": request.headers.get("x-attempt-id", "")}
+        attempt_id = request.headers.get("x-attempt-id", "")
+        generation.attempt_id = attempt_id
+        generation.notify()
         return StreamingResponse(
-            self._events(generation, next_index),
+            self._events(generation, attempt_id, next_index),
             media_type="text/event-stream",
-            headers=headers,
+            headers={"X-Attempt-Id": attempt_id},
         )
 
-    async def _events(self, generation: Generation, next_index: int) -> Any:
+    async def _events(
+        self, generation: StandinGeneration, attempt_id: str, next_index: int
+    ) -> AsyncIterator[bytes]:
         index = next_index
-        while index < generation.length and not generation.cancelled:
-            if index == generation.tokens:
-                generation.changed.clear()
-                await generation.changed.wait()
-            while index < generation.tokens:
-                yield generation.event(index)
-                index += 1
-        if not generation.cancelled:
-            yield b"data: [DONE]\n\n"
+        generation.readers += 1
+        try:
+            while generation.attempt_id == attempt_id:
+                changed = generation.changed
+                while index < generation.tokens:
+                    yield generation.event(index)
+                    index += 1
+                if index >= generation.length:
+                    yield b"data: [DONE]\n\n"
+                    return
+                if generation.cancelled or generation.moved_to:
+                    return
+                if index >= generation.tokens:
+                    await changed.wait()
+        finally:
+            generation.readers -= 1
+            generation.orphaned_s = self.timer.now_s()
 
     async def _resume(self, request: Request) -> Response:
         generation = self.generations.get(request.path_params["id"])
         if generation is None or generation.cancelled:
             return Response(status_code=410)
+        if generation.moved_to:
+            headers = {"X-Moved-To": generation.moved_to}
+            return Response(status_code=410, headers=headers)
+        previous = request.headers.get("x-previous-attempt-id")
+        if previous and previous != generation.attempt_id:
+            return Response(status_code=409)
         next_index = int(request.query_params.get("from", "0"))
+        if next_index > generation.length:
+            return Response(status_code=400)
         return self._streaming(request, generation, next_index)
 
     async def _cancel(self, request: Request) -> Response:
         generation = self.generations.get(request.path_params["id"])
-        if generation is not None:
-            generation.cancelled = True
-            generation.changed.set()
+        attempt_id = request.headers.get("x-attempt-id")
+        if generation is None or generation.is_over:
+            return JSONResponse({"cancelled": False})
+        if attempt_id and attempt_id != generation.attempt_id:
+            return JSONResponse({"cancelled": False})
+        generation.cancelled = True
+        generation.notify()
+        self.cancelled.append(generation.generation_id)
+        return JSONResponse({"cancelled": True})
+
+    async def _move(self, request: Request) -> Response:
+        generation = self.generations.get(request.path_params["id"])
+        if not self.options.offers_moves or generation is None or generation.is_over:
+            return Response(status_code=404)
+        address = json.loads(await request.body())["to"].rstrip("/")
+        url = f"{address}/v1/generations/{generation.generation_id}/adopt"
+        document = generation.to_document()
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.post(url, json=document) as response,
+            ):
+                adopted = response.status == 200
+        except aiohttp.ClientError:
+            adopted = False
+        if not adopted:
+            return Response(status_code=502)
+        generation.moved_to = address
+        generation.notify()
+        return JSONResponse({"moved": True})
+
+    async def _adopt(self, request: Request) -> Response:
+        if self.refusing:
+            return Response(status_code=503, headers=NOT_RUN)
+        self._begin(StandinGeneration(**json.loads(await request.body())))
         return JSONResponse({})
 
+    def _report(self) -> dict[str, Any]:
+        leaving_in_s = None
+        if self.leaves_at_s is not None:
+            leaving_in_s = max(0.0, self.leaves_at_s - self.timer.now_s())
+        live = [g for g in self.generations.values() if not g.is_over]
+        return {
+            "boot_id": self.boot_id,
+            "running": self.running,
+            "waiting": 0,
+            "memory_tokens": self.options.memory_tokens,
+            "used_tokens": sum(g.tokens + g.prompt_tokens for g in live),
+            "preemptions": 0,
+            "generated_tokens": self.generated_tokens,
+            "leaving_in_s": leaving_in_s,
+            "model": self.model,
+            "adapters": self.adapters,
+            "role": self.role,
+        }
+
     async def _load(self, request: Request) -> Response:
-        used = sum(g.tokens for g in self.generations.values() if not g.cancelled)
+        now_s = self.timer.now_s()
+        self._reports.append((now_s, self._report()))
+        while len(self._reports) > 1:
+            if self._reports[1][0] > now_s - self.options.report_lag_s:
+                break
+            self._reports.popleft()
+        return JSONResponse(self._reports[0][1])
+
+    def _cache(self, prompt: str) -> None:
+        digest = hashlib.blake2b(digest_size=HASH_BYTES)
+        for number in range(len(prompt) // BLOCK_CHARACTERS):
+            begin = number * BLOCK_CHARACTERS
+            digest.update(prompt[begin : begin + BLOCK_CHARACTERS].encode())
+            prefix = digest.copy().hexdigest()
+            tokens = (number + 1) * BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
+            if prefix not in self._prefixes:
+                self._cache_event("stored", prefix, tokens)
+            self._prefixes[prefix] = tokens
+        while len(self._prefixes) > CACHED_PREFIXES:
+            prefix = next(iter(self._prefixes))
+            self._cache_event("evicted", prefix, self._prefixes.pop(prefix))
+
+    def _cache_event(self, kind: str, prefix: str, tokens: int) -> None:
+        self._sequence += 1
+        event = {"sequence": self._sequence, "kind": kind}
+        self._cache_events.append({**event, "prefix": prefix, "tokens": tokens})
+
+    async def _list_cache_events(self, request: Request) -> Response:
+        after = int(request.query_params.get("after", "0"))
+        oldest = self._cache_events[0]["sequence"] if self._cache_events else 1
+        newer = [event for event in self._cache_events if event["sequence"] > after]
         return JSONResponse(
-            {
-                "boot_id": self.boot_id,
-                "running": self.running,
-                "waiting": 0,
-                "memory_tokens": self.memory_tokens,
-                "used_tokens": used,
-                "preemptions": 0,
-            }
+            {"boot_id": self.boot_id, "first_sequence": oldest, "events": newer}
         )
 
+    async def _order(self, request: Request) -> Response:
+        order = json.loads(await request.body())
+        if order["order_id"] in self.orders:
+            return JSONResponse(self._report())
+        if self.options.checks_fencing and order["fencing_token"] < self.fencing_token:
+            return Response("the fencing token is old", status_code=409)
+        self.fencing_token = max(self.fencing_token, order["fencing_token"])
+        self.orders[order["order_id"]] = order
+        if order["kind"] == "load-model":
+            self.model = f"{order['subject']}@{order['version']}"
+            self._clear()
+        elif order["kind"] == "load-adapter":
+            self.adapters = [*self.adapters, f"{order['subject']}@{order['version']}"]
+        else:
+            self.role = order["subject"]
+        return JSONResponse(self._report())
+
+    def _clear(self) -> None:
+        self._prefixes.clear()
+        self._cache_event("cleared", "", 0)
+
     async def _ran(self, request: Request) -> Response:
         return JSONResponse(self.starts)
 
+    async def _leave(self, request: Request) -> Response:
+        in_s = float(request.query_params.get("in_s", "5"))
+        self.leaves_at_s = self.timer.now_s() + in_s
+        return JSONResponse({})
+
+    async def _cool(self, request: Request) -> Response:
+        """Turn cold again, with no word of it but the cleared cache."""
+        self.answered = 0
+        self._clear()
+        return JSONResponse({})
+
+
+def _prompt_text(document: dict[str, Any]) -> str:
+    if "messages" in document:
+        return "\n".join(message["content"] for message in document["messages"])
+    return document.get("prompt", "")
+
 
-def main(address: str, /, *, token_s: float = 0.01, seed: int = 1) -> None:
+def main(
+    address: str,
+    /,
+    *,
+    token_s: float = 0.01,
+    slots: int = 64,
+    cold_slots: int = 0,
+    warm_after: int = 20,
+    report_lag_s: float = 0.0,
+    memory_tokens: int = 100_000,
+    ignore_fencing: bool = False,
+    no_moves: bool = False,
+    record: pathlib.Path | None = None,
+    seed: int = 1,
+) -> None:
     """Run a stand-in engine until it is stopped."""
+    options = EngineOptions(
+        token_s=token_s,
+        slots=slots,
+        cold_slots=cold_slots,
+        warm_after=warm_after,
+        memory_tokens=memory_tokens,
+        report_lag_s=report_lag_s,
+        checks_fencing=not ignore_fencing,
+        offers_moves=not no_moves,
+        seed=seed,
+    )
 
     async def run() -> None:
-        server = HttpServer(address, StandinEngine(token_s, seed).application())
+        engine = StandinEngine(options, record)
+        server = HttpServer(address, engine.application())
         await server.start()
         await asyncio.Event().wait()
 
--- a/endivesill/daemon.py
+++ b/endivesill/daemon.py
@@ -13,8 +13,12 @@
 from endivesill import errors, events
 from endivesill.configuration import Configuration, read_folder
 from endivesill.configuration.model import configuration_from_documents
+from endivesill.configuration.source import FixedConfiguration
+from endivesill.control import LocalControl
 from endivesill.entry.service import EntryService
+from endivesill.entry.settings import EntrySettings
 from endivesill.kernel import Kernel
+from endivesill.keys import KeyRing
 from endivesill.routing import Router
 from endivesill.settings import Settings, read_settings
 from endivesill.timer import SystemTimer
@@ -31,8 +35,16 @@
     kernel = Kernel(SystemTimer())
     kernel.add("router", Router(kernel.timer, lambda: configuration))
     if "entry" in settings.vm.roles:
-        address = settings.vm.caller_address
-        kernel.add("entry", EntryService(kernel, address, lambda: configuration))
+        kernel.add("control", LocalControl(kernel.timer))
+        entry = EntryService(
+            kernel,
+            settings.vm.caller_address,
+            FixedConfiguration(configuration),
+            KeyRing.from_file(settings.vm.key_file),
+            settings.vm.name,
+            settings.section(EntrySettings),
+        )
+        kernel.add("entry", entry)
     return kernel
 
 
--- a/endivesill/entry/http.py
+++ b/endivesill/entry/http.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
-from collections.abc import Awaitable, Callable
+import math
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from endivesill import errors
+from endivesill.server import ABORT_EXTENSION
 from endivesill.timer import TimerService
 
-__all__ = ["AsgiRequest", "Receive", "Scope", "Send", "send_answer", "send_problem"]
+__all__ = ["Answer", "AsgiRequest", "Receive", "Scope", "Send", "problem_document"]
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -17,6 +20,7 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 PROBLEM_TYPE = b"application/problem+json"
+CALLER_GONE_STATUS = 499
 
 
 class AsgiRequest:
@@ -48,6 +52,7 @@
           RequestError: with status 431.
         """
         size = sum(len(name) + len(value) + 4 for name, value in self.raw_headers)
+        size += len(self.raw_path) + len(self.query)
         if size > limit_bytes:
             raise errors.RequestError(431, f"headers over {limit_bytes} bytes")
 
@@ -62,11 +67,12 @@
         """
         length = self.header("content-length")
         if length is not None and length.isdigit() and int(length) > limit_bytes:
-            raise errors.RequestError(413, f"body over {limit_bytes} bytes")
+            raise errors.RequestError(413, f"body over {limit_bytes} bytes", "body")
         try:
             return await timer.wait_for(self._read(limit_bytes), timeout_s)
         except errors.DeadlineExceededError:
-            raise errors.RequestError(408, f"no body within {timeout_s} s") from None
+            detail = f"no whole body within {timeout_s} s"
+            raise errors.RequestError(408, detail, "body") from None
 
     async def _read(self, limit_bytes: int) -> bytes:
         chunks: list[bytes] = []
@@ -74,11 +80,11 @@
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
-                raise errors.RequestError(499, "the caller went away")
+                raise caller_gone()
             chunk = message.get("body", b"")
             size += len(chunk)
             if size > limit_bytes:
-                raise errors.RequestError(413, f"body over {limit_bytes} bytes")
+                raise errors.RequestError(413, f"body over {limit_bytes} bytes", "body")
             chunks.append(chunk)
             if not message.get("more_body", False):
                 return b"".join(chunks)
@@ -90,52 +96,109 @@
             if message["type"] == "http.disconnect":
                 return
 
+    async def run_while_connected(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run some work and cancel it when the caller goes away.
 
-async def send_answer(
-    send: Send, status: int, headers: RawHeaders, body: bytes
-) -> None:
-    """Send a whole answer."""
-    length = (b"content-length", str(len(body)).encode())
-    start = {"type": "http.response.start", "status": status}
-    await send({**start, "headers": [*headers, length]})
-    await send({"type": "http.response.body", "body": body})
-
-
-async def send_problem(
-    send: Send, request_id: str, error: errors.EndivesillError
-) -> None:
-    """Send an error as problem+json (RFC 9457) with its `run` state."""
-    status, document = problem_document(request_id, error)
-    headers: RawHeaders = [
-        (b"content-type", PROBLEM_TYPE),
-        (b"x-request-id", request_id.encode()),
-    ]
-    if "retry_after_s" in document:
-        seconds = max(1, round(document["retry_after_s"]))
-        headers.append((b"retry-after", str(seconds).encode()))
-    body = json.dumps(document).encode()
-    await send_answer(send, status, headers, body)
-
-
-def problem_document(
-    request_id: str, error: errors.EndivesillError
-) -> tuple[int, dict[str, Any]]:
+        Raises:
+          RequestError: the caller went away (499).
+        """
+        task = asyncio.ensure_future(work)
+        watcher = asyncio.ensure_future(self.disconnected())
+        watcher.add_done_callback(lambda _: task.cancel())
+        try:
+            await task
+        except asyncio.CancelledError:
+            if not watcher.done() or watcher.cancelled():
+                raise
+            raise caller_gone() from None
+        finally:
+            task.cancel()
+            watcher.cancel()
+
+
+def caller_gone() -> errors.RequestError:
+    """Return the error of a caller that went away."""
+    return errors.RequestError(CALLER_GONE_STATUS, "the caller went away")
+
+
+class Answer:
+    """The answer to one request; it is begun once and ended once.
+
+    Args:
+      scope: the ASGI scope of the request.
+      send: the ASGI channel of the answer.
+      request_id: given back in each answer.
+
+    Attributes:
+      status: the status sent; 0 before the answer has begun.
+    """
+
+    def __init__(self, scope: Scope, send: Send, request_id: str) -> None:
+        self.send = send
+        self.request_id = request_id
+        self.status = 0
+        self._abort = scope.get("extensions", {}).get(ABORT_EXTENSION, {}).get("abort")
+
+    async def start(self, status: int, headers: RawHeaders) -> None:
+        """Begin the answer."""
+        self.status = status
+        with_id = [*headers, (b"x-request-id", self.request_id.encode())]
+        message = {"type": "http.response.start", "status": status}
+        await self.send({**message, "headers": with_id})
+
+    async def whole(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [*headers, length])
+        await self.send({"type": "http.response.body", "body": body})
+
+    async def problem(self, error: Exception) -> None:
+        """Send an error as problem+json (RFC 9457) with its `run` state.
+
+        An answer that has begun is cut off in its place, so that the caller
+        does not take it for whole.
+        """
+        if self.status:
+            self.abort()
+            return
+        status, document = problem_document(self.request_id, error)
+        if status == CALLER_GONE_STATUS:
+            self.status = status
+            self.abort()
+            return
+        headers: RawHeaders = [(b"content-type", PROBLEM_TYPE)]
+        if "retry_after_s" in document:
+            seconds = max(1, math.ceil(document["retry_after_s"]))
+            headers.append((b"retry-after", str(seconds).encode()))
+        if status in (408, 413):
+            headers.append((b"connection", b"close"))
+        await self.whole(status, headers, json.dumps(document).encode())
+
+    def abort(self) -> None:
+        """Cut the connection at once."""
+        if self._abort is not None:
+            self._abort()
+
+
+def problem_document(request_id: str, error: Exception) -> tuple[int, dict[str, Any]]:
     """Return the status and the problem document of an error."""
-    document: dict[str, Any] = {"request_id": request_id, "detail": str(error)}
+    document: dict[str, Any] = {"type": "about:blank"}
+    field, retry_after_s = "", None
     if isinstance(error, errors.RequestError):
-        document.update(type="about:blank", title="bad request", run="not-run")
-        document["status"] = error.status
-        if error.field:
-            document["field"] = error.field
-        return error.status, document
-    if isinstance(error, errors.RefusedError):
-        title = error.reason
-        run, status = error.run, error.status
-        if error.retry_after_s is not None:
-            document["retry_after_s"] = round(error.retry_after_s, 3)
+        title, run, status = "bad-request", errors.RunState.NOT_RUN, error.status
+        field = error.field
+    elif isinstance(error, errors.RefusedError):
+        title, run, status = error.reason, error.run, error.status
+        retry_after_s = error.retry_after_s
     elif isinstance(error, errors.TargetError):
         title, run, status = "target-failed", error.run, 502
     else:
-        title, run, status = "unavailable", errors.RunState.UNKNOWN, 503
-    document.update(type="about:blank", title=title, run=run.value, status=status)
+        title, run, status = "internal-error", errors.RunState.UNKNOWN, 500
+    detail = str(error) if isinstance(error, errors.EndivesillError) else title
+    document.update(title=title, status=status, detail=detail, run=run.value)
+    document["request_id"] = request_id
+    if field:
+        document["field"] = field
+    if retry_after_s is not None:
+        document["retry_after_s"] = round(retry_after_s, 3)
     return status, document
--- /dev/null
+++ b/endivesill/entry/relay.py
@@ -0,0 +1,271 @@
+"""Relay of one generation's tokens, over resumes and moves between engines.
+
+The scanner lets each token pass once and in order, so that whatever the engine
+repeats after a resume is dropped, and a gap or a foreign token ends the attempt.
+"""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Awaitable, Callable
+
+from endivesill import errors, events
+from endivesill.configuration.model import Service, Target
+from endivesill.entry.context import EntryContext
+from endivesill.entry.events import (
+    GENERATION_CANCELLED,
+    GENERATION_MOVED,
+    STREAM_RESUMED,
+    STREAM_STALLED,
+)
+from endivesill.entry.watchdog import Progress
+from endivesill.routing import Grant, Outcome
+from endivesill.targets import EngineStream, TokenScanner
+
+__all__ = ["Deliver", "OpenStream", "Relay"]
+
+RESUME_TIMEOUT_S = 5.0
+BACKOFF_LIMIT_S = 2.0
+
+Deliver = Callable[["Relay", bytes], Awaitable[None]]
+OpenStream = Callable[[str], Awaitable[EngineStream]]
+
+
+class Relay:
+    """Reads a generation from its engine and delivers its tokens.
+
+    Args:
+      context: what the entry shares.
+      service: the service of the generation.
+      grant: leave for the work at the engine.
+      generation_id: the generation.
+      request_id: the caller's request.
+      next_index: the first token that the caller lacks.
+
+    Attributes:
+      grant: the grant in use; it changes when the generation moves.
+      attempt_id: the last attempt at the engine.
+      next_index: the first token that has not been delivered.
+      is_kept: whether it is kept for a reconnect when the caller goes away.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        service: Service,
+        grant: Grant,
+        generation_id: str,
+        request_id: str,
+        next_index: int = 0,
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._scanner = TokenScanner(generation_id, next_index)
+        self._stream: EngineStream | None = None
+        self._next_grant: Grant | None = None
+        self._finished = False
+        self.generation_id = generation_id
+        self.request_id = request_id
+        self.grant = grant
+        self.attempt_id = ""
+        self.next_index = next_index
+        self.is_kept = True
+
+    @property
+    def target(self) -> Target:
+        """The engine that holds the generation."""
+        return self.grant.target
+
+    async def run(
+        self, open_stream: OpenStream, deliver: Deliver, first_token_s: float
+    ) -> None:
+        """Deliver all tokens, resuming where the stream breaks.
+
+        Args:
+          open_stream: opens the first stream, given the attempt's id.
+          deliver: takes this relay and a block of whole events.
+          first_token_s: how long the first token may take.
+
+        Raises:
+          TargetError: it broke for good; `next_index` tells how far it came.
+        """
+        with self._context.watchdog.watch(first_token_s, self._stalled) as waiting:
+            failures = 0
+            while True:
+                reached = self._scanner.next_index
+                self.attempt_id, previous = uuid.uuid4().hex, self.attempt_id
+                try:
+                    if previous:
+                        self._stream = await self._resume(previous)
+                    else:
+                        self._stream = await open_stream(self.attempt_id)
+                    await self._pump(self._stream, deliver, waiting)
+                    return
+                except errors.TargetError as error:
+                    if self._stream is None and not previous:
+                        raise
+                    moved = self._follow(error)
+                    failures = 0 if moved else failures + 1
+                    if self._scanner.next_index > reached:
+                        failures = 1
+                    if not moved and self._is_final(error, failures):
+                        raise _after_a_start(error) from error
+                finally:
+                    self._close()
+                await self._back_off(failures)
+
+    async def _resume(self, previous: str) -> EngineStream:
+        self._scanner.restart()
+        events.emit(
+            STREAM_RESUMED,
+            request_id=self.request_id,
+            generation_id=self.generation_id,
+            target=self.target.name,
+            next_index=self._scanner.next_index,
+        )
+        resuming = self._context.engines.resume(
+            self.target,
+            self.generation_id,
+            self._scanner.next_index,
+            self.attempt_id,
+            previous,
+        )
+        try:
+            return await self._context.timer.wait_for(resuming, RESUME_TIMEOUT_S)
+        except errors.DeadlineExceededError:
+            raise errors.TargetError("the engine did not resume in time") from None
+
+    async def _pump(
+        self, stream: EngineStream, deliver: Deliver, waiting: Progress
+    ) -> None:
+        scan = self._scanner.scan
+        read = stream.read
+        while not self._scanner.done:
+            waiting.active = True
+            chunk = await read()
+            waiting.active = False
+            waiting.steps += 1
+            if not chunk:
+                raise errors.TargetError("the stream ended before its end event")
+            block = scan(chunk)
+            if block.tokens:
+                waiting.limit_s = self._stall_limit_s()
+                self.grant.tokens(block.tokens)
+                await deliver(self, block.data)
+                self.next_index = self._scanner.next_index
+
+    def _stall_limit_s(self) -> float:
+        settings = self._context.settings
+        gap_s = self._service.gap_target_ms / 1000
+        return max(settings.stall_s, settings.stall_gap_factor * gap_s)
+
+    def _stalled(self) -> None:
+        events.emit(
+            STREAM_STALLED,
+            request_id=self.request_id,
+            generation_id=self.generation_id,
+            target=self.target.name,
+            next_index=self._scanner.next_index,
+        )
+        if self._stream is not None:
+            self._stream.close()
+
+    def _is_final(self, error: errors.TargetError, failures: int) -> bool:
+        if isinstance(error, (errors.TargetGoneError, errors.SupersededError)):
+            return True
+        if isinstance(error, errors.TargetRefusedError) and not self.next_index:
+            return True
+        return failures > self._context.settings.resume_attempts
+
+    async def _back_off(self, failures: int) -> None:
+        if failures:
+            first_s = self._context.settings.resume_backoff_s
+            wait_s = min(first_s * 2 ** (failures - 1), BACKOFF_LIMIT_S)
+            await self._context.timer.sleep(wait_s)
+
+    def _close(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+
+    def _follow(self, error: errors.TargetError) -> bool:
+        """Turn to the engine that the generation was moved to, if any."""
+        moved_to = ""
+        if isinstance(error, errors.TargetGoneError):
+            moved_to = error.moved_to
+        elif isinstance(error, errors.TargetRefusedError) and self._next_grant:
+            moved_to = self._next_grant.target.url
+        if not moved_to:
+            return False
+        index = self._context.index.current()
+        target = index.target_by_url(self._service.name, moved_to)
+        if target is None:
+            return False
+        self.change_target(target)
+        return True
+
+    def change_target(self, target: Target) -> None:
+        """Go on at another engine that holds the generation now."""
+        events.emit(
+            GENERATION_MOVED,
+            request_id=self.request_id,
+            generation_id=self.generation_id,
+            source=self.target.name,
+            target=target.name,
+        )
+        grant, self._next_grant = self._next_grant, None
+        if grant is None or grant.target.name != target.name:
+            if grant is not None:
+                grant.finished(Outcome.NOT_RUN)
+            grant = Grant(self.grant.request, target)
+        self.grant.finished(Outcome.DONE)
+        self.grant = grant
+
+    async def move(self, grant: Grant) -> None:
+        """Let the engine hand the generation to another one.
+
+        Args:
+          grant: leave for the work at the other engine.
+
+        Raises:
+          TargetError: it stays where it is.
+        """
+        self._next_grant = grant
+        try:
+            await self._context.engines.move(
+                self.target, self.generation_id, grant.target
+            )
+        except errors.TargetError:
+            if self._next_grant is grant:
+                self._next_grant = None
+                grant.finished(Outcome.NOT_RUN)
+            raise
+
+    def finish(self, outcome: Outcome) -> None:
+        """Give the grant back, once."""
+        if self._finished:
+            return
+        self._finished = True
+        self.grant.finished(outcome)
+        if self._next_grant is not None:
+            self._next_grant.finished(Outcome.NOT_RUN)
+
+    def cancel(self) -> None:
+        """Cancel the generation at its engine, unless another attempt took it."""
+        events.emit(
+            GENERATION_CANCELLED,
+            request_id=self.request_id,
+            generation_id=self.generation_id,
+            target=self.target.name,
+        )
+        self._context.background.spawn(
+            self._context.engines.cancel(
+                self.target, self.generation_id, self.attempt_id
+            )
+        )
+
+
+def _after_a_start(error: errors.TargetError) -> errors.TargetError:
+    """Return an error that does not claim that nothing has run."""
+    if isinstance(error, errors.TargetRefusedError):
+        return errors.TargetError(str(error))
+    return error
--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -3,15 +3,32 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 
-from endivesill.configuration.model import Configuration
+from endivesill.configuration.source import ConfigurationSource
+from endivesill.control import ControlClient
+from endivesill.entry.admission import Admission
 from endivesill.entry.application import EntryApplication
+from endivesill.entry.background import Background
+from endivesill.entry.budget import FixedRetryBudget, RetryBudget
+from endivesill.entry.claims import Claims
+from endivesill.entry.context import EntryContext
+from endivesill.entry.identity import GenerationIds
+from endivesill.entry.index import IndexCache
+from endivesill.entry.settings import EntrySettings
+from endivesill.entry.watchdog import Watchdog
 from endivesill.kernel import Kernel, Service
+from endivesill.keys import KeyRing
 from endivesill.routing import Router
 from endivesill.server import HttpServer
-from endivesill.targets import EngineAdapter, PlainAdapter
+from endivesill.targets import (
+    EngineAdapter,
+    PlainAdapter,
+    open_fresh_session,
+    open_session,
+)
 
 __all__ = ["EntryService"]
 
@@ -19,23 +36,48 @@
 class EntryService(Service):
     """Runs the callers' port.
 
+    The kernel must hold the services `router` and `control`.
+
     Args:
-      kernel: the kernel to find the router in.
+      kernel: the kernel to find other services in.
       address: HOST:PORT for callers.
-      configuration: returns the configuration in force.
+      source: the configuration in force, with its lease.
+      keys: the peer keys, the same at all entries.
+      owner: this VM's instance, for the ledger.
+      settings: the entry's settings.
+      budget: how often failed attempts are made again.
+      is_draining: tells whether a planned stop has begun.
+      is_gone: tells whether a VM instance is known to be gone.
+      options: further options of the listener, such as its TLS files.
     """
 
     def __init__(
         self,
         kernel: Kernel,
         address: str,
-        configuration: Callable[[], Configuration],
+        source: ConfigurationSource,
+        keys: KeyRing,
+        owner: str,
+        settings: EntrySettings | None = None,
+        budget: RetryBudget | None = None,
+        is_draining: Callable[[], bool] = lambda: False,
+        is_gone: Callable[[str], bool] = lambda owner: False,
+        **options: Any,
     ) -> None:
         self._kernel = kernel
         self._address = address
-        self._configuration = configuration
-        self._session: aiohttp.ClientSession | None = None
+        self._source = source
+        self._keys = keys
+        self._owner = owner
+        self._settings = settings or EntrySettings()
+        self._budget = budget or FixedRetryBudget()
+        self._is_draining = is_draining
+        self._is_gone = is_gone
+        self._options = options
+        self._background = Background()
+        self._sessions: list[aiohttp.ClientSession] = []
         self._server: HttpServer | None = None
+        self.application: EntryApplication | None = None
 
     @property
     def address(self) -> str:
@@ -44,24 +86,54 @@
 
     async def start(self) -> None:
         """Open the port."""
-        connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
-        self._session = aiohttp.ClientSession(
-            connector=connector, auto_decompress=False, read_bufsize=1 << 18
-        )
+        self._sessions = [open_session(), open_fresh_session()]
+        self.application = EntryApplication(self._context())
+        self._server = HttpServer(self._address, self.application, **self._options)
+        await self._server.start()
+
+    def _context(self) -> EntryContext:
         timer = self._kernel.timer
-        application = EntryApplication(
+        pooled, fresh = self._sessions
+        claims = Claims(
             timer,
-            self._configuration,
-            self._kernel.find("router", Router),
-            EngineAdapter(self._session, timer),
-            PlainAdapter(self._session, timer),
+            self._kernel.find("control", ControlClient),
+            self._settings,
+            self._owner,
+            self._background,
+            self._is_gone,
+        )
+        return EntryContext(
+            timer=timer,
+            settings=self._settings,
+            source=self._source,
+            index=IndexCache(self._source.current),
+            router=self._kernel.find("router", Router),
+            engines=EngineAdapter(pooled, timer),
+            plain=PlainAdapter(pooled, timer, fresh),
+            ids=GenerationIds(self._keys),
+            claims=claims,
+            budget=self._budget,
+            watchdog=Watchdog(timer),
+            admission=Admission(),
+            background=self._background,
+            is_draining=self._is_draining,
         )
-        self._server = HttpServer(self._address, application)
-        await self._server.start()
 
     async def stop(self) -> None:
         """Close the port once all answers have ended."""
         if self._server is not None:
             await self._server.stop()
-        if self._session is not None:
-            await self._session.close()
+        await self._close()
+
+    async def kill(self) -> None:
+        """Cut all connections at once, as a process that dies."""
+        if self._server is not None:
+            await self._server.kill()
+        await self._close()
+
+    async def _close(self) -> None:
+        if self.application is not None:
+            self.application.table.close()
+        await self._background.finish()
+        for session in self._sessions:
+            await session.close()
--- /dev/null
+++ b/endivesill/entry/whole.py
@@ -0,0 +1,82 @@
+"""Whole answers: a generation's tokens joined into one document."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from endivesill import errors
+from endivesill.entry.generations import Generation
+from endivesill.entry.http import Answer, AsgiRequest
+from endivesill.entry.relay import Relay
+
+__all__ = ["answer_whole", "join_chunks"]
+
+LARGEST_ANSWER_BYTES = 64 << 20
+
+
+async def answer_whole(
+    request: AsgiRequest, answer: Answer, generation: Generation
+) -> None:
+    """Answer with a whole generation.
+
+    Raises:
+      EndivesillError: it did not come to its end.
+    """
+    blocks: list[bytes] = []
+    size = 0
+
+    async def deliver(relay: Relay, block: bytes) -> None:
+        nonlocal size
+        size += len(block)
+        if size > LARGEST_ANSWER_BYTES:
+            raise errors.TargetError("the answer is too large to be sent whole")
+        blocks.append(block)
+
+    async def work() -> None:
+        relay = await generation.run(deliver)
+        document = join_chunks(b"".join(blocks), relay.generation_id)
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"x-generation-id", relay.generation_id.encode()),
+        ]
+        await answer.whole(200, headers, json.dumps(document).encode())
+
+    await request.run_while_connected(work())
+
+
+def join_chunks(data: bytes, generation_id: str) -> dict[str, Any]:
+    """Return the completion document of a stream's events.
+
+    Raises:
+      TargetError: an event is not a chunk of a completion.
+    """
+    try:
+        choices = [
+            json.loads(line[len(b"data: ") :])["choices"][0]
+            for line in data.split(b"\n")
+            if line.startswith(b"data: ")
+        ]
+        is_chat = any("delta" in choice for choice in choices)
+        text = "".join(_text(choice) for choice in choices)
+        reasons = [c["finish_reason"] for c in choices if c.get("finish_reason")]
+    except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
+        raise errors.TargetError(f"not a completion chunk: {error!r}") from None
+    whole: dict[str, Any] = {"index": 0}
+    whole["finish_reason"] = reasons[-1] if reasons else None
+    if is_chat:
+        whole["message"] = {"role": "assistant", "content": text}
+    else:
+        whole["text"] = text
+    return {
+        "id": generation_id,
+        "object": "chat.completion" if is_chat else "text_completion",
+        "choices": [whole],
+        "usage": {"completion_tokens": len(choices)},
+    }
+
+
+def _text(choice: dict[str, Any]) -> str:
+    if "delta" in choice:
+        return choice["delta"].get("content") or ""
+    return choice.get("text") or ""
--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -9,6 +9,7 @@
     "DeadlineExceededError",
     "EndivesillError",
     "FindingsError",
+    "GrantExpiredError",
     "NotLeaderError",
     "OutcomeUnknownError",
     "PeerUnreachableError",
@@ -17,9 +18,11 @@
     "RunState",
     "StorageCorruptError",
     "StorageError",
+    "SupersededError",
     "TargetError",
     "TargetGoneError",
     "TargetRefusedError",
+    "TargetUnreachableError",
     "UnavailableError",
 ]
 
@@ -142,5 +145,25 @@
         super().__init__(detail, RunState.NOT_RUN)
 
 
+class TargetUnreachableError(TargetRefusedError):
+    """A target to which no connection was made: no byte went out."""
+
+
+class GrantExpiredError(TargetUnreachableError):
+    """An attempt whose leave to start ended before its first byte went out."""
+
+
+class SupersededError(TargetError):
+    """A generation that a newer attempt streams."""
+
+
 class TargetGoneError(TargetError):
-    """A generation that no engine holds any more."""
+    """A generation that an engine does not hold.
+
+    Attributes:
+      moved_to: the address of the engine that it was moved to; empty if none.
+    """
+
+    def __init__(self, detail: str, moved_to: str = "") -> None:
+        super().__init__(detail)
+        self.moved_to = moved_to
--- a/endivesill/keys.py
+++ b/endivesill/keys.py
@@ -57,6 +57,14 @@
         """Return the value of the Authorization header to send."""
         return f"Bearer {self._keys[0].decode()}"
 
+    def sign(self, message: bytes) -> bytes:
+        """Return the HMAC-SHA-256 of a message under the key to send."""
+        return hmac.digest(self._keys[0], message, "sha256")
+
+    def signatures(self, message: bytes) -> list[bytes]:
+        """Return the HMAC-SHA-256 of a message under each valid key."""
+        return [hmac.digest(key, message, "sha256") for key in self._keys]
+
     def accepts(self, authorization: str | None) -> bool:
         """Tell whether an Authorization header carries a valid key.
 
--- a/endivesill/server.py
+++ b/endivesill/server.py
@@ -9,11 +9,76 @@
 from typing import Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["HttpServer"]
+__all__ = ["ABORT_EXTENSION", "HttpServer"]
 
 BACKLOG = 2048
 POLL_S = 0.005
+HEADER_BLOCK_BYTES = 65_536
+HEADER_TIMEOUT_S = 10.0
+ABORT_EXTENSION = "endivesill.connection"
+TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-type: application/problem+json\r\n"
+    b"content-length: 63\r\nconnection: close\r\n\r\n"
+    b'{"title":"headers are too large","status":431,"run":"not-run"}\n'
+)
+
+
+class _Protocol(HttpToolsProtocol):
+    """A connection with bounds on its header blocks.
+
+    It bounds their size and the time for each, and lets applications drop the
+    connection at once by an ASGI extension.
+    """
+
+    _header_bytes = 0
+    _in_headers = True
+    _header_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self._await_headers()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._headers_ended()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if not self._in_headers:
+            super().data_received(data)
+            return
+        self._header_bytes += len(data)
+        super().data_received(data)
+        if self._in_headers and self._header_bytes > HEADER_BLOCK_BYTES:
+            self._headers_ended()
+            self.transport.write(TOO_LARGE)
+            self.transport.close()
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        if not self._in_headers:
+            self._await_headers()
+        extension: dict[object, object] = {"abort": self.transport.abort}
+        self.scope["extensions"] = {ABORT_EXTENSION: extension}
+
+    def on_headers_complete(self) -> None:
+        self._headers_ended()
+        super().on_headers_complete()
+
+    def _await_headers(self) -> None:
+        self._in_headers = True
+        self._header_bytes = 0
+        self._header_timer = self.loop.call_later(
+            HEADER_TIMEOUT_S, self.transport.close
+        )
+
+    def _headers_ended(self) -> None:
+        self._in_headers = False
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
 
 
 class _Server(uvicorn.Server):
@@ -39,6 +104,7 @@
         self._port = int(port)
         config = uvicorn.Config(
             application,
+            http=_Protocol,
             lifespan="off",
             log_config=None,
             access_log=False,
@@ -78,3 +144,12 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+
+    async def kill(self) -> None:
+        """Cut all connections at once, as a process that dies."""
+        self._server.force_exit = True
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+        for task in list(self._server.server_state.tasks):
+            task.cancel()
+        await self.stop()
--- a/endivesill/targets/__init__.py
+++ b/endivesill/targets/__init__.py
@@ -10,6 +10,7 @@
     Order,
 )
 from endivesill.targets.plain import PlainAdapter, PlainAnswer, PlainCall
+from endivesill.targets.session import open_fresh_session, open_session
 from endivesill.targets.tokens import ScannedBlock, TokenScanner
 
 __all__ = [
@@ -29,4 +30,6 @@
     "TokenScanner",
     "adapter",
     "make_adapter",
+    "open_fresh_session",
+    "open_session",
 ]
--- a/endivesill/targets/engine.py
+++ b/endivesill/targets/engine.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 import attrs
 
-from endivesill import errors
+from endivesill import errors, events
 from endivesill.configuration.model import Target
 from endivesill.targets.adapter import CONNECT_TIMEOUT_S, TargetAdapter, adapter
+from endivesill.targets.events import ANSWER_DROPPED, CANCEL_FAILED
 from endivesill.targets.messages import (
     CacheEvent,
     CacheEvents,
@@ -17,12 +19,17 @@
     LoadReport,
     Order,
 )
+from endivesill.targets.session import start_check
 
-__all__ = ["EngineAdapter", "EngineStream"]
+__all__ = ["EngineAdapter", "EngineStream", "parse_load_report"]
 
 CONTROL_TIMEOUT_S = 2.0
+MOVE_TIMEOUT_S = 5.0
 RUN_HEADER = "X-Run"
 NOT_RUN = "not-run"
+ATTEMPT_HEADER = "X-Attempt-Id"
+PREVIOUS_ATTEMPT_HEADER = "X-Previous-Attempt-Id"
+MOVED_HEADER = "X-Moved-To"
 
 
 class EngineStream:
@@ -34,21 +41,29 @@
 
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self._response = response
+        self._content = response.content
 
     async def read(self) -> bytes:
         """Return all bytes that have arrived, at least one; b"" at the end.
 
         Raises:
-          TargetError: the connection broke.
+          TargetError: the connection broke or was closed.
         """
         try:
-            return await self._response.content.readany()
+            return await self._content.readany()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise errors.TargetError(f"stream broke: {error!r}") from None
 
     def close(self) -> None:
-        """Close the connection; it is never reused with an answer pending."""
-        self._response.close()
+        """Close the connection, unless the answer has been read to its end.
+
+        A connection with an answer pending is never reused. A reader that waits
+        is woken with a TargetError.
+        """
+        if self._content.is_eof():
+            self._response.release()
+        else:
+            self._response.close()
 
 
 @adapter("engine")
@@ -56,70 +71,123 @@
     """Speaks to model engines."""
 
     async def generate(
-        self, target: Target, request: GenerationRequest
+        self,
+        target: Target,
+        request: GenerationRequest,
+        may_start: Callable[[], bool] | None = None,
     ) -> EngineStream:
         """Start a generation.
 
+        Args:
+          target: the engine.
+          request: the attempt.
+          may_start: asked once connected, before the first byte goes out.
+
         Raises:
           TargetRefusedError: the engine did not run it and says so, or no
-            connection was made.
+            connection was made, or it may not start any more.
           TargetError: it may have run.
         """
         headers = {
             "Content-Type": "application/json",
             "X-Generation-Id": request.generation_id,
-            "X-Attempt-Id": request.attempt_id,
+            ATTEMPT_HEADER: request.attempt_id,
             "X-Priority": str(request.priority),
         }
-        return await self._open(
-            target.url + request.path, request.body, headers, request.attempt_id
-        )
+        with start_check(may_start):
+            return await self._open(
+                target, request.path, request.body, headers, request.attempt_id
+            )
 
     async def resume(
-        self, target: Target, generation_id: str, next_index: int, attempt_id: str
+        self,
+        target: Target,
+        generation_id: str,
+        next_index: int,
+        attempt_id: str,
+        previous_attempt_id: str = "",
     ) -> EngineStream:
         """Go on with a generation that the engine still holds.
 
+        Args:
+          target: the engine.
+          generation_id: the generation.
+          next_index: the index of the first token wanted.
+          attempt_id: the new attempt.
+          previous_attempt_id: the attempt that this one follows; empty takes
+            the generation over from any other attempt.
+
         Raises:
           TargetGoneError: the engine does not hold it.
+          SupersededError: another attempt has taken it over.
           TargetError: the engine did not answer.
         """
-        url = f"{target.url}/v1/generations/{generation_id}/resume?from={next_index}"
-        return await self._open(url, b"", {"X-Attempt-Id": attempt_id}, attempt_id)
+        path = f"/v1/generations/{generation_id}/resume?from={next_index}"
+        headers = {ATTEMPT_HEADER: attempt_id}
+        if previous_attempt_id:
+            headers[PREVIOUS_ATTEMPT_HEADER] = previous_attempt_id
+        return await self._open(target, path, b"", headers, attempt_id)
 
     async def _open(
-        self, url: str, body: bytes, headers: dict[str, str], attempt_id: str
+        self,
+        target: Target,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        attempt_id: str,
     ) -> EngineStream:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         try:
             response = await self.session.post(
-                url, data=body, headers=headers, timeout=timeout
+                target.url + path, data=body, headers=headers, timeout=timeout
             )
-        except aiohttp.ClientConnectorError as error:
-            raise errors.TargetRefusedError(f"no connection: {error}") from None
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise errors.TargetUnreachableError(f"no connection: {error}") from None
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise errors.TargetError(f"no answer: {error!r}") from None
         if response.status == 200:
-            if response.headers.get("X-Attempt-Id") == attempt_id:
+            if response.headers.get(ATTEMPT_HEADER) == attempt_id:
                 return EngineStream(response)
             response.close()
+            events.emit(ANSWER_DROPPED, target=target.name, attempt_id=attempt_id)
             raise errors.TargetError("the answer belongs to another attempt")
-        status, run = response.status, response.headers.get(RUN_HEADER)
         response.close()
-        if status in (404, 410):
-            raise errors.TargetGoneError(f"the engine answered {status}")
-        if run == NOT_RUN:
-            raise errors.TargetRefusedError(f"the engine answered {status}")
-        raise errors.TargetError(f"the engine answered {status}")
-
-    async def cancel(self, target: Target, generation_id: str) -> None:
-        """Cancel a generation; errors are left to the engine's own time limit."""
+        raise _refusal(response)
+
+    async def cancel(
+        self, target: Target, generation_id: str, attempt_id: str = ""
+    ) -> None:
+        """Cancel a generation; without an answer the engine's time limit rules.
+
+        Args:
+          target: the engine.
+          generation_id: the generation.
+          attempt_id: cancel only if no later attempt has taken it over; empty
+            cancels in any case.
+        """
+        headers = {ATTEMPT_HEADER: attempt_id} if attempt_id else {}
+        path = f"/v1/generations/{generation_id}/cancel"
         try:
-            await self._control(
-                "POST", target, f"/v1/generations/{generation_id}/cancel"
+            await self._control("POST", target, path, headers=headers)
+        except errors.TargetError as error:
+            events.emit(
+                CANCEL_FAILED,
+                target=target.name,
+                generation_id=generation_id,
+                error=str(error),
             )
-        except errors.TargetError:
-            return
+
+    async def move(
+        self, target: Target, generation_id: str, destination: Target
+    ) -> None:
+        """Let an engine hand a generation to another engine.
+
+        Raises:
+          TargetError: the engine does not offer it or did not answer.
+        """
+        path = f"/v1/generations/{generation_id}/move"
+        body = {"to": destination.url}
+        await self._control("POST", target, path, body, timeout_s=MOVE_TIMEOUT_S)
 
     async def load(self, target: Target) -> LoadReport:
         """Ask for the load report.
@@ -139,8 +207,8 @@
         path = f"/v1/cache-events?after={after}"
         document = await self._control("GET", target, path)
         try:
-            events = tuple(CacheEvent(**event) for event in document["events"])
-            return CacheEvents(document["boot_id"], document["first_sequence"], events)
+            cached = tuple(CacheEvent(**event) for event in document["events"])
+            return CacheEvents(document["boot_id"], document["first_sequence"], cached)
         except (KeyError, TypeError) as error:
             raise errors.TargetError(f"bad cache events: {error!r}") from None
 
@@ -157,12 +225,19 @@
         return parse_load_report(document)
 
     async def _control(
-        self, method: str, target: Target, path: str, body: Any = None
+        self,
+        method: str,
+        target: Target,
+        path: str,
+        body: Any = None,
+        *,
+        headers: dict[str, str] | None = None,
+        timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> dict[str, Any]:
-        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self.session.request(
-                method, target.url + path, json=body, timeout=timeout
+                method, target.url + path, json=body, headers=headers, timeout=timeout
             ) as response:
                 if response.status == 409:
                     raise errors.TargetRefusedError(await response.text())
@@ -173,6 +248,17 @@
             raise errors.TargetError(f"no answer: {error!r}") from None
 
 
+def _refusal(response: aiohttp.ClientResponse) -> errors.TargetError:
+    detail = f"the engine answered {response.status}"
+    if response.status in (404, 410):
+        return errors.TargetGoneError(detail, response.headers.get(MOVED_HEADER, ""))
+    if response.status == 409:
+        return errors.SupersededError(detail)
+    if response.headers.get(RUN_HEADER) == NOT_RUN:
+        return errors.TargetRefusedError(detail)
+    return errors.TargetError(detail)
+
+
 def parse_load_report(document: dict[str, Any]) -> LoadReport:
     """Return the load report of a JSON object; unknown fields are left out.
 
--- a/endivesill/targets/tokens.py
+++ b/endivesill/targets/tokens.py
@@ -18,7 +18,7 @@
 LARGEST_EVENT_BYTES = 1_048_576
 
 
-@attrs.frozen
+@attrs.define
 class ScannedBlock:
     """What one scan found.
 
@@ -47,6 +47,10 @@
         self.next_index = next_index
         self.done = False
 
+    def restart(self) -> None:
+        """Forget the part of an event that a broken connection left."""
+        self._rest = b""
+
     def scan(self, chunk: bytes) -> ScannedBlock:
         """Scan what has arrived.
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,101 +1,174 @@
 """Tests of the whole path in one process, with real sockets on loopback."""
 
+import asyncio
 import json
 import unittest
 
-import aiohttp
+from tests.entry_fakes import KEY, FleetTestCase, numbered, until, words
 
-from bench.standin_engine import StandinEngine
-from bench.standin_plain import StandinPlain
-from endivesill.configuration.model import configuration_from_documents
-from endivesill.entry.service import EntryService
-from endivesill.kernel import Kernel
-from endivesill.keys import hash_key
-from endivesill.routing import Router
-from endivesill.server import HttpServer
-from endivesill.timer import SystemTimer
 
-KEY = {"Authorization": "Bearer test-key"}
-
-
-class WholePathTest(unittest.IsolatedAsyncioTestCase):
+class WholePathTest(FleetTestCase, unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.engine = StandinEngine(token_s=0.001)
-        self.plain = StandinPlain()
-        self.servers = [
-            HttpServer("127.0.0.1:0", self.engine.application()),
-            HttpServer("127.0.0.1:0", self.plain.application()),
-        ]
-        for server in self.servers:
-            await server.start()
-        documents = {
-            "data-centre/a": {"region": "r"},
-            "service/llm": {"protocol": "engine"},
-            "service/app": {"protocol": "plain", "path_prefix": "/app"},
-            "organisation/o": {"key_sha256": hash_key("test-key")},
-            "target/e": {
-                "service": "llm",
-                "url": f"http://{self.servers[0].address}",
-                "data_centre": "a",
-            },
-            "target/p": {
-                "service": "app",
-                "url": f"http://{self.servers[1].address}",
-                "data_centre": "a",
-            },
-        }
-        configuration = configuration_from_documents(1, documents)
-        self.kernel = Kernel(SystemTimer())
-        self.kernel.add("router", Router(self.kernel.timer, lambda: configuration))
-        entry = EntryService(self.kernel, "127.0.0.1:0", lambda: configuration)
-        self.kernel.add("entry", entry)
-        await self.kernel.start()
-        self.url = f"http://{entry.address}"
-        self.session = aiohttp.ClientSession()
-
-    async def asyncTearDown(self):
-        await self.session.close()
-        await self.kernel.stop()
-        for server in self.servers:
-            await server.stop()
+        await super().asyncSetUp()
+        self.engine = await self.fleet.add_engine()
+        self.plain = await self.fleet.add_plain()
+        self.url = await self.fleet.add_entry()
 
     async def test_a_streamed_generation_has_each_token_once_in_order(self):
-        body = {"model": "llm", "prompt": "plan", "stream": True, "max_tokens": 30}
-        async with self.session.post(
-            f"{self.url}/v1/completions", json=body, headers=KEY
-        ) as response:
-            events = (await response.text()).split("\n\n")
-        texts = [
-            json.loads(event.split("data: ")[1])["choices"][0]["text"]
-            for event in events[:-2]
-        ]
-        self.assertEqual([f"w{index} " for index in range(30)], texts)
-        self.assertEqual("data: [DONE]", events[-2])
+        response, text = await self.stream(self.url, max_tokens=30)
+        self.assertEqual(200, response.status)
+        self.assertEqual(numbered(30), words(text))
+        self.assertTrue(text.endswith("data: [DONE]\n\n"))
 
     async def test_a_whole_answer_joins_the_tokens(self):
-        body = {
-            "model": "llm",
-            "messages": [{"role": "user", "content": "plan"}],
-            "max_tokens": 3,
-        }
-        async with self.session.post(
-            f"{self.url}/v1/chat/completions", json=body, headers=KEY
-        ) as response:
-            document = await response.json()
+        messages = [{"role": "user", "content": "plan"}]
+        body = {"model": "llm", "messages": messages, "max_tokens": 3}
+        _, document = await self.post(
+            f"{self.url}/v1/chat/completions", json.dumps(body)
+        )
         self.assertEqual("w0 w1 w2 ", document["choices"][0]["message"]["content"])
+        self.assertEqual("length", document["choices"][0]["finish_reason"])
 
     async def test_a_plain_call_arrives_unchanged(self):
-        async with self.session.post(
-            f"{self.url}/app/a%2Fb?x=1&y=%20", data=b"raw", headers=KEY
-        ) as response:
-            self.assertEqual(200, response.status)
+        response, _ = await self.post(f"{self.url}/app/a%2Fb?x=1&y=%20", b"raw")
+        self.assertEqual(200, response.status)
         self.assertEqual("x=1&y=%20", self.plain.ran[0]["query"])
         self.assertEqual("raw", self.plain.ran[0]["body"])
 
-    async def test_an_unknown_model_names_the_field(self):
+    async def test_a_planned_stop_ends_once_all_streams_have_ended(self):
+        stream = asyncio.ensure_future(self.stream(self.url, max_tokens=200))
+        await until(lambda: self.engine.starts)
+        await self.fleet.kernels[0].stop()
+        _, text = await stream
+        self.assertEqual(numbered(200), words(text))
+
+    async def test_readiness_follows_the_lease_and_the_drain(self):
+        seen = []
+        for lease, draining in ((True, False), (False, False), (True, True)):
+            self.fleet.source.lease, self.fleet.draining = lease, draining
+            async with self.session.get(f"{self.url}/health/ready") as response:
+                seen.append(response.status)
+        async with self.session.get(f"{self.url}/health/live") as response:
+            self.assertEqual(200, response.status)
+        self.assertEqual([200, 503, 503], seen)
+
+    async def test_without_a_lease_no_new_work_starts(self):
+        self.fleet.source.lease = False
+        response, document = await self.post(
+            f"{self.url}/v1/completions", json.dumps({"model": "llm", "prompt": "x"})
+        )
+        self.assertEqual(
+            (503, "no-lease", "not-run"),
+            (response.status, document["title"], document["run"]),
+        )
+        self.assertEqual("1", response.headers["Retry-After"])
+        self.assertEqual({}, self.engine.starts)
+
+
+class RefusalTest(FleetTestCase, unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.engine = await self.fleet.add_engine()
+        self.plain = await self.fleet.add_plain()
+        self.url = await self.fleet.add_entry()
+
+    async def asyncTearDown(self):
+        self.assertEqual({}, self.engine.starts)
+        self.assertEqual([], self.plain.ran)
+        await super().asyncTearDown()
+
+    async def check(self, path, body, status, field, headers=KEY):
         async with self.session.post(
-            f"{self.url}/v1/completions", json={"model": "x", "prompt": ""}, headers=KEY
+            f"{self.url}{path}", data=body, headers=headers
         ) as response:
             document = await response.json(content_type=None)
-        self.assertEqual((404, "model"), (response.status, document["field"]))
-        self.assertEqual({}, self.engine.starts)
+            self.assertEqual(
+                (status, field, "not-run", "application/problem+json"),
+                (
+                    response.status,
+                    document.get("field"),
+                    document["run"],
+                    response.headers["Content-Type"],
+                ),
+                body,
+            )
+
+    async def test_a_wrong_request_names_its_field(self):
+        cases = [
+            (b"{", 400, "body"),
+            (b"[1]", 400, "body"),
+            (b'{"model": NaN}', 400, "body"),
+            (b'{"prompt": "x"}', 400, "model"),
+            (b'{"model": 7, "prompt": "x"}', 400, "model"),
+            (b'{"model": "nil", "prompt": "x"}', 404, "model"),
+            (b'{"model": "app", "prompt": "x"}', 404, "model"),
+            (b'{"model": "llm"}', 400, "prompt"),
+            (b'{"model": "llm", "prompt": 1}', 400, "prompt"),
+            (b'{"model": "llm", "prompt": "x", "stream": 1}', 400, "stream"),
+            (b'{"model": "llm", "prompt": "x", "max_tokens": -1}', 400, "max_tokens"),
+            (b'{"model": "llm", "prompt": "x", "max_tokens": true}', 400, "max_tokens"),
+            (b'{"model": "llm", "prompt": "x", "n": 2}', 400, "n"),
+        ]
+        for body, status, field in cases:
+            await self.check("/v1/completions", body, status, field)
+        body = b'{"model": "llm", "messages": [{"content": 1}]}'
+        await self.check("/v1/chat/completions", body, 400, "messages[0]")
+
+    async def test_a_missing_or_unknown_key_is_refused(self):
+        for headers in ({}, {"Authorization": "Bearer x"}, {"Authorization": "Basic"}):
+            await self.check("/v1/completions", b"{}", 401, "authorization", headers)
+
+    async def test_an_unknown_path_is_refused(self):
+        await self.check("/nowhere", b"", 404, "path")
+
+    async def test_a_body_over_the_limit_is_refused(self):
+        self.fleet.configure(limits__default={"body_bytes": 1024})
+        await self.check("/app/x", b"x" * 2000, 413, "body")
+
+        async def chunks():
+            for _ in range(30):
+                yield b"x" * 100
+
+        await self.check("/app/x", chunks(), 413, "body")
+
+    async def test_headers_over_the_limit_are_refused(self):
+        self.fleet.configure(limits__default={"header_bytes": 1024})
+        headers = {**KEY, "X-Long": "x" * 2000}
+        await self.check("/app/x", b"", 431, None, headers)
+
+    async def test_a_header_block_without_end_is_cut(self):
+        host, port = self.url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /app/x HTTP/1.1\r\n" + b"X-A: " + b"x" * 70_000)
+        answer = await reader.read()
+        writer.close()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 431"))
+
+    async def test_a_slow_sender_is_refused(self):
+        self.fleet.configure(limits__default={"slow_sender_s": 0.2})
+
+        async def chunks():
+            yield b"x"
+            await asyncio.sleep(1.0)
+            yield b"x"
+
+        await self.check("/app/x", chunks(), 408, "body")
+
+
+class ConcurrencyBoundTest(FleetTestCase, unittest.IsolatedAsyncioTestCase):
+    async def test_an_organisation_over_its_bound_is_told_to_come_back(self):
+        await self.fleet.add_engine()
+        plain = await self.fleet.add_plain(delay_s=0.2)
+        url = await self.fleet.add_entry()
+        self.fleet.configure(organisation__o={"maximum_requests": 2})
+        answers = await asyncio.gather(
+            *(self.post(f"{url}/app/x") for _ in range(3)),
+        )
+        statuses = sorted(response.status for response, _ in answers)
+        self.assertEqual([200, 200, 429], statuses)
+        refused = next(a for a in answers if a[0].status == 429)
+        self.assertEqual("1", refused[0].headers["Retry-After"])
+        self.assertEqual("not-run", refused[1]["run"])
+        self.assertEqual(2, len(plain.ran))
+        response, _ = await self.post(f"{url}/app/x")
+        self.assertEqual(200, response.status)
