--- a/bench/memory_fleet.py
+++ b/bench/memory_fleet.py
@@ -6,6 +6,7 @@
 
 from endivesill.configuration import Configuration, DataCentre, Target
 from endivesill.configuration.source import FixedConfiguration
+from endivesill.kernel import Kernel
 from endivesill.membership import (
     MembershipSettings,
     MemoryDatagramTransport,
@@ -79,7 +80,7 @@
         data_centre, address = self.places[name]
         self._seed += 1
         member = SwimMembership(
-            self.timer,
+            Kernel(self.timer),
             vm_settings(name, data_centre, self._region, address, self.join),
             self.settings,
             self.network.transport(address),
--- a/endivesill/membership/gossip.py
+++ b/endivesill/membership/gossip.py
@@ -26,7 +26,7 @@
 PUSH_DELAY_S = 0.02
 PUSH_FANOUT = 3
 PUSH_DATAGRAMS = 8
-SENDS_PER_DOUBLING = 3
+MINIMUM_SENDS = 3
 UPDATES_LIMIT_BYTES = 900
 
 
@@ -81,7 +81,7 @@
         if not self._pending:
             return ()
         vms = len(self._table.peers()) + 1
-        limit = SENDS_PER_DOUBLING * math.ceil(math.log2(vms + 1))
+        limit = max(MINIMUM_SENDS, math.ceil(math.log2(vms + 1)))
         ordered = sorted(self._pending.items(), key=lambda item: item[1].sends)
         chosen = []
         room = UPDATES_LIMIT_BYTES
--- a/endivesill/membership/identity.py
+++ b/endivesill/membership/identity.py
@@ -20,14 +20,21 @@
     Args:
       table: the VMs.
       tell: spreads an update.
+      doubted: called when others suspected this VM or took it for gone.
 
     Attributes:
       superseded: whether another process runs under this VM's name.
     """
 
-    def __init__(self, table: MemberTable, tell: Callable[[Update], None]) -> None:
+    def __init__(
+        self,
+        table: MemberTable,
+        tell: Callable[[Update], None],
+        doubted: Callable[[], None],
+    ) -> None:
         self._table = table
         self._tell = tell
+        self._doubted = doubted
         self._own = table.own
         self.superseded = False
 
@@ -75,6 +82,7 @@
 
     def _refute(self, update: VmUpdate) -> None:
         events.emit(SELF_REFUTED, vm=update.name, instance_id=update.instance_id)
+        self._doubted()
         self._set(self._own, update.incarnation + 1)
 
     def _set(self, own: VmUpdate, incarnation: int) -> None:
--- a/endivesill/membership/joining.py
+++ b/endivesill/membership/joining.py
@@ -125,7 +125,7 @@
         while addresses():
             tries = addresses()
             self._rng.shuffle(tries)
-            if await self._first(tries):
+            if await self.sync_any(tries) or self._table.others():
                 events.emit(JOINED, vm=self._table.own_name)
                 break
             if self._timer.now_s() >= deadline_s:
@@ -134,8 +134,8 @@
             await self._timer.sleep(JOIN_RETRY_S)
         self._own.announce(Phase.ALIVE)
 
-    async def _first(self, addresses: list[str]) -> bool:
-        """Try all addresses at once; return whether one of them answered."""
+    async def sync_any(self, addresses: list[str]) -> bool:
+        """Exchange views with the first VM that answers; return whether one did."""
         tasks = [asyncio.ensure_future(self.sync(address)) for address in addresses]
         try:
             for done in asyncio.as_completed(tasks):
--- a/endivesill/membership/knowledge.py
+++ b/endivesill/membership/knowledge.py
@@ -74,6 +74,8 @@
         if not isinstance(update, VmUpdate) or update.health is not Health.GONE:
             return update
         known = self._table.get(update.name)
+        if update.name == self._table.own_name:
+            return update
         if known is None or known.health is Health.GONE:
             return update
         left = update.phase is Phase.LEAVING
--- a/endivesill/membership/messages.py
+++ b/endivesill/membership/messages.py
@@ -51,6 +51,8 @@
     GONE = 2
 
 
+_PHASES = tuple(Phase)
+_HEALTHS = tuple(Health)
 _PHASE_STATES = {
     Phase.JOINING: VmState.JOINING,
     Phase.ALIVE: VmState.ALIVE,
@@ -206,7 +208,7 @@
         if update.notice_s is None:
             return ["t", *row]
         return ["t", *row, round(update.notice_s, 2)]
-    state = update.phase + 3 * update.health
+    state = update.phase + len(_PHASES) * update.health
     row = ["v", update.name, update.instance_id, update.incarnation, state]
     if full or update.health is Health.OK:
         roles = "".join(_ROLE_LETTERS[role] for role in update.roles)
@@ -226,19 +228,18 @@
             return TargetNotice(
                 str(row[1]), int(row[2]), str(row[3]), bool(row[4]), notice_s
             )
-        health, phase = divmod(int(row[4]), 3)
-        update = VmUpdate(
-            str(row[1]), str(row[2]), int(row[3]), Phase(phase), Health(health)
-        )
-        if len(row) == 5:
-            return update
-        address, data_centre, region, roles = (str(part) for part in row[5:9])
-        return attrs.evolve(
-            update,
-            address=address,
-            data_centre=data_centre,
-            region=region,
-            roles=tuple(_LETTER_ROLES[letter] for letter in roles),
+        health, phase = divmod(int(row[4]), len(_PHASES))
+        address, data_centre, region, letters = row[5:9] or ("", "", "", "")
+        return VmUpdate(
+            str(row[1]),
+            str(row[2]),
+            int(row[3]),
+            _PHASES[phase],
+            _HEALTHS[health],
+            str(address),
+            str(data_centre),
+            str(region),
+            tuple(_LETTER_ROLES[letter] for letter in letters),
         )
     except (IndexError, KeyError, TypeError, ValueError) as error:
         raise errors.PeerMessageError(f"no update: {error!r}") from None
--- a/endivesill/membership/probes.py
+++ b/endivesill/membership/probes.py
@@ -142,6 +142,7 @@
         expected_s = probes * 3 * timeout_s + OVERRUN_S
         if self._timer.now_s() - started_s <= expected_s:
             self._suspect(member)
+            self._exchange.ask(member.address, DatagramKind.PING, 0, member.name)
 
     async def _probe(self, member: VmUpdate, timeout_s: float) -> bool:
         """Probe one VM directly, then through helpers; tell whether it answered."""
--- a/endivesill/membership/service.py
+++ b/endivesill/membership/service.py
@@ -5,12 +5,13 @@
 import asyncio
 import random
 import uuid
-from collections.abc import Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any
 
 from endivesill import events
 from endivesill.configuration.model import Target
 from endivesill.configuration.source import ConfigurationSource
+from endivesill.kernel import Kernel
 from endivesill.membership.datagrams import DatagramTransport
 from endivesill.membership.delegates import Delegates
 from endivesill.membership.events import (
@@ -42,7 +43,6 @@
 from endivesill.membership.view import MembershipView, VmRecord
 from endivesill.peers import PeerTransport
 from endivesill.settings import VmSettings
-from endivesill.timer import TimerService
 
 __all__ = ["SwimMembership"]
 
@@ -54,7 +54,7 @@
     """The view of the fleet that SWIM probes and gossip keep up to date.
 
     Args:
-      timer: the timer service.
+      kernel: the process's kernel.
       vm: the VM's own settings.
       settings: periods and bounds.
       peers: the transport of the peer port.
@@ -69,7 +69,7 @@
 
     def __init__(
         self,
-        timer: TimerService,
+        kernel: Kernel,
         vm: VmSettings,
         settings: MembershipSettings,
         peers: PeerTransport,
@@ -78,7 +78,8 @@
         seed: int | None = None,
     ) -> None:
         super().__init__()
-        self._timer = timer
+        self._kernel = kernel
+        self._timer = timer = kernel.timer
         self._vm = vm
         self._settings = settings
         self._configuration = configuration
@@ -93,7 +94,7 @@
         self.leaving_targets = LeavingTargets(
             timer, configuration.current, self._gossip.tell
         )
-        self._own = OwnState(self.table, self._gossip.tell)
+        self._own = OwnState(self.table, self._gossip.tell, self._doubted)
         self._knowledge = Knowledge(
             self.table, self._own, self.leaving_targets, self._gossip
         )
@@ -135,11 +136,11 @@
         """Open the datagram port, join the fleet and probe."""
         await self._exchange.open()
         self._last_tick_s = self._timer.now_s()
-        self._run(self._synchronizer.join(self._join_addresses))
-        self._run(self._prober.probe_peers())
-        self._run(self._prober.probe_data_centres())
-        self._run(self._retry_gone())
-        self._run(self._tick())
+        self._supervise("join", self._join)
+        self._supervise("probe-peers", self._prober.probe_peers)
+        self._supervise("probe-data-centres", self._prober.probe_data_centres)
+        self._supervise("retry-gone", self._retry_gone)
+        self._supervise("tick", self._tick)
 
     async def stop(self) -> None:
         """Stop without a word, as a process that dies; see `leave`."""
@@ -212,6 +213,10 @@
             self._update_homes()
         self._notify()
 
+    def _doubted(self) -> None:
+        """Count the own homes anew: another VM may have had them meanwhile."""
+        self._homes.restart()
+
     def _update_homes(self) -> None:
         entries = [
             LiveEntry(member.name, member.data_centre, member.region)
@@ -243,8 +248,13 @@
         elif datagram.digest != self._knowledge.digest():
             self._run(self._synchronizer.sync_soon(source))
 
+    def _supervise(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self._keep(self._kernel.supervise(f"membership-{name}", run))
+
     def _run(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
+        self._keep(asyncio.ensure_future(coroutine))
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -252,6 +262,9 @@
         known = [*self._vm.join_addresses, *self._extra_addresses]
         return [address for address in known if address != self._vm.peer_address]
 
+    async def _join(self) -> None:
+        await self._synchronizer.join(self._join_addresses)
+
     async def _retry_gone(self) -> None:
         """Try VMs that are gone, and addresses without a VM, now and then."""
         while True:
@@ -264,7 +277,9 @@
                 self._exchange.ask(member.address, DatagramKind.PING, 0, member.name)
             taken = {member.address for member in self.table.others()}
             free = [a for a in self._join_addresses() if a not in taken]
-            if free:
+            if not taken:
+                await self._synchronizer.sync_any(free)
+            elif free:
                 await self._synchronizer.sync(self._rng.choice(free))
 
     async def _tick(self) -> None:
--- a/endivesill/membership/settings.py
+++ b/endivesill/membership/settings.py
@@ -77,6 +77,10 @@
         "time between readings of the VM list", default=1.0, minimum=0.1, maximum=3600
     )
 
+    vm_list_lag_s: float = schema.field(
+        "how far the VM list may lag", default=60.0, minimum=0, maximum=3600
+    )
+
     def suspicion_s(self, vms: int) -> float:
         """Return how long a suspected VM has to refute, among so many VMs."""
         decades = math.log10(max(1, vms))
--- /dev/null
+++ b/tests/test_membership_messages.py
@@ -0,0 +1,99 @@
+"""Tests of membership's datagrams: their JSON, their key, their size."""
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from endivesill import errors
+from endivesill.membership import UdpDatagramTransport
+from endivesill.membership.messages import (
+    Datagram,
+    DatagramKind,
+    Health,
+    Phase,
+    TargetNotice,
+    VmUpdate,
+    decode_datagram,
+    encode_datagram,
+)
+
+NAMES = st.text(min_size=1, max_size=12)
+VM_UPDATES = st.builds(
+    VmUpdate,
+    NAMES,
+    NAMES,
+    st.integers(0, 2**40),
+    st.sampled_from(Phase),
+    st.just(Health.OK),
+    NAMES,
+    NAMES,
+    NAMES,
+    st.sampled_from([("entry",), ("control",), ("entry", "control")]),
+)
+NOTICES = st.builds(
+    TargetNotice,
+    NAMES,
+    st.integers(0, 99),
+    NAMES,
+    st.booleans(),
+    st.none() | st.integers(0, 99).map(float),
+)
+
+
+class DatagramJsonTest(unittest.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(
+        st.sampled_from(DatagramKind),
+        st.integers(0, 2**31),
+        NAMES,
+        st.lists(VM_UPDATES | NOTICES, max_size=4),
+    )
+    def test_what_is_encoded_is_decoded(self, kind, sequence, sender, updates):
+        datagram = Datagram(kind, sequence, sender, "x", 7, tuple(updates))
+        self.assertEqual(datagram, decode_datagram(encode_datagram(datagram)))
+
+    def test_suspicion_goes_without_the_places(self):
+        update = VmUpdate("v", "i", 3, Phase.ALIVE, Health.SUSPECT, "h:1", "a", "r")
+        datagram = Datagram(DatagramKind.GOSSIP, 0, "w", updates=(update,))
+        decoded = decode_datagram(encode_datagram(datagram)).updates[0]
+        self.assertEqual(update.rank(), decoded.rank())
+        self.assertEqual("", decoded.address)
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
+    def test_anything_else_is_an_error(self, data):
+        with self.assertRaises(errors.PeerMessageError):
+            decode_datagram(data)
+
+    def test_wrong_rows_are_errors(self):
+        for row in ('["v","a","b",1,9]', '["v","a","b",1,1,"h"]', '["t","x"]', "3"):
+            text = f'["g",0,"w","",0,{row}]'
+            with self.assertRaises(errors.PeerMessageError, msg=row):
+                decode_datagram(text.encode())
+
+
+class UdpTest(unittest.IsolatedAsyncioTestCase):
+    async def open(self, *keys):
+        transport = UdpDatagramTransport("127.0.0.1:0", keys)
+        received = asyncio.Queue()
+        await transport.open(lambda *pair: received.put_nowait(pair))
+        self.addCleanup(transport.close)
+        return transport, received
+
+    async def test_datagrams_with_a_shared_key_arrive_with_their_source(self):
+        one, _ = await self.open("key-one-0123456789")
+        two, received = await self.open("key-new-0123456789", "key-one-0123456789")
+        one.send(two.address, b"body")
+        self.assertEqual((one.address, b"body"), await received.get())
+
+    async def test_datagrams_with_another_key_or_none_are_dropped(self):
+        one, _ = await self.open("key-one-0123456789")
+        bad, _ = await self.open("key-bad-0123456789")
+        two, received = await self.open("key-one-0123456789")
+        bad.send(two.address, b"forged")
+        bad._endpoint.sendto(b"short", ("127.0.0.1", int(two.address.split(":")[1])))
+        one.send(two.address, b"true")
+        self.assertEqual((one.address, b"true"), await received.get())
+        self.assertTrue(received.empty())
