--- a/bench/fake_engine.py
+++ b/bench/fake_engine.py
@@ -139,12 +139,15 @@
         sequence.started_cold = self.cold_left > 0
         self.waiting.append(sequence)
         if self.cold_left:
-            cold = sum(s.started_cold for s in self.running + self.waiting)
-            self.cold_peak = max(self.cold_peak, cold)
+            self.cold_peak = max(self.cold_peak, self.cold_running())
         if not self._busy:
             self._begin_step()
         return True
 
+    def cold_running(self) -> int:
+        """Return how many sequences were taken since it turned cold."""
+        return sum(s.started_cold for s in self.running + self.waiting)
+
     def cancel(self, sequence: Sequence) -> None:
         """Forget a sequence."""
         for group in (self.running, self.waiting):
--- /dev/null
+++ b/bench/routing_cost.py
@@ -0,0 +1,114 @@
+"""Cost of a routing decision and memory, over the size of the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import tracemalloc
+
+from bench.report import Report
+from endivesill.configuration.model import (
+    Configuration,
+    DataCentre,
+    Organisation,
+    Service,
+    Target,
+)
+from endivesill.routing import Lender, Outcome, Router, RouteRequest, Wallet
+from endivesill.routing.lengths import LengthEstimator
+from endivesill.timer import SystemTimer
+
+__all__ = ["add_costs"]
+
+TARGET_COUNTS = (6, 60, 300, 2400)
+ORGANISATION_COUNTS = (10, 1000, 19_000)
+SERVICES = 16
+DECISIONS = 4000
+DECISION_BOUND_US = 50.0
+PREFIX = tuple(f"p{number}" for number in range(6))
+
+
+def fleet(count: int) -> Configuration:
+    """Return a configuration with so many engines, up to 16 services."""
+    services = {
+        f"s{n}": Service(f"s{n}", protocol="engine", routing_policy="credit")
+        for n in range(max(1, min(SERVICES, count // 6)))
+    }
+    targets = {}
+    for number in range(count):
+        name = f"e{number}"
+        targets[name] = Target(
+            name,
+            service=f"s{number % len(services)}",
+            url="http://fake",
+            data_centre="dc",
+            memory_tokens=60_000,
+        )
+    centres = {"dc": DataCentre("dc", region="r")}
+    return Configuration(1, data_centres=centres, services=services, targets=targets)
+
+
+async def decision_us(count: int) -> float:
+    """Return the mean cost of a grant and its end, in microseconds."""
+    timer = SystemTimer()
+    configuration = fleet(count)
+    lender = Lender(timer, lambda: configuration, "bench")
+    wallet = Wallet(timer, lambda: configuration, "bench", lender)
+    router = Router(timer, lambda: configuration, wallet=wallet)
+    for target in configuration.targets.values():
+        ledger = lender.ledger(target)
+        ledger.warmth.assume(target.maximum_slots)
+        ledger.taken_over_s = -1e9
+    organisation = Organisation("o", key_sha256="0" * 64)
+    services = list(configuration.services.values())
+    requests = [
+        RouteRequest(
+            f"r{number}",
+            services[number % len(services)],
+            organisation,
+            prompt_tokens=900,
+            prefix=PREFIX,
+        )
+        for number in range(DECISIONS)
+    ]
+    for request in requests[: len(services)]:
+        (await router.acquire(request)).finished(Outcome.DONE)
+    started_s = time.perf_counter()
+    for request in requests:
+        grant = await router.acquire(request)
+        grant.finished(Outcome.DONE)
+    return 1e6 * (time.perf_counter() - started_s) / DECISIONS
+
+
+def organisation_bytes(count: int) -> float:
+    """Return the memory that the length histograms take an organisation."""
+    service = Service("s", protocol="engine")
+    tracemalloc.start()
+    estimator = LengthEstimator()
+    for number in range(count):
+        estimator.record(service, f"organisation-{number}", 200)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size / count
+
+
+def add_costs(report: Report) -> None:
+    """Measure and add the costs."""
+    points = []
+    for count in TARGET_COUNTS:
+        cost_us = round(asyncio.run(decision_us(count)), 1)
+        points.append((float(count), cost_us))
+        report.add(
+            f"decision with {count} targets",
+            cost_us,
+            "us",
+            "< 50",
+            cost_us < DECISION_BOUND_US,
+        )
+    report.slope("routing decision", "targets", "us", points)
+    points = [
+        (float(count), round(organisation_bytes(count), 1))
+        for count in ORGANISATION_COUNTS
+    ]
+    report.slope("length histograms", "organisations", "bytes each", points)
+    report.add("memory of an organisation", points[-1][1], "bytes", "a few hundred")
--- a/bench/routing_run.py
+++ b/bench/routing_run.py
@@ -32,7 +32,6 @@
 DRAIN_S = 150.0
 DEADLINE_S = 10.0
 MAXIMUM_ATTEMPTS = 3
-LIMIT_CREDIT = 128
 COLD_SLOTS = 4
 GAP_BUCKET_MS = 0.5
 
@@ -214,6 +213,15 @@
         """Tell whether the target's data centre is taken out."""
         return self.configuration.data_centres[target.data_centre].taken_out
 
+    def note_cold_start(self, target: Target) -> None:
+        """Compare a start on a cold engine with the target's allowance."""
+        engine = self.engines[target.name]
+        if not engine.cold_left or self.plan.policy != "credit":
+            return
+        allowance = self.lender.ledger(target).allowance_slots()
+        excess = engine.cold_running() + 1 - allowance
+        self.figures.cold_excess = max(self.figures.cold_excess, excess)
+
     def note_gap(self, gap_s: float) -> None:
         """Count a gap between two tokens of a stream."""
         if not self.measures():
@@ -258,7 +266,7 @@
     def _chill_closed(self) -> None:
         for target in self.configuration.targets.values():
             if self.closed(target):
-                self.engines[target.name].revive()
+                self.engines[target.name].turn_cold()
 
 
 class Attempt:
@@ -290,6 +298,7 @@
         state = self.run_state
         engine = state.engines[self.grant.target.name]
         state.figures.starts_in_closed += state.closed(self.grant.target)
+        state.note_cold_start(self.grant.target)
         if not engine.submit(self.sequence):
             self.grant.finished(Outcome.NOT_RUN)
             return False
--- a/bench/routing_workload.py
+++ b/bench/routing_workload.py
@@ -53,7 +53,7 @@
 def make_arrivals(seed: int, rate_per_s: float, duration_s: float) -> list[Arrival]:
     """Return the arrivals of a run, the same for the same seed."""
     source = random.Random(seed)
-    arrivals = []
+    arrivals: list[Arrival] = []
     at_s = 0.0
     while True:
         at_s += source.expovariate(rate_per_s)
--- a/endivesill/routing/lender.py
+++ b/endivesill/routing/lender.py
@@ -108,6 +108,9 @@
     def observe_load(self, target: Target, report: LoadReport) -> None:
         """Take a target's load report."""
         ledger = self.ledger(target)
+        if not self._configuration().takes_new_work(target):
+            # What returns after having been out of service starts cold.
+            ledger.recool()
         booted = ledger.observe_load(
             report.boot_id,
             report.running + report.waiting,
--- a/endivesill/routing/policy.py
+++ b/endivesill/routing/policy.py
@@ -22,6 +22,7 @@
 AFFINITY_LIMIT_TOKENS = 1024
 SLOTS_COST_TOKENS = 1024
 MEMORY_COST_TOKENS = 2048
+STRETCH_DIVISOR = 32.0
 
 PolicyT = TypeVar("PolicyT", bound="type[Policy]")
 
@@ -124,7 +125,8 @@
     """Credits, memory reservations, paced prefill and prefix affinity.
 
     Each candidate that has room costs the tokens to prefill there, those ahead
-    of them, and a price for how full it is. A cached prefix saves at most
+    of them, a price for how full its memory is, and the tokens of others that
+    the prefill would hold up. A cached prefix saves at most
     `AFFINITY_LIMIT_TOKENS`, so that it never outweighs a fuller target by more.
     """
 
@@ -187,8 +189,10 @@
         assert loan is not None
         saved = min(cached, AFFINITY_LIMIT_TOKENS)
         cost = float(candidate.prefill_tokens + uncached + cached - saved)
-        cost += SLOTS_COST_TOKENS * candidate.outstanding / max(1, loan.slots)
-        if loan.tokens:
-            filled = (candidate.reserved_tokens + need_tokens) / loan.tokens
-            cost += MEMORY_COST_TOKENS * filled
+        if not loan.tokens:
+            slots = max(1, loan.slots)
+            return cost + SLOTS_COST_TOKENS * candidate.outstanding / slots
+        filled = (candidate.reserved_tokens + need_tokens) / loan.tokens
+        cost += MEMORY_COST_TOKENS * filled
+        cost += uncached * candidate.outstanding / STRETCH_DIVISOR
         return cost
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -302,7 +302,7 @@
             ahead_tokens=2 * ahead * max(mean_tokens, 1024),
             serial=loan.serial if loan else 0,
             median_gap_ms=observation.gap_quantile_ms(0.5),
-            tail_gap_ms=observation.gap_quantile_ms(0.95),
+            tail_gap_ms=observation.gap_quantile_ms(0.99),
             answers=answers,
             first_token_ms=first_token_ms,
             recooled=observation.take_recooled(),
