Prove streams, claims and the target protocol by tests

Cause: a stream whose end came in the same block as a gap counted as done; a resume whose answer was lost, or a move, made the next resume look like a newcomer's; a repeated answer carried its length twice.

Change: the scanner marks the end only after the check; resumes and cancels name all attempts that may have reached the engine; stored lengths are left out. The listener waits for its stop in place of polling ten times a second.

--- a/bench/standin_engine.py
+++ b/bench/standin_engine.py
@@ -183,6 +183,8 @@
                 await self.timer.sleep(self.options.token_s * self.slowdown())
                 if generation.is_over or self._is_orphan(generation):
                     break
+                if generation.is_moving:
+                    continue
                 generation.tokens += 1
                 self.generated_tokens += 1
                 generation.notify()
@@ -240,8 +242,7 @@
         if generation.moved_to:
             headers = {"X-Moved-To": generation.moved_to}
             return Response(status_code=410, headers=headers)
-        previous = request.headers.get("x-previous-attempt-id")
-        if previous and previous != generation.attempt_id:
+        if not _is_owner(request, generation):
             return Response(status_code=409)
         next_index = int(request.query_params.get("from", "0"))
         if next_index > generation.length:
@@ -250,10 +251,9 @@
 
     async def _cancel(self, request: Request) -> Response:
         generation = self.generations.get(request.path_params["id"])
-        attempt_id = request.headers.get("x-attempt-id")
         if generation is None or generation.is_over:
             return JSONResponse({"cancelled": False})
-        if attempt_id and attempt_id != generation.attempt_id:
+        if not _is_owner(request, generation):
             return JSONResponse({"cancelled": False})
         generation.cancelled = True
         generation.notify()
@@ -266,6 +266,7 @@
             return Response(status_code=404)
         address = json.loads(await request.body())["to"].rstrip("/")
         url = f"{address}/v1/generations/{generation.generation_id}/adopt"
+        generation.is_moving = True
         document = generation.to_document()
         try:
             async with (
@@ -276,6 +277,7 @@
         except aiohttp.ClientError:
             adopted = False
         if not adopted:
+            generation.is_moving = False
             return Response(status_code=502)
         generation.moved_to = address
         generation.notify()
@@ -378,6 +380,12 @@
         return JSONResponse({})
 
 
+def _is_owner(request: Request, generation: StandinGeneration) -> bool:
+    """Tell whether no other attempt than the caller's has taken it over."""
+    attempts = request.headers.get("x-previous-attempts")
+    return attempts is None or generation.attempt_id in attempts.split(",")
+
+
 def _prompt_text(document: dict[str, Any]) -> str:
     if "messages" in document:
         return "\n".join(message["content"] for message in document["messages"])
--- a/bench/standin_generation.py
+++ b/bench/standin_generation.py
@@ -23,6 +23,7 @@
       priority: 0 is first.
       tokens: how many tokens there are.
       cancelled: whether it was cancelled.
+      is_moving: whether it stands still to be handed over.
       moved_to: the address of the engine that has it now.
       attempt_id: the last attempt that streams it.
       readers: how many connections stream it.
@@ -37,6 +38,7 @@
     priority: int = 1
     tokens: int = 0
     cancelled: bool = False
+    is_moving: bool = False
     moved_to: str = ""
     attempt_id: str = ""
     readers: int = 0
@@ -69,4 +71,4 @@
         """Return what another engine needs to go on with it."""
         names = ("generation_id", "length", "chat", "prompt_tokens", "priority")
         document = {name: getattr(self, name) for name in names}
-        return {**document, "tokens": self.tokens}
+        return {**document, "tokens": self.tokens, "attempt_id": self.attempt_id}
--- a/endivesill/entry/plain.py
+++ b/endivesill/entry/plain.py
@@ -134,7 +134,9 @@
         raise errors.RefusedError("outcome-unknown", run=unknown, status=409)
     if claim.answer is None:
         raise errors.RefusedError("answer-not-kept", run=unknown, status=409)
-    headers = [*_raw_headers(claim.answer.headers), REPLAYED_HEADER]
+    kept = _raw_headers(claim.answer.headers)
+    headers = [pair for pair in kept if pair[0].lower() != b"content-length"]
+    headers.append(REPLAYED_HEADER)
     await answer.whole(claim.answer.status, headers, claim.answer.body)
 
 
--- a/endivesill/entry/relay.py
+++ b/endivesill/entry/relay.py
@@ -44,7 +44,8 @@
 
     Attributes:
       grant: the grant in use; it changes when the generation moves.
-      attempt_id: the last attempt at the engine.
+      attempts: the last attempt known to have reached the engine, and those
+        after it that may have.
       next_index: the first token that has not been delivered.
       is_kept: whether it is kept for a reconnect when the caller goes away.
     """
@@ -64,10 +65,11 @@
         self._stream: EngineStream | None = None
         self._next_grant: Grant | None = None
         self._finished = False
+        self._is_late = False
         self.generation_id = generation_id
         self.request_id = request_id
         self.grant = grant
-        self.attempt_id = ""
+        self.attempts: list[str] = []
         self.next_index = next_index
         self.is_kept = True
 
@@ -93,12 +95,14 @@
             failures = 0
             while True:
                 reached = self._scanner.next_index
-                self.attempt_id, previous = uuid.uuid4().hex, self.attempt_id
+                attempt_id, previous = uuid.uuid4().hex, tuple(self.attempts)
+                self.attempts.append(attempt_id)
                 try:
                     if previous:
-                        self._stream = await self._resume(previous)
+                        self._stream = await self._resume(attempt_id, previous)
                     else:
-                        self._stream = await open_stream(self.attempt_id)
+                        self._stream = await open_stream(attempt_id)
+                    self.attempts = [attempt_id]
                     await self._pump(self._stream, deliver, waiting)
                     return
                 except errors.TargetError as error:
@@ -114,7 +118,7 @@
                     self._close()
                 await self._back_off(failures)
 
-    async def _resume(self, previous: str) -> EngineStream:
+    async def _resume(self, attempt_id: str, previous: tuple[str, ...]) -> EngineStream:
         self._scanner.restart()
         events.emit(
             STREAM_RESUMED,
@@ -127,7 +131,7 @@
             self.target,
             self.generation_id,
             self._scanner.next_index,
-            self.attempt_id,
+            attempt_id,
             previous,
         )
         try:
@@ -167,15 +171,15 @@
             target=self.target.name,
             next_index=self._scanner.next_index,
         )
-        if self._stream is not None:
-            self._stream.close()
+        self._is_late = not self._scanner.next_index
+        self._close()
 
     def _is_final(self, error: errors.TargetError, failures: int) -> bool:
         if isinstance(error, (errors.TargetGoneError, errors.SupersededError)):
             return True
         if isinstance(error, errors.TargetRefusedError) and not self.next_index:
             return True
-        return failures > self._context.settings.resume_attempts
+        return self._is_late or failures > self._context.settings.resume_attempts
 
     async def _back_off(self, failures: int) -> None:
         if failures:
@@ -259,7 +263,7 @@
         )
         self._context.background.spawn(
             self._context.engines.cancel(
-                self.target, self.generation_id, self.attempt_id
+                self.target, self.generation_id, tuple(self.attempts)
             )
         )
 
--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -127,6 +127,8 @@
 
     async def kill(self) -> None:
         """Cut all connections at once, as a process that dies."""
+        for session in self._sessions:
+            await session.close()
         if self._server is not None:
             await self._server.kill()
         await self._close()
--- a/endivesill/entry/table.py
+++ b/endivesill/entry/table.py
@@ -58,7 +58,7 @@
         except asyncio.CancelledError:
             self._leave(relay)
             raise
-        except errors.SupersededError:
+        except (errors.SupersededError, errors.RefusedError):
             relay.finish(Outcome.CANCELLED)
             raise
         except errors.TargetRefusedError:
--- a/endivesill/server.py
+++ b/endivesill/server.py
@@ -82,7 +82,14 @@
 
 
 class _Server(uvicorn.Server):
-    """A uvicorn server that leaves signals to the daemon."""
+    """A uvicorn server that leaves signals to the daemon and does not poll."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.stopping = asyncio.Event()
+
+    async def main_loop(self) -> None:
+        await self.stopping.wait()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
@@ -108,6 +115,7 @@
             lifespan="off",
             log_config=None,
             access_log=False,
+            proxy_headers=False,
             server_header=False,
             date_header=False,
             backlog=BACKLOG,
@@ -142,6 +150,7 @@
     async def stop(self) -> None:
         """Accept no more and end once all answers have ended."""
         self._server.should_exit = True
+        self._server.stopping.set()
         if self._task is not None:
             await self._task
 
--- a/endivesill/targets/engine.py
+++ b/endivesill/targets/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import aiohttp
@@ -28,7 +28,7 @@
 RUN_HEADER = "X-Run"
 NOT_RUN = "not-run"
 ATTEMPT_HEADER = "X-Attempt-Id"
-PREVIOUS_ATTEMPT_HEADER = "X-Previous-Attempt-Id"
+PREVIOUS_ATTEMPTS_HEADER = "X-Previous-Attempts"
 MOVED_HEADER = "X-Moved-To"
 
 
@@ -105,7 +105,7 @@
         generation_id: str,
         next_index: int,
         attempt_id: str,
-        previous_attempt_id: str = "",
+        previous_attempts: Sequence[str] = (),
     ) -> EngineStream:
         """Go on with a generation that the engine still holds.
 
@@ -114,8 +114,8 @@
           generation_id: the generation.
           next_index: the index of the first token wanted.
           attempt_id: the new attempt.
-          previous_attempt_id: the attempt that this one follows; empty takes
-            the generation over from any other attempt.
+          previous_attempts: the attempts that this one follows; none takes the
+            generation over from any other attempt.
 
         Raises:
           TargetGoneError: the engine does not hold it.
@@ -124,8 +124,8 @@
         """
         path = f"/v1/generations/{generation_id}/resume?from={next_index}"
         headers = {ATTEMPT_HEADER: attempt_id}
-        if previous_attempt_id:
-            headers[PREVIOUS_ATTEMPT_HEADER] = previous_attempt_id
+        if previous_attempts:
+            headers[PREVIOUS_ATTEMPTS_HEADER] = ",".join(previous_attempts)
         return await self._open(target, path, b"", headers, attempt_id)
 
     async def _open(
@@ -155,17 +155,17 @@
         raise _refusal(response)
 
     async def cancel(
-        self, target: Target, generation_id: str, attempt_id: str = ""
+        self, target: Target, generation_id: str, attempts: Sequence[str] = ()
     ) -> None:
         """Cancel a generation; without an answer the engine's time limit rules.
 
         Args:
           target: the engine.
           generation_id: the generation.
-          attempt_id: cancel only if no later attempt has taken it over; empty
-            cancels in any case.
+          attempts: cancel only if the last attempt that streamed it is one of
+            these; none cancels in any case.
         """
-        headers = {ATTEMPT_HEADER: attempt_id} if attempt_id else {}
+        headers = {PREVIOUS_ATTEMPTS_HEADER: ",".join(attempts)} if attempts else {}
         path = f"/v1/generations/{generation_id}/cancel"
         try:
             await self._control("POST", target, path, headers=headers)
--- a/endivesill/targets/tokens.py
+++ b/endivesill/targets/tokens.py
@@ -76,8 +76,8 @@
         return self._check(data)
 
     def _check(self, data: bytes) -> ScannedBlock:
-        if data.endswith(DONE_EVENT):
-            self.done = True
+        is_done = data.endswith(DONE_EVENT)
+        if is_done:
             data = data[: -len(DONE_EVENT)]
         first_index = self.next_index
         index = first_index
@@ -97,6 +97,7 @@
                 index += 1
             position = end + 2
         self.next_index = index
+        self.done = is_done
         return ScannedBlock(
             data[keep_from:] if keep_from else data, index - first_index, self.done
         )
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 
 import aiohttp
 
@@ -19,18 +20,21 @@
 from endivesill.server import HttpServer
 from endivesill.timer import SystemTimer
 
+# Killed servers report each request that was cut.
+logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+
 KEY = {"Authorization": "Bearer test-key"}
 OTHER_KEY = {"Authorization": "Bearer other-key"}
 PEER_KEYS = KeyRing(["a-peer-key-for-tests"])
 FAST = EntrySettings(
-    stall_s=0.3, resume_backoff_s=0.01, resume_attempts=3, resume_window_s=0.3
+    stall_s=0.2, resume_backoff_s=0.01, resume_attempts=3, resume_window_s=0.2
 )
 
 
 def base_documents():
     return {
         "data-centre/a": {"region": "r"},
-        "service/llm": {"protocol": "engine", "deadline_s": 3.0},
+        "service/llm": {"protocol": "engine", "deadline_s": 3.0, "gap_target_ms": 20},
         "service/app": {
             "protocol": "plain",
             "path_prefix": "/app",
@@ -198,7 +202,7 @@
         script = self.scripts[min(number, len(self.scripts) - 1)]
         try:
             await script(self, reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -215,3 +219,109 @@
     async def stop(self):
         if self.server is not None:
             self.server.close()
+
+    @property
+    def starts(self):
+        """The requests that were not cancels."""
+        return [line for line in self.ran if "/cancel" not in line]
+
+
+class ScriptedEngine(ScriptedTarget):
+    """Scripted target with the answers of an engine.
+
+    A script is an async function of engine, writer, request line and headers; a
+    cancel is answered by the engine itself.
+    """
+
+    async def _serve(self, reader, writer):
+        try:
+            line, headers, _ = await self.read_request(reader)
+            if "/cancel" in line:
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                return
+            number = self.connections
+            self.connections += 1
+            script = self.scripts[min(number, len(self.scripts) - 1)]
+            await script(self, writer, line, headers)
+            await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    @staticmethod
+    def begin(writer, headers, attempt=None):
+        """Write the head of a stream."""
+        attempt = attempt or headers["x-attempt-id"]
+        head = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n"
+        writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
+
+    @staticmethod
+    def chunk(writer, data):
+        writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    @staticmethod
+    def event(generation_id, index):
+        data = json.dumps({"choices": [{"index": 0, "text": f"w{index} "}]})
+        return f"id: {generation_id}:{index}\ndata: {data}\n\n".encode()
+
+    def tokens(self, writer, generation_id, first, end):
+        for index in range(first, end):
+            self.chunk(writer, self.event(generation_id, index))
+
+    def done(self, writer):
+        self.chunk(writer, b"data: [DONE]\n\n")
+        writer.write(b"0\r\n\r\n")
+
+
+def generation_of(line):
+    """Return generation id and first index of a resume's request line."""
+    path = line.split(" ")[1]
+    return path.split("/")[3], int(path.split("from=")[1])
+
+
+def serving(first, end, then=None):
+    """Return a script that streams tokens and ends, breaks or falls silent.
+
+    With no first token it streams from the one that the resume asks for.
+    """
+
+    async def script(engine, writer, line, headers):
+        generation_id, begin = headers.get("x-generation-id"), first
+        if generation_id is None:
+            generation_id, wanted = generation_of(line)
+            begin = wanted if first is None else first
+        engine.begin(writer, headers)
+        engine.tokens(writer, generation_id, begin, end)
+        if then is not None:
+            await then(engine, writer, generation_id)
+        else:
+            engine.done(writer)
+
+    return script
+
+
+async def breaking(engine, writer, generation_id):
+    """Leave half an event behind and close."""
+    half = engine.event(generation_id, 99)[:20]
+    engine.chunk(writer, half)
+
+
+async def silent(engine, writer, generation_id):
+    """Keep the connection open and say nothing."""
+    await writer.drain()
+    await asyncio.sleep(5)
+
+
+async def dying(engine, writer, line, headers):
+    """Close without an answer."""
+
+
+def answering(status, *headers):
+    """Return a script that answers with an empty body."""
+
+    async def script(engine, writer, line, request_headers):
+        lines = [f"HTTP/1.1 {status} X", *headers, "Content-Length: 0", "", ""]
+        writer.write("\r\n".join(lines).encode())
+
+    return script
--- /dev/null
+++ b/tests/test_entry_plain.py
@@ -0,0 +1,212 @@
+"""Tests of plain calls: repeatable ones and those that run at most once."""
+
+import asyncio
+import unittest
+
+from endivesill import errors
+from tests.entry_fakes import FleetTestCase, ScriptedTarget, until
+
+
+async def take_and_close(target, reader, writer):
+    await target.read_request(reader)
+
+
+async def answer(target, reader, writer):
+    await target.read_request(reader)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    await writer.drain()
+
+
+async def half_an_answer(target, reader, writer):
+    await target.read_request(reader)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf")
+    await writer.drain()
+
+
+async def keep_alive_then_close(target, reader, writer):
+    """Answer the first request of a connection and drop the second."""
+    await answer(target, reader, writer)
+    await target.read_request(reader)
+
+
+class PlainTestCase(FleetTestCase, unittest.IsolatedAsyncioTestCase):
+    async def add_scripted(self, *scripts, name="s"):
+        target = ScriptedTarget(*scripts)
+        self.fleet.add_target(name, "app", await target.start())
+        self.addAsyncCleanup(target.stop)
+        return target
+
+
+class RepeatableCallTest(PlainTestCase):
+    async def test_a_broken_call_is_sent_again_to_another_target(self):
+        broken = await self.add_scripted(take_and_close, name="a")
+        plain = await self.fleet.add_plain("b")
+        url = await self.fleet.add_entry()
+        response, _ = await self.post(f"{url}/app/notes")
+        self.assertEqual(200, response.status)
+        self.assertEqual((1, 1), (len(broken.ran), len(plain.ran)))
+
+    async def test_retries_end_with_the_budget(self):
+        for name in "abcd":
+            await self.add_scripted(take_and_close, name=name)
+        url = await self.fleet.add_entry()
+        response, document = await self.post(f"{url}/app/notes")
+        self.assertEqual((502, "unknown"), (response.status, document["run"]))
+
+    async def test_an_answer_cut_short_is_cut_for_the_caller_too(self):
+        target = await self.add_scripted(half_an_answer)
+        url = await self.fleet.add_entry()
+        with self.assertRaises(Exception):  # noqa: B017
+            await self.post(f"{url}/app/notes")
+        self.assertEqual(1, len(target.ran))
+
+    async def test_a_large_answer_streams_through(self):
+        async def large(target, reader, writer):
+            await target.read_request(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n")
+            for _ in range(30):
+                writer.write(b"x" * 100_000)
+                await writer.drain()
+
+        await self.add_scripted(large)
+        url = await self.fleet.add_entry()
+        response, text = await self.post(f"{url}/app/notes")
+        self.assertEqual((200, 3_000_000), (response.status, len(text)))
+
+    async def test_the_callers_key_and_hop_headers_stay_behind(self):
+        seen = {}
+
+        async def look(target, reader, writer):
+            _, headers, _ = await target.read_request(reader)
+            seen.update(headers)
+            writer.write(b"HTTP/1.1 204 No\r\n\r\n")
+
+        await self.add_scripted(look)
+        url = await self.fleet.add_entry()
+        await self.post(f"{url}/app/n", X_Mine="1", X_Hop="2", Connection="X-Hop")
+        self.assertEqual("1", seen["x-mine"])
+        self.assertNotIn("authorization", seen)
+        self.assertNotIn("x-hop", seen)
+
+
+class NonRepeatableCallTest(PlainTestCase):
+    async def book(self, url, data=b"booking", path="/app/bookings", **headers):
+        return await self.post(f"{url}{path}", data, **headers)
+
+    async def test_a_broken_call_is_never_sent_again(self):
+        broken = await self.add_scripted(take_and_close, answer, name="a")
+        plain = await self.fleet.add_plain("b")
+        url = await self.fleet.add_entry()
+        for path in ("/app/bookings", "/app/%62ookings/1", "/app/x/../bookings"):
+            response, document = await self.book(url, path=path)
+            if response.status == 502:
+                self.assertEqual("unknown", document["run"])
+        self.assertEqual(3, len(broken.ran) + len(plain.ran))
+        self.assertEqual(0, sum(call["body"] != "booking" for call in plain.ran))
+
+    async def test_a_path_is_not_repeatable_however_it_is_written(self):
+        paths = ("/bookings", "/%62ookings/1", "//bookings", "/bookings/./1")
+        for number, path in enumerate(paths):
+            broken = await self.add_scripted(take_and_close, name=f"t{number}")
+            self.fleet.configure(service__app={"routing_policy": "least-outstanding"})
+            url = await self.fleet.add_entry()
+            response, _ = await self.book(url, path=f"/app{path}")
+            self.assertEqual((502, 1), (response.status, len(broken.ran)), path)
+            self.fleet.configure(**{f"target__t{number}": {"leaving": True}})
+
+    async def test_a_target_that_cannot_be_reached_is_passed_over(self):
+        closed = ScriptedTarget(answer)
+        address = await closed.start()
+        await closed.stop()
+        self.fleet.add_target("a", "app", address)
+        plain = await self.fleet.add_plain("b")
+        url = await self.fleet.add_entry()
+        response, _ = await self.book(url)
+        self.assertEqual((200, 1), (response.status, len(plain.ran)))
+
+    async def test_the_targets_own_word_of_not_run_is_passed_on(self):
+        plain = await self.fleet.add_plain()
+        plain.refusing = True
+        url = await self.fleet.add_entry()
+        response, document = await self.book(url)
+        self.assertEqual((502, "not-run"), (response.status, document["run"]))
+
+    async def test_a_pooled_connection_is_never_used(self):
+        target = await self.add_scripted(keep_alive_then_close)
+        url = await self.fleet.add_entry()
+        await self.post(f"{url}/app/notes")
+        response, _ = await self.book(url)
+        self.assertEqual(200, response.status)
+        self.assertEqual((2, 2), (target.connections, len(target.ran)))
+
+    async def test_a_booking_sent_twice_runs_once(self):
+        plain = await self.fleet.add_plain(delay_s=0.1)
+        urls = [await self.fleet.add_entry() for _ in range(2)]
+        answers = await asyncio.gather(
+            *(self.book(url, Idempotency_Key="k") for url in urls)
+        )
+        self.assertEqual(1, len(plain.ran))
+        self.assertEqual(answers[0][1], answers[1][1])
+        replays = [a[0].headers.get("Idempotency-Replayed") for a in answers]
+        self.assertCountEqual([None, "true"], replays)
+
+    async def test_a_key_used_for_another_request_is_refused(self):
+        plain = await self.fleet.add_plain()
+        url = await self.fleet.add_entry()
+        await self.book(url, Idempotency_Key="k")
+        response, document = await self.book(url, b"other", Idempotency_Key="k")
+        self.assertEqual((422, "idempotency-key"), (response.status, document["field"]))
+        self.assertEqual(1, len(plain.ran))
+
+    async def test_a_broken_call_leaves_its_key_unknown(self):
+        target = await self.add_scripted(take_and_close)
+        url = await self.fleet.add_entry()
+        for status in (502, 409, 409):
+            response, document = await self.book(url, Idempotency_Key="k")
+            self.assertEqual((status, "unknown"), (response.status, document["run"]))
+        self.assertEqual(1, len(target.ran))
+
+    async def test_a_call_that_did_not_run_releases_its_key(self):
+        plain = await self.fleet.add_plain()
+        plain.refusing = True
+        url = await self.fleet.add_entry()
+        await self.book(url, Idempotency_Key="k")
+        plain.refusing = False
+        response, _ = await self.book(url, Idempotency_Key="k")
+        self.assertEqual((200, 1), (response.status, len(plain.ran)))
+
+    async def test_without_control_state_nothing_is_sent(self):
+        plain = await self.fleet.add_plain()
+        url = await self.fleet.add_entry()
+        self.fleet.control.failure = errors.UnavailableError("no leader")
+        response, document = await self.book(url, Idempotency_Key="k")
+        self.assertEqual((503, "not-run"), (response.status, document["run"]))
+        self.assertEqual([], plain.ran)
+        self.fleet.control.failure = None
+
+    async def test_an_outcome_that_cannot_be_recorded_still_answers(self):
+        plain = await self.fleet.add_plain(delay_s=0.1)
+        url = await self.fleet.add_entry()
+        booking = asyncio.ensure_future(self.book(url, Idempotency_Key="k"))
+        await until(lambda: plain.ran)
+        self.fleet.control.failure = errors.UnavailableError("no leader")
+        response, _ = await booking
+        self.assertEqual(200, response.status)
+        self.fleet.control.failure = None
+        response, _ = await self.book(url, Idempotency_Key="k")
+        self.assertEqual("true", response.headers["Idempotency-Replayed"])
+
+    async def test_an_answer_too_large_to_keep_is_not_run_again(self):
+        async def large(target, reader, writer):
+            await target.read_request(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n")
+            writer.write(b"x" * 50_000)
+            await writer.drain()
+
+        target = await self.add_scripted(large)
+        url = await self.fleet.add_entry()
+        response, text = await self.book(url, Idempotency_Key="k")
+        self.assertEqual((200, 50_000), (response.status, len(text)))
+        response, document = await self.book(url, Idempotency_Key="k")
+        self.assertEqual((409, "answer-not-kept"), (response.status, document["title"]))
+        self.assertEqual(1, len(target.ran))
--- /dev/null
+++ b/tests/test_entry_streams.py
@@ -0,0 +1,278 @@
+"""Tests of streams: each token once, in order, from one generation."""
+
+import asyncio
+import json
+import unittest
+
+from endivesill import events
+from endivesill.entry.identity import GenerationIds
+from endivesill.entry.settings import EntrySettings
+from tests.entry_fakes import (
+    FAST,
+    KEY,
+    OTHER_KEY,
+    PEER_KEYS,
+    FleetTestCase,
+    ScriptedEngine,
+    answering,
+    breaking,
+    dying,
+    last_id,
+    numbered,
+    serving,
+    silent,
+    until,
+    words,
+)
+
+
+class StreamTestCase(FleetTestCase, unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.seen = []
+        self.addCleanup(events.listen(lambda kind, fields: self.seen.append(kind.name)))
+
+    async def add_scripted(self, *scripts, name="s"):
+        engine = ScriptedEngine(*scripts)
+        self.fleet.add_target(name, "llm", await engine.start())
+        self.addAsyncCleanup(engine.stop)
+        return engine
+
+    def error_of(self, text):
+        return json.loads(text.split("event: error\ndata: ")[1])
+
+
+class BrokenStreamTest(StreamTestCase):
+    async def test_a_broken_stream_goes_on_at_the_same_engine(self):
+        engine = await self.add_scripted(serving(0, 3, breaking), serving(3, 6))
+        url = await self.fleet.add_entry()
+        _, text = await self.stream(url)
+        self.assertEqual(numbered(6), words(text))
+        self.assertIn("/resume?from=3", engine.ran[1])
+
+    async def test_a_stalled_stream_is_resumed_on_a_new_connection(self):
+        engine = await self.add_scripted(serving(0, 3, silent), serving(3, 6))
+        url = await self.fleet.add_entry()
+        _, text = await self.stream(url)
+        self.assertEqual(numbered(6), words(text))
+        self.assertEqual(2, engine.connections)
+        self.assertIn("stream-stalled", self.seen)
+
+    async def test_tokens_that_an_engine_repeats_are_dropped(self):
+        await self.add_scripted(serving(0, 4, breaking), serving(1, 6))
+        url = await self.fleet.add_entry()
+        _, text = await self.stream(url)
+        self.assertEqual(numbered(6), words(text))
+
+    async def test_a_gap_is_asked_for_again(self):
+        await self.add_scripted(serving(0, 2, breaking), serving(3, 6), serving(2, 6))
+        url = await self.fleet.add_entry()
+        _, text = await self.stream(url)
+        self.assertEqual(numbered(6), words(text))
+
+    async def test_an_engine_gone_before_the_first_token_is_replaced(self):
+        dead = await self.add_scripted(dying, name="a")
+        engine = await self.fleet.add_engine("b")
+        url = await self.fleet.add_entry()
+        _, text = await self.stream(url, max_tokens=5)
+        self.assertEqual(numbered(5), words(text))
+        self.assertEqual((1, 1), (len(dead.starts), len(engine.starts)))
+
+    async def test_an_engine_gone_after_the_first_token_gives_a_typed_error(self):
+        await self.add_scripted(serving(0, 2, breaking), answering(410), name="a")
+        other = await self.fleet.add_engine("b")
+        url = await self.fleet.add_entry()
+        response, text = await self.stream(url)
+        error = self.error_of(text)
+        self.assertEqual(200, response.status)
+        self.assertEqual(numbered(2), words(text))
+        self.assertEqual((2, "unknown"), (error["next_index"], error["run"]))
+        self.assertEqual(response.headers["X-Generation-Id"], error["generation"])
+        self.assertEqual({}, other.starts)
+
+    async def test_an_answer_of_another_attempt_is_dropped(self):
+        async def crossed(engine, writer, line, headers):
+            engine.begin(writer, headers, "another")
+            engine.tokens(writer, headers["x-generation-id"], 0, 3)
+
+        await self.add_scripted(crossed, name="a")
+        await self.fleet.add_engine("b")
+        url = await self.fleet.add_entry()
+        _, text = await self.stream(url, max_tokens=4)
+        self.assertEqual(numbered(4), words(text))
+        self.assertIn("answer-dropped", self.seen)
+
+    async def test_a_token_of_another_generation_is_never_passed_on(self):
+        async def foreign(engine, writer, generation_id):
+            engine.tokens(writer, "f" * 48, 2, 5)
+
+        await self.add_scripted(serving(0, 2, foreign), serving(None, 4))
+        url = await self.fleet.add_entry()
+        _, text = await self.stream(url)
+        self.assertNotIn("f" * 48, text)
+        self.assertEqual(numbered(4), words(text))
+
+    async def test_a_generation_that_may_have_run_is_not_called_not_run(self):
+        await self.add_scripted(dying)
+        url = await self.fleet.add_entry()
+        response, text = await self.stream(url)
+        self.assertEqual("unknown", json.loads(text)["run"])
+        self.assertEqual(503, response.status)
+
+    async def test_a_late_first_token_is_a_refusal_by_the_deadline(self):
+        self.fleet.configure(service__llm={"deadline_s": 0.3})
+        engine = await self.add_scripted(serving(0, 0, silent))
+        url = await self.fleet.add_entry()
+        response, text = await self.stream(url)
+        document = json.loads(text)
+        self.assertEqual(
+            (504, "deadline", "unknown"),
+            (response.status, document["title"], document["run"]),
+        )
+        await until(lambda: any("/cancel" in line for line in engine.ran))
+
+    async def test_a_grant_that_ends_while_connecting_sends_no_byte(self):
+        engine = await self.add_scripted(serving(0, 3))
+        url = await self.fleet.add_entry()
+        leases = iter([True])
+        self.fleet.source.holds_lease = lambda: next(leases, False)
+        response, text = await self.stream(url)
+        document = json.loads(text)
+        self.assertEqual((503, "not-run"), (response.status, document["run"]))
+        self.assertEqual([], engine.ran)
+
+
+class ReconnectTest(StreamTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.engine = await self.fleet.add_engine("a")
+        self.other = await self.fleet.add_engine("b")
+        self.urls = [await self.fleet.add_entry() for _ in range(2)]
+
+    async def begin(self, url, tokens=200):
+        """Read a few events of a stream and go away; return what came."""
+        body = {"model": "llm", "prompt": "x", "stream": True, "max_tokens": tokens}
+        async with self.session.post(
+            f"{url}/v1/completions", json=body, headers=KEY
+        ) as response:
+            text = ""
+            while text.count("\n\n") < 3:
+                text += (await response.content.readany()).decode()
+            response.close()
+        return text[: text.rindex("\n\n") + 2]
+
+    async def test_a_caller_goes_on_through_another_entry(self):
+        first = await self.begin(self.urls[0])
+        _, rest = await self.stream(
+            self.urls[1], headers={**KEY, "Last-Event-ID": last_id(first)}
+        )
+        self.assertEqual(numbered(200), words(first) + words(rest))
+        await asyncio.sleep(2 * FAST.resume_window_s)
+        self.assertEqual([], self.engine.cancelled + self.other.cancelled)
+        self.assertEqual(1, len(self.engine.starts) + len(self.other.starts))
+
+    async def test_a_caller_goes_on_through_the_same_entry(self):
+        first = await self.begin(self.urls[0])
+        _, rest = await self.stream(
+            self.urls[0], headers={**KEY, "Last-Event-ID": last_id(first)}
+        )
+        self.assertEqual(numbered(200), words(first) + words(rest))
+        self.assertIn("stream-reconnected", self.seen)
+
+    async def test_nobody_coming_back_cancels_after_the_window(self):
+        await self.begin(self.urls[0], tokens=5000)
+        table = self.fleet.entries[0].application.table
+        await until(lambda: table.kept_count() == 1)
+        self.assertEqual([], self.engine.cancelled)
+        await until(lambda: self.engine.cancelled)
+        self.assertEqual(0, table.kept_count())
+
+    async def test_a_finished_generation_can_be_read_to_its_end(self):
+        _, text = await self.stream(self.urls[0], max_tokens=10)
+        third = [e for e in text.split("\n\n") if e][2]
+        _, rest = await self.stream(
+            self.urls[1], headers={**KEY, "Last-Event-ID": last_id(third)}
+        )
+        self.assertEqual(numbered(10, 3), words(rest))
+
+    async def test_another_organisation_cannot_read_a_generation(self):
+        first = await self.begin(self.urls[0])
+        response, text = await self.stream(
+            self.urls[1], headers={**OTHER_KEY, "Last-Event-ID": last_id(first)}
+        )
+        self.assertEqual(404, response.status)
+        self.assertEqual("last-event-id", json.loads(text)["field"])
+
+    async def test_an_id_that_is_not_ours_is_refused(self):
+        for value in ("x", "0:1", "f" * 48, "f" * 48 + ":x"):
+            response, _ = await self.stream(
+                self.urls[0], headers={**KEY, "Last-Event-ID": value}
+            )
+            self.assertEqual(400, response.status, value)
+        gone = GenerationIds(PEER_KEYS).make("a", "o")
+        response, text = await self.stream(
+            self.urls[0], headers={**KEY, "Last-Event-ID": f"{gone}:0"}
+        )
+        self.assertEqual((410, "unknown"), (response.status, json.loads(text)["run"]))
+
+
+class MoveTest(StreamTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.engine = await self.fleet.add_engine("a")
+        self.urls = [await self.fleet.add_entry() for _ in range(2)]
+
+    async def test_a_leaving_engine_hands_its_generation_over(self):
+        stream = asyncio.ensure_future(self.stream(self.urls[0], max_tokens=300))
+        await until(lambda: self.engine.generated_tokens > 10)
+        other = await self.fleet.add_engine("b")
+        await self.fleet.entries[0].application.move_generations("a")
+        await self.fleet.servers["a"].kill()
+        _, text = await stream
+        self.assertEqual(numbered(300), words(text))
+        self.assertEqual({}, other.starts)
+        self.assertIn("generation-moved", self.seen)
+        third = [e for e in text.split("\n\n") if e][2]
+        _, rest = await self.stream(
+            self.urls[1], headers={**KEY, "Last-Event-ID": last_id(third)}
+        )
+        self.assertEqual(numbered(300, 3), words(rest))
+
+    async def test_an_engine_that_offers_no_moves_keeps_its_generation(self):
+        self.engine.options.offers_moves = False
+        stream = asyncio.ensure_future(self.stream(self.urls[0], max_tokens=100))
+        await until(lambda: self.engine.generated_tokens > 10)
+        await self.fleet.add_engine("b")
+        await self.fleet.entries[0].application.move_generations("a")
+        _, text = await stream
+        self.assertEqual(numbered(100), words(text))
+
+
+class SlowReaderTest(StreamTestCase):
+    async def test_a_stalled_reader_is_cut_off_and_its_generation_cancelled(self):
+        async def flood(engine, writer, generation_id):
+            for index in range(2000):
+                event = f"id: {generation_id}:{index}\ndata: {'x' * 65_536}\n\n"
+                engine.chunk(writer, event.encode())
+                await writer.drain()
+                flooded.append(index)
+
+        flooded = []
+        self.fleet.configure(limits__default={"slow_reader_s": 0.5})
+        engine = await self.add_scripted(serving(0, 0, flood))
+        url = await self.fleet.add_entry(EntrySettings(stall_s=0.2))
+        host, port = url.removeprefix("http://").split(":")
+        _, writer = await asyncio.open_connection(host, int(port), limit=1024)
+        body = b'{"model":"llm","prompt":"x","stream":true}'
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            f"Authorization: {KEY['Authorization']}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        await until(lambda: any("/cancel" in line for line in engine.ran))
+        writer.transport.abort()
+        self.assertLess(len(flooded), 1000)
+        self.assertIn("reader-stalled", self.seen)
+        self.assertNotIn("stream-stalled", self.seen)
+        self.assertEqual(0, self.fleet.entries[0].application.table.kept_count())
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -40,3 +40,15 @@
         block = scanner.scan(event(0) + event(1) + event(2))
         self.assertEqual(event(2), block.data)
         self.assertEqual(1, block.tokens)
+
+    def test_a_stream_that_ends_after_a_gap_is_not_done(self):
+        scanner = TokenScanner("g")
+        with self.assertRaises(errors.TargetError):
+            scanner.scan(event(1) + b"data: [DONE]\n\n")
+        self.assertFalse(scanner.done)
+
+    def test_a_restart_forgets_half_an_event(self):
+        scanner = TokenScanner("g")
+        scanner.scan(event(0) + event(1)[:7])
+        scanner.restart()
+        self.assertEqual(event(1), scanner.scan(event(1)).data)
