--- a/endivesill/entry/generations.py
+++ b/endivesill/entry/generations.py
@@ -11,6 +11,7 @@
 from endivesill.entry.calls import GenerationCall
 from endivesill.entry.context import EntryContext
 from endivesill.entry.events import GENERATION_STARTED, REQUEST_RETRIED
+from endivesill.entry.failures import final_error
 from endivesill.entry.relay import Deliver, Relay
 from endivesill.entry.table import RelayTable
 from endivesill.routing import Grant, RouteRequest
@@ -163,7 +164,7 @@
                 "deadline", run=self._run_state, status=DEADLINE_STATUS
             ) from error
         if wait_s is None:
-            raise errors.TargetError(str(error), self._run_state) from error
+            raise final_error(error, self._run_state) from error
         if not isinstance(error, errors.GrantExpiredError):
             self._excluded.add(grant.target.name)
         events.emit(
--- a/endivesill/entry/plain.py
+++ b/endivesill/entry/plain.py
@@ -23,6 +23,7 @@
     READER_STALLED,
     REQUEST_RETRIED,
 )
+from endivesill.entry.failures import final_error
 from endivesill.entry.http import Answer, AsgiRequest, RawHeaders
 from endivesill.routing import Grant, Outcome, RouteRequest
 from endivesill.targets import PlainAnswer, PlainCall
@@ -325,9 +326,10 @@
         """Wait before another attempt.
 
         Raises:
-          TargetError: there is none.
+          TargetError: there is none, and an attempt may have run.
+          RefusedError: there is none, and no attempt has run.
         """
-        final = errors.TargetError(str(error), self._run_state)
+        final = final_error(error, self._run_state)
         if self._answer.status or not self._may_repeat(error):
             raise final from error
         wait_s = self._context.budget.retry_after_s(
--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -127,6 +127,10 @@
 
     async def kill(self) -> None:
         """Cut all connections at once, as a process that dies."""
+        if self._server is not None:
+            self._server.abort()
+        if self.application is not None:
+            self.application.table.close()
         for session in self._sessions:
             await session.close()
         if self._server is not None:
--- a/endivesill/entry/table.py
+++ b/endivesill/entry/table.py
@@ -28,6 +28,7 @@
     def __init__(self, timer: TimerService, window_s: float) -> None:
         self._timer = timer
         self._window_s = window_s
+        self._is_closed = False
         self._running: set[Relay] = set()
         self._kept: dict[str, tuple[Relay, TimerHandle]] = {}
 
@@ -65,19 +66,23 @@
             relay.finish(Outcome.NOT_RUN)
             raise
         except BaseException:
-            relay.cancel()
-            relay.finish(Outcome.FAILED)
+            self._cancel(relay, Outcome.FAILED)
             raise
         finally:
             self._running.discard(relay)
 
     def _leave(self, relay: Relay) -> None:
         """Keep a generation that the caller can name, and cancel any other."""
-        if relay.is_kept and relay.next_index and self._window_s:
+        is_named = relay.is_kept and relay.next_index > 0
+        if is_named and self._window_s and not self._is_closed:
             self._keep(relay)
             return
-        relay.cancel()
-        relay.finish(Outcome.CANCELLED)
+        self._cancel(relay, Outcome.CANCELLED)
+
+    def _cancel(self, relay: Relay, outcome: Outcome) -> None:
+        if not self._is_closed:
+            relay.cancel()
+        relay.finish(outcome)
 
     def _keep(self, relay: Relay) -> None:
         events.emit(
@@ -103,8 +108,7 @@
     def _expire(self, generation_id: str) -> None:
         relay = self.take(generation_id)
         if relay is not None:
-            relay.cancel()
-            relay.finish(Outcome.CANCELLED)
+            self._cancel(relay, Outcome.CANCELLED)
 
     def close(self) -> None:
         """Leave all kept generations to their engines.
@@ -112,6 +116,7 @@
         Their callers may come back through another entry; the engines end those
         that nobody comes back for.
         """
+        self._is_closed = True
         for generation_id in list(self._kept):
             relay = self.take(generation_id)
             if relay is not None:
--- a/endivesill/server.py
+++ b/endivesill/server.py
@@ -154,11 +154,15 @@
         if self._task is not None:
             await self._task
 
-    async def kill(self) -> None:
-        """Cut all connections at once, as a process that dies."""
-        self._server.force_exit = True
+    def abort(self) -> None:
+        """Cut all connections."""
         for connection in list(self._server.server_state.connections):
             connection.transport.abort()
+
+    async def kill(self) -> None:
+        """Cut all connections and requests at once, as a process that dies."""
+        self._server.force_exit = True
+        self.abort()
         for task in list(self._server.server_state.tasks):
             task.cancel()
         await self.stop()
