--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -10,19 +10,24 @@
     "DiskFullError",
     "EndivesillError",
     "FindingsError",
+    "GrantExpiredError",
     "NotLeaderError",
     "OutcomeUnknownError",
+    "PeerMessageError",
     "PeerUnreachableError",
     "RefusedError",
     "RequestError",
     "RunState",
     "StorageCorruptError",
     "StorageError",
+    "SupersededError",
     "TargetError",
     "TargetGoneError",
     "TargetRefusedError",
+    "TargetUnreachableError",
     "UnavailableError",
     "UnsafeChangeError",
+    "VmListError",
 ]
 
 
@@ -53,6 +58,14 @@
     """A peer that did not answer; the message may or may not have arrived."""
 
 
+class PeerMessageError(EndivesillError):
+    """A message from a peer that cannot be read."""
+
+
+class VmListError(EndivesillError):
+    """A VM list that cannot be read."""
+
+
 class UnavailableError(EndivesillError):
     """No quorum, no leader or no lease: nothing was changed."""
 
@@ -152,5 +165,25 @@
         super().__init__(detail, RunState.NOT_RUN)
 
 
+class TargetUnreachableError(TargetRefusedError):
+    """A target to which no connection was made: no byte went out."""
+
+
+class GrantExpiredError(TargetUnreachableError):
+    """An attempt whose leave to start ended before its first byte went out."""
+
+
+class SupersededError(TargetError):
+    """A generation that a newer attempt streams."""
+
+
 class TargetGoneError(TargetError):
-    """A generation that no engine holds any more."""
+    """A generation that an engine does not hold.
+
+    Attributes:
+      moved_to: the address of the engine that it was moved to; empty if none.
+    """
+
+    def __init__(self, detail: str, moved_to: str = "") -> None:
+        super().__init__(detail)
+        self.moved_to = moved_to
--- a/endivesill/targets/tokens.py
+++ b/endivesill/targets/tokens.py
@@ -18,7 +18,7 @@
 LARGEST_EVENT_BYTES = 1_048_576
 
 
-@attrs.frozen
+@attrs.define
 class ScannedBlock:
     """What one scan found.
 
@@ -47,6 +47,10 @@
         self.next_index = next_index
         self.done = False
 
+    def restart(self) -> None:
+        """Forget the part of an event that a broken connection left."""
+        self._rest = b""
+
     def scan(self, chunk: bytes) -> ScannedBlock:
         """Scan what has arrived.
 
@@ -72,8 +76,8 @@
         return self._check(data)
 
     def _check(self, data: bytes) -> ScannedBlock:
-        if data.endswith(DONE_EVENT):
-            self.done = True
+        is_done = data.endswith(DONE_EVENT)
+        if is_done:
             data = data[: -len(DONE_EVENT)]
         first_index = self.next_index
         index = first_index
@@ -93,6 +97,7 @@
                 index += 1
             position = end + 2
         self.next_index = index
+        self.done = is_done
         return ScannedBlock(
             data[keep_from:] if keep_from else data, index - first_index, self.done
         )
