--- /dev/null
+++ b/bench/control_state.py
@@ -0,0 +1,23 @@
+"""The command and query that the bench of the replicated state runs."""
+
+from __future__ import annotations
+
+from endivesill.control import CommandContext, State, command, query
+from endivesill.peers import Message
+
+__all__ = ["BENCH_KEY"]
+
+BENCH_KEY = "key-of-the-control-bench"
+
+
+@command("bench.put")
+def put(state: State, message: Message, context: CommandContext) -> Message:
+    """Write one key."""
+    state.section("bench")[message["key"]] = message["value"]
+    return {"index": context.index}
+
+
+@query("bench.get")
+def get(state: State, message: Message) -> Message:
+    """Read one key."""
+    return {"value": state.section("bench").get(message["key"])}
--- a/endivesill/control/entries.py
+++ b/endivesill/control/entries.py
@@ -45,15 +45,16 @@
     sequence: int
     answered: int = 0
 
-    def to_document(self) -> Message:
-        """Return the proposal as a JSON object."""
-        return {
+    def to_text(self) -> str:
+        """Return the proposal as JSON text."""
+        document = {
             "command": self.command,
             "message": self.message,
             "client": self.client,
             "sequence": self.sequence,
             "answered": self.answered,
         }
+        return json.dumps(document, separators=(",", ":"))
 
 
 @attrs.frozen
--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -75,8 +75,7 @@
             raise errors.NotLeaderError(None)
         if core.log.last_index - core.commit_index > LARGEST_BACKLOG_ENTRIES:
             raise errors.UnavailableError("too many proposals wait for a commit")
-        body = json.dumps(proposal.to_document(), separators=(",", ":"))
-        entry = self._append(EntryKind.COMMAND, body)
+        entry = self._append(EntryKind.COMMAND, proposal.to_text())
         return await self._outcome(entry, timeout_s)
 
     async def change_voters(self, voter_set: VoterSet, timeout_s: float) -> None:
@@ -90,7 +89,7 @@
         await self._wait_for_own_commit(timeout_s)
         if core.voters_index > core.commit_index or self.transferring:
             raise errors.UnavailableError("another change of voters is under way")
-        body = json.dumps(voter_set.to_document(), separators=(",", ":"))
+        body = json.dumps(voter_set.to_document())
         entry = self._append(EntryKind.VOTERS, body)
         self._match_peers()
         await self._outcome(entry, timeout_s)
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -1,7 +1,6 @@
 """Tests of proposals, queries and what replicas answer by themselves."""
 
 import asyncio
-import json
 
 from endivesill import errors
 from endivesill.control import NEWEST_PATH
@@ -105,7 +104,7 @@
         machine = StateMachine()
         value = {"inner": [1]}
         proposal = Proposal("test.put", {"key": "a", "value": value}, "c", 1)
-        entry = LogEntry(1, 1, 1.0, EntryKind.COMMAND, _body(proposal))
+        entry = LogEntry(1, 1, 1.0, EntryKind.COMMAND, proposal.to_text())
         machine.apply(entry)
         machine.state.section("test")["a"]["inner"].append(2)
         self.assertEqual([1], entry.proposal().message["value"]["inner"])
@@ -119,10 +118,6 @@
         self.assertEqual({"inner": [1]}, await cluster.get(leader, "a"))
 
 
-def _body(proposal):
-    return json.dumps(proposal.to_document())
-
-
 class NewestTest(ClusterTestCase):
     async def ask(self, cluster, address):
         transport = cluster.network.transport("10.0.2.1:7000")
@@ -161,7 +156,7 @@
     def test_the_newest_index_is_kept_in_snapshots(self):
         machine = StateMachine()
         proposal = Proposal("test.put", {"key": "a", "value": 1}, "c", 1)
-        machine.apply(LogEntry(1, 1, 1.0, EntryKind.COMMAND, _body(proposal)))
+        machine.apply(LogEntry(1, 1, 1.0, EntryKind.COMMAND, proposal.to_text()))
         text = machine.to_snapshot("c", VoterSet()).to_text()
         restored = StateMachine()
         restored.load(Snapshot.from_text(text))
