Wire the daemon: control, membership, configuration, credits, drain and entry

Cause: the daemon still read the folder itself and had no state. Change: assembly.py builds the services of a VM's roles; membership and configuration find each other by name.

--- /dev/null
+++ b/endivesill/assembly.py
@@ -0,0 +1,268 @@
+"""The services of a VM, wired by its roles.
+
+Services start in the order in which they are added here and stop in reverse:
+the callers' port opens last and closes first.
+"""
+
+from __future__ import annotations
+
+import aiohttp
+
+from endivesill.configuration.control_replica import ControlReplicaView
+from endivesill.configuration.named import NamedConfigurationSource
+from endivesill.configuration.replica import ReplicaPort
+from endivesill.configuration.store import ConfigurationFile
+from endivesill.configuration.watcher import ConfigurationWatcher
+from endivesill.control import ControlClient
+from endivesill.control.disk import FileDisk
+from endivesill.control.remote import RemoteControlClient
+from endivesill.control.replica import ControlReplica
+from endivesill.control.settings import ControlSettings
+from endivesill.drain import DrainService
+from endivesill.entry.budget import SharedRetryBudget
+from endivesill.entry.service import EntryService
+from endivesill.entry.settings import EntrySettings
+from endivesill.kernel import Kernel, Service
+from endivesill.keys import KeyRing
+from endivesill.membership.datagrams import UdpDatagramTransport
+from endivesill.membership.service import SwimMembership
+from endivesill.membership.settings import MembershipSettings
+from endivesill.membership.view import VmState
+from endivesill.membership.vm_list_watch import VmListWatch
+from endivesill.metrics import Metrics
+from endivesill.peers import HttpPeerTransport
+from endivesill.routing import Backoff, Lender, PrefixIndex, Router, Wallet
+from endivesill.server import HttpServer
+from endivesill.settings import Settings
+from endivesill.targets import EngineAdapter, open_session
+from endivesill.targets.monitor import TargetMonitor
+from endivesill.timer import TimerService
+
+__all__ = ["build_kernel"]
+
+
+class PeerPort(Service):
+    """The listener for the system's own processes.
+
+    Args:
+      transport: the peer transport that answers.
+    """
+
+    def __init__(self, transport: HttpPeerTransport) -> None:
+        self._transport = transport
+        self._server = HttpServer(transport.address, transport.application())
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Close the port and the client's connections."""
+        await self._server.stop()
+        await self._transport.close()
+
+
+class MonitorService(Service):
+    """The polls of the targets that this VM is home of.
+
+    Args:
+      kernel: the process's kernel.
+      lender: lends by what the polls find.
+      prefixes: the index of cached prefixes.
+      configuration: the source of the configuration.
+      membership: who is whose home.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        lender: Lender,
+        prefixes: PrefixIndex,
+        configuration: NamedConfigurationSource,
+        membership: SwimMembership,
+    ) -> None:
+        self._kernel = kernel
+        self._lender = lender
+        self._prefixes = prefixes
+        self._configuration = configuration
+        self._membership = membership
+        self._session: aiohttp.ClientSession | None = None
+        self._monitor: TargetMonitor | None = None
+
+    async def start(self) -> None:
+        """Begin to poll."""
+        self._session = open_session()
+        timer = self._kernel.timer
+        self._monitor = TargetMonitor(
+            timer,
+            self._configuration.current,
+            EngineAdapter(self._session, timer),
+            self._membership.is_home,
+            self._lender,
+            self._prefixes,
+        )
+        await self._monitor.start()
+
+    async def stop(self) -> None:
+        """Stop polling."""
+        if self._monitor is not None:
+            await self._monitor.stop()
+        if self._session is not None:
+            await self._session.close()
+
+
+def build_kernel(settings: Settings, timer: TimerService) -> Kernel:
+    """Wire the services that the VM's roles need.
+
+    Raises:
+      FindingsError: the key file is wrong.
+      StorageError: another process holds the data folder.
+    """
+    kernel = Kernel(timer)
+    vm = settings.vm
+    keys = KeyRing.from_file(vm.key_file)
+    metrics = Metrics()
+    transport = HttpPeerTransport(vm.peer_address, keys)
+    source = NamedConfigurationSource(kernel)
+    kernel.add("peer-port", PeerPort(transport))
+    membership = SwimMembership(
+        kernel,
+        vm,
+        settings.section(MembershipSettings),
+        transport,
+        UdpDatagramTransport(vm.peer_address, keys.texts()),
+        source,
+    )
+    kernel.add("membership", membership)
+    control = _add_control(kernel, settings, transport)
+    watcher = ConfigurationWatcher(
+        kernel,
+        transport,
+        membership,
+        vm.name,
+        vm.control_addresses,
+        ConfigurationFile(vm.data_folder) if vm.data_folder else None,
+    )
+    kernel.add("configuration", watcher)
+    drain = _add_drain(kernel, settings, source, membership, control)
+    if "entry" in vm.roles:
+        _add_entry(kernel, settings, keys, metrics, transport, source, membership)
+    kernel.add("vm-list", _vm_list(kernel, settings, membership, source, drain))
+    return kernel
+
+
+def _add_control(
+    kernel: Kernel, settings: Settings, transport: HttpPeerTransport
+) -> ControlClient:
+    vm = settings.vm
+    control: ControlClient
+    if "control" in vm.roles:
+        replica = ControlReplica(
+            kernel.timer,
+            transport,
+            FileDisk(vm.data_folder),
+            vm.control_addresses,
+            settings.section(ControlSettings),
+        )
+        view = ControlReplicaView(replica)
+        port = ReplicaPort(kernel.timer, transport, view)
+        control = replica
+        kernel.add("control", control)
+        kernel.add("configuration-port", port)
+    else:
+        control = RemoteControlClient(kernel.timer, transport, vm.control_addresses)
+        kernel.add("control", control)
+    return control
+
+
+def _add_drain(
+    kernel: Kernel,
+    settings: Settings,
+    source: NamedConfigurationSource,
+    membership: SwimMembership,
+    control: ControlClient,
+) -> DrainService:
+    def running() -> int:
+        if not kernel.has("entry"):
+            return 0
+        return kernel.find("entry", EntryService).running
+
+    vm = settings.vm
+    drain = DrainService(kernel, vm.name, vm.balancer_lag_s, running, source)
+    drain.add_hand_over("homes", membership.leave)
+    if isinstance(control, ControlReplica):
+        replica = control
+
+        async def transfer_leadership() -> None:
+            await replica.transfer_leadership()
+
+        drain.add_hand_over("leadership", transfer_leadership)
+    kernel.add("drain", drain)
+    return drain
+
+
+def _add_entry(
+    kernel: Kernel,
+    settings: Settings,
+    keys: KeyRing,
+    metrics: Metrics,
+    transport: HttpPeerTransport,
+    source: NamedConfigurationSource,
+    membership: SwimMembership,
+) -> None:
+    timer = kernel.timer
+    instance_id = membership.own_record.instance_id
+    lender = Lender(timer, source.current, instance_id, membership, transport)
+    wallet = Wallet(timer, source.current, instance_id, lender, membership, transport)
+    prefixes = PrefixIndex()
+    router = Router(
+        timer,
+        source.current,
+        source=source,
+        wallet=wallet,
+        prefixes=prefixes,
+        is_leaving=membership.leaving_targets.is_leaving,
+        entry_name=settings.vm.name,
+        metrics=metrics,
+    )
+    kernel.add("monitor", MonitorService(kernel, lender, prefixes, source, membership))
+    kernel.add("wallet", wallet)
+    kernel.add("router", router)
+    drain = kernel.find("drain", DrainService)
+    entry = EntryService(
+        kernel,
+        settings.vm.caller_address,
+        source,
+        keys,
+        instance_id,
+        settings=settings.section(EntrySettings),
+        budget=SharedRetryBudget(router.retries, Backoff()),
+        is_draining=lambda: not drain.is_ready(),
+        is_gone=lambda owner: _is_gone(membership, owner),
+    )
+    kernel.add("entry", entry)
+
+
+def _is_gone(membership: SwimMembership, instance_id: str) -> bool:
+    """Tell whether a VM instance is known to be gone."""
+    return all(
+        vm.instance_id != instance_id or vm.state is VmState.GONE
+        for vm in membership.vms()
+    )
+
+
+def _vm_list(
+    kernel: Kernel,
+    settings: Settings,
+    membership: SwimMembership,
+    source: NamedConfigurationSource,
+    drain: DrainService,
+) -> VmListWatch:
+    return VmListWatch(
+        kernel,
+        settings.vm.name,
+        settings.section(MembershipSettings),
+        membership,
+        source,
+        lambda: drain.begin("VM list"),
+    )
--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -84,6 +84,11 @@
         """The address in use, once started."""
         return self._server.address if self._server else self._address
 
+    @property
+    def running(self) -> int:
+        """How many callers' requests have no answer yet."""
+        return self.application.running if self.application else 0
+
     async def start(self) -> None:
         """Open the port."""
         self._sessions = [open_session(), open_fresh_session()]
--- a/endivesill/keys.py
+++ b/endivesill/keys.py
@@ -53,6 +53,10 @@
             raise errors.FindingsError(findings)
         return cls(keys)
 
+    def texts(self) -> tuple[str, ...]:
+        """Return the valid keys, the one to send first."""
+        return tuple(key.decode() for key in self._keys)
+
     def authorization(self) -> str:
         """Return the value of the Authorization header to send."""
         return f"Bearer {self._keys[0].decode()}"
