Hold the sum of credits through deaths, partitions and two homes

Cause: work of lost borrowers was released on stale figures, a changed target lost its loans, and a queue that stood still for a second refused every request. Change: lost work counts until a load report, less what the others certainly ran, shows its end; borrowers report their low-water mark; a new home counts its predecessor's loans in the same way, keeps the cold allowance back and lends nothing without the lease; the estimate of a wait counts the next request. Proof: test_sum_stays_within_the_allowance and test_two_homes_at_once_stay_within_what_the_target_bears failed first (18 and 24 of 16 slots) and pass; four mutations of the ledger make them fail. Conclusion: safe while views of homes agree again within the life of a loan.

--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -56,9 +56,7 @@
     wallet = Wallet(timer, lambda: configuration, "bench", lender)
     router = Router(timer, lambda: configuration, wallet=wallet)
     for target in configuration.targets.values():
-        ledger = lender.ledger(target)
-        ledger.warmth.assume(target.maximum_slots)
-        ledger.taken_over_s = -1e9
+        lender.ledger(target).assume_warm()
     organisation = Organisation("o", key_sha256="0" * 64)
     services = list(configuration.services.values())
     requests = [
--- a/bench/routing_run.py
+++ b/bench/routing_run.py
@@ -163,9 +163,7 @@
     def assume_warm(self) -> None:
         """Begin as a home that has known warm targets for long."""
         for target in self.configuration.targets.values():
-            ledger = self.lender.ledger(target)
-            ledger.warmth.assume(target.maximum_slots)
-            ledger.taken_over_s = -1e9
+            self.lender.ledger(target).assume_warm()
 
     def elapsed_s(self) -> float:
         """Return the time since the run's start."""
--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import math
 
 import attrs
 
@@ -16,12 +17,15 @@
 from endivesill.routing.limits import DecodeLimit, MemoryLimit, PrefillLimit
 from endivesill.routing.warmth import ColdStart
 
-__all__ = ["LOAN_LIFE_S", "Ledger", "Loan", "Use"]
+__all__ = ["LOAN_LIFE_S", "RENEW_S", "TAKEOVER_S", "Ledger", "Loan", "Use"]
 
 LOAN_LIFE_S = 8.0
-TAKEOVER_S = LOAN_LIFE_S + 1.0
+RENEW_S = 3.0
+TAKEOVER_S = LOAN_LIFE_S + RENEW_S + 1.0
 REPORT_LAG_LIMIT_S = 3.0
-RESIDUAL_LIFE_S = 60.0
+EVIDENCE_S = 15.0
+UNREPORTED_LIFE_S = 60.0
+PREDECESSOR = ""
 FOREIGN_WINDOW_S = 6.0
 TOKENS_PER_SLOT = 512
 ADAPT_PERIOD_S = 1.0
@@ -42,6 +46,7 @@
       answers: answers completed since the last ask.
       first_token_ms: their mean time to the first token.
       recooled: whether it has seen the target turn cold.
+      least_slots: the fewest that it ran at any time since the last ask.
     """
 
     slots: int = 0
@@ -54,6 +59,7 @@
     answers: int = 0
     first_token_ms: float = 0.0
     recooled: bool = False
+    least_slots: int = 0
 
 
 @attrs.frozen
@@ -79,12 +85,20 @@
 class _Account:
     """A borrower's loans that it may still hold, by serial, and its last use.
 
-    Its base is what it ran when it first asked, on an earlier home's loans.
+    Its base is what it ran when it first asked, on an earlier home's loans. Its
+    asks are the times with the fewest slots that it had run since the one before.
     """
 
     base_slots: int = 0
     loans: dict[int, Loan] = attrs.Factory(dict)
     use: Use = attrs.Factory(Use)
+    asks: collections.deque[tuple[float, int]] = attrs.Factory(collections.deque)
+
+    def certain_slots(self, from_s: float, until_s: float) -> int:
+        """Return how many it ran at least, at any time of a period."""
+        if not self.asks or self.asks[-1][0] < until_s:
+            return 0
+        return min(least for asked_s, least in self.asks if asked_s >= from_s)
 
     def exposed_slots(self) -> int:
         return max([self.use.slots, *(loan.slots for loan in self.loans.values())])
@@ -98,12 +112,18 @@
 
 @attrs.define
 class _Residual:
-    """Work of borrowers that are no longer heard of."""
+    """Work of borrowers that are not heard of; since then they start no more."""
 
+    borrower: str
     slots: int
     tokens: int
     since_s: float
 
+    def is_over(self, now_s: float) -> bool:
+        """Tell whether the work has ended, as far as time alone can tell."""
+        life_s = 0.0 if self.borrower == PREDECESSOR else UNREPORTED_LIFE_S
+        return now_s - self.since_s >= life_s
+
 
 class Ledger:
     """What a home lends of one target.
@@ -130,16 +150,23 @@
         self.target = target
         self._gap_target_ms = gap_target_ms
         self._first_token_target_ms = first_token_target_ms
-        self.taken_over_s = now_s
+        self._taken_over_s = now_s
         self._assumed = False
-        warm_slots = max(target.cold_slots, target.maximum_slots - target.cold_slots)
-        self.warmth = ColdStart(target.cold_slots, warm_slots)
-        self.decode = DecodeLimit(warm_slots)
+        self.warmth = ColdStart(target.cold_slots, _warm_slots(target))
+        self.decode = DecodeLimit(_warm_slots(target))
         self.memory = MemoryLimit()
         self.prefill = PrefillLimit()
         self.answering = True
         self._accounts: dict[str, _Account] = {}
-        self._residuals: list[_Residual] = []
+        # What an earlier home's borrowers may run, until reports show otherwise.
+        self._residuals = [
+            _Residual(
+                PREDECESSOR,
+                target.maximum_slots,
+                target.memory_tokens,
+                now_s + LOAN_LIFE_S,
+            )
+        ]
         self._serial = 0
         self._adapted_s = now_s
         self._memory_tokens = target.memory_tokens
@@ -157,29 +184,52 @@
         """Return how many memory tokens may be reserved; 0 for a plain service."""
         return int(self.memory.tokens(self._memory_tokens))
 
+    def configure(self, target: Target) -> None:
+        """Take a changed target; loans that are out go on counting."""
+        if target == self.target:
+            self.target = target
+            return
+        self.target = target
+        self.warmth.configure(target.cold_slots, _warm_slots(target))
+        self.decode.configure(_warm_slots(target))
+        self._memory_tokens = target.memory_tokens
+
+    def assume_warm(self) -> None:
+        """Begin as a home that has long known a warm target."""
+        self.warmth.assume(self.target.maximum_slots)
+        self._residuals.clear()
+        self._assumed = True
+        self._taken_over_s = -math.inf
+
     def lent_slots(self, now_s: float) -> int:
         """Return the exposure over all borrowers, the lost ones included."""
         self._expire(now_s)
         lent = sum(account.exposed_slots() for account in self._accounts.values())
         return lent + sum(residual.slots for residual in self._residuals)
 
-    def ask(self, borrower: str, use: Use, now_s: float) -> Loan:
+    def ask(self, borrower: str, use: Use, now_s: float, *, lends: bool = True) -> Loan:
         """Lend to a borrower.
 
         Args:
           borrower: the entry's name and instance.
           use: what it runs and wants.
           now_s: the home's clock, which the loan's expiry is on.
+          lends: whether anything may be lent now.
         """
         self._expire(now_s)
         account = self._accounts.setdefault(borrower, _Account(use.slots))
         account.use = use
+        # It is heard of again and says itself what it runs.
+        self._residuals = [r for r in self._residuals if r.borrower != borrower]
+        account.asks.append((now_s, use.least_slots))
+        while now_s - account.asks[0][0] > EVIDENCE_S:
+            account.asks.popleft()
         held = account.loans.get(use.serial)
         account.loans = {use.serial: held} if held else {}
         if use.recooled:
             self.recool()
         self._adapt(use, now_s)
-        slots = self._grant_slots(borrower, use, now_s)
+        slots = self._grant_slots(borrower, use, now_s) if lends else 0
         self._serial += 1
         loan = Loan(
             slots,
@@ -213,7 +263,7 @@
             if name != borrower
         )
         residual = sum(residual.slots for residual in self._residuals)
-        if now_s - self.taken_over_s < TAKEOVER_S:
+        if now_s - self._taken_over_s < TAKEOVER_S:
             return self._takeover_slots(borrower, use)
         if not self._assumed:
             self._assumed = True
@@ -266,14 +316,14 @@
             if account.loans and account.expires_s() > now_s:
                 continue
             residual = _Residual(
-                account.exposed_slots(), account.exposed_tokens(), now_s
+                name, account.exposed_slots(), account.exposed_tokens(), now_s
             )
             del self._accounts[name]
             if residual.slots:
                 self._residuals.append(residual)
-        self._residuals = [
-            r for r in self._residuals if now_s - r.since_s < RESIDUAL_LIFE_S
-        ]
+        if not self._reported:
+            # A target without load reports gives no better evidence.
+            self._residuals = [r for r in self._residuals if not r.is_over(now_s)]
 
     def observe_load(
         self,
@@ -299,23 +349,34 @@
         least = min(count for _, count in self._reported)
         most_known = max(count for _, count in self._known)
         self._foreign_slots = max(0, least - most_known)
-        self._settle_residuals(running, now_s)
+        self._settle_residuals()
         return booted
 
-    def _settle_residuals(self, running: int, now_s: float) -> None:
-        """Release lost borrowers' work that the target no longer runs."""
-        known = sum(account.use.slots for account in self._accounts.values())
-        left = max(0, running - known)
-        for residual in self._residuals:
-            if now_s - residual.since_s < REPORT_LAG_LIMIT_S:
-                continue
-            share = min(1.0, left / residual.slots) if residual.slots else 0.0
-            residual.tokens = int(residual.tokens * share)
-            residual.slots = min(residual.slots, left)
+    def _settle_residuals(self) -> None:
+        """Release lost borrowers' work that the target no longer runs.
+
+        What a report shows beyond what the others were certainly running then is
+        the most that lost work can be.
+        """
+        for reported_s, running in self._reported:
+            from_s = reported_s - REPORT_LAG_LIMIT_S
+            certain = sum(
+                account.certain_slots(from_s, reported_s)
+                for account in self._accounts.values()
+            )
+            left = max(0, running - certain)
+            for residual in self._residuals:
+                if residual.since_s <= from_s:
+                    self._shrink(residual, left)
         self._residuals = [r for r in self._residuals if r.slots]
 
+    def _shrink(self, residual: _Residual, slots: int) -> None:
+        if slots < residual.slots:
+            residual.tokens = residual.tokens * slots // residual.slots
+            residual.slots = slots
+
     def _note_known(self, now_s: float) -> None:
-        known = sum(account.exposed_slots() for account in self._accounts.values())
+        known = sum(account.use.slots for account in self._accounts.values())
         known += sum(residual.slots for residual in self._residuals)
         self._known.append((now_s, known))
         self._forget_old(now_s)
@@ -335,6 +396,11 @@
         self.warmth.recool()
 
 
+def _warm_slots(target: Target) -> int:
+    """Return what a home lends at most; the rest is for a successor to begin on."""
+    return max(target.cold_slots, target.maximum_slots - target.cold_slots)
+
+
 def _fair_share(wants: list[int], total: int) -> int:
     """Return the largest share that, given to each at most, fits the total."""
     left = max(0, total)
--- a/endivesill/routing/grant.py
+++ b/endivesill/routing/grant.py
@@ -43,6 +43,7 @@
       request: what was asked.
       candidate: the target's account at this entry.
       uncached_tokens: prompt tokens that the target has to prefill.
+      reserved_tokens: memory that is reserved for it at first.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         request: RouteRequest,
         candidate: Candidate,
         uncached_tokens: int,
+        reserved_tokens: int,
     ) -> None:
         super().__init__(request, candidate.target)
         self._keeper = keeper
@@ -62,8 +64,8 @@
         self._blocks = 0
         self._update_at = UPDATE_MINIMUM_TOKENS
         self._finished = False
-        self._reserved_tokens = keeper.reservation_tokens(request, 0)
-        candidate.outstanding += 1
+        self._reserved_tokens = reserved_tokens
+        candidate.started()
         candidate.prefill_tokens += uncached_tokens
         candidate.reserved_tokens += self._reserved_tokens
 
@@ -104,6 +106,6 @@
             return
         self._finished = True
         self._end_prefill()
-        self.candidate.outstanding -= 1
+        self.candidate.ended()
         self.candidate.reserved_tokens -= self._reserved_tokens
         self._keeper.released(self, outcome)
--- a/endivesill/routing/lender.py
+++ b/endivesill/routing/lender.py
@@ -9,6 +9,7 @@
 
 from endivesill import errors, events
 from endivesill.configuration.model import Configuration, Target
+from endivesill.configuration.source import ConfigurationSource
 from endivesill.kernel import Service
 from endivesill.membership import MembershipView
 from endivesill.peers import Message, PeerTransport
@@ -33,6 +34,8 @@
       instance_id: differs with each start of the process.
       membership: who is whose home; without one, this VM is home of all.
       peers: where other entries ask; without one, only this VM borrows.
+      source: where the lease is asked for; a home without it lends nothing, so
+        that one behind a partition gives way to its successor.
     """
 
     def __init__(
@@ -42,8 +45,10 @@
         instance_id: str,
         membership: MembershipView | None = None,
         peers: PeerTransport | None = None,
+        source: ConfigurationSource | None = None,
     ) -> None:
         self._timer = timer
+        self._source = source
         self._configuration = configuration
         self.instance_id = instance_id
         self._membership = membership
@@ -52,20 +57,22 @@
         self._borrowers: dict[str, dict[str, str]] = {}
         self._asks: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._revoke_local: list[Callable[[str], None]] = []
+        self._revoke_local: list[Callable[[Target], None]] = []
         if peers is not None:
             peers.handle(ASK_PATH, self._answer)
         if membership is not None:
             membership.subscribe(self._drop_lost_homes)
 
     def is_home(self, target: Target) -> bool:
-        """Tell whether this VM lends the target's credits."""
+        """Tell whether this VM is the target's home."""
         return self._membership is None or self._membership.is_home(target)
 
     def ledger(self, target: Target) -> Ledger:
         """Return a target's ledger, begun cold when this VM becomes its home."""
         ledger = self._ledgers.get(target.name)
-        if ledger is not None and ledger.target == target:
+        if ledger is not None:
+            if ledger.target is not target:
+                ledger.configure(target)
             return ledger
         service = self._configuration().services[target.service]
         ledger = Ledger(
@@ -78,17 +85,21 @@
         events.emit(HOME_TAKEN, target=target.name)
         return ledger
 
-    def on_revoke(self, listener: Callable[[str], None]) -> None:
-        """Call a listener with the name of each target whose loans are revoked."""
+    def on_revoke(self, listener: Callable[[Target], None]) -> None:
+        """Call a listener with each target whose loans are revoked."""
         self._revoke_local.append(listener)
 
     def ask(self, borrower: str, target: Target, use: Use) -> Loan:
         """Lend to a borrower; its clock is this VM's."""
-        loan = self.ledger(target).ask(borrower, use, self._timer.now_s())
+        now_s = self._timer.now_s()
+        loan = self.ledger(target).ask(borrower, use, now_s, lends=self._may_lend())
         if use.recooled:
             self.revoke(target, "entry-saw-jump")
         return loan
 
+    def _may_lend(self) -> bool:
+        return self._source is None or self._source.holds_lease()
+
     async def _answer(self, message: Message) -> Message:
         borrower = message["from"]
         if message["number"] <= self._asks.get(borrower, 0):
@@ -137,7 +148,7 @@
         """Take a target's loans back at all borrowers at once."""
         events.emit(CREDITS_REVOKED, target=target.name, reason=reason)
         for listener in self._revoke_local:
-            listener(target.name)
+            listener(target)
         borrowers = self._borrowers.pop(target.name, {})
         for address in borrowers.values():
             self._spawn_revoke(address, target.name)
--- a/endivesill/routing/lengths.py
+++ b/endivesill/routing/lengths.py
@@ -33,12 +33,13 @@
 class LengthHistogram:
     """A decaying histogram of output lengths."""
 
-    __slots__ = ("_scale", "_weights", "total")
+    __slots__ = ("_scale", "_weights", "sum_tokens", "total")
 
     def __init__(self) -> None:
         self._weights = array.array("f", bytes(4 * BUCKET_COUNT))
         self._scale = 1.0
         self.total = 0.0
+        self.sum_tokens = 0.0
 
     @classmethod
     def from_prior(cls, mean_tokens: int) -> LengthHistogram:
@@ -51,8 +52,11 @@
     def add(self, tokens: float, weight: float = 1.0) -> None:
         """Count one answer; earlier ones fade a little."""
         self._scale /= DECAY_PER_ANSWER
-        self._weights[_bucket(tokens)] += weight * self._scale
+        bucket = _bucket(tokens)
+        self._weights[bucket] += weight * self._scale
         self.total = self.total * DECAY_PER_ANSWER + weight
+        added_tokens = weight * MIDDLES_TOKENS[bucket]
+        self.sum_tokens = self.sum_tokens * DECAY_PER_ANSWER + added_tokens
         if self._scale > 1e6:
             for index in range(BUCKET_COUNT):
                 self._weights[index] /= self._scale
@@ -60,14 +64,16 @@
 
     def tail(self, produced: int) -> tuple[float, float]:
         """Return the weight over a length, and its sum of remaining tokens."""
-        first = _bucket(produced) if produced else 0
+        if not produced:
+            return self.total, self.sum_tokens
+        first = _bucket(produced)
         weight = remaining = 0.0
         for index in range(first, BUCKET_COUNT):
             share = self._weights[index]
             if not share:
                 continue
             left = MIDDLES_TOKENS[index] - produced
-            if index == first and produced:
+            if index == first:
                 # Only the part of the bucket above what was produced is left.
                 upper = BOUNDS_TOKENS[index] * 2 ** (1 / BUCKETS_PER_OCTAVE)
                 width = upper - BOUNDS_TOKENS[index]
--- a/endivesill/routing/limits.py
+++ b/endivesill/routing/limits.py
@@ -33,6 +33,13 @@
         self.maximum_slots = maximum_slots
         self._slots = float(maximum_slots)
 
+    def configure(self, maximum_slots: int) -> None:
+        """Take a changed bound."""
+        was_full = self._slots >= self.maximum_slots
+        self.maximum_slots = maximum_slots
+        bound = float(maximum_slots)
+        self._slots = bound if was_full else min(self._slots, bound)
+
     @property
     def slots(self) -> int:
         """The limit now."""
--- a/endivesill/routing/observation.py
+++ b/endivesill/routing/observation.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from endivesill.routing.lengths import LengthHistogram
 from endivesill.routing.warmth import JumpDetector
 
@@ -23,7 +25,8 @@
         self._first_token_sum_ms = 0.0
         self._first_tokens = 0
         self._failures = 0
-        self._starts: list[float] = []
+        self._starts = 0.0
+        self._started_s = 0.0
         self.recooled = False
 
     def gap(self, gap_ms: float, target_ms: float) -> bool:
@@ -55,12 +58,15 @@
 
     def started(self, now_s: float) -> None:
         """Count a request that was given the target."""
-        self._starts = [t for t in self._starts if now_s - t < STARTS_WINDOW_S]
-        self._starts.append(now_s)
+        self._starts = self._faded_starts(now_s) + 1.0
+        self._started_s = now_s
 
     def recent_starts(self, now_s: float) -> int:
-        """Return how many requests were given the target lately."""
-        return sum(1 for t in self._starts if now_s - t < STARTS_WINDOW_S)
+        """Return about how many requests were given the target lately."""
+        return int(self._faded_starts(now_s))
+
+    def _faded_starts(self, now_s: float) -> float:
+        return self._starts * math.exp((self._started_s - now_s) / STARTS_WINDOW_S)
 
     def gap_quantile_ms(self, share: float) -> float:
         """Return a quantile of the recent gaps; 0 if there were none."""
--- a/endivesill/routing/prefixes.py
+++ b/endivesill/routing/prefixes.py
@@ -4,6 +4,7 @@
 
 import collections
 import hashlib
+from collections.abc import Set
 
 from endivesill.targets.messages import CacheEvents
 
@@ -20,6 +21,7 @@
 HASH_BYTES = 8
 BLOCKS_PER_TARGET = 4096
 STALE_TRUST = 0.5
+NO_HOLDERS: frozenset[str] = frozenset()
 
 
 def prefix_hashes(prompt: str) -> tuple[str, ...]:
@@ -74,13 +76,9 @@
         tokens = blocks * PREFIX_BLOCK_TOKENS
         return int(tokens * STALE_TRUST) if part.stale else tokens
 
-    def holders(self, prefix: tuple[str, ...]) -> frozenset[str]:
-        """Return the targets that hold the longest known prefix."""
-        for block in reversed(prefix):
-            names = self._holders.get(block)
-            if names:
-                return frozenset(names)
-        return frozenset()
+    def holders(self, prefix: tuple[str, ...]) -> Set[str]:
+        """Return the targets that hold the first block of a prompt at least."""
+        return self._holders.get(prefix[0], NO_HOLDERS) if prefix else NO_HOLDERS
 
     def place(self, target_name: str, prefix: tuple[str, ...]) -> None:
         """Note that a prompt was sent to a target, which will cache it."""
--- a/endivesill/routing/queue.py
+++ b/endivesill/routing/queue.py
@@ -62,11 +62,16 @@
             self._busy_s = self._busy_s * fade + busy_s
         self._cost_tokens += cost_tokens
 
-    def tokens_per_s(self) -> float | None:
-        """Return the rate, or None while too little was seen."""
+    def tokens_per_s(self, next_tokens: float) -> float | None:
+        """Return the rate, or None while too little was seen.
+
+        Args:
+          next_tokens: what will be served next; it counts as if served now, so
+            that a short standstill is not taken for an end of all service.
+        """
         if self._busy_s < DRAIN_MINIMUM_S:
             return None
-        return self._cost_tokens / self._busy_s
+        return (self._cost_tokens + next_tokens) / self._busy_s
 
 
 class WaitQueue:
@@ -271,13 +276,13 @@
         level = self._levels.get(waiter.request.priority)
         if level is None or not level.count:
             return 0.0
-        rate = self._rate(level, now_s)
+        rate = self._rate(level, now_s, waiter.cost_tokens)
         if rate is None:
             return None
         own = level.backlogs.get(waiter.request.organisation.name, 0.0)
         bound = own + waiter.cost_tokens
         ahead = sum(min(backlog, bound) for backlog in level.backlogs.values())
-        return ahead / rate if rate > 0 else math.inf
+        return ahead / rate
 
     def estimates(self, now_s: float) -> list[tuple[Waiter, float | None]]:
         """Return all waiters with their estimated waits."""
@@ -285,25 +290,18 @@
         for level in self._levels.values():
             if not level.count:
                 continue
-            rate = self._rate(level, now_s)
             ahead = 0.0
             for _, _, waiter in sorted(level.heap, key=lambda entry: entry[:2]):
                 if not waiter.queued:
                     continue
-                wait_s = self._wait_of(ahead, rate)
+                rate = self._rate(level, now_s, waiter.cost_tokens)
+                wait_s = None if rate is None else ahead / rate
                 found.append((waiter, wait_s))
                 if wait_s is None or now_s + wait_s <= waiter.request.deadline_s:
                     ahead += waiter.cost_tokens
         return found
 
-    def _rate(self, level: _Level, now_s: float) -> float | None:
+    def _rate(self, level: _Level, now_s: float, next_tokens: float) -> float | None:
         level.rate.observe(0.0, now_s - level.seen_s)
         level.seen_s = now_s
-        return level.rate.tokens_per_s()
-
-    def _wait_of(self, ahead_tokens: float, rate: float | None) -> float | None:
-        if rate is None:
-            return None
-        if not ahead_tokens:
-            return 0.0
-        return ahead_tokens / rate if rate > 0 else math.inf
+        return level.rate.tokens_per_s(next_tokens)
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable
 
 import attrs
@@ -86,7 +85,8 @@
         self._answer_delay = self._metrics.recorder("refusal_answer")
         self._services: dict[str, _ServiceState] = {}
         wallet.use_of = self._use_of
-        wallet.on_change = self._credits_changed
+        wallet.on_loan = self._loan_changed
+        wallet.on_credits = self._credits_came
 
     async def start(self) -> None:
         """Begin to hold credits."""
@@ -144,14 +144,12 @@
         """Choose a target for a request and account for it there."""
         now_s = self.now_s()
         candidates = self._candidates(request, now_s)
-        output_tokens = self.reservation_tokens(request, 0) - request.prompt_tokens
+        reserved_tokens = self.reservation_tokens(request, 0)
+        output_tokens = reserved_tokens - request.prompt_tokens
         choice = Choice(request, now_s, output_tokens, self.prefixes)
-        if state.policy.needs_credit:
-            self._take_loans(candidates)
         chosen = state.policy.choose(choice, candidates)
         if chosen is None and self._need_credit(choice):
             choice = Choice(request, now_s, output_tokens, self.prefixes)
-            self._take_loans(candidates)
             chosen = state.policy.choose(choice, candidates)
         if chosen is None:
             return None
@@ -163,10 +161,6 @@
             return candidates
         return [c for c in candidates if c.target.name not in request.excluded]
 
-    def _take_loans(self, candidates: list[Candidate]) -> None:
-        for candidate in candidates:
-            candidate.loan = self.wallet.loan(candidate.target)
-
     def _need_credit(self, choice: Choice) -> bool:
         """Ask for the credits that a choice lacked; True if some came at once."""
         came = False
@@ -190,7 +184,9 @@
         self.directory.observation(name).started(choice.now_s)
         if request.prefix:
             self.prefixes.place(name, request.prefix)
-        return RoutedGrant(self, request, chosen, choice.uncached_tokens)
+        reserved_tokens = request.prompt_tokens + choice.output_tokens
+        uncached_tokens = choice.uncached_tokens
+        return RoutedGrant(self, request, chosen, uncached_tokens, reserved_tokens)
 
     def _enqueue(self, state: _ServiceState, request: RouteRequest) -> Waiter:
         now_s = self.now_s()
@@ -271,7 +267,7 @@
 
     def _retry_after(self, request: RouteRequest, wait_s: float | None) -> float:
         """Return when the backlog that stands now will have been served."""
-        if wait_s is None or math.isinf(wait_s):
+        if wait_s is None:
             return max(RETRY_AFTER_S, request.service.deadline_s)
         return max(RETRY_AFTER_S, wait_s)
 
@@ -291,7 +287,7 @@
         """Return what this entry tells the home of a target."""
         candidate = self.directory.candidate(target)
         observation = self.directory.observation(target.name)
-        loan = self.wallet.loan(target)
+        loan = self.wallet.loan(target.name)
         answers, first_token_ms = observation.take_answers()
         ahead = self._ahead_slots(target)
         mean_tokens = candidate.reserved_tokens // max(1, candidate.outstanding)
@@ -306,6 +302,7 @@
             answers=answers,
             first_token_ms=first_token_ms,
             recooled=observation.take_recooled(),
+            least_slots=candidate.asked(),
         )
 
     def _ahead_slots(self, target: Target) -> int:
@@ -314,9 +311,11 @@
         starts = self.directory.observation(target.name).recent_starts(self.now_s())
         return AHEAD_SLOTS + starts + queued
 
-    def _credits_changed(self, target_name: str) -> None:
-        target = self._configuration().targets.get(target_name)
-        state = self._services.get(target.service) if target else None
+    def _loan_changed(self, target: Target) -> None:
+        self.directory.candidate(target).answered(self.wallet.loan(target.name))
+
+    def _credits_came(self, target: Target) -> None:
+        state = self._services.get(target.service)
         if state is not None:
             self._pump(state)
 
@@ -328,7 +327,7 @@
             return False
         if not POLICIES[grant.request.service.routing_policy].needs_credit:
             return True
-        loan = self.wallet.loan(grant.target)
+        loan = self.wallet.loan(grant.target.name)
         if loan is None or loan.expires_s <= self.now_s():
             return False
         return grant.candidate.outstanding <= loan.slots
@@ -358,9 +357,8 @@
 
     def _recool(self, target: Target) -> None:
         events.emit(TARGET_RECOOLED, target=target.name)
-        self.wallet.revoke(target.name)
         self.prefixes.clear(target.name)
-        self.wallet.need(target)
+        self.wallet.report_jump(target)
 
     def released(self, grant: RoutedGrant, outcome: Outcome) -> None:
         """Note the end of an attempt and serve who waits."""
--- a/endivesill/routing/wallet.py
+++ b/endivesill/routing/wallet.py
@@ -18,14 +18,13 @@
 from endivesill.kernel import Service
 from endivesill.membership import MembershipView
 from endivesill.peers import Message, PeerTransport
-from endivesill.routing.credits import LOAN_LIFE_S, Loan, Use
+from endivesill.routing.credits import LOAN_LIFE_S, RENEW_S, Loan, Use
 from endivesill.routing.lender import ASK_PATH, REVOKE_PATH, Lender, use_fields
 from endivesill.timer import TimerHandle, TimerService
 
 __all__ = ["Wallet"]
 
 TICK_S = 0.25
-RENEW_S = 3.0
 URGENT_S = 0.25
 ASK_TIMEOUT_S = 1.0
 IDLE_S = 10.0
@@ -74,11 +73,13 @@
         self._homes: dict[str, _Home] = {}
         self._demand_s: dict[str, float] = {}
         self._own_asked_s: dict[str, float] = {}
+        self._deferred: set[str] = set()
         self._number = 0
         self._ticker: TimerHandle | None = None
         self.use_of: Callable[[Target], Use] = lambda target: Use()
-        self.on_change: Callable[[str], None] = lambda target_name: None
-        lender.on_revoke(self._revoked)
+        self.on_loan: Callable[[Target], None] = lambda target: None
+        self.on_credits: Callable[[Target], None] = lambda target: None
+        lender.on_revoke(self.revoke)
         if peers is not None:
             peers.handle(REVOKE_PATH, self._revoke)
         if membership is not None:
@@ -97,11 +98,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def loan(self, target: Target) -> Loan | None:
+    def loan(self, target_name: str) -> Loan | None:
         """Return the loan at hand from the home that this VM believes in."""
-        held = self._loans.get(target.name)
+        held = self._loans.get(target_name)
         return held[1] if held else None
 
+    def _hold(self, target: Target, instance_id: str, loan: Loan) -> None:
+        self._loans[target.name] = (instance_id, loan)
+        self.on_loan(target)
+
     def demand(self, target: Target) -> None:
         """Note that there is work for a target."""
         self._demand_s[target.name] = self._timer.now_s()
@@ -110,16 +115,25 @@
         """Ask for more credits soon; return whether some came at once."""
         self.demand(target)
         if self._lender.is_home(target):
-            return self._ask_own(target, OWN_URGENT_S)
+            return self._ask_own(target, OWN_URGENT_S) or self._ask_own_later(target)
         home = self._home(target)
         if home is not None and not home.urgent:
             home.urgent = True
             self._ask_if_due(home)
         return False
 
-    def revoke(self, target_name: str) -> None:
-        """Drop a loan at once and let the home know at the next ask."""
-        self._loans.pop(target_name, None)
+    def revoke(self, target: Target) -> None:
+        """Drop a loan at once."""
+        if self._loans.pop(target.name, None) is not None:
+            self.on_loan(target)
+
+    def report_jump(self, target: Target) -> None:
+        """Drop the loan of a target that turned cold, and tell its home."""
+        self.revoke(target)
+        if self._lender.is_home(target):
+            self._ask_own(target, 0.0)
+        else:
+            self.need(target)
 
     def _ask_own(self, target: Target, period_s: float) -> bool:
         now_s = self._timer.now_s()
@@ -128,9 +142,21 @@
         self._own_asked_s[target.name] = now_s
         before = self._loans.get(target.name)
         loan = self._lender.ask(self._borrower, target, self.use_of(target))
-        self._loans[target.name] = (self._lender.instance_id, loan)
+        self._hold(target, self._lender.instance_id, loan)
         return before is None or before[1].slots < loan.slots
 
+    def _ask_own_later(self, target: Target) -> bool:
+        """Ask again once the shortest period is over."""
+        if target.name not in self._deferred:
+            self._deferred.add(target.name)
+            self._timer.call_after(OWN_URGENT_S, lambda: self._ask_deferred(target))
+        return False
+
+    def _ask_deferred(self, target: Target) -> None:
+        self._deferred.discard(target.name)
+        if self._lender.is_home(target) and self._ask_own(target, OWN_URGENT_S):
+            self.on_credits(target)
+
     def _tick(self) -> None:
         now_s = self._timer.now_s()
         targets = self._configuration().targets
@@ -142,7 +168,7 @@
                 continue
             if self._lender.is_home(target):
                 if self._ask_own(target, OWN_RENEW_S):
-                    self.on_change(name)
+                    self.on_credits(target)
             else:
                 self._home(target)
         for home in list(self._homes.values()):
@@ -213,18 +239,16 @@
                 continue
             slots, tokens, prefill_tokens, serial = fields
             loan = Loan(slots, tokens, prefill_tokens, serial, expires_s)
-            self._loans[target.name] = (answer["instance"], loan)
-            self.on_change(target.name)
+            self._hold(target, answer["instance"], loan)
+            self.on_credits(target)
 
     async def _revoke(self, message: Message) -> Message:
+        target = self._configuration().targets.get(message["target"])
         held = self._loans.get(message["target"])
-        if held and held[0] == message["instance"]:
-            self._revoked(message["target"])
+        if target and held and held[0] == message["instance"]:
+            self.revoke(target)
         return {}
 
-    def _revoked(self, target_name: str) -> None:
-        self._loans.pop(target_name, None)
-
     def _drop_foreign_loans(self) -> None:
         """Drop the loans of homes that this VM no longer believes in."""
         assert self._membership is not None
@@ -233,5 +257,7 @@
         for name, (instance, _) in list(self._loans.items()):
             target = targets.get(name)
             record = self._membership.home_of(target) if target else None
-            if record is None or instances.get(record.name) != instance:
+            if target is None:
                 del self._loans[name]
+            elif record is None or instances.get(record.name) != instance:
+                self.revoke(target)
--- a/endivesill/routing/warmth.py
+++ b/endivesill/routing/warmth.py
@@ -23,12 +23,20 @@
     """
 
     def __init__(self, cold_slots: int, maximum_slots: int) -> None:
-        self.cold_slots = min(cold_slots, maximum_slots)
-        self.maximum_slots = maximum_slots
+        self.slots = 0
+        self.maximum_slots = 0
+        self.configure(cold_slots, maximum_slots)
         self.slots = self.cold_slots
         self._answers = 0
         self.boot_id = ""
 
+    def configure(self, cold_slots: int, maximum_slots: int) -> None:
+        """Take changed bounds; a warm target stays warm."""
+        was_warm = self.slots > 0 and self.is_warm
+        self.cold_slots = min(cold_slots, maximum_slots)
+        self.maximum_slots = maximum_slots
+        self.slots = maximum_slots if was_warm else min(self.slots, maximum_slots)
+
     @property
     def is_warm(self) -> bool:
         """Whether the allowance has reached its maximum."""
