--- a/bench/fake_engine.py
+++ b/bench/fake_engine.py
@@ -10,6 +10,7 @@
 import collections
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 import attrs
 
@@ -70,6 +71,15 @@
         return self.prompt_tokens + self.produced
 
 
+class StepRecord(NamedTuple):
+    """One step: how long it took and what it did."""
+
+    step_s: float
+    decoded: int
+    prefilled_tokens: int
+    prompts: int
+
+
 class FakeEngine:
     """One engine.
 
@@ -94,7 +104,7 @@
         self.preemptions = 0
         self.generated = 0
         self.cold_peak = 0
-        self.step_log: list[tuple[float, int, int]] = []
+        self.step_log: list[StepRecord] = []
         self._boot(cold=False)
 
     def _boot(self, *, cold: bool) -> None:
@@ -188,13 +198,14 @@
         decoding = [s for s in self.running if not s.to_prefill]
         budget = max(1, self.spec.chunk_tokens - len(decoding))
         done = list(decoding)
-        prefilled = 0
+        prefilled = prompts = 0
         for sequence in self.running:
             if not sequence.to_prefill or prefilled >= budget:
                 continue
             chunk = min(sequence.to_prefill, budget - prefilled)
             sequence.to_prefill -= chunk
             prefilled += chunk
+            prompts += 1
             if not sequence.to_prefill:
                 done.append(sequence)
                 self._store(sequence.prefix)
@@ -203,7 +214,7 @@
         step_s += spec.prefill_token_s * prefilled
         if self.cold_left:
             step_s *= 1 + max(0, len(self.running) - spec.cold_bears)
-        self.step_log.append((step_s, len(decoding), prefilled))
+        self.step_log.append(StepRecord(step_s, len(decoding), prefilled, prompts))
         boot_id = self.boot_id
         self._timer.call_after(step_s, lambda: self._end_step(done, boot_id))
 
--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 import tracemalloc
+import unittest.mock
 
 from bench.report import Report
 from endivesill.configuration.model import (
@@ -49,7 +50,7 @@
 
 
 async def decision_us(count: int) -> float:
-    """Return the mean cost of a grant and its end, in microseconds."""
+    """Return the mean processor time of a grant and its end."""
     timer = SystemTimer()
     configuration = fleet(count)
     lender = Lender(timer, lambda: configuration, "bench")
@@ -71,11 +72,11 @@
     ]
     for request in requests[: len(services)]:
         (await router.acquire(request)).finished(Outcome.DONE)
-    started_s = time.perf_counter()
+    started_s = time.process_time()
     for request in requests:
         grant = await router.acquire(request)
         grant.finished(Outcome.DONE)
-    return 1e6 * (time.perf_counter() - started_s) / DECISIONS
+    return 1e6 * (time.process_time() - started_s) / DECISIONS
 
 
 def organisation_bytes(count: int) -> float:
@@ -94,8 +95,11 @@
     """Measure and add the costs."""
     points = []
     for count in TARGET_COUNTS:
-        cost_us = round(asyncio.run(decision_us(count)), 1)
+        logged_us = round(asyncio.run(decision_us(count)), 1)
+        with unittest.mock.patch("endivesill.events.emit"):
+            cost_us = round(asyncio.run(decision_us(count)), 1)
         points.append((float(count), cost_us))
+        report.add(f"decision with {count} targets, logged", logged_us, "us")
         report.add(
             f"decision with {count} targets",
             cost_us,
--- a/endivesill/routing/prefixes.py
+++ b/endivesill/routing/prefixes.py
@@ -81,8 +81,15 @@
         return self._holders.get(prefix[0], NO_HOLDERS) if prefix else NO_HOLDERS
 
     def place(self, target_name: str, prefix: tuple[str, ...]) -> None:
-        """Note that a prompt was sent to a target, which will cache it."""
+        """Note that a prompt was sent to a target, which will cache it.
+
+        Args:
+          target_name: the target.
+          prefix: the hashes of the prompt's prefixes; one at least.
+        """
         part = self._part(target_name)
+        if prefix[-1] in part.blocks:
+            return
         for block in prefix:
             self._add(target_name, part, block)
 
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -127,8 +127,7 @@
     def _check_open(self, request: RouteRequest) -> None:
         if self._source is not None and not self._source.holds_lease():
             raise self._refusal(request, "no-lease", RETRY_AFTER_S)
-        candidates = self.directory.candidates(request.service.name, self.now_s())
-        if all(c.target.name in request.excluded for c in candidates):
+        if not self._candidates(request, self.now_s()):
             raise self._refusal(request, "no-target", RETRY_AFTER_S)
 
     def _state(self, request: RouteRequest) -> _ServiceState:
--- /dev/null
+++ b/tests/test_routing_prefixes.py
@@ -0,0 +1,110 @@
+"""Tests of the prefix hashes and the prefix index."""
+
+import unittest
+
+from endivesill.routing.credits import Loan
+from endivesill.routing.policy import AFFINITY_LIMIT_TOKENS, Candidate, Choice
+from endivesill.routing.policy import POLICIES as POLICY_KINDS
+from endivesill.routing.prefixes import (
+    PREFIX_BLOCK_TOKENS,
+    PrefixIndex,
+    prefix_hashes,
+)
+from endivesill.targets import CacheEvent, CacheEvents
+from tests.routing_fakes import make_request, make_target
+
+BLOCK = "x" * 4 * PREFIX_BLOCK_TOKENS
+
+
+def events(*numbered, boot_id="boot", first=1):
+    found = tuple(
+        CacheEvent(sequence, kind, prefix, PREFIX_BLOCK_TOKENS)
+        for sequence, kind, prefix in numbered
+    )
+    return CacheEvents(boot_id, first, found)
+
+
+class PrefixHashesTest(unittest.TestCase):
+    def test_prompts_share_the_hashes_of_their_common_blocks(self):
+        one = prefix_hashes(BLOCK + BLOCK + "a" * len(BLOCK))
+        two = prefix_hashes(BLOCK + BLOCK + "b" * len(BLOCK))
+        self.assertEqual(one[:2], two[:2])
+        self.assertNotEqual(one[2], two[2])
+
+    def test_short_prompt_has_none(self):
+        self.assertEqual((), prefix_hashes("short"))
+
+
+class PrefixIndexTest(unittest.TestCase):
+    def setUp(self):
+        self.index = PrefixIndex()
+
+    def test_stored_and_evicted_prefixes_are_followed(self):
+        self.index.apply("e0", events((1, "stored", "a"), (2, "stored", "b")))
+        tokens = self.index.cached_tokens("e0", ("a", "b", "c"))
+        self.assertEqual(2 * PREFIX_BLOCK_TOKENS, tokens)
+        self.index.apply("e0", events((3, "evicted", "a")))
+        self.assertEqual(0, self.index.cached_tokens("e0", ("a", "b")))
+
+    def test_gap_marks_the_index_stale_until_it_is_read_again(self):
+        self.index.apply("e0", events((1, "stored", "a")))
+        whole = self.index.apply("e0", events((3, "stored", "c")))
+        self.assertFalse(whole)
+        self.assertTrue(self.index.needs_resync("e0"))
+        self.assertLess(self.index.cached_tokens("e0", ("a",)), PREFIX_BLOCK_TOKENS)
+        self.index.resync("e0", events((1, "stored", "a"), (2, "evicted", "a")))
+        self.assertFalse(self.index.needs_resync("e0"))
+        self.assertEqual(0, self.index.cached_tokens("e0", ("a",)))
+
+    def test_repeated_events_change_nothing(self):
+        self.index.apply("e0", events((1, "stored", "a"), (2, "evicted", "a")))
+        self.assertTrue(self.index.apply("e0", events((1, "stored", "a"))))
+        self.assertEqual(0, self.index.cached_tokens("e0", ("a",)))
+
+    def test_new_boot_and_cleared_cache_empty_the_index(self):
+        self.index.apply("e0", events((1, "stored", "a")))
+        self.index.apply("e0", events(boot_id="boot-2"))
+        self.assertEqual(0, self.index.cached_tokens("e0", ("a",)))
+        self.index.place("e0", ("a",))
+        self.index.apply("e0", events((1, "cleared", ""), boot_id="boot-2"))
+        self.assertEqual(frozenset(), self.index.holders(("a",)))
+
+    def test_own_placement_counts_before_the_late_event(self):
+        self.index.place("e0", ("a", "b"))
+        self.assertEqual({"e0"}, self.index.holders(("a",)))
+
+
+class AffinityTest(unittest.TestCase):
+    def choose(self, filled_tokens, prompt_tokens=1500):
+        index = PrefixIndex()
+        prefix = tuple(str(n) for n in range(prompt_tokens // PREFIX_BLOCK_TOKENS))
+        index.place("e0", prefix)
+        loan = Loan(20, 10_000, 9_000, 1, 1e9)
+        caching = Candidate(make_target("e0"), reserved_tokens=filled_tokens, loan=loan)
+        other = Candidate(make_target("e1"), loan=loan)
+        request = make_request(prompt_tokens=prompt_tokens, prefix=prefix)
+        choice = Choice(request, 0.0, 100, index)
+        chosen = POLICY_KINDS["credit"]().choose(choice, [caching, other])
+        return chosen.target.name
+
+    def test_cached_prefix_wins_between_equals(self):
+        self.assertEqual("e0", self.choose(0))
+
+    def test_affinity_never_beats_memory(self):
+        self.assertEqual("e1", self.choose(9_000))
+
+    def test_affinity_never_beats_prefill_ahead_by_more_than_its_limit(self):
+        index = PrefixIndex()
+        prefix = tuple(str(n) for n in range(11))
+        index.place("e0", prefix)
+        loan = Loan(20, 100_000, 90_000, 1, 1e9)
+        for ahead, expected in (
+            (AFFINITY_LIMIT_TOKENS - 100, "e0"),
+            (AFFINITY_LIMIT_TOKENS + 100, "e1"),
+        ):
+            caching = Candidate(make_target("e0"), prefill_tokens=ahead, loan=loan)
+            other = Candidate(make_target("e1"), loan=loan)
+            request = make_request(prompt_tokens=1500, prefix=prefix)
+            choice = Choice(request, 0.0, 100, index)
+            chosen = POLICY_KINDS["credit"]().choose(choice, [caching, other])
+            self.assertEqual(expected, chosen.target.name)
