--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -84,6 +84,11 @@
         """The address in use, once started."""
         return self._server.address if self._server else self._address
 
+    @property
+    def running(self) -> int:
+        """How many callers' requests have no answer yet."""
+        return self.application.running if self.application else 0
+
     async def start(self) -> None:
         """Open the port."""
         self._sessions = [open_session(), open_fresh_session()]
@@ -127,6 +132,12 @@
 
     async def kill(self) -> None:
         """Cut all connections at once, as a process that dies."""
+        if self._server is not None:
+            self._server.abort()
+        if self.application is not None:
+            self.application.table.close()
+        for session in self._sessions:
+            await session.close()
         if self._server is not None:
             await self._server.kill()
         await self._close()
