--- a/endivesill/entry/application.py
+++ b/endivesill/entry/application.py
@@ -10,6 +10,7 @@
 from endivesill.entry.calls import parse_generation_call
 from endivesill.entry.context import EntryContext
 from endivesill.entry.events import (
+    CALLER_GONE,
     REQUEST_ENDED,
     REQUEST_FAILED,
     REQUEST_RECEIVED,
@@ -58,6 +59,9 @@
         try:
             await self._answer(request, answer)
             self._note_end(request, answer)
+        except errors.CallerGoneError as error:
+            events.emit(CALLER_GONE, request_id=answer.request_id)
+            await answer.problem(error)
         except errors.EndivesillError as error:
             self._note_refusal(request, answer, error)
             await answer.problem(error)
--- a/endivesill/entry/claims.py
+++ b/endivesill/entry/claims.py
@@ -141,6 +141,7 @@
         key: str,
         digest: str,
         limits: Limits,
+        request_id: str,
     ) -> Claim:
         """Claim a key; wait for one that runs elsewhere, for a bounded time.
 
@@ -168,10 +169,15 @@
             is_waiting = result["state"] == "running"
             if is_waiting and await self._wait(message, result, deadline_s):
                 continue
-            return self._claim(message, result)
-
-    def _claim(self, message: Message, result: Message) -> Claim:
-        events.emit(CLAIM_ANSWERED, ledger_id=message["id"], state=result["state"])
+            return self._claim(message, result, request_id)
+
+    def _claim(self, message: Message, result: Message, request_id: str) -> Claim:
+        events.emit(
+            CLAIM_ANSWERED,
+            request_id=request_id,
+            ledger_id=message["id"],
+            state=result["state"],
+        )
         if result["state"] == "full":
             raise errors.RefusedError("ledger-full", retry_after_s=POLL_LIMIT_S)
         state = ClaimState(result["state"])
--- a/endivesill/entry/events.py
+++ b/endivesill/entry/events.py
@@ -3,6 +3,7 @@
 from endivesill import events
 
 __all__ = [
+    "CALLER_GONE",
     "CALL_SENT",
     "CALL_SKIPPED",
     "CLAIM_ANSWERED",
@@ -17,6 +18,7 @@
     "REQUEST_RECEIVED",
     "REQUEST_REFUSED",
     "REQUEST_RETRIED",
+    "STREAM_BROKEN",
     "STREAM_RECONNECTED",
     "STREAM_RESUMED",
     "STREAM_STALLED",
@@ -73,3 +75,9 @@
 REQUEST_FAILED = events.define(
     2017, "request-failed", "A request met a fault of the entry itself."
 )
+STREAM_BROKEN = events.define(
+    2018, "stream-broken", "A caller was told that its stream ends here."
+)
+CALLER_GONE = events.define(
+    2019, "caller-gone", "A caller went away before the end of its answer."
+)
--- a/endivesill/entry/http.py
+++ b/endivesill/entry/http.py
@@ -20,7 +20,6 @@
 RawHeaders = list[tuple[bytes, bytes]]
 
 PROBLEM_TYPE = b"application/problem+json"
-CALLER_GONE_STATUS = 499
 
 
 class AsgiRequest:
@@ -62,8 +61,8 @@
         """Read the whole body.
 
         Raises:
-          RequestError: it is too large (413) or too slow (408), or the caller
-            went away (499).
+          RequestError: it is too large (413) or too slow (408).
+          CallerGoneError: the caller went away.
         """
         length = self.header("content-length")
         if length is not None and length.isdigit() and int(length) > limit_bytes:
@@ -80,7 +79,7 @@
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
-                raise caller_gone()
+                raise errors.CallerGoneError()
             chunk = message.get("body", b"")
             size += len(chunk)
             if size > limit_bytes:
@@ -100,7 +99,7 @@
         """Run some work and cancel it when the caller goes away.
 
         Raises:
-          RequestError: the caller went away (499).
+          CallerGoneError: the caller went away.
         """
         task = asyncio.ensure_future(work)
         watcher = asyncio.ensure_future(self.disconnected())
@@ -110,17 +109,12 @@
         except asyncio.CancelledError:
             if not watcher.done() or watcher.cancelled():
                 raise
-            raise caller_gone() from None
+            raise errors.CallerGoneError() from None
         finally:
             task.cancel()
             watcher.cancel()
 
 
-def caller_gone() -> errors.RequestError:
-    """Return the error of a caller that went away."""
-    return errors.RequestError(CALLER_GONE_STATUS, "the caller went away")
-
-
 class Answer:
     """The answer to one request; it is begun once and ended once.
 
@@ -158,14 +152,10 @@
         An answer that has begun is cut off in its place, so that the caller
         does not take it for whole.
         """
-        if self.status:
+        if self.status or isinstance(error, errors.CallerGoneError):
             self.abort()
             return
         status, document = problem_document(self.request_id, error)
-        if status == CALLER_GONE_STATUS:
-            self.status = status
-            self.abort()
-            return
         headers: RawHeaders = [(b"content-type", PROBLEM_TYPE)]
         if "retry_after_s" in document:
             seconds = max(1, math.ceil(document["retry_after_s"]))
--- a/endivesill/entry/plain.py
+++ b/endivesill/entry/plain.py
@@ -110,7 +110,7 @@
         return
     digest = request_digest(call.method, call.path, call.body)
     claim = await context.claims.claim(
-        call.organisation, call.service, call.key, digest, limits
+        call.organisation, call.service, call.key, digest, limits, answer.request_id
     )
     if claim.state is not ClaimState.CLAIMED:
         await _answer_known(answer, claim)
--- a/endivesill/entry/streaming.py
+++ b/endivesill/entry/streaming.py
@@ -7,7 +7,7 @@
 from endivesill import errors, events
 from endivesill.configuration.model import Limits
 from endivesill.entry.context import EntryContext
-from endivesill.entry.events import READER_STALLED
+from endivesill.entry.events import READER_STALLED, STREAM_BROKEN
 from endivesill.entry.generations import Generation
 from endivesill.entry.http import Answer, AsgiRequest, problem_document
 from endivesill.entry.relay import Relay
@@ -78,6 +78,13 @@
         if isinstance(error, errors.SupersededError):
             self._answer.abort()
             return
+        events.emit(
+            STREAM_BROKEN,
+            request_id=self._answer.request_id,
+            generation_id=self._relay.generation_id,
+            next_index=self._relay.next_index,
+            error=str(error),
+        )
         _, document = problem_document(self._answer.request_id, error)
         document["generation"] = self._relay.generation_id
         document["next_index"] = self._relay.next_index
--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -5,6 +5,7 @@
 import enum
 
 __all__ = [
+    "CallerGoneError",
     "ConflictError",
     "DeadlineExceededError",
     "EndivesillError",
@@ -100,6 +101,13 @@
         self.field = field
 
 
+class CallerGoneError(EndivesillError):
+    """A caller that went away before the end of its answer."""
+
+    def __init__(self) -> None:
+        super().__init__("the caller went away")
+
+
 class RefusedError(EndivesillError):
     """Work that endivesill does not take or could not complete.
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -194,7 +194,9 @@
         service = Service("app", protocol="plain", deadline_s=deadline_s)
         organisation = Organisation("o", key_sha256="0" * 64)
         limits = Limits("default")
-        return await claims.claim(organisation, service, key, self.digest, limits)
+        return await claims.claim(
+            organisation, service, key, self.digest, limits, "request"
+        )
 
     async def test_a_waiting_entry_gets_the_answer_of_the_running_one(self):
         claim = await self.claim(self.first)
