--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,63 @@
+"""Tests of the story of a request from log lines."""
+
+import json
+import unittest
+
+from endivesill.explain import explain, format_json, format_text
+
+
+def line(time_s, name, **fields):
+    document = {"timestamp": time_s, "event": 1, "message_type": name, **fields}
+    return json.dumps({**document, "task_uuid": "u", "task_level": [1]})
+
+
+FIRST = [
+    line(10.0, "request-received", request_id="r", organisation="farriers"),
+    line(
+        10.1,
+        "route-chosen",
+        request_id="r",
+        target="e1",
+        rejected={"e2": "cold", "e3": "full"},
+    ),
+    line(10.2, "generation-started", request_id="r", generation_id="g", target="e1"),
+    line(11.0, "request-received", request_id="other"),
+    "not a log line",
+    line(12.0, "stream-broken", request_id="r", generation_id="g", error="gone"),
+    line(12.1, "request-ended", request_id="r", status=200),
+]
+SECOND = [
+    line(13.0, "stream-reconnected", request_id="s", generation_id="g", target="e1")
+]
+
+
+class ExplainTest(unittest.TestCase):
+    def test_a_request_is_told_from_the_lines_of_all_entries(self):
+        story = explain(SECOND + FIRST, "r")
+        self.assertEqual("farriers", story.organisation)
+        self.assertEqual(
+            (("e1",), "stream-broken: gone"), (story.targets, story.ending)
+        )
+        self.assertEqual("stream-reconnected", story.steps[-1].name)
+        self.assertEqual(6, len(story.steps))
+
+    def test_the_text_names_what_was_passed_over_and_why(self):
+        text = format_text(explain(FIRST, "r"))
+        self.assertIn("chosen       e1\n  passed over e2: cold\n", text)
+        self.assertIn("+2.000 s  stream-broken        generation_id=g error=gone", text)
+
+    def test_rejections_may_be_pairs_or_names(self):
+        for rejected, expected in (
+            ([["e2", "cold"]], {"e2": "cold"}),
+            (["e2"], {"e2": ""}),
+            (3, {}),
+        ):
+            chosen = line(1.0, "route-chosen", request_id="r", rejected=rejected)
+            self.assertEqual((expected,), explain([chosen], "r").rejected)
+
+    def test_the_json_form_can_be_written(self):
+        document = json.loads(json.dumps(format_json(explain(FIRST, "r"))))
+        self.assertEqual("r", document["request_id"])
+
+    def test_an_unknown_request_has_no_story(self):
+        self.assertIsNone(explain(FIRST, "nobody"))
