--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -5,22 +5,30 @@
 import enum
 
 __all__ = [
+    "CallerGoneError",
     "ConflictError",
     "DeadlineExceededError",
+    "DiskFullError",
     "EndivesillError",
     "FindingsError",
+    "GrantExpiredError",
     "NotLeaderError",
     "OutcomeUnknownError",
+    "PeerMessageError",
     "PeerUnreachableError",
     "RefusedError",
     "RequestError",
     "RunState",
     "StorageCorruptError",
     "StorageError",
+    "SupersededError",
     "TargetError",
     "TargetGoneError",
     "TargetRefusedError",
+    "TargetUnreachableError",
     "UnavailableError",
+    "UnsafeChangeError",
+    "VmListError",
 ]
 
 
@@ -51,6 +59,14 @@
     """A peer that did not answer; the message may or may not have arrived."""
 
 
+class PeerMessageError(EndivesillError):
+    """A message from a peer that cannot be read."""
+
+
+class VmListError(EndivesillError):
+    """A VM list that cannot be read."""
+
+
 class UnavailableError(EndivesillError):
     """No quorum, no leader or no lease: nothing was changed."""
 
@@ -71,6 +87,10 @@
     """A proposal that may or may not have been committed."""
 
 
+class UnsafeChangeError(EndivesillError):
+    """A change of voters that would risk the quorum; nothing was changed."""
+
+
 class ConflictError(EndivesillError):
     """An operator's change that lost against another one."""
 
@@ -79,6 +99,10 @@
     """A disk that refused a write or a sync."""
 
 
+class DiskFullError(StorageError):
+    """A write that found no space; it may be tried again."""
+
+
 class StorageCorruptError(StorageError):
     """A damaged record that is not the torn tail of a log."""
 
@@ -97,6 +121,13 @@
         self.field = field
 
 
+class CallerGoneError(EndivesillError):
+    """A caller that went away before the end of its answer."""
+
+    def __init__(self) -> None:
+        super().__init__("the caller went away")
+
+
 class RefusedError(EndivesillError):
     """Work that endivesill does not take or could not complete.
 
@@ -142,5 +173,25 @@
         super().__init__(detail, RunState.NOT_RUN)
 
 
+class TargetUnreachableError(TargetRefusedError):
+    """A target to which no connection was made: no byte went out."""
+
+
+class GrantExpiredError(TargetUnreachableError):
+    """An attempt whose leave to start ended before its first byte went out."""
+
+
+class SupersededError(TargetError):
+    """A generation that a newer attempt streams."""
+
+
 class TargetGoneError(TargetError):
-    """A generation that no engine holds any more."""
+    """A generation that an engine does not hold.
+
+    Attributes:
+      moved_to: the address of the engine that it was moved to; empty if none.
+    """
+
+    def __init__(self, detail: str, moved_to: str = "") -> None:
+        super().__init__(detail)
+        self.moved_to = moved_to
--- a/endivesill/keys.py
+++ b/endivesill/keys.py
@@ -53,10 +53,22 @@
             raise errors.FindingsError(findings)
         return cls(keys)
 
+    def texts(self) -> tuple[str, ...]:
+        """Return the valid keys, the one to send first."""
+        return tuple(key.decode() for key in self._keys)
+
     def authorization(self) -> str:
         """Return the value of the Authorization header to send."""
         return f"Bearer {self._keys[0].decode()}"
 
+    def sign(self, message: bytes) -> bytes:
+        """Return the HMAC-SHA-256 of a message under the key to send."""
+        return hmac.digest(self._keys[0], message, "sha256")
+
+    def signatures(self, message: bytes) -> list[bytes]:
+        """Return the HMAC-SHA-256 of a message under each valid key."""
+        return [hmac.digest(key, message, "sha256") for key in self._keys]
+
     def accepts(self, authorization: str | None) -> bool:
         """Tell whether an Authorization header carries a valid key.
 
