--- a/endivesill/configuration/events.py
+++ b/endivesill/configuration/events.py
@@ -3,13 +3,10 @@
 from endivesill import events
 
 __all__ = [
-    "CHANGE_ANSWERED",
     "CONFIGURATION_IN_FORCE",
     "COPY_DAMAGED",
     "COPY_FETCHED",
     "COPY_NOT_KEPT",
-    "KEYS_KEPT",
-    "KEYS_RELOADED",
     "LEASE_GAINED",
     "LEASE_LOST",
     "UPSTREAM_FAILED",
@@ -43,17 +40,8 @@
     "configuration-copy-damaged",
     "The configuration does not match its digest; a full copy is fetched.",
 )
-CHANGE_ANSWERED = events.define(
-    5007, "change-answered", "An operator's change was answered."
-)
 COPY_NOT_KEPT = events.define(
     5008,
     "configuration-copy-not-kept",
     "The copy could not be written to disk; a restart will fetch a full copy.",
 )
-KEYS_RELOADED = events.define(5101, "keys-reloaded", "The key file was read again.")
-KEYS_KEPT = events.define(
-    5102,
-    "keys-kept",
-    "The key file has changed but cannot be used; the former keys stay valid.",
-)
--- a/endivesill/keys.py
+++ b/endivesill/keys.py
@@ -5,14 +5,24 @@
 import hashlib
 import hmac
 import pathlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from endivesill import errors
+from endivesill import errors, events
 from endivesill.findings import Finding
+from endivesill.kernel import Service
+from endivesill.timer import TimerHandle, TimerService
 
-__all__ = ["KeyRing", "bearer_key", "hash_key"]
+__all__ = ["KeyFileWatch", "KeyRing", "bearer_key", "hash_key"]
 
 MINIMUM_KEY_LENGTH = 16
+KEY_FILE_POLL_S = 2.0
+
+KEYS_RELOADED = events.define(1011, "keys-reloaded", "The key file was read again.")
+KEYS_KEPT = events.define(
+    1012,
+    "keys-kept",
+    "The key file has changed but cannot be used; the former keys stay valid.",
+)
 
 
 class KeyRing:
@@ -24,9 +34,20 @@
 
     def __init__(self, keys: Iterable[str]) -> None:
         self._keys = [key.encode() for key in keys]
+        self._listeners: list[Callable[[], None]] = []
         if not self._keys:
             raise errors.EndivesillError("a key ring needs one key at least")
 
+    def replace(self, other: KeyRing) -> None:
+        """Take another ring's keys, for everyone who holds this ring."""
+        self._keys = list(other._keys)
+        for listener in self._listeners:
+            listener()
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a listener after the keys were replaced."""
+        self._listeners.append(listener)
+
     @classmethod
     def from_file(cls, path: str) -> KeyRing:
         """Read a key file: one key a line, lines with # are comments.
@@ -79,6 +100,53 @@
         return any(matches)
 
 
+class KeyFileWatch(Service):
+    """Reads a key file again when it changes.
+
+    Args:
+      timer: the timer service.
+      keys: the ring that takes the file's keys.
+      path: the key file.
+    """
+
+    def __init__(self, timer: TimerService, keys: KeyRing, path: str) -> None:
+        self._timer = timer
+        self._keys = keys
+        self._path = path
+        self._version = self._read_version()
+        self._handle: TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Begin to look at the file."""
+        self._handle = self._timer.call_every(KEY_FILE_POLL_S, self.poll)
+
+    async def stop(self) -> None:
+        """Look no more."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def poll(self) -> None:
+        """Read the file if it has changed; a wrong file changes no key."""
+        version = self._read_version()
+        if version == self._version:
+            return
+        self._version = version
+        try:
+            keys = KeyRing.from_file(self._path)
+        except errors.FindingsError as error:
+            events.emit(KEYS_KEPT, file=self._path, error=str(error))
+            return
+        self._keys.replace(keys)
+        events.emit(KEYS_RELOADED, file=self._path, count=len(keys.texts()))
+
+    def _read_version(self) -> tuple[int, int, int]:
+        try:
+            status = pathlib.Path(self._path).stat()
+        except OSError:
+            return (0, 0, 0)
+        return (status.st_mtime_ns, status.st_size, status.st_ino)
+
+
 def bearer_key(authorization: str | None) -> str | None:
     """Return the key of a bearer Authorization header, or None."""
     scheme, _, key = (authorization or "").partition(" ")
