--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -18,18 +18,24 @@
 from endivesill.control.remote import RemoteControlClient
 from endivesill.control.replica import ControlReplica
 from endivesill.control.settings import ControlSettings
+from endivesill.control.voters import VoterOperations
 from endivesill.drain import DrainService
 from endivesill.entry.budget import SharedRetryBudget
 from endivesill.entry.service import EntryService
 from endivesill.entry.settings import EntrySettings
 from endivesill.kernel import Kernel, Service
-from endivesill.keys import KeyRing
+from endivesill.keys import KeyFileWatch, KeyRing
 from endivesill.membership.datagrams import UdpDatagramTransport
 from endivesill.membership.service import SwimMembership
 from endivesill.membership.settings import MembershipSettings
 from endivesill.membership.view import VmState
 from endivesill.membership.vm_list_watch import VmListWatch
 from endivesill.metrics import Metrics
+from endivesill.operators import (
+    ConfigurationProgress,
+    OperatorApplication,
+    OperatorPort,
+)
 from endivesill.peers import HttpPeerTransport
 from endivesill.routing import Backoff, Lender, PrefixIndex, Router, Wallet
 from endivesill.server import HttpServer
@@ -148,6 +154,8 @@
     if "entry" in vm.roles:
         _add_entry(kernel, settings, keys, metrics, transport, source, membership)
     kernel.add("vm-list", _vm_list(kernel, settings, membership, source, drain))
+    kernel.add("key-file", KeyFileWatch(timer, keys, vm.key_file))
+    _add_operators(kernel, settings, keys, metrics, transport, membership)
     return kernel
 
 
@@ -243,6 +251,34 @@
     kernel.add("entry", entry)
 
 
+def _add_operators(
+    kernel: Kernel,
+    settings: Settings,
+    keys: KeyRing,
+    metrics: Metrics,
+    transport: HttpPeerTransport,
+    membership: SwimMembership,
+) -> None:
+    vm = settings.vm
+    watcher = kernel.find("configuration", ConfigurationWatcher)
+    client = RemoteControlClient(kernel.timer, transport, vm.control_addresses)
+    application = OperatorApplication(
+        timer=kernel.timer,
+        vm=vm,
+        keys=keys,
+        metrics=metrics,
+        control=kernel.find("control", ControlClient),
+        voters=VoterOperations(client),
+        membership=membership,
+        configuration=watcher,
+        progress=ConfigurationProgress(
+            transport, membership, watcher.control_addresses
+        ),
+        drain=kernel.find("drain", DrainService),
+    )
+    kernel.add("operators", OperatorPort(application))
+
+
 def _is_gone(membership: SwimMembership, instance_id: str) -> bool:
     """Tell whether a VM instance is known to be gone."""
     return all(
