Hash the digest of the fleet by BLAKE2 in place of a CRC

Cause: a CRC is linear, so the equal step of two VMs from joining to alive cancelled out in the XOR of all checksums.

Change: BLAKE2 of 4 bytes; a VM that is alone looks for others every second.

--- a/endivesill/membership/messages.py
+++ b/endivesill/membership/messages.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 import json
-import zlib
 from typing import Any
 
 import attrs
@@ -31,6 +31,8 @@
     "encode_update",
 ]
 
+CHECKSUM_BYTES = 4
+
 _ROLE_LETTERS = {"entry": "e", "control": "c"}
 _LETTER_ROLES = {letter: role for role, letter in _ROLE_LETTERS.items()}
 
@@ -193,7 +195,10 @@
 
 
 def _checksum(*parts: Any) -> int:
-    return zlib.crc32("|".join(str(part) for part in parts).encode())
+    # A CRC is linear: equal changes of two VMs would cancel out in the digest.
+    text = "|".join(str(part) for part in parts)
+    digest = hashlib.blake2b(text.encode(), digest_size=CHECKSUM_BYTES).digest()
+    return int.from_bytes(digest, "big")
 
 
 def encode_update(update: Update, *, full: bool = False) -> list[Any]:
--- a/endivesill/membership/service.py
+++ b/endivesill/membership/service.py
@@ -48,6 +48,7 @@
 
 TICK_S = 0.5
 PAUSE_LIMIT_S = 1.5
+ALONE_RETRY_S = 1.0
 
 
 class SwimMembership(MembershipView):
@@ -268,7 +269,10 @@
     async def _retry_gone(self) -> None:
         """Try VMs that are gone, and addresses without a VM, now and then."""
         while True:
-            pause_s = self._settings.gone_retry_s * self._rng.uniform(0.5, 1.5)
+            pause_s = self._settings.gone_retry_s
+            if not self.table.others():
+                pause_s = min(pause_s, ALONE_RETRY_S)
+            pause_s *= self._rng.uniform(0.5, 1.5)
             await self._timer.sleep(pause_s)
             self.table.forget_gone(self._settings.gone_kept_s)
             gone = self.table.gone()
--- a/tests/test_membership_messages.py
+++ b/tests/test_membership_messages.py
@@ -74,6 +74,18 @@
                 decode_datagram(text.encode())
 
 
+class ChecksumTest(unittest.TestCase):
+    def test_equal_changes_of_two_vms_do_not_cancel_out(self):
+        digests = []
+        for incarnation, phase in ((1000, Phase.JOINING), (1001, Phase.ALIVE)):
+            one, two = (
+                VmUpdate(name, "instance", incarnation, phase, Health.OK)
+                for name in ("vm-1", "vm-2")
+            )
+            digests.append(one.checksum() ^ two.checksum())
+        self.assertNotEqual(digests[0], digests[1])
+
+
 class UdpTest(unittest.IsolatedAsyncioTestCase):
     async def open(self, *keys):
         transport = UdpDatagramTransport("127.0.0.1:0", keys)
