--- a/endivesill/explain.py
+++ b/endivesill/explain.py
@@ -62,7 +62,7 @@
       request_id: the request.
       organisation: whose request it is, or an empty string.
       targets: the targets that were chosen, in order.
-      rejected: the targets passed over for each choice, with the reason.
+      rejected: for each choice, how many targets were passed over, by reason.
       ending: the name of the event that ended it, with its reason.
       steps: all lines, in order of time.
     """
@@ -70,7 +70,7 @@
     request_id: str
     organisation: str
     targets: tuple[str, ...]
-    rejected: tuple[dict[str, str], ...]
+    rejected: tuple[dict[str, int], ...]
     ending: str
     steps: tuple[Step, ...]
 
@@ -153,19 +153,10 @@
     return OPEN_ENDING
 
 
-def _rejected(value: Any) -> dict[str, str]:
-    """Return rejected targets with reasons, however the policy wrote them."""
-    if isinstance(value, Mapping):
-        return {str(name): str(reason) for name, reason in value.items()}
-    if not isinstance(value, (list, tuple)):
+def _rejected(value: Any) -> dict[str, int]:
+    if not isinstance(value, Mapping):
         return {}
-    found = {}
-    for item in value:
-        if isinstance(item, (list, tuple)) and len(item) == 2:
-            found[str(item[0])] = str(item[1])
-        else:
-            found[str(item)] = ""
-    return found
+    return {str(reason): int(count) for reason, count in value.items()}
 
 
 def format_json(story: Story) -> dict[str, Any]:
@@ -183,8 +174,8 @@
     for target, rejected in zip(story.targets, story.rejected, strict=True):
         lines.append(f"chosen       {target}")
         lines += [
-            f"  passed over {name}: {reason or 'no reason given'}"
-            for name, reason in sorted(rejected.items())
+            f"  passed over {count}: {reason}"
+            for reason, count in sorted(rejected.items())
         ]
     lines.append("")
     begin_s = story.steps[0].time_s
