--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -8,11 +8,13 @@
     "CallerGoneError",
     "ConflictError",
     "DeadlineExceededError",
+    "DiskFullError",
     "EndivesillError",
     "FindingsError",
     "GrantExpiredError",
     "NotLeaderError",
     "OutcomeUnknownError",
+    "PeerMessageError",
     "PeerUnreachableError",
     "RefusedError",
     "RequestError",
@@ -25,6 +27,8 @@
     "TargetRefusedError",
     "TargetUnreachableError",
     "UnavailableError",
+    "UnsafeChangeError",
+    "VmListError",
 ]
 
 
@@ -55,6 +59,14 @@
     """A peer that did not answer; the message may or may not have arrived."""
 
 
+class PeerMessageError(EndivesillError):
+    """A message from a peer that cannot be read."""
+
+
+class VmListError(EndivesillError):
+    """A VM list that cannot be read."""
+
+
 class UnavailableError(EndivesillError):
     """No quorum, no leader or no lease: nothing was changed."""
 
@@ -75,6 +87,10 @@
     """A proposal that may or may not have been committed."""
 
 
+class UnsafeChangeError(EndivesillError):
+    """A change of voters that would risk the quorum; nothing was changed."""
+
+
 class ConflictError(EndivesillError):
     """An operator's change that lost against another one."""
 
@@ -83,6 +99,10 @@
     """A disk that refused a write or a sync."""
 
 
+class DiskFullError(StorageError):
+    """A write that found no space; it may be tried again."""
+
+
 class StorageCorruptError(StorageError):
     """A damaged record that is not the torn tail of a log."""
 
