--- a/bench/standin_engine.py
+++ b/bench/standin_engine.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import collections
-import hashlib
 import json
 import pathlib
 import random
@@ -25,6 +24,11 @@
 from starlette.routing import Route
 
 from bench.standin_generation import StandinGeneration
+from endivesill.routing.prefixes import (
+    CHARACTERS_PER_TOKEN,
+    PREFIX_BLOCK_TOKENS,
+    prefix_hashes,
+)
 from endivesill.server import HttpServer
 from endivesill.timer import SystemTimer, TimerService
 
@@ -33,9 +37,6 @@
 KEPT_GENERATIONS = 10_000
 KEPT_CACHE_EVENTS = 1000
 CACHED_PREFIXES = 256
-CHARACTERS_PER_TOKEN = 4
-BLOCK_CHARACTERS = 512
-HASH_BYTES = 8
 NOT_RUN = {"X-Run": "not-run"}
 
 
@@ -318,12 +319,8 @@
         return JSONResponse(self._reports[0][1])
 
     def _cache(self, prompt: str) -> None:
-        digest = hashlib.blake2b(digest_size=HASH_BYTES)
-        for number in range(len(prompt) // BLOCK_CHARACTERS):
-            begin = number * BLOCK_CHARACTERS
-            digest.update(prompt[begin : begin + BLOCK_CHARACTERS].encode())
-            prefix = digest.copy().hexdigest()
-            tokens = (number + 1) * BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
+        for number, prefix in enumerate(prefix_hashes(prompt), start=1):
+            tokens = number * PREFIX_BLOCK_TOKENS
             if prefix not in self._prefixes:
                 self._cache_event("stored", prefix, tokens)
             self._prefixes[prefix] = tokens
--- a/endivesill/entry/application.py
+++ b/endivesill/entry/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import uuid
 
@@ -11,6 +12,7 @@
 from endivesill.entry.context import EntryContext
 from endivesill.entry.events import (
     CALLER_GONE,
+    GENERATION_STAYED,
     REQUEST_ENDED,
     REQUEST_FAILED,
     REQUEST_RECEIVED,
@@ -21,6 +23,7 @@
 from endivesill.entry.identity import parse_event_id
 from endivesill.entry.plain import answer_plain, parse_plain_request
 from endivesill.entry.reconnect import reconnect
+from endivesill.entry.relay import Relay
 from endivesill.entry.streaming import stream_generation
 from endivesill.entry.table import RelayTable
 from endivesill.entry.whole import answer_whole
@@ -29,6 +32,7 @@
 __all__ = ["EntryApplication"]
 
 GENERATION_PATHS = ("/v1/completions", "/v1/chat/completions")
+MOVE_WAIT_S = 1.0
 LAST_EVENT_HEADER = "last-event-id"
 
 _log = logging.getLogger(__name__)
@@ -139,24 +143,33 @@
     async def move_generations(self, target_name: str) -> None:
         """Let an engine that goes away soon hand its generations to others.
 
-        Those that it cannot hand over stay and finish there.
+        Those that it cannot hand over stay and finish there if they can.
         """
-        for relay in self.table.running_at(target_name):
-            request = relay.grant.request
-            route = RouteRequest(
+        relays = self.table.running_at(target_name)
+        await asyncio.gather(*(self._move(relay) for relay in relays))
+
+    async def _move(self, relay: Relay) -> None:
+        request = relay.grant.request
+        route = RouteRequest(
+            request_id=relay.request_id,
+            service=request.service,
+            organisation=request.organisation,
+            prompt_tokens=request.prompt_tokens + relay.next_index,
+            maximum_output_tokens=request.maximum_output_tokens,
+            priority=request.priority,
+            deadline_s=self._context.timer.now_s() + MOVE_WAIT_S,
+            excluded=frozenset((relay.target.name,)),
+        )
+        try:
+            await relay.move(await self._context.router.acquire(route))
+        except (errors.RefusedError, errors.TargetError) as error:
+            events.emit(
+                GENERATION_STAYED,
                 request_id=relay.request_id,
-                service=request.service,
-                organisation=request.organisation,
-                prompt_tokens=request.prompt_tokens + relay.next_index,
-                maximum_output_tokens=request.maximum_output_tokens,
-                priority=request.priority,
-                deadline_s=self._context.timer.now_s(),
-                excluded=frozenset((target_name,)),
+                generation_id=relay.generation_id,
+                target=relay.target.name,
+                error=str(error),
             )
-            try:
-                await relay.move(await self._context.router.acquire(route))
-            except (errors.RefusedError, errors.TargetError) as error:
-                _log.info("generation %s stays: %s", relay.generation_id, error)
 
     def _note_end(self, request: AsgiRequest, answer: Answer) -> None:
         events.emit(
--- a/endivesill/entry/calls.py
+++ b/endivesill/entry/calls.py
@@ -8,10 +8,10 @@
 import attrs
 
 from endivesill import errors
+from endivesill.routing.prefixes import CHARACTERS_PER_TOKEN
 
 __all__ = ["GenerationCall", "parse_generation_call"]
 
-CHARACTERS_PER_TOKEN = 4
 LARGEST_OUTPUT_TOKENS = 10_000_000
 
 
--- a/endivesill/entry/events.py
+++ b/endivesill/entry/events.py
@@ -12,6 +12,7 @@
     "GENERATION_KEPT",
     "GENERATION_MOVED",
     "GENERATION_STARTED",
+    "GENERATION_STAYED",
     "READER_STALLED",
     "REQUEST_ENDED",
     "REQUEST_FAILED",
@@ -81,3 +82,8 @@
 CALLER_GONE = events.define(
     2019, "caller-gone", "A caller went away before the end of its answer."
 )
+GENERATION_STAYED = events.define(
+    2020,
+    "generation-stayed",
+    "A leaving engine could not hand a generation to another one.",
+)
--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -89,6 +89,11 @@
         """How many callers' requests have no answer yet."""
         return self.application.running if self.application else 0
 
+    def target_leaving(self, target_name: str) -> None:
+        """Let an engine that goes away soon hand its generations to others."""
+        if self.application is not None:
+            self._background.spawn(self.application.move_generations(target_name))
+
     async def start(self) -> None:
         """Open the port."""
         self._sessions = [open_session(), open_fresh_session()]
--- a/tests/sessions.py
+++ b/tests/sessions.py
@@ -66,6 +66,8 @@
         self.assertEqual(path.read_text(encoding="utf-8"), text)
 
     def note(self, kind, fields):
+        if "request_id" not in fields:
+            return
         if kind.number in ROUTING:
             fields = {k: v for k, v in fields.items() if k in ROUTING_FIELDS}
         shown = " ".join(f"{key}={value}" for key, value in fields.items())
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -226,7 +226,8 @@
         stream = asyncio.ensure_future(self.stream(self.urls[0], max_tokens=300))
         await until(lambda: self.engine.generated_tokens > 10)
         other = await self.fleet.add_engine("b")
-        await self.fleet.entries[0].application.move_generations("a")
+        self.fleet.entries[0].target_leaving("a")
+        await until(lambda: other.generations)
         await self.fleet.servers["a"].kill()
         _, text = await stream
         self.assertEqual(numbered(300), words(text))
@@ -246,6 +247,7 @@
         await self.fleet.entries[0].application.move_generations("a")
         _, text = await stream
         self.assertEqual(numbered(100), words(text))
+        self.assertIn("generation-stayed", self.seen)
 
 
 class SlowReaderTest(StreamTestCase):
