--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -43,6 +43,7 @@
         self._address = address
         self._target = target
         self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
         self.bytes = 0
 
     async def start(self) -> None:
@@ -51,9 +52,12 @@
         self._server = await asyncio.start_server(self._accept, host, int(port))
 
     async def stop(self) -> None:
-        """Accept no more."""
+        """Accept no more and end the connections."""
         if self._server is not None:
             self._server.close()
+        for writer in self._writers:
+            writer.close()
+        await asyncio.sleep(POLL_S)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -61,6 +65,7 @@
         host, port = self._target.split(":")
         with contextlib.suppress(OSError):
             inner_reader, inner_writer = await asyncio.open_connection(host, int(port))
+            self._writers += [writer, inner_writer]
             await asyncio.gather(
                 self._pump(reader, inner_writer), self._pump(inner_reader, writer)
             )
