Let proposals of one process share calls to the leader

Change: a client has two calls under way at most, and what comes meanwhile goes with the next. A connection that never came about is told apart, so that a proposal that was not sent is known not to have run.

--- a/endivesill/control/remote.py
+++ b/endivesill/control/remote.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from endivesill import errors
+from endivesill.control.batching import ProposalBatcher
 from endivesill.control.client import ControlClient
 from endivesill.control.wire import raise_command_failure, raise_error
 from endivesill.peers import Message, PeerTransport
@@ -22,6 +23,7 @@
 BACKOFF_S = 0.05
 BACKOFF_LIMIT_S = 0.2
 LONGEST_PROPOSAL_S = 600.0
+REDIRECTS = 3
 
 
 class RemoteControlClient(ControlClient):
@@ -53,6 +55,11 @@
         self._client = uuid.uuid4().hex
         self._sequence = itertools.count(1)
         self._unanswered: set[int] = set()
+        self._batcher = ProposalBatcher(timer, self._send_proposals)
+
+    async def stop(self) -> None:
+        """End the calls that are under way."""
+        self._batcher.close()
 
     async def propose(
         self, command: str, message: Message, timeout_s: float
@@ -69,12 +76,19 @@
             "answered": min(self._unanswered),
         }
         try:
-            outcome = await self.call_leader(PROPOSE_PATH, request, timeout_s)
+            outcome = await self._batcher.propose(request, timeout_s)
         finally:
             self._unanswered.discard(sequence)
         raise_command_failure(outcome)
         return outcome["result"]
 
+    async def _send_proposals(
+        self, proposals: list[Message], timeout_s: float
+    ) -> list[Message]:
+        message = {"proposals": proposals}
+        answer = await self.call_leader(PROPOSE_PATH, message, timeout_s)
+        return answer["outcomes"]
+
     async def query(self, query: str, message: Message, timeout_s: float) -> Message:
         """Run a linearizable query; see the base class."""
         request = {"query": query, "message": message}
@@ -106,6 +120,7 @@
         end_s = self._timer.now_s() + timeout_s
         backoff_s = BACKOFF_S
         unknown = False
+        redirects = 0
         address: str | None = None
         while True:
             left_s = end_s - self._timer.now_s()
@@ -117,8 +132,8 @@
                 return await self._attempt(
                     address, path, message, min(left_s, attempt_timeout_s)
                 )
-            except errors.PeerUnreachableError:
-                unknown = True
+            except errors.PeerUnreachableError as error:
+                unknown = unknown or error.sent
                 self._leader = None
             except errors.OutcomeUnknownError:
                 unknown = True
@@ -127,7 +142,9 @@
                 self._note_leader(error.leader_address if redirected else None)
             except errors.UnavailableError:
                 self._leader = None
-            if not redirected:
+            redirects = redirects + 1 if redirected else 0
+            if redirects in (0, REDIRECTS):
+                redirects = 0
                 await self._timer.sleep(min(backoff_s, left_s))
                 backoff_s = min(2 * backoff_s, BACKOFF_LIMIT_S)
         if unknown:
--- a/endivesill/control/replica.py
+++ b/endivesill/control/replica.py
@@ -131,6 +131,7 @@
         leadership = self._core.leadership
         if leadership is not None:
             leadership.close()
+        await self._client.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -173,7 +174,7 @@
 
     @property
     def core(self) -> ReplicaCore:
-        """The replica's shared state, for tests and benches."""
+        """The replica's shared state; not to be changed."""
         return self._core
 
     def subscribe_applied(self, listener: Callable[[Applied], None]) -> None:
@@ -268,13 +269,34 @@
         return self._core.leadership
 
     async def _handle_propose(self, message: Message) -> Message:
-        timeout_s = message["timeout_s"]
-        fields = {name: value for name, value in message.items() if name != "timeout_s"}
-        proposal = Proposal(**fields)
+        """Commit several proposals of one client.
+
+        An error is for all of them: the client sends them again, and those that
+        were committed get their first outcomes.
+        """
         leadership = self._leading()
+        proposals = [Proposal(**fields) for fields in message["proposals"]]
+        outcomes = await asyncio.gather(
+            *(self._propose_one(leadership, p, message["timeout_s"]) for p in proposals)
+        )
+        failed = [o for o in outcomes if isinstance(o, errors.UnavailableError)]
+        if len(failed) == len(outcomes):
+            raise failed[0]
+        if any(isinstance(o, errors.EndivesillError) for o in outcomes):
+            raise errors.OutcomeUnknownError("not all proposals were committed")
+        return {"outcomes": outcomes}
+
+    async def _propose_one(
+        self, leadership: Leadership, proposal: Proposal, timeout_s: float
+    ) -> Message | errors.EndivesillError:
+        """Commit one proposal; return its outcome or why there is none."""
         if proposal.command not in COMMANDS:
-            raise errors.EndivesillError(f"no command {proposal.command!r}")
-        return await leadership.propose(proposal, timeout_s)
+            text = f"no command {proposal.command!r}"
+            return {"failure": "EndivesillError", "text": text}
+        try:
+            return await leadership.propose(proposal, timeout_s)
+        except (errors.UnavailableError, errors.OutcomeUnknownError) as error:
+            return error
 
     async def _handle_query(self, message: Message) -> Message:
         timeout_s = message["timeout_s"]
--- a/endivesill/control/replication.py
+++ b/endivesill/control/replication.py
@@ -90,7 +90,12 @@
 
     def _send_notice(self) -> None:
         self._notice_due = False
-        if self._sent_commit_index < self._core.commit_index:
+        if self._sent_commit_index >= self._core.commit_index:
+            return
+        if self._core.timer.now_s() - self._sent_s < COMMIT_NOTICE_S:
+            # Calls are frequent; one of the next will tell.
+            self.note_commit()
+        else:
             self.request_heartbeat()
 
     async def run(self) -> None:
--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -56,7 +56,15 @@
 
 
 class PeerUnreachableError(EndivesillError):
-    """A peer that did not answer; the message may or may not have arrived."""
+    """A peer that did not answer; the message may or may not have arrived.
+
+    Attributes:
+      sent: whether a part of the message may have left.
+    """
+
+    def __init__(self, detail: str, *, sent: bool = True) -> None:
+        super().__init__(detail)
+        self.sent = sent
 
 
 class PeerMessageError(EndivesillError):
--- a/endivesill/peers.py
+++ b/endivesill/peers.py
@@ -145,6 +145,10 @@
                         f"{address}{path} answered {response.status}"
                     )
                 return json.loads(body)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise errors.PeerUnreachableError(
+                f"{address}{path}: {error!r}", sent=False
+            ) from None
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise errors.PeerUnreachableError(f"{address}{path}: {error!r}") from None
 
@@ -245,7 +249,7 @@
             await asyncio.get_running_loop().create_future()
         peer = network.find(address)
         if peer is None or path not in peer.handlers:
-            raise errors.PeerUnreachableError(f"{address}{path}: refused")
+            raise errors.PeerUnreachableError(f"{address}{path}: refused", sent=False)
         # The handler goes on when the caller gives up, as over a real network.
         task = asyncio.ensure_future(peer.handlers[path](json.loads(text)))
         try:
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -58,6 +58,67 @@
             self.assertEqual(30, replica.state.section("test")["runs"])
 
 
+class BatchTest(ClusterTestCase):
+    async def test_proposals_that_arrive_together_share_calls(self):
+        cluster = await self.start()
+        client = cluster.client()
+        await cluster.put(client, "a", 0)
+        handlers = cluster.network.find(
+            cluster.address_of(await cluster.leader())
+        ).handlers
+        propose, sizes = handlers["/control/propose"], []
+
+        async def count(message):
+            sizes.append(len(message["proposals"]))
+            return await propose(message)
+
+        handlers["/control/propose"] = count
+        calls = [
+            client.propose("test.put", {"key": f"k{n}", "value": n}, 5.0)
+            for n in range(32)
+        ]
+        calls.append(client.propose("test.fail", {}, 5.0))
+        outcomes = await cluster.run(asyncio.gather(*calls, return_exceptions=True))
+        self.assertEqual(33, sum(sizes))
+        self.assertLessEqual(len(sizes), 3)
+        self.assertEqual(32, len({outcome["index"] for outcome in outcomes[:-1]}))
+        self.assertIn("as the test wants", str(outcomes[-1]))
+
+    async def test_a_batch_that_is_sent_again_runs_each_proposal_once(self):
+        cluster = await self.start()
+        client = cluster.client()
+        await cluster.put(client, "a", 0)
+        leader = cluster.address_of(await cluster.leader())
+        cluster.network.cut(leader, "10.0.1.1:7000", both=False)
+        calls = [
+            client.propose("test.put", {"key": f"k{n}", "value": n}, 30.0)
+            for n in range(10)
+        ]
+        task = asyncio.gather(*calls)
+        await cluster.timer.advance(0.1)
+        await cluster.crash(leader)
+        cluster.network.heal()
+        await cluster.run(task)
+        for replica in cluster.replicas.values():
+            self.assertEqual(11, replica.state.section("test")["runs"])
+
+    async def test_a_proposal_that_waits_behind_a_lost_call_is_known_not_to_run(self):
+        cluster = await self.start()
+        client = cluster.client()
+        await cluster.put(client, "a", 0)
+        cluster.network.isolate("10.0.1.1:7000")
+        message = {"key": "a", "value": 1}
+        held = []
+        for _ in range(2):
+            call = client.propose("test.put", message, 30.0)
+            held.append(asyncio.ensure_future(call))
+            await cluster.timer.advance(0.1)
+        with self.assertRaises(errors.UnavailableError):
+            await cluster.run(client.propose("test.put", message, 1.0))
+        cluster.network.heal()
+        await cluster.run(asyncio.gather(*held))
+
+
 class SessionsTest(ClusterTestCase):
     def record(self, sessions, client, sequence, answered=0, time_s=1.0):
         proposal = Proposal("test.put", {}, client, sequence, answered)
