--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import aiohttp
 
 from endivesill.configuration.control_replica import ControlReplicaView
@@ -43,6 +45,7 @@
 from endivesill.targets import EngineAdapter, open_session
 from endivesill.targets.monitor import TargetMonitor
 from endivesill.timer import TimerService
+from endivesill.tls import TlsSettings, client_context, server_options
 
 __all__ = ["build_kernel"]
 
@@ -52,11 +55,12 @@
 
     Args:
       transport: the peer transport that answers.
+      options: further options of the listener, such as its TLS files.
     """
 
-    def __init__(self, transport: HttpPeerTransport) -> None:
+    def __init__(self, transport: HttpPeerTransport, **options: Any) -> None:
         self._transport = transport
-        self._server = HttpServer(transport.address, transport.application())
+        self._server = HttpServer(transport.address, transport.application(), **options)
 
     async def start(self) -> None:
         """Listen."""
@@ -128,9 +132,12 @@
     vm = settings.vm
     keys = KeyRing.from_file(vm.key_file)
     metrics = Metrics()
-    transport = HttpPeerTransport(vm.peer_address, keys)
+    tls = settings.section(TlsSettings)
+    transport = HttpPeerTransport(
+        vm.peer_address, keys, tls.scheme, client_context(tls)
+    )
     source = NamedConfigurationSource(kernel)
-    kernel.add("peer-port", PeerPort(transport))
+    kernel.add("peer-port", PeerPort(transport, **server_options(tls)))
     membership = SwimMembership(
         kernel,
         vm,
@@ -237,6 +244,7 @@
     kernel.add("wallet", wallet)
     kernel.add("router", router)
     drain = kernel.find("drain", DrainService)
+    tls = settings.section(TlsSettings)
     entry = EntryService(
         kernel,
         settings.vm.caller_address,
@@ -247,6 +255,7 @@
         budget=SharedRetryBudget(router.retries, Backoff()),
         is_draining=lambda: not drain.is_ready(),
         is_gone=lambda owner: _is_gone(membership, owner),
+        **(server_options(tls) if tls.callers else {}),
     )
     kernel.add("entry", entry)
 
@@ -276,7 +285,8 @@
         ),
         drain=kernel.find("drain", DrainService),
     )
-    kernel.add("operators", OperatorPort(application))
+    options = server_options(settings.section(TlsSettings))
+    kernel.add("operators", OperatorPort(application, **options))
 
 
 def _is_gone(membership: SwimMembership, instance_id: str) -> bool:
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,179 @@
+"""Tests of the operator port and of how the client resends."""
+
+import json
+import pathlib
+import ssl
+import unittest
+import urllib.error
+import urllib.request
+
+from endivesill import errors, events
+from endivesill.configuration.lease import LEASE_S
+from endivesill.keys import KeyRing
+from endivesill.operators.client import OperatorClient
+from endivesill.tls import TlsSettings, client_context, server_options
+from tests.configuration_fleet import apply_message, change_message
+from tests.operator_server import KEY, OperatorServer
+
+DATA = pathlib.Path(__file__).parent / "data"
+
+
+class PortCase(unittest.TestCase):
+    options = {}
+    scheme = "http"
+    context = None
+
+    def setUp(self):
+        self.server = OperatorServer(**self.options)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def request(self, path, body=None, key=KEY):
+        request = urllib.request.Request(f"{self.scheme}://{self.server.address}{path}")
+        request.add_header("Authorization", f"Bearer {key}")
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            with urllib.request.urlopen(
+                request, data, timeout=5, context=self.context
+            ) as answer:
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as error:
+            with error:
+                return error.code, error.read().decode()
+
+
+class KeyTest(PortCase):
+    def test_every_path_but_health_needs_a_key(self):
+        for path in ("/metrics", "/v1/status", "/v1/control", "/v1/configuration"):
+            self.assertEqual(401, self.request(path, key="wrong")[0], path)
+        self.assertEqual(200, self.request("/health", key="wrong")[0])
+
+    def test_a_wrong_key_is_logged_without_the_key(self):
+        seen = []
+        self.addCleanup(events.listen(lambda kind, fields: seen.append((kind, fields))))
+        self.request("/v1/status", key="a-wrong-and-secret-key")
+        self.assertIn("key-refused", [kind.name for kind, _ in seen])
+        self.assertNotIn("secret", repr(seen))
+
+    def test_during_a_rotation_both_keys_are_valid(self):
+        new_key = "the-new-key-of-the-tests"
+        self.server.keys.replace(KeyRing([KEY, new_key]))
+        self.assertEqual(200, self.request("/v1/status", key=KEY)[0])
+        self.assertEqual(200, self.request("/v1/status", key=new_key)[0])
+        self.server.keys.replace(KeyRing([new_key]))
+        self.assertEqual(401, self.request("/v1/status", key=KEY)[0])
+
+    def test_metrics_are_prometheus_text(self):
+        status, _ = self.request("/metrics")
+        self.assertEqual(200, status)
+
+
+class BodyTest(PortCase):
+    def test_a_body_of_the_wrong_form_is_a_clear_4xx(self):
+        path = "/v1/configuration/change"
+        good = change_message("x", "data-centre/a", True)
+        del good["wall_time_s"]
+        wrong_type = {**good, "value": "yes"}
+        missing = {"number": "x"}
+        for body in (wrong_type, missing, [1]):
+            status, text = self.request(path, body)
+            self.assertEqual(400, status)
+            self.assertEqual("request", json.loads(text)["error"])
+        self.assertEqual(422, self.request(path, good)[0])
+
+    def test_an_entry_that_does_not_check_is_refused(self):
+        body = apply_message("1", {"data-centre/a": {"colour": "red"}})
+        del body["wall_time_s"]
+        status, text = self.request("/v1/configuration/apply", body)
+        self.assertEqual(422, status)
+        self.assertEqual(2, len(json.loads(text)["findings"]))
+
+
+class ProgressTest(PortCase):
+    def progress(self, accepted_for_s):
+        parameters = f"revision=2&accepted_for_s={accepted_for_s}"
+        status, text = self.request(f"/v1/configuration/progress?{parameters}")
+        self.assertEqual(200, status)
+        return json.loads(text)
+
+    def test_a_vm_counts_once_it_has_acknowledged(self):
+        self.server.transport.acks = {"1": ["v0"], "2": ["v1"]}
+        answer = self.progress(0.5)
+        self.assertEqual((False, ["v0"]), (answer["in_force"], answer["waiting_for"]))
+        self.server.transport.acks = {"3": ["v0"], "2": ["v1"]}
+        self.assertTrue(self.progress(0.5)["in_force"])
+
+    def test_a_vm_without_a_lease_does_not_hold_up_the_answer(self):
+        self.server.transport.acks = {"2": ["v1"]}
+        self.assertFalse(self.progress(LEASE_S)["in_force"])
+        answer = self.progress(LEASE_S + 0.3)
+        self.assertEqual((True, ["v0"]), (answer["in_force"], answer["without_lease"]))
+
+
+class TlsTest(PortCase):
+    settings = TlsSettings(
+        certificate=str(DATA / "tls-certificate.pem"),
+        key=str(DATA / "tls-key.pem"),
+        ca=str(DATA / "tls-certificate.pem"),
+    )
+    options = server_options(settings)
+    scheme = "https"
+    context = client_context(settings)
+
+    def test_the_port_speaks_tls(self):
+        self.assertEqual(200, self.request("/v1/status")[0])
+
+    def test_a_client_that_does_not_trust_the_authority_goes_away(self):
+        self.context = ssl.create_default_context()
+        with self.assertRaises(urllib.error.URLError):
+            self.request("/v1/status")
+
+    def test_a_certificate_that_cannot_be_read_is_a_finding(self):
+        with self.assertRaises(errors.FindingsError):
+            server_options(TlsSettings(certificate="nosuch.pem"))
+
+
+class LosingClient(OperatorClient):
+    """A client whose first answers are lost."""
+
+    lost = 1
+
+    async def _call_one(self, *arguments):
+        answer = await super()._call_one(*arguments)
+        if self.lost:
+            self.lost -= 1
+            raise TimeoutError
+        return answer
+
+
+class ResendTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.server = OperatorServer()
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    async def send(self, client, number):
+        body = apply_message(number, {"data-centre/a": {"region": "r"}})
+        del body["wall_time_s"]
+        return await client.post("/v1/configuration/apply", body)
+
+    async def test_a_change_whose_answer_was_lost_is_made_once(self):
+        keys = KeyRing([KEY])
+        async with LosingClient([self.server.address], keys) as client:
+            answer = await self.send(client, "1")
+        self.assertEqual(("accepted", 1), (answer["outcome"], answer["revision"]))
+        section = self.server.control.state.section("configuration")
+        self.assertEqual(1, section["revision"])
+
+    async def test_without_any_answer_the_outcome_is_unknown(self):
+        keys = KeyRing([KEY])
+        client = LosingClient([self.server.address], keys, timeout_s=0.0)
+        async with client:
+            with self.assertRaises(errors.OutcomeUnknownError):
+                await self.send(client, "1")
+
+    async def test_a_server_that_cannot_be_reached_changed_nothing(self):
+        keys = KeyRing([KEY])
+        async with OperatorClient(["127.0.0.1:1"], keys, timeout_s=0.0) as client:
+            with self.assertRaises(errors.UnavailableError):
+                await self.send(client, "1")
