Give orders to engines by one orderer per data centre

Cause: nothing gave orders; two VMs could have given the same one, and a paused process could have woken and gone on.

Tests failed first on: an order recorded by a VM whose lease was too short to send it, which burnt the id.

--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -12,6 +12,7 @@
     "FindingsError",
     "GrantExpiredError",
     "NotLeaderError",
+    "OrderError",
     "OutcomeUnknownError",
     "PeerMessageError",
     "PeerUnreachableError",
@@ -58,6 +59,10 @@
     """A peer that did not answer; the message may or may not have arrived."""
 
 
+class OrderError(EndivesillError):
+    """An order to an engine that is wrong in itself."""
+
+
 class PeerMessageError(EndivesillError):
     """A message from a peer that cannot be read."""
 
--- /dev/null
+++ b/endivesill/orders/commands.py
@@ -0,0 +1,157 @@
+"""Orders in the replicated state: the orderers' leases, records, load rates.
+
+A lease has no time in the state. Its holder counts it on its own clock from
+before it asked; another VM may take it over only at the renewal that it saw a
+whole lease earlier by its own clock. So no clock is compared with another one.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from endivesill.control.commands import CommandContext, State, command, query
+from endivesill.orders.messages import LOAD_KINDS, OrderKind, OrderState
+from endivesill.peers import Message
+
+__all__ = ["RECORDS_KEPT"]
+
+RECORDS_KEPT = 5000
+LOADS_AT_ONCE = 1.0
+SECONDS_PER_MINUTE = 60.0
+LEASES = "orderers"
+RECORDS = "orders"
+RATES = "weight-loads"
+
+_NO_LEASE = {"holder": "", "token": 0, "renewals": 0}
+
+
+def _lease(state: State, data_centre: str) -> dict[str, Any]:
+    return state.section(LEASES).get(data_centre, _NO_LEASE)
+
+
+@query("orderer.current")
+def orderer_current(state: State, message: Message) -> Message:
+    """Return who gives the orders of `data_centre`: holder, token, renewals."""
+    return dict(_lease(state, message["data_centre"]))
+
+
+@command("orderer.acquire")
+def orderer_acquire(state: State, message: Message, context: CommandContext) -> Message:
+    """Take a lease that is free or still as it was seen a lease's time ago."""
+    lease = _lease(state, message["data_centre"])
+    seen = (message["seen_token"], message["seen_renewals"])
+    if lease["holder"] and (lease["token"], lease["renewals"]) != seen:
+        return {"granted": False}
+    state.section(LEASES)[message["data_centre"]] = {
+        "holder": message["holder"],
+        "token": context.index,
+        "renewals": 0,
+    }
+    return {"granted": True, "token": context.index}
+
+
+@command("orderer.renew")
+def orderer_renew(state: State, message: Message, context: CommandContext) -> Message:
+    """Renew the lease with that token."""
+    lease = _lease(state, message["data_centre"])
+    if not lease["holder"] or lease["token"] != message["token"]:
+        return {"granted": False}
+    lease["renewals"] += 1
+    return {"granted": True}
+
+
+@command("orderer.release")
+def orderer_release(state: State, message: Message, context: CommandContext) -> Message:
+    """Give the lease with that token back."""
+    lease = _lease(state, message["data_centre"])
+    if lease["token"] == message["token"]:
+        lease["holder"] = ""
+    return {}
+
+
+@command("orders.put")
+def orders_put(state: State, message: Message, context: CommandContext) -> Message:
+    """Record an order before it is sent.
+
+    Returns:
+      `status`: `new` (it may be sent, once), `known` (with the `record`),
+      `old-token` or `wait` (with `wait_s`).
+    """
+    records = state.section(RECORDS)
+    record = records.get(message["order_id"])
+    if record is not None:
+        return {"status": "known", "record": dict(record)}
+    data_centre = message["data_centre"]
+    lease = _lease(state, data_centre)
+    if not lease["holder"] or lease["token"] != message["token"]:
+        return {"status": "old-token"}
+    if OrderKind(message["kind"]) in LOAD_KINDS:
+        wait_s = _take_load(state, data_centre, message["loads_per_minute"], context)
+        if wait_s > 0:
+            return {"status": "wait", "wait_s": wait_s}
+    fields = ("order_id", "target", "kind", "subject", "version", "token")
+    record = {name: message[name] for name in (*fields, "data_centre")}
+    records[message["order_id"]] = {**record, "state": OrderState.SENT.value}
+    _drop_old(records)
+    return {"status": "new"}
+
+
+def _take_load(
+    state: State, data_centre: str, loads_per_minute: float, context: CommandContext
+) -> float:
+    """Take one load from the token bucket; return how long to wait, or 0."""
+    rate = loads_per_minute / SECONDS_PER_MINUTE
+    buckets = state.section(RATES)
+    full = {"loads": LOADS_AT_ONCE, "time_s": context.time_s}
+    bucket = buckets.setdefault(data_centre, full)
+    passed_s = max(0.0, context.time_s - bucket["time_s"])
+    bucket["loads"] = min(LOADS_AT_ONCE, bucket["loads"] + passed_s * rate)
+    bucket["time_s"] = max(bucket["time_s"], context.time_s)
+    if bucket["loads"] < LOADS_AT_ONCE - 1e-9:
+        return (LOADS_AT_ONCE - bucket["loads"]) / rate
+    bucket["loads"] -= LOADS_AT_ONCE
+    return 0.0
+
+
+def _drop_old(records: dict[str, Any]) -> None:
+    """Drop the oldest orders that have ended."""
+    surplus = len(records) - RECORDS_KEPT
+    if surplus <= 0:
+        return
+    ended = [
+        order_id
+        for order_id, record in records.items()
+        if record["state"] != OrderState.SENT.value
+    ]
+    for order_id in ended[:surplus]:
+        del records[order_id]
+
+
+@command("orders.done")
+def orders_done(state: State, message: Message, context: CommandContext) -> Message:
+    """Record the outcome of an order; the first one stays.
+
+    Returns:
+      `record`, or nothing if the order is unknown or the token is old.
+    """
+    record = state.section(RECORDS).get(message["order_id"])
+    if record is None:
+        return {}
+    lease = _lease(state, record["data_centre"])
+    if lease["token"] != message["token"]:
+        return {}
+    if record["state"] == OrderState.SENT.value:
+        record["state"] = message["state"]
+    return {"record": dict(record)}
+
+
+@query("orders.pending")
+def orders_pending(state: State, message: Message) -> Message:
+    """Return the orders of `data_centre` whose outcome is not recorded."""
+    records = [
+        dict(record)
+        for record in state.section(RECORDS).values()
+        if record["data_centre"] == message["data_centre"]
+        and record["state"] == OrderState.SENT.value
+    ]
+    return {"records": records}
--- /dev/null
+++ b/endivesill/orders/service.py
@@ -0,0 +1,199 @@
+"""The orders service: gives orders, or passes them on to the VM that does."""
+
+from __future__ import annotations
+
+import asyncio
+
+from endivesill import errors
+from endivesill.configuration.model import Target
+from endivesill.configuration.source import ConfigurationSource
+from endivesill.control.client import ControlClient
+from endivesill.kernel import Kernel, Service
+from endivesill.membership.view import MembershipView
+from endivesill.orders.lease import PROPOSE_TIMEOUT_S, OrdererLease
+from endivesill.orders.messages import OrderRecord, OrderRequest
+from endivesill.orders.orderer import EngineOrders, Orderer
+from endivesill.orders.settings import OrderSettings
+from endivesill.peers import Message, PeerTransport
+
+__all__ = ["ORDER_PATH", "OrderService"]
+
+ORDER_PATH = "/orders/give"
+FORWARD_MARGIN_S = 10.0
+WATCH_PERIOD_S = 1.0
+RETRY_S = 1.0
+
+
+class OrderService(Service):
+    """Competes for the data centres whose orderer this VM should be.
+
+    The VM that would be the home of a target named after the data centre should
+    give its orders; the lease decides who does.
+
+    Args:
+      kernel: the process's kernel.
+      own_name: this VM's name.
+      instance_id: the id of this process.
+      settings: times.
+      control: the replicated state.
+      membership: the fleet.
+      configuration: the source of the configuration.
+      peers: the transport of the peer port.
+      engines: the adapter to the engines.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        own_name: str,
+        instance_id: str,
+        settings: OrderSettings,
+        control: ControlClient,
+        membership: MembershipView,
+        configuration: ConfigurationSource,
+        peers: PeerTransport,
+        engines: EngineOrders,
+    ) -> None:
+        self._kernel = kernel
+        self._holder = f"{own_name}/{instance_id}"
+        self._settings = settings
+        self._control = control
+        self._membership = membership
+        self._configuration = configuration
+        self._peers = peers
+        self._engines = engines
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._leases: dict[str, OrdererLease] = {}
+        self._orderers: dict[str, Orderer] = {}
+        self._stopping = False
+        peers.handle(ORDER_PATH, self._answer)
+
+    async def start(self) -> None:
+        """Begin to compete."""
+        self._tasks["watch"] = self._kernel.supervise("orders", self._watch)
+
+    async def stop(self) -> None:
+        """Stop without giving leases back; see `hand_over`."""
+        self._stopping = True
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    async def hand_over(self) -> None:
+        """Give the leases back once no order is under way."""
+        self._stopping = True
+        for data_centre, lease in self._leases.items():
+            orderer = self._orderers.get(data_centre)
+            while orderer is not None and not orderer.is_idle():
+                await self._kernel.timer.sleep(RETRY_S)
+            await lease.release()
+
+    def orderer(self, data_centre: str) -> Orderer | None:
+        """Return the orderer of a data centre, if it is this VM."""
+        lease = self._leases.get(data_centre)
+        if lease is None or not lease.remaining_s():
+            return None
+        return self._orderers.get(data_centre)
+
+    async def give(self, request: OrderRequest) -> OrderRecord:
+        """Give an order, here or through the VM that is the orderer.
+
+        Raises:
+          OrderError: there is no such engine.
+          UnavailableError: there is no orderer now; nothing was given.
+          OutcomeUnknownError: give the same id again to learn the outcome.
+        """
+        target = self._configuration.current().targets.get(request.target)
+        if target is None:
+            raise errors.OrderError(f"no engine {request.target}")
+        orderer = self.orderer(target.data_centre)
+        if orderer is not None:
+            return await orderer.give(request)
+        address = await self._orderer_address(target.data_centre)
+        timeout_s = self._settings.read_back_s + FORWARD_MARGIN_S
+        try:
+            answer = await self._peers.call(
+                address, ORDER_PATH, request.to_message(), timeout_s
+            )
+        except errors.PeerUnreachableError as error:
+            raise errors.OutcomeUnknownError(str(error)) from None
+        if "error" in answer:
+            raise errors.UnavailableError(answer["error"])
+        return OrderRecord.from_message(answer)
+
+    async def _orderer_address(self, data_centre: str) -> str:
+        lease = await self._control.query(
+            "orderer.current", {"data_centre": data_centre}, PROPOSE_TIMEOUT_S
+        )
+        holder = lease["holder"].partition("/")[0]
+        for vm in self._membership.vms():
+            if vm.name == holder and lease["holder"] != self._holder:
+                return vm.address
+        raise errors.UnavailableError(f"nobody gives the orders of {data_centre}")
+
+    async def _answer(self, message: Message) -> Message:
+        request = OrderRequest.from_message(message)
+        target = self._configuration.current().targets.get(request.target)
+        orderer = self.orderer(target.data_centre) if target is not None else None
+        if orderer is None:
+            return {"error": "this VM does not give the orders"}
+        try:
+            return (await orderer.give(request)).to_message()
+        except (errors.UnavailableError, errors.OrderError) as error:
+            return {"error": str(error)}
+
+    async def _watch(self) -> None:
+        """Compete for each data centre whose home this VM is."""
+        while not self._stopping:
+            for data_centre in self._configuration.current().data_centres:
+                task = self._tasks.get(data_centre)
+                is_running = task is not None and not task.done()
+                if not is_running and self._should_order(data_centre):
+                    self._tasks[data_centre] = asyncio.ensure_future(
+                        self._compete(data_centre)
+                    )
+            await self._kernel.timer.sleep(WATCH_PERIOD_S)
+
+    def _should_order(self, data_centre: str) -> bool:
+        name = f"orderer/{data_centre}"
+        place = Target(name, service="", url="http://", data_centre=data_centre)
+        return self._membership.is_home(place)
+
+    async def _compete(self, data_centre: str) -> None:
+        """Become the orderer of a data centre and stay it while it should be."""
+        lease = self._lease(data_centre)
+        try:
+            if not await lease.acquire():
+                return
+            keeping = asyncio.ensure_future(lease.keep())
+            try:
+                await self._orderers[data_centre].settle_pending()
+                while not keeping.done() and self._should_order(data_centre):
+                    await self._kernel.timer.sleep(WATCH_PERIOD_S)
+                while not keeping.done() and not self._orderers[data_centre].is_idle():
+                    await self._kernel.timer.sleep(WATCH_PERIOD_S)
+            finally:
+                keeping.cancel()
+            await lease.release()
+        except (errors.UnavailableError, errors.OutcomeUnknownError):
+            await self._kernel.timer.sleep(RETRY_S)
+
+    def _lease(self, data_centre: str) -> OrdererLease:
+        if data_centre not in self._leases:
+            lease = OrdererLease(
+                self._kernel.timer,
+                self._control,
+                data_centre,
+                self._holder,
+                self._settings.lease_s,
+            )
+            self._leases[data_centre] = lease
+            self._orderers[data_centre] = Orderer(
+                self._kernel.timer,
+                self._control,
+                lease,
+                self._configuration.current,
+                self._engines,
+                self._settings,
+            )
+        return self._leases[data_centre]
