--- a/endivesill/entry/events.py
+++ b/endivesill/entry/events.py
@@ -3,6 +3,7 @@
 from endivesill import events
 
 __all__ = [
+    "CALLER_GONE",
     "CALL_SENT",
     "CALL_SKIPPED",
     "CLAIM_ANSWERED",
@@ -11,12 +12,14 @@
     "GENERATION_KEPT",
     "GENERATION_MOVED",
     "GENERATION_STARTED",
+    "GENERATION_STAYED",
     "READER_STALLED",
     "REQUEST_ENDED",
     "REQUEST_FAILED",
     "REQUEST_RECEIVED",
     "REQUEST_REFUSED",
     "REQUEST_RETRIED",
+    "STREAM_BROKEN",
     "STREAM_RECONNECTED",
     "STREAM_RESUMED",
     "STREAM_STALLED",
@@ -73,3 +76,14 @@
 REQUEST_FAILED = events.define(
     2017, "request-failed", "A request met a fault of the entry itself."
 )
+STREAM_BROKEN = events.define(
+    2018, "stream-broken", "A caller was told that its stream ends here."
+)
+CALLER_GONE = events.define(
+    2019, "caller-gone", "A caller went away before the end of its answer."
+)
+GENERATION_STAYED = events.define(
+    2020,
+    "generation-stayed",
+    "A leaving engine could not hand a generation to another one.",
+)
