--- a/endivesill/membership/service.py
+++ b/endivesill/membership/service.py
@@ -144,7 +144,9 @@
         self._supervise("tick", self._tick)
 
     async def stop(self) -> None:
-        """Stop without a word, as a process that dies; see `leave`."""
+        """Stop; a VM that is leaving says that it has left."""
+        if self._own.phase is Phase.LEAVING:
+            await self.depart()
         self._gossip.close()
         self._suspicions.close()
         for task in list(self._tasks):
