Follow a generation whose engine died while it handed it over

Cause: test_a_leaving_engine_hands_its_generation_over failed when the engine died after the other one had taken the generation and before it said so.

Change: without an answer to the move the grant is kept, and the relay turns to the other engine once the first cannot be reached; only an answered refusal leaves the generation where it is.

--- a/endivesill/entry/relay.py
+++ b/endivesill/entry/relay.py
@@ -227,6 +227,9 @@
     async def move(self, grant: Grant) -> None:
         """Let the engine hand the generation to another one.
 
+        Without an answer it may have been handed over: the grant is kept, in
+        case that the engine cannot be reached any more.
+
         Args:
           grant: leave for the work at the other engine.
 
@@ -238,11 +241,13 @@
             await self._context.engines.move(
                 self.target, self.generation_id, grant.target
             )
-        except errors.TargetError:
+        except (errors.TargetStatusError, errors.TargetRefusedError):
             if self._next_grant is grant:
                 self._next_grant = None
                 grant.finished(Outcome.NOT_RUN)
             raise
+        except errors.TargetError:
+            return
 
     def finish(self, outcome: Outcome) -> None:
         """Give the grant back, once."""
--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -25,6 +25,7 @@
     "TargetError",
     "TargetGoneError",
     "TargetRefusedError",
+    "TargetStatusError",
     "TargetUnreachableError",
     "UnavailableError",
     "UnsafeChangeError",
@@ -166,6 +167,18 @@
         self.run = run
 
 
+class TargetStatusError(TargetError):
+    """A target that answered with an error status.
+
+    Attributes:
+      status: the HTTP status.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"the target answered {status}")
+        self.status = status
+
+
 class TargetRefusedError(TargetError):
     """A target that says itself that it did not run the request."""
 
--- a/endivesill/targets/engine.py
+++ b/endivesill/targets/engine.py
@@ -183,7 +183,8 @@
         """Let an engine hand a generation to another engine.
 
         Raises:
-          TargetError: the engine does not offer it or did not answer.
+          TargetStatusError: the engine keeps it.
+          TargetError: it did not answer; it may have handed it over.
         """
         path = f"/v1/generations/{generation_id}/move"
         body = {"to": destination.url}
@@ -242,7 +243,7 @@
                 if response.status == 409:
                     raise errors.TargetRefusedError(await response.text())
                 if response.status != 200:
-                    raise errors.TargetError(f"the engine answered {response.status}")
+                    raise errors.TargetStatusError(response.status)
                 return await response.json(content_type=None)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise errors.TargetError(f"no answer: {error!r}") from None
