Bound unread ends of answers, endless answers and stored answers

Cause: 100,000 keys with answers of 16 kB would have been 2 GB in each control replica; the end of a whole answer that nobody reads stayed in memory for as long as the connection; an endless plain answer was read on for a caller long gone.

Change: stored answers are bounded in bytes and the oldest give theirs up while their keys stay known; the listener aborts when an answer's end is not read; a plain answer that is not to be stored ends with its caller.

--- a/endivesill/entry/claims.py
+++ b/endivesill/entry/claims.py
@@ -256,6 +256,8 @@
             "attempt": attempt,
             "result": result.value,
             "answer": None if answer is None else answer.to_message(),
+            "answers_bytes": self._settings.stored_answers_bytes
+            // self._settings.ledger_shards,
         }
         try:
             await self._control.propose(
--- a/endivesill/entry/http.py
+++ b/endivesill/entry/http.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from endivesill import errors
-from endivesill.server import ABORT_EXTENSION
+from endivesill.server import CONNECTION_EXTENSION
 from endivesill.timer import TimerService
 
 __all__ = ["Answer", "AsgiRequest", "Receive", "Scope", "Send", "problem_document"]
@@ -131,7 +131,7 @@
         self.send = send
         self.request_id = request_id
         self.status = 0
-        self._abort = scope.get("extensions", {}).get(ABORT_EXTENSION, {}).get("abort")
+        self._connection = scope.get("extensions", {}).get(CONNECTION_EXTENSION, {})
 
     async def start(self, status: int, headers: RawHeaders) -> None:
         """Begin the answer."""
@@ -166,8 +166,12 @@
 
     def abort(self) -> None:
         """Cut the connection at once."""
-        if self._abort is not None:
-            self._abort()
+        if "abort" in self._connection:
+            self._connection["abort"]()
+
+    def is_cut(self) -> bool:
+        """Tell whether the connection is closing, so that nothing arrives."""
+        return "is_closing" in self._connection and self._connection["is_closing"]()
 
 
 def problem_document(request_id: str, error: Exception) -> tuple[int, dict[str, Any]]:
--- a/endivesill/entry/ledger.py
+++ b/endivesill/entry/ledger.py
@@ -1,8 +1,9 @@
 """The replicated ledger of idempotency keys.
 
 A claim is committed before a call is dispatched and its outcome afterwards. The
-commands are deterministic: time comes only from the log. Retention is by age
-and by number, oldest first; a claim that is still running is never evicted.
+commands are deterministic: time comes only from the log. Keys are kept by age and
+by number, oldest first; a claim that is still running is never evicted. Answers
+are bounded in bytes: the oldest give theirs up, and their keys stay known.
 """
 
 from __future__ import annotations
@@ -75,8 +76,9 @@
 
     Args:
       state: the replicated state.
-      message: `shard`, `id`, `attempt`, and `result`: `done` with `answer`,
-        `unknown`, or `released` for a call that certainly did not run.
+      message: `shard`, `id`, `attempt`, and `result`: `done` with `answer` and
+        `answers_bytes`, the bound on all answers of the shard; `unknown`; or
+        `released` for a call that certainly did not run.
       context: the place in the log.
 
     Returns:
@@ -93,7 +95,7 @@
     if record["state"] != "done":
         record["state"] = message["result"]
         if message["result"] == "done":
-            record["answer"] = message.get("answer")
+            _keep_answer(section, record, message)
     return {"state": "recorded"}
 
 
@@ -115,6 +117,7 @@
     section = state.section(_section_name(message))
     if not section:
         section.update(head=0, tail=0, order={}, entries={})
+        section.update(answer_bytes=0, answer_head=0)
     return section
 
 
@@ -122,7 +125,7 @@
     if record["digest"] != message["digest"]:
         return {"state": "mismatch"}
     if record["state"] == "done":
-        return {"state": "done", "answer": record["answer"]}
+        return {"state": "done", "answer": record.get("answer")}
     if record["state"] == "running" and record["attempt"] == message["attempt"]:
         return {"state": "claimed"}
     if record["state"] == "running" and record["until_s"] <= now_s:
@@ -145,9 +148,32 @@
 
 def _remove(section: Section, ledger_id: str) -> None:
     record = section["entries"].pop(ledger_id)
+    _drop_answer(section, record)
     del section["order"][str(record["number"])]
 
 
+def _answer_bytes(answer: dict[str, Any] | None) -> int:
+    if answer is None:
+        return 0
+    headers = sum(len(name) + len(value) for name, value in answer["headers"])
+    return headers + len(answer["body"])
+
+
+def _keep_answer(section: Section, record: dict[str, Any], message: Message) -> None:
+    record["answer"] = message["answer"]
+    section["answer_bytes"] += _answer_bytes(record["answer"])
+    section["answer_head"] = min(section["answer_head"], record["number"])
+    while section["answer_bytes"] > message["answers_bytes"]:
+        ledger_id = section["order"].get(str(section["answer_head"]))
+        section["answer_head"] += 1
+        if ledger_id is not None:
+            _drop_answer(section, section["entries"][ledger_id])
+
+
+def _drop_answer(section: Section, record: dict[str, Any]) -> None:
+    section["answer_bytes"] -= _answer_bytes(record.pop("answer", None))
+
+
 def _is_running(record: dict[str, Any], now_s: float) -> bool:
     return record["state"] == "running" and record["until_s"] > now_s
 
--- a/endivesill/entry/plain.py
+++ b/endivesill/entry/plain.py
@@ -276,8 +276,8 @@
     async def _pass_on(self, target_answer: PlainAnswer) -> None:
         """Pass the answer on as it arrives, within bounds on both sides.
 
-        A caller that goes away or reads too slowly does not end the exchange:
-        the outcome of the call is still to be recorded.
+        A caller that goes away or reads too slowly does not end the exchange
+        while its answer is still to be stored.
         """
         self._target_answer = target_answer
         answer = self._answer
@@ -304,9 +304,16 @@
                 )
                 sending.active = False
                 sending.steps += 1
-                if not chunk:
+                if not chunk or self._is_in_vain():
                     return
 
+    def _is_in_vain(self) -> bool:
+        """Tell whether nobody is left who could use the rest of the answer."""
+        if not self._answer.is_cut():
+            return False
+        kept_bytes = self._context.settings.stored_answer_bytes
+        return self._call.key is None or self._stored_bytes > kept_bytes
+
     def _store(self, chunk: bytes) -> None:
         if self._call.key is None:
             return
--- a/endivesill/entry/settings.py
+++ b/endivesill/entry/settings.py
@@ -69,6 +69,12 @@
         minimum=0,
         maximum=1_048_576,
     )
+    stored_answers_bytes: int = schema.field(
+        "all answers kept for idempotency keys; the oldest give theirs up",
+        default=33_554_432,
+        minimum=0,
+        maximum=1 << 30,
+    )
     claim_margin_s: float = schema.field(
         "how long a claim outlives its service's deadline",
         default=5.0,
--- a/endivesill/server.py
+++ b/endivesill/server.py
@@ -11,13 +11,14 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["ABORT_EXTENSION", "HttpServer"]
+__all__ = ["CONNECTION_EXTENSION", "HttpServer"]
 
 BACKLOG = 2048
 POLL_S = 0.005
 HEADER_BLOCK_BYTES = 65_536
 HEADER_TIMEOUT_S = 10.0
-ABORT_EXTENSION = "endivesill.connection"
+TAIL_STALL_S = 30.0
+CONNECTION_EXTENSION = "endivesill.connection"
 TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-type: application/problem+json\r\n"
@@ -27,15 +28,17 @@
 
 
 class _Protocol(HttpToolsProtocol):
-    """A connection with bounds on its header blocks.
+    """A connection with bounds on its header blocks and on unread answers.
 
-    It bounds their size and the time for each, and lets applications drop the
-    connection at once by an ASGI extension.
+    It bounds the size of a header block and the time for it, and aborts when the
+    end of an answer stays unread. By an ASGI extension applications learn whether
+    the connection is closing and drop it at once.
     """
 
     _header_bytes = 0
     _in_headers = True
     _header_timer: asyncio.TimerHandle | None = None
+    _tail_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
@@ -43,6 +46,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._headers_ended()
+        self._forget_tail()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -58,15 +62,40 @@
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
+        self._forget_tail()
         if not self._in_headers:
             self._await_headers()
-        extension: dict[object, object] = {"abort": self.transport.abort}
-        self.scope["extensions"] = {ABORT_EXTENSION: extension}
+        extension: dict[object, object] = {
+            "abort": self.transport.abort,
+            "is_closing": self.transport.is_closing,
+        }
+        self.scope["extensions"] = {CONNECTION_EXTENSION: extension}
 
     def on_headers_complete(self) -> None:
         self._headers_ended()
         super().on_headers_complete()
 
+    def on_response_complete(self) -> None:
+        super().on_response_complete()
+        self._watch_tail(None)
+
+    def _watch_tail(self, previous_bytes: int | None) -> None:
+        """Abort when nothing of an answer's end was read since the last look."""
+        unread_bytes = self.transport.get_write_buffer_size()
+        if not unread_bytes:
+            return
+        if previous_bytes is not None and unread_bytes >= previous_bytes:
+            self.transport.abort()
+            return
+        self._tail_timer = self.loop.call_later(
+            TAIL_STALL_S, self._watch_tail, unread_bytes
+        )
+
+    def _forget_tail(self) -> None:
+        if self._tail_timer is not None:
+            self._tail_timer.cancel()
+            self._tail_timer = None
+
     def _await_headers(self) -> None:
         self._in_headers = True
         self._header_bytes = 0
@@ -116,6 +145,7 @@
             log_config=None,
             access_log=False,
             proxy_headers=False,
+            ws="none",
             server_header=False,
             date_header=False,
             backlog=BACKLOG,
--- a/tests/test_entry_plain.py
+++ b/tests/test_entry_plain.py
@@ -4,7 +4,7 @@
 import unittest
 
 from endivesill import errors
-from tests.entry_fakes import FleetTestCase, ScriptedTarget, until
+from tests.entry_fakes import KEY, FleetTestCase, ScriptedTarget, until
 
 
 async def take_and_close(target, reader, writer):
@@ -73,6 +73,28 @@
         response, text = await self.post(f"{url}/app/notes")
         self.assertEqual((200, 3_000_000), (response.status, len(text)))
 
+    async def test_an_endless_answer_ends_with_its_caller(self):
+        ended = asyncio.Event()
+
+        async def endless(target, reader, writer):
+            await target.read_request(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            try:
+                while True:
+                    writer.write(b"1\r\nx\r\n")
+                    await writer.drain()
+                    await asyncio.sleep(0.005)
+            finally:
+                ended.set()
+
+        await self.add_scripted(endless)
+        url = await self.fleet.add_entry()
+        async with self.session.get(f"{url}/app/watch", headers=KEY) as response:
+            await response.content.readany()
+            response.close()
+        async with asyncio.timeout(5):
+            await ended.wait()
+
     async def test_the_callers_key_and_hop_headers_stay_behind(self):
         seen = {}
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -24,13 +24,16 @@
 from endivesill.entry.settings import EntrySettings
 from endivesill.timer import ManualTimer
 
+ANSWER = {"status": 200, "headers": [["a", "b"]], "body": "0123456789"}
+
 
 class Ledger:
     """The ledger's commands with short arguments."""
 
-    def __init__(self, entries=3, age_s=100.0):
+    def __init__(self, entries=3, age_s=100.0, answers_bytes=1000):
         self.state = State()
         self.entries, self.age_s = entries, age_s
+        self.answers_bytes = answers_bytes
         self.index = 0
 
     def claim(self, key, time_s, attempt="a", digest="d"):
@@ -48,7 +51,8 @@
 
     def finish(self, key, time_s, result="done", attempt="a", answer=None):
         message = {"shard": 0, "id": key, "attempt": attempt, "result": result}
-        return self._run("ledger.finish", {**message, "answer": answer}, time_s)
+        message = {**message, "answer": answer, "answers_bytes": self.answers_bytes}
+        return self._run("ledger.finish", message, time_s)
 
     def read(self, key):
         return run_query(self.state, "ledger.read", {"shard": 0, "id": key})["state"]
@@ -80,9 +84,20 @@
     def test_a_finished_key_gives_its_answer(self):
         ledger = Ledger()
         ledger.claim("k", 0.0)
-        ledger.finish("k", 1.0, answer={"status": 200})
+        ledger.finish("k", 1.0, answer=ANSWER)
         found = ledger.claim("k", 2.0, attempt="b")
-        self.assertEqual(("done", {"status": 200}), (found["state"], found["answer"]))
+        self.assertEqual(("done", ANSWER), (found["state"], found["answer"]))
+
+    def test_the_oldest_answers_give_way_but_their_keys_stay_known(self):
+        ledger = Ledger(answers_bytes=30)
+        for number, key in enumerate("klm"):
+            ledger.claim(key, float(number))
+            ledger.finish(key, float(number), answer=ANSWER)
+        found = [ledger.claim(key, 5.0, attempt="b") for key in "klm"]
+        self.assertEqual(["done"] * 3, [each["state"] for each in found])
+        kept = [each["answer"] for each in found]
+        self.assertEqual([None, ANSWER, ANSWER], kept)
+        self.assertEqual(24, ledger.state.sections["ledger-0"]["answer_bytes"])
 
     def test_a_claim_past_its_time_is_unknown_and_never_claimed_again(self):
         ledger = Ledger()
@@ -146,8 +161,8 @@
         )
     )
     def test_a_restored_snapshot_goes_on_like_the_state(self, steps):
-        ledger, time_s = Ledger(), 0.0
-        other = Ledger()
+        ledger, other = (Ledger(answers_bytes=20) for _ in range(2))
+        time_s = 0.0
         running = {}
         for key, attempt, action, passed_s in steps:
             time_s += passed_s
@@ -162,13 +177,14 @@
                     self.assertTrue(until_s <= time_s or owner == attempt)
                     running[key] = (time_s + 10.0, attempt)
             else:
-                ledger.finish(key, time_s, action, attempt)
-                other.finish(key, time_s, action, attempt)
+                ledger.finish(key, time_s, action, attempt, ANSWER)
+                other.finish(key, time_s, action, attempt, ANSWER)
                 if running.get(key, (0, ""))[1] == attempt:
                     running.pop(key)
             self.assertEqual(ledger.state, other.state)
-            entries = ledger.state.sections.get("ledger-0", {}).get("entries", {})
-            self.assertLessEqual(len(entries), ledger.entries)
+            section = ledger.state.sections.get("ledger-0", {})
+            self.assertLessEqual(len(section.get("entries", {})), ledger.entries)
+            self.assertLessEqual(section.get("answer_bytes", 0), 20)
 
 
 class ClaimsTest(unittest.IsolatedAsyncioTestCase):
