Make a new data folder last, and refuse heartbeats that are too rare

Cause: on reading the code again: the entry of a new data folder in the folder above it was not synced, so that a crash soon after the first start could take the identity along; heartbeat_s above half of election_timeout_s would depose every leader; a voter removed during a transfer raised a KeyError. Change: the folders are synced; the settings are refused together; the transfer keeps what it needs.

--- a/endivesill/control/bootstrap.py
+++ b/endivesill/control/bootstrap.py
@@ -142,7 +142,6 @@
         """Ask every replica until the leader takes this one as a learner."""
         core = self._core
         message = {"identity": core.identity, "address": core.transport.address}
-        events.emit(LEARNER_JOINED, **message)
         for address in self._addresses:
             if address == core.transport.address:
                 continue
@@ -153,5 +152,6 @@
             except errors.PeerUnreachableError:
                 continue
             if answer.get("joined"):
+                events.emit(LEARNER_JOINED, **message)
                 break
         await core.timer.sleep(JOIN_RETRY_S)
--- a/endivesill/control/disk.py
+++ b/endivesill/control/disk.py
@@ -83,7 +83,7 @@
 
     def __init__(self, folder: str | os.PathLike[str]) -> None:
         self._folder = pathlib.Path(folder)
-        self._folder.mkdir(parents=True, exist_ok=True)
+        _make_folder(self._folder)
         self._folder_descriptor = os.open(self._folder, os.O_RDONLY)
         self._descriptors: dict[str, int] = {}
         self._lock_descriptor = self._lock()
@@ -195,6 +195,19 @@
         await loop.run_in_executor(self._executor, _checked, name, function)
 
 
+def _make_folder(folder: pathlib.Path) -> None:
+    """Make a folder that lasts, with the folders above it."""
+    if folder.is_dir():
+        return
+    _make_folder(folder.absolute().parent)
+    folder.mkdir(exist_ok=True)
+    descriptor = os.open(folder.absolute().parent, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def _write_all(descriptor: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
--- a/endivesill/control/events.py
+++ b/endivesill/control/events.py
@@ -58,7 +58,9 @@
     6012, "control-voters-refused", "A change of voters would risk the quorum."
 )
 LEARNER_JOINED = events.define(
-    6013, "control-learner-joined", "A replica without a state asks to be a learner."
+    6013,
+    "control-learner-joined",
+    "A replica without a state asks to be a learner.",
 )
 COMMAND_FAILED = events.define(
     6014, "control-command-failed", "A command raised an error; nothing else stops."
--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -260,20 +260,20 @@
         """
         core = self._core
         heir = identity or self._furthest_voter()
-        if heir is None or heir not in self.progress or self.transferring:
+        progress = self.progress.get(heir) if heir else None
+        if heir is None or progress is None or self.transferring:
             return False
+        address = core.voter_set.members[heir]
         self.transferring = True
         events.emit(LEADERSHIP_TRANSFER, term=self.term, to=heir)
         timeout_s = core.settings.election_timeout_s
         try:
             await self._wait_until(
-                lambda: self.progress[heir].match_index >= core.log.last_index,
-                timeout_s,
+                lambda: progress.match_index >= core.log.last_index, timeout_s
             )
             # From here on another leader may be elected in spite of the lease.
             self._lease_allowed = False
             request = LeadRequest(core.cluster, heir, self.term)
-            address = core.voter_set.voters[heir]
             await core.transport.call(
                 address, LEAD_PATH, to_message(request), timeout_s
             )
--- a/endivesill/control/replica.py
+++ b/endivesill/control/replica.py
@@ -64,6 +64,9 @@
       settings: the `[control]` settings.
       seed: seed of the election timeouts; None for a random one.
 
+    Raises:
+      EndivesillError: the settings do not fit together.
+
     Attributes:
       voters: status and changes of the voters.
     """
@@ -78,6 +81,10 @@
         seed: int | None = None,
     ) -> None:
         settings = settings or ControlSettings()
+        if settings.election_timeout_s < 2 * settings.heartbeat_s:
+            raise errors.EndivesillError(
+                "[control] election_timeout_s must be twice heartbeat_s at least"
+            )
         self._timer = timer
         self._transport = transport
         self._storage = ReplicaStorage(disk, settings.segment_bytes)
--- a/tests/test_control_disk.py
+++ b/tests/test_control_disk.py
@@ -34,6 +34,11 @@
         self.assertEqual(b"new", disk.read("metadata"))
         disk.close()
 
+    async def test_a_missing_folder_is_made_with_those_above_it(self):
+        folder = os.path.join(self.folder, "one", "two")
+        FileDisk(folder).close()
+        self.assertEqual(["lock"], os.listdir(folder))
+
     async def test_a_second_daemon_on_the_same_folder_is_refused(self):
         disk = FileDisk(self.folder)
         with self.assertRaisesRegex(errors.StorageError, "in use"):
