--- a/endivesill/control/core.py
+++ b/endivesill/control/core.py
@@ -103,6 +103,7 @@
         self._vote_lock = asyncio.Lock()
         self._time_base = (0.0, timer.now_s())
         self._apply_scheduled = False
+        self._apply_paused = False
 
     @property
     def identity(self) -> str:
@@ -258,6 +259,9 @@
     def _apply_committed(self) -> None:
         self._apply_scheduled = False
         machine = self.machine
+        # Behind the log's base, a snapshot from the leader is being put in use.
+        if self._apply_paused or machine.applied_index < self.log.base_index:
+            return
         last = min(self.commit_index, machine.applied_index + APPLY_BATCH_ENTRIES)
         while machine.applied_index < last:
             self._apply(self.log.entry(machine.applied_index + 1))
@@ -266,6 +270,15 @@
             asyncio.get_running_loop().call_soon(self._apply_committed)
         self.changed.notify()
 
+    def pause_applying(self) -> None:
+        """Keep the state as it is; entries are still committed."""
+        self._apply_paused = True
+
+    def resume_applying(self) -> None:
+        """Apply what was committed meanwhile."""
+        self._apply_paused = False
+        self._apply_committed()
+
     def _apply(self, entry: LogEntry) -> None:
         outcome = self.machine.apply(entry)
         if entry.kind is EntryKind.VOTERS:
--- a/endivesill/control/snapshots.py
+++ b/endivesill/control/snapshots.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import json
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -13,6 +15,8 @@
 
 __all__ = ["Snapshot"]
 
+ITEMS_PER_PART = 256
+
 
 @attrs.frozen
 class Snapshot:
@@ -44,17 +48,26 @@
 
     def to_text(self) -> str:
         """Return the snapshot as JSON text, in ASCII."""
+        return "".join(self.text_parts())
+
+    def text_parts(self) -> Iterator[str]:
+        """Yield the text in parts that each take about a millisecond to make."""
         document = {
             "index": self.index,
             "term": self.term,
             "time_s": self.time_s,
             "cluster": self.cluster,
             "voter_set": self.voter_set.to_document(),
-            "sections": self.sections,
-            "sessions": self.sessions,
             "newest": self.newest,
         }
-        return json.dumps(document, separators=(",", ":"))
+        yield _dumps(document)[:-1]
+        yield ',"sessions":'
+        yield from _object_parts(self.sessions)
+        yield ',"sections":{'
+        for number, (name, section) in enumerate(self.sections.items()):
+            yield f"{',' if number else ''}{_dumps(name)}:"
+            yield from _object_parts(section)
+        yield "}}"
 
     @classmethod
     def from_text(cls, text: str) -> Snapshot:
@@ -69,3 +82,17 @@
             return cls(**document)
         except (ValueError, KeyError, TypeError) as error:
             raise errors.StorageCorruptError(f"snapshot: {error!r}") from None
+
+
+def _dumps(value: Any) -> str:
+    return json.dumps(value, separators=(",", ":"))
+
+
+def _object_parts(items: dict[str, Any]) -> Iterator[str]:
+    """Yield the text of a JSON object, some of its items at a time."""
+    rest = iter(items.items())
+    separator = "{"
+    while part := dict(itertools.islice(rest, ITEMS_PER_PART)):
+        yield separator + _dumps(part)[1:-1]
+        separator = ","
+    yield "{}" if separator == "{" else "}"
--- a/endivesill/control/snapshotter.py
+++ b/endivesill/control/snapshotter.py
@@ -5,6 +5,7 @@
 from endivesill import errors, events
 from endivesill.control.core import ReplicaCore
 from endivesill.control.events import DISK_FAILED, SNAPSHOT_WRITTEN
+from endivesill.control.snapshots import Snapshot
 
 __all__ = ["Snapshotter"]
 
@@ -43,7 +44,20 @@
         core = self._core
         voter_set = core.applied_voter_set()
         snapshot = core.machine.to_snapshot(core.cluster, voter_set)
-        text = snapshot.to_text()
+        text = await self._text_of(snapshot)
         await core.storage.save_snapshot(text, snapshot.head())
         await core.log.forget_to(snapshot.index - core.settings.trailing_entries)
         events.emit(SNAPSHOT_WRITTEN, index=snapshot.index, size_bytes=len(text))
+
+    async def _text_of(self, snapshot: Snapshot) -> str:
+        """Return the text; others run between its parts, but no command does."""
+        core = self._core
+        parts = []
+        core.pause_applying()
+        try:
+            for part in snapshot.text_parts():
+                parts.append(part)
+                await core.timer.sleep(0)
+        finally:
+            core.resume_applying()
+        return "".join(parts)
--- a/tests/test_control_recovery.py
+++ b/tests/test_control_recovery.py
@@ -7,6 +7,8 @@
 from endivesill import errors
 from endivesill.control import EntryKind
 from endivesill.control.entries import Proposal
+from endivesill.control.snapshots import Snapshot
+from endivesill.control.voter_set import VoterSet
 from tests.control_cluster import SETTINGS, ClusterTestCase
 
 
@@ -105,6 +107,42 @@
             self.assertIsInstance(outcome, errors.OutcomeUnknownError)
 
 
+class SnapshotTest(ClusterTestCase):
+    def test_the_text_in_parts_is_read_back(self):
+        for size in (0, 1, 256, 257, 1_000):
+            section = {f"k{n}": {"value": [n, "\u00e6"]} for n in range(size)}
+            sections = {"test": section, "empty": {}, "other": {"a": 1}}
+            sessions = {f"c{n}": [1.0, 0, [[1, "{}"]]] for n in range(size)}
+            snapshot = Snapshot(
+                5, 2, 1.5, "c", VoterSet({"a": "b"}), sections, sessions, {"x": 3}
+            )
+            self.assertEqual(snapshot, Snapshot.from_text(snapshot.to_text()))
+
+    async def test_commands_wait_while_a_snapshot_is_made_and_none_is_in_it(self):
+        settings = attrs.evolve(SETTINGS, snapshot_entries=10, trailing_entries=0)
+        cluster = await self.start(settings=settings)
+        leader = await cluster.leader()
+        client = cluster.client()
+        for number in range(5):
+            await cluster.put(client, f"k{number}", number)
+        core = leader.core
+        core.pause_applying()
+        put = client.propose("test.put", {"key": "late", "value": 1}, 5.0)
+        task = asyncio.ensure_future(put)
+        await cluster.timer.advance(0.1)
+        self.assertGreater(core.commit_index, core.machine.applied_index)
+        self.assertNotIn("late", leader.state.section("test"))
+        core.resume_applying()
+        await cluster.run(task)
+        for number in range(20):
+            await cluster.put(client, f"k{number}", number)
+        address = cluster.address_of(leader)
+        await cluster.restart(address)
+        await cluster.timer.advance(5.0)
+        self.assert_equal_states(cluster)
+        self.assertGreater(cluster.replicas[address].core.storage.head.index, 10)
+
+
 class CrashTest(ClusterTestCase):
     async def test_no_commit_is_lost_when_the_leader_stops_at_any_write(self):
         for boundary in range(1, 13):
