--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -175,9 +175,19 @@
         """Run a task that is cancelled at the end of the term."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_end)
         return task
 
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Stop leading when a task has failed: a part of the work is not done."""
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = repr(task.exception())
+        events.emit(events.TASK_FAILED, task="control-leadership", error=error)
+        if self._core.leadership is self:
+            self._core.step_down("a task failed")
+
     def _tick(self) -> None:
         if not self.has_quorum():
             self._core.step_down("no answers from a majority")
--- a/endivesill/control/replica.py
+++ b/endivesill/control/replica.py
@@ -267,6 +267,10 @@
                 return to_message(await answer(request))
             except errors.StorageError as error:
                 return {"refused": str(error)}
+            except Exception as error:
+                name = f"control-{kind.__name__}"
+                events.emit(events.TASK_FAILED, task=name, error=repr(error))
+                return {"refused": repr(error)}
 
         return handle
 
--- a/tests/test_control_recovery.py
+++ b/tests/test_control_recovery.py
@@ -195,6 +195,24 @@
         await cluster.timer.advance(3.0)
         self.assert_equal_states(cluster)
 
+    async def test_a_leader_whose_snapshot_cannot_be_read_hands_over(self):
+        settings = attrs.evolve(SETTINGS, snapshot_entries=10, trailing_entries=0)
+        cluster = await self.start(settings=settings)
+        client = cluster.client()
+        leader = await cluster.leader()
+        lost = cluster.followers()[0]
+        await cluster.crash(lost)
+        for number in range(40):
+            await cluster.put(client, f"k{number}", number)
+        await cluster.timer.advance(1.0)
+        cluster.disks[cluster.address_of(leader)].damage("snapshot", 30)
+        await cluster.boot(lost)
+        await cluster.timer.advance(20.0)
+        self.assertFalse(leader.is_leader)
+        await cluster.put(client, "last", 1)
+        await cluster.timer.advance(2.0)
+        self.assert_equal_states(cluster)
+
     async def test_full_disks_refuse_until_there_is_space_again(self):
         cluster = await self.start()
         client = cluster.client()
