--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -138,12 +138,14 @@
     )
     source = NamedConfigurationSource(kernel)
     kernel.add("peer-port", PeerPort(transport, **server_options(tls)))
+    datagrams = UdpDatagramTransport(vm.peer_address, keys.texts())
+    keys.subscribe(lambda: datagrams.replace_keys(keys.texts()))
     membership = SwimMembership(
         kernel,
         vm,
         settings.section(MembershipSettings),
         transport,
-        UdpDatagramTransport(vm.peer_address, keys.texts()),
+        datagrams,
         source,
     )
     kernel.add("membership", membership)
--- a/endivesill/membership/datagrams.py
+++ b/endivesill/membership/datagrams.py
@@ -74,13 +74,21 @@
 
     def __init__(self, address: str, keys: Iterable[str]) -> None:
         super().__init__(address)
-        self._signers = [
-            hmac.new(key.encode(), digestmod=hashlib.sha256) for key in keys
-        ]
-        if not self._signers:
-            raise errors.EndivesillError("datagrams need one key at least")
+        self._signers: list[hmac.HMAC] = []
+        self.replace_keys(keys)
         self._endpoint: asyncio.DatagramTransport | None = None
 
+    def replace_keys(self, keys: Iterable[str]) -> None:
+        """Take other keys, as during a rotation.
+
+        Raises:
+          EndivesillError: there is none.
+        """
+        signers = [hmac.new(key.encode(), digestmod=hashlib.sha256) for key in keys]
+        if not signers:
+            raise errors.EndivesillError("datagrams need one key at least")
+        self._signers = signers
+
     async def open(self, receiver: Receiver) -> None:
         """Bind the port.
 
