--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -13,6 +13,7 @@
     "FindingsError",
     "GrantExpiredError",
     "NotLeaderError",
+    "OrderError",
     "OutcomeUnknownError",
     "PeerMessageError",
     "PeerUnreachableError",
@@ -25,6 +26,7 @@
     "TargetError",
     "TargetGoneError",
     "TargetRefusedError",
+    "TargetStatusError",
     "TargetUnreachableError",
     "UnavailableError",
     "UnsafeChangeError",
@@ -59,6 +61,10 @@
     """A peer that did not answer; the message may or may not have arrived."""
 
 
+class OrderError(EndivesillError):
+    """An order to an engine that is wrong in itself."""
+
+
 class PeerMessageError(EndivesillError):
     """A message from a peer that cannot be read."""
 
@@ -166,6 +172,18 @@
         self.run = run
 
 
+class TargetStatusError(TargetError):
+    """A target that answered with an error status.
+
+    Attributes:
+      status: the HTTP status.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"the target answered {status}")
+        self.status = status
+
+
 class TargetRefusedError(TargetError):
     """A target that says itself that it did not run the request."""
 
