Ask a majority of the replicas only and keep the rounds in step

A VM that asked directly because its lease was short had its question held and so missed its parent's next round for good. Such questions are not held now.

--- a/endivesill/configuration/lease.py
+++ b/endivesill/configuration/lease.py
@@ -9,7 +9,6 @@
     "DIRECT_BELOW_S",
     "DIRECT_RESERVE_S",
     "GATHER_S",
-    "HOLD_LEAST_LEASE_S",
     "HOLD_S",
     "IN_FORCE_MARGIN_S",
     "LEASE_S",
@@ -22,17 +21,15 @@
 LEASE_S = 3.0
 # How long a replica holds a question to which it has nothing new to say.
 HOLD_S = 0.7
-# With less of the lease left than this, a question is not to be held.
-HOLD_LEAST_LEASE_S = 1.4
 # How much longer than it is held a question to a replica may take.
 PROBE_MARGIN_S = 0.5
 # How long a VM waits for its children's next questions before it asks itself.
-GATHER_S = 0.1
+GATHER_S = 0.25
 # What is kept of the lease for a question to the control replicas while a VM
 # waits for its parent.
 DIRECT_RESERVE_S = 0.6
-# With less of the lease left than this, a VM asks the control replicas itself:
-# one round of its parent and the reserve.
+# With less of the lease left than this, a VM asks the control replicas itself,
+# and they do not hold the question: it is in time for its parent's next round.
 DIRECT_BELOW_S = HOLD_S + GATHER_S + 0.1 + DIRECT_RESERVE_S
 # How long a VM asks the control replicas itself after its parent failed.
 PARENT_RETRY_S = 3.0
--- a/endivesill/configuration/probe.py
+++ b/endivesill/configuration/probe.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 
 import attrs
 
@@ -56,6 +57,7 @@
         self._voters = VoterSet()
         self._answers: dict[str, _Answer] = {}
         self._busy: dict[str, asyncio.Task[None]] = {}
+        self._failed: set[str] = set()
         self._acks_sent: dict[str, Packed] = {}
         self._changed = asyncio.Event()
         self.newer_address: str | None = None
@@ -87,6 +89,9 @@
     async def ask(self, hold_s: float, acks: Packed) -> None:
         """Ask until a majority confirms, a replica has news, or all have failed.
 
+        A question that may be held goes to a majority only, and to the others
+        once one of these has failed; a question without a hold goes to all.
+
         Args:
           hold_s: how long the replicas may hold the question.
           acks: the acknowledgements to report.
@@ -97,8 +102,8 @@
         asked: set[str] = set()
         while self.newer_address is None:
             self._changed.clear()
-            for address in self.addresses():
-                if address not in asked and address not in self._busy:
+            for address in self._wanted(asked, held=hold_s > 0):
+                if address not in self._busy:
                     asked.add(address)
                     self._start(address, hold_s, acks)
             lease_start_s = self.lease_start_s()
@@ -112,6 +117,21 @@
             except errors.DeadlineExceededError:
                 return
 
+    def _wanted(self, asked: set[str], *, held: bool) -> list[str]:
+        """Return the control VMs that are still to be asked in a round."""
+        waiting = [a for a in self.addresses() if a not in asked]
+        if not held or not self._voters.addresses:
+            return waiting
+        useful = len(asked - self._failed)
+        waiting.sort(key=self._preference)
+        return waiting[: max(0, self._voters.majority - useful)]
+
+    def _preference(self, address: str) -> tuple[bool, bool, bytes]:
+        """Rank voters that answer first; each VM has an order of its own."""
+        is_voter = address in self._voters.addresses.values()
+        place = hashlib.sha256(f"{self._vm_name} {address}".encode()).digest()
+        return not is_voter, address in self._failed, place
+
     def close(self) -> None:
         """Give up all questions."""
         for task in self._busy.values():
@@ -141,7 +161,9 @@
                 self._transport, address, PROBE_PATH, message, hold_s + PROBE_MARGIN_S
             )
         except errors.PeerUnreachableError:
+            self._failed.add(address)
             return
+        self._failed.discard(address)
         self._acks_sent[address] = acks
         if answer.get("acks_wanted"):
             self._acks_sent.pop(address)
--- a/endivesill/configuration/watcher.py
+++ b/endivesill/configuration/watcher.py
@@ -32,7 +32,6 @@
     DIRECT_BELOW_S,
     DIRECT_RESERVE_S,
     GATHER_S,
-    HOLD_LEAST_LEASE_S,
     HOLD_S,
     LEASE_S,
     PARENT_RETRY_S,
@@ -196,7 +195,7 @@
         return None if parent is None else parent.address
 
     async def _ask_replicas(self) -> float | None:
-        can_hold = not self._has_news and self._lease_left_s() > HOLD_LEAST_LEASE_S
+        can_hold = not self._has_news and self._lease_left_s() > DIRECT_BELOW_S
         hold_s = HOLD_S if can_hold else 0.0
         started_s = self._timer.now_s()
         await self._probe.ask(hold_s, self._acks())
@@ -331,7 +330,7 @@
 
     async def _answer_watch(self, message: Message) -> Message:
         if self._stopped:
-            raise errors.UnavailableError(f"{self._vm_name} has stopped")
+            return self._refusal()
         known = self._acknowledgements.report(message["vm"], message.get("acks"))
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         child = _Child(message["vm"], message["revision"], future)
@@ -342,6 +341,10 @@
             answer["acks_wanted"] = True
         return answer
 
+    def _refusal(self) -> Message:
+        """Return an answer with no lease and no news."""
+        return {"lease": False, "revision": 0, "as_of": 0}
+
     def _answer_children(self, children: list[_Child], *, lease: bool) -> None:
         for child in children:
             if not child.future.done():
--- a/endivesill/peers.py
+++ b/endivesill/peers.py
@@ -36,6 +36,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CONNECTIONS_PER_PEER = 8
+
+# Peers need none of these; they are most of a small message.
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 UNSENT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 KEY_REFUSED = events.define(
