--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -212,7 +212,7 @@
 ) -> None:
     timer = kernel.timer
     instance_id = membership.own_record.instance_id
-    lender = Lender(timer, source.current, instance_id, membership, transport)
+    lender = Lender(timer, source.current, instance_id, membership, transport, source)
     wallet = Wallet(timer, source.current, instance_id, lender, membership, transport)
     prefixes = PrefixIndex()
     router = Router(
--- a/endivesill/entry/generations.py
+++ b/endivesill/entry/generations.py
@@ -14,7 +14,7 @@
 from endivesill.entry.failures import final_error
 from endivesill.entry.relay import Deliver, Relay
 from endivesill.entry.table import RelayTable
-from endivesill.routing import Grant, RouteRequest
+from endivesill.routing import Grant, RouteRequest, prefix_hashes
 from endivesill.targets import EngineStream, GenerationRequest
 
 __all__ = ["Generation"]
@@ -97,6 +97,7 @@
             service=self._service,
             organisation=self._organisation,
             prompt_tokens=self._call.prompt_tokens,
+            prefix=prefix_hashes(self._call.prompt),
             maximum_output_tokens=self._call.maximum_output_tokens,
             priority=self._service.priority,
             deadline_s=self._deadline_s,
--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -47,6 +47,7 @@
       first_token_ms: their mean time to the first token.
       recooled: whether it has seen the target turn cold.
       least_slots: the fewest that it ran at any time since the last ask.
+      queued: how many requests wait for the target's service there.
     """
 
     slots: int = 0
@@ -60,6 +61,7 @@
     first_token_ms: float = 0.0
     recooled: bool = False
     least_slots: int = 0
+    queued: int = 0
 
 
 @attrs.frozen
@@ -270,10 +272,22 @@
             self.warmth.assume(others + use.slots)
             allowance = self.allowance_slots()
         free = allowance - others - max(residual, self._foreign_slots)
-        wants = [a.use.slots + a.use.ahead_slots for a in self._accounts.values()]
+        wants = [
+            a.use.slots + self._ahead_slots(a.use, allowance)
+            for a in self._accounts.values()
+        ]
         share = _fair_share(wants, allowance - residual)
-        wanted = min(use.slots + use.ahead_slots, max(share, use.slots))
-        return max(0, min(wanted, free))
+        if use.queued:
+            # Shares under one slot go to who asks first.
+            share = max(1, share)
+        wanted = use.slots + self._ahead_slots(use, allowance)
+        return max(0, min(wanted, max(share, use.slots), free))
+
+    def _ahead_slots(self, use: Use, allowance: int) -> int:
+        """Return the slots to lend in advance; few where nothing waits."""
+        if use.queued:
+            return use.ahead_slots
+        return min(use.ahead_slots, allowance // (2 * len(self._accounts)))
 
     def _takeover_slots(self, borrower: str, use: Use) -> int:
         """Lend what borrowers ran before, and the cold allowance among all."""
@@ -286,7 +300,8 @@
         room = max(0, self.target.maximum_slots - bases)
         cold = max(0, min(self.warmth.cold_slots, room) - extra)
         base = self._accounts[borrower].base_slots
-        return min(use.slots + use.ahead_slots, base + cold)
+        ahead = self._ahead_slots(use, self.warmth.cold_slots)
+        return min(use.slots + ahead, base + cold)
 
     def _grant_tokens(self, borrower: str, use: Use) -> int:
         if not self._memory_tokens:
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -36,11 +36,15 @@
 
 @attrs.define
 class _ServiceState:
-    """The policy and the queue of one service."""
+    """The policy and the queue of one service.
+
+    It is pressing while a request at hand asks for credits.
+    """
 
     policy: Policy
     queue: WaitQueue
     checking: bool = False
+    pressing: bool = False
 
 
 class Router(Service):
@@ -147,7 +151,7 @@
         output_tokens = reserved_tokens - request.prompt_tokens
         choice = Choice(request, now_s, output_tokens, self.prefixes)
         chosen = state.policy.choose(choice, candidates)
-        if chosen is None and self._need_credit(choice):
+        if chosen is None and self._need_credit(state, choice):
             choice = Choice(request, now_s, output_tokens, self.prefixes)
             chosen = state.policy.choose(choice, candidates)
         if chosen is None:
@@ -160,12 +164,12 @@
             return candidates
         return [c for c in candidates if c.target.name not in request.excluded]
 
-    def _need_credit(self, choice: Choice) -> bool:
+    def _need_credit(self, state: _ServiceState, choice: Choice) -> bool:
         """Ask for the credits that a choice lacked; True if some came at once."""
-        came = False
-        for candidate in choice.short_of_credit:
-            came = self.wallet.need(candidate.target) or came
-        return came
+        state.pressing = True
+        came = [self.wallet.need(c.target) for c in choice.short_of_credit]
+        state.pressing = False
+        return any(came)
 
     def _grant(self, choice: Choice, chosen: Candidate, considered: int) -> RoutedGrant:
         request = choice.request
@@ -205,7 +209,7 @@
         if not state.checking:
             state.checking = True
             self._timer.call_after(CHECK_PERIOD_S, lambda: self._check(state))
-        if len(state.queue) > 1 and waiter in state.queue.heads(now_s):
+        if waiter in state.queue.heads(now_s):
             self._pump(state)
         return waiter
 
@@ -302,13 +306,16 @@
             first_token_ms=first_token_ms,
             recooled=observation.take_recooled(),
             least_slots=candidate.asked(),
+            queued=self._queued(target),
         )
 
     def _ahead_slots(self, target: Target) -> int:
-        state = self._services.get(target.service)
-        queued = len(state.queue) if state else 0
         starts = self.directory.observation(target.name).recent_starts(self.now_s())
-        return AHEAD_SLOTS + starts + queued
+        return AHEAD_SLOTS + starts + self._queued(target)
+
+    def _queued(self, target: Target) -> int:
+        state = self._services.get(target.service)
+        return max(len(state.queue), int(state.pressing)) if state else 0
 
     def _loan_changed(self, target: Target) -> None:
         self.directory.candidate(target).answered(self.wallet.loan(target.name))
@@ -368,7 +375,6 @@
         if outcome is Outcome.DONE:
             organisation = request.organisation.name
             observation.answered()
-            self.retries.succeeded(request.service.name, organisation)
             if grant.produced:
                 self.lengths.record(request.service, organisation, grant.produced)
         self._pump_service(grant)
--- a/endivesill/routing/wallet.py
+++ b/endivesill/routing/wallet.py
@@ -27,6 +27,7 @@
 TICK_S = 0.25
 URGENT_S = 0.25
 ASK_TIMEOUT_S = 1.0
+MAXIMUM_FRUITLESS = 4
 IDLE_S = 10.0
 OWN_RENEW_S = 1.0
 OWN_URGENT_S = 0.02
@@ -34,13 +35,23 @@
 
 @attrs.define
 class _Home:
-    """What is known of the exchange with one home."""
+    """What is known of the exchange with one home.
+
+    Asks that bring nothing make the next urgent one wait longer.
+    """
 
     address: str
     asked_s: float = -math.inf
     urgent: bool = False
+    fruitless: int = 0
     task: asyncio.Task[None] | None = None
 
+    def period_s(self) -> float:
+        """Return the shortest time between two asks now."""
+        if not self.urgent:
+            return RENEW_S
+        return min(RENEW_S, URGENT_S * 2**self.fruitless)
+
 
 class Wallet(Service):
     """Holds the loans of this entry.
@@ -154,7 +165,7 @@
 
     def _ask_deferred(self, target: Target) -> None:
         self._deferred.discard(target.name)
-        if self._lender.is_home(target) and self._ask_own(target, OWN_URGENT_S):
+        if self._lender.is_home(target) and self._ask_own(target, 0.0):
             self.on_credits(target)
 
     def _tick(self) -> None:
@@ -186,8 +197,7 @@
     def _ask_if_due(self, home: _Home) -> None:
         if home.task is not None and not home.task.done():
             return
-        period_s = URGENT_S if home.urgent else RENEW_S
-        if self._timer.now_s() - home.asked_s < period_s:
+        if self._timer.now_s() - home.asked_s < home.period_s():
             return
         targets = self._targets_of(home)
         if not targets:
@@ -232,6 +242,7 @@
         self, home: _Home, targets: list[Target], answer: Message, expires_s: float
     ) -> None:
         assert self._membership is not None
+        gained = False
         for target in targets:
             fields = answer["loans"].get(target.name)
             record = self._membership.home_of(target)
@@ -239,8 +250,11 @@
                 continue
             slots, tokens, prefill_tokens, serial = fields
             loan = Loan(slots, tokens, prefill_tokens, serial, expires_s)
+            held = self._loans.get(target.name)
+            gained = gained or held is None or held[1].slots < slots
             self._hold(target, answer["instance"], loan)
             self.on_credits(target)
+        home.fruitless = 0 if gained else min(home.fruitless + 1, MAXIMUM_FRUITLESS)
 
     async def _revoke(self, message: Message) -> Message:
         target = self._configuration().targets.get(message["target"])
--- a/tests/test_routing_wallet.py
+++ b/tests/test_routing_wallet.py
@@ -48,6 +48,7 @@
             ahead_slots=4,
             serial=loan.serial if loan else 0,
             recooled=self.recooled,
+            queued=1,
             least_slots=self.running,
         )
 
