--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import aiohttp
 
 from endivesill.configuration.control_replica import ControlReplicaView
@@ -18,18 +20,24 @@
 from endivesill.control.remote import RemoteControlClient
 from endivesill.control.replica import ControlReplica
 from endivesill.control.settings import ControlSettings
+from endivesill.control.voters import VoterOperations
 from endivesill.drain import DrainService
 from endivesill.entry.budget import SharedRetryBudget
 from endivesill.entry.service import EntryService
 from endivesill.entry.settings import EntrySettings
 from endivesill.kernel import Kernel, Service
-from endivesill.keys import KeyRing
+from endivesill.keys import KeyFileWatch, KeyRing
 from endivesill.membership.datagrams import UdpDatagramTransport
 from endivesill.membership.service import SwimMembership
 from endivesill.membership.settings import MembershipSettings
 from endivesill.membership.view import VmState
 from endivesill.membership.vm_list_watch import VmListWatch
 from endivesill.metrics import Metrics
+from endivesill.operators import (
+    ConfigurationProgress,
+    OperatorApplication,
+    OperatorPort,
+)
 from endivesill.peers import HttpPeerTransport
 from endivesill.routing import Backoff, Lender, PrefixIndex, Router, Wallet
 from endivesill.server import HttpServer
@@ -37,6 +45,7 @@
 from endivesill.targets import EngineAdapter, open_session
 from endivesill.targets.monitor import TargetMonitor
 from endivesill.timer import TimerService
+from endivesill.tls import TlsSettings, client_context, server_options
 
 __all__ = ["build_kernel"]
 
@@ -46,11 +55,12 @@
 
     Args:
       transport: the peer transport that answers.
+      options: further options of the listener, such as its TLS files.
     """
 
-    def __init__(self, transport: HttpPeerTransport) -> None:
+    def __init__(self, transport: HttpPeerTransport, **options: Any) -> None:
         self._transport = transport
-        self._server = HttpServer(transport.address, transport.application())
+        self._server = HttpServer(transport.address, transport.application(), **options)
 
     async def start(self) -> None:
         """Listen."""
@@ -122,9 +132,12 @@
     vm = settings.vm
     keys = KeyRing.from_file(vm.key_file)
     metrics = Metrics()
-    transport = HttpPeerTransport(vm.peer_address, keys)
+    tls = settings.section(TlsSettings)
+    transport = HttpPeerTransport(
+        vm.peer_address, keys, tls.scheme, client_context(tls)
+    )
     source = NamedConfigurationSource(kernel)
-    kernel.add("peer-port", PeerPort(transport))
+    kernel.add("peer-port", PeerPort(transport, **server_options(tls)))
     membership = SwimMembership(
         kernel,
         vm,
@@ -148,6 +161,8 @@
     if "entry" in vm.roles:
         _add_entry(kernel, settings, keys, metrics, transport, source, membership)
     kernel.add("vm-list", _vm_list(kernel, settings, membership, source, drain))
+    kernel.add("key-file", KeyFileWatch(timer, keys, vm.key_file))
+    _add_operators(kernel, settings, keys, metrics, transport, membership)
     return kernel
 
 
@@ -229,6 +244,7 @@
     kernel.add("wallet", wallet)
     kernel.add("router", router)
     drain = kernel.find("drain", DrainService)
+    tls = settings.section(TlsSettings)
     entry = EntryService(
         kernel,
         settings.vm.caller_address,
@@ -239,10 +255,40 @@
         budget=SharedRetryBudget(router.retries, Backoff()),
         is_draining=lambda: not drain.is_ready(),
         is_gone=lambda owner: _is_gone(membership, owner),
+        **(server_options(tls) if tls.callers else {}),
     )
     kernel.add("entry", entry)
 
 
+def _add_operators(
+    kernel: Kernel,
+    settings: Settings,
+    keys: KeyRing,
+    metrics: Metrics,
+    transport: HttpPeerTransport,
+    membership: SwimMembership,
+) -> None:
+    vm = settings.vm
+    watcher = kernel.find("configuration", ConfigurationWatcher)
+    client = RemoteControlClient(kernel.timer, transport, vm.control_addresses)
+    application = OperatorApplication(
+        timer=kernel.timer,
+        vm=vm,
+        keys=keys,
+        metrics=metrics,
+        control=kernel.find("control", ControlClient),
+        voters=VoterOperations(client),
+        membership=membership,
+        configuration=watcher,
+        progress=ConfigurationProgress(
+            transport, membership, watcher.control_addresses
+        ),
+        drain=kernel.find("drain", DrainService),
+    )
+    options = server_options(settings.section(TlsSettings))
+    kernel.add("operators", OperatorPort(application, **options))
+
+
 def _is_gone(membership: SwimMembership, instance_id: str) -> bool:
     """Tell whether a VM instance is known to be gone."""
     return all(
--- a/endivesill/entry/generations.py
+++ b/endivesill/entry/generations.py
@@ -53,6 +53,7 @@
         self._organisation = organisation
         self._excluded: set[str] = set()
         self._deadline_s = context.timer.now_s() + service.deadline_s
+        self._prefix = prefix_hashes(call.prompt)
         self._run_state = errors.RunState.NOT_RUN
         self.request_id = request_id
         self.relay: Relay | None = None
@@ -97,7 +98,7 @@
             service=self._service,
             organisation=self._organisation,
             prompt_tokens=self._call.prompt_tokens,
-            prefix=prefix_hashes(self._call.prompt),
+            prefix=self._prefix,
             maximum_output_tokens=self._call.maximum_output_tokens,
             priority=self._service.priority,
             deadline_s=self._deadline_s,
