--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -15,15 +15,20 @@
     Service,
     Target,
 )
+from endivesill.membership import StaticMembership, VmRecord
+from endivesill.peers import MemoryNetwork
 from endivesill.routing import Lender, Outcome, Router, RouteRequest, Wallet
+from endivesill.routing.credits import Use
 from endivesill.routing.lengths import LengthEstimator
-from endivesill.timer import SystemTimer
+from endivesill.timer import ManualTimer, SystemTimer
 
 __all__ = ["add_costs"]
 
 TARGET_COUNTS = (6, 60, 300, 2400)
 ORGANISATION_COUNTS = (10, 1000, 19_000)
 SERVICES = 16
+VM_COUNTS = (3, 7, 14)
+EXCHANGE_S = 60.0
 DECISIONS = 4000
 DECISION_BOUND_US = 50.0
 PREFIX = tuple(f"p{number}" for number in range(6))
@@ -91,8 +96,45 @@
     return size / count
 
 
+async def exchange_per_vm(vms: int) -> tuple[float, float]:
+    """Return messages and body bytes a second and VM, each VM home of one engine."""
+    timer = ManualTimer()
+    network = MemoryNetwork(timer)
+    names = [f"v{number}" for number in range(vms)]
+    configuration = fleet(vms)
+    homes = dict(zip(configuration.targets, names, strict=True))
+    records = tuple(VmRecord(name, name, name, "dc", "r") for name in names)
+    wallets = []
+    for name in names:
+        membership = StaticMembership(name, records, homes)
+        peers = network.transport(name)
+        lender = Lender(timer, lambda: configuration, name, membership, peers)
+        wallet = Wallet(timer, lambda: configuration, name, lender, membership, peers)
+        wallet.use_of = lambda target: Use(slots=3, tokens=4000, ahead_slots=2)
+        await wallet.start()
+        for target in configuration.targets.values():
+            wallet.need(target)
+        wallets.append(wallet)
+    await timer.advance(EXCHANGE_S)
+    for wallet in wallets:
+        await wallet.stop()
+    scale = vms * EXCHANGE_S
+    return network.messages / scale, network.bytes / scale
+
+
+def add_exchange(report: Report) -> None:
+    """Measure what the credits of a busy fleet cost on the wire."""
+    points = []
+    for vms in VM_COUNTS:
+        messages, size = asyncio.run(exchange_per_vm(vms))
+        points.append((float(vms), round(size, 1)))
+        report.add(f"credit messages, {vms} busy VMs", round(messages, 2), "/s and VM")
+    report.slope("credit bodies", "VMs, each home of one engine", "B/s and VM", points)
+
+
 def add_costs(report: Report) -> None:
     """Measure and add the costs."""
+    add_exchange(report)
     points = []
     for count in TARGET_COUNTS:
         logged_us = round(asyncio.run(decision_us(count)), 1)
