Part the accounts of a ledger from it, and the fakes' data from the fakes

Cause: credits.py and fake_engine.py had grown past one job. Conclusion: no change in behaviour but the moved homes.

--- a/bench/routing_run.py
+++ b/bench/routing_run.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 from collections.abc import Callable
 
 import attrs
 
-from bench.fake_engine import EngineSpec, FakeEngine, FakeEngines, Sequence
+from bench.fake_engine import FakeEngine, FakeEngines
+from bench.fake_sequence import EngineSpec, Sequence
 from bench.routing_workload import Arrival, make_arrivals
 from endivesill import errors
 from endivesill.configuration.model import (
@@ -395,5 +395,4 @@
 
 def run_plan(plan: Plan) -> Figures:
     """Run one plan to its end."""
-    gc.freeze()
     return asyncio.run(_simulate(plan))
--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -11,9 +11,8 @@
 import collections
 import math
 
-import attrs
-
 from endivesill.configuration.model import Target
+from endivesill.routing.accounts import PREDECESSOR, Account, Loan, Residual, Use
 from endivesill.routing.limits import DecodeLimit, MemoryLimit, PrefillLimit
 from endivesill.routing.warmth import ColdStart
 
@@ -24,109 +23,11 @@
 TAKEOVER_S = LOAN_LIFE_S + RENEW_S + 1.0
 REPORT_LAG_LIMIT_S = 3.0
 EVIDENCE_S = 15.0
-UNREPORTED_LIFE_S = 60.0
-PREDECESSOR = ""
 FOREIGN_WINDOW_S = 6.0
 TOKENS_PER_SLOT = 512
 ADAPT_PERIOD_S = 1.0
 
 
-@attrs.frozen
-class Use:
-    """What a borrower says of its work at a target.
-
-    Attributes:
-      slots: requests that it runs there.
-      tokens: memory tokens that it has reserved there.
-      ahead_slots: how many it would like to start.
-      ahead_tokens: memory tokens that those would need.
-      serial: serial of the loan that it holds; 0 for none.
-      median_gap_ms: median gap between tokens; 0 if unknown.
-      tail_gap_ms: 95th percentile of the gap; 0 if unknown.
-      answers: answers completed since the last ask.
-      first_token_ms: their mean time to the first token.
-      recooled: whether it has seen the target turn cold.
-      least_slots: the fewest that it ran at any time since the last ask.
-      queued: how many requests wait for the target's service there.
-    """
-
-    slots: int = 0
-    tokens: int = 0
-    ahead_slots: int = 0
-    ahead_tokens: int = 0
-    serial: int = 0
-    median_gap_ms: float = 0.0
-    tail_gap_ms: float = 0.0
-    answers: int = 0
-    first_token_ms: float = 0.0
-    recooled: bool = False
-    least_slots: int = 0
-    queued: int = 0
-
-
-@attrs.frozen
-class Loan:
-    """Credits of one borrower at one target.
-
-    Attributes:
-      slots: requests that it may run at once.
-      tokens: memory tokens that it may reserve.
-      prefill_tokens: prompt tokens that it may have in flight.
-      serial: grows with each loan of a ledger.
-      expires_s: when it ends, on the holder's own clock.
-    """
-
-    slots: int
-    tokens: int
-    prefill_tokens: int
-    serial: int
-    expires_s: float
-
-
-@attrs.define
-class _Account:
-    """A borrower's loans that it may still hold, by serial, and its last use.
-
-    Its base is what it ran when it first asked, on an earlier home's loans. Its
-    asks are the times with the fewest slots that it had run since the one before.
-    """
-
-    base_slots: int = 0
-    loans: dict[int, Loan] = attrs.Factory(dict)
-    use: Use = attrs.Factory(Use)
-    asks: collections.deque[tuple[float, int]] = attrs.Factory(collections.deque)
-
-    def certain_slots(self, from_s: float, until_s: float) -> int:
-        """Return how many it ran at least, at any time of a period."""
-        if not self.asks or self.asks[-1][0] < until_s:
-            return 0
-        return min(least for asked_s, least in self.asks if asked_s >= from_s)
-
-    def exposed_slots(self) -> int:
-        return max([self.use.slots, *(loan.slots for loan in self.loans.values())])
-
-    def exposed_tokens(self) -> int:
-        return max([self.use.tokens, *(loan.tokens for loan in self.loans.values())])
-
-    def expires_s(self) -> float:
-        return max((loan.expires_s for loan in self.loans.values()), default=0.0)
-
-
-@attrs.define
-class _Residual:
-    """Work of borrowers that are not heard of; since then they start no more."""
-
-    borrower: str
-    slots: int
-    tokens: int
-    since_s: float
-
-    def is_over(self, now_s: float) -> bool:
-        """Tell whether the work has ended, as far as time alone can tell."""
-        life_s = 0.0 if self.borrower == PREDECESSOR else UNREPORTED_LIFE_S
-        return now_s - self.since_s >= life_s
-
-
 class Ledger:
     """What a home lends of one target.
 
@@ -159,10 +60,10 @@
         self.memory = MemoryLimit()
         self.prefill = PrefillLimit()
         self.answering = True
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, Account] = {}
         # What an earlier home's borrowers may run, until reports show otherwise.
         self._residuals = [
-            _Residual(
+            Residual(
                 PREDECESSOR,
                 target.maximum_slots,
                 target.memory_tokens,
@@ -219,7 +120,7 @@
           lends: whether anything may be lent now.
         """
         self._expire(now_s)
-        account = self._accounts.setdefault(borrower, _Account(use.slots))
+        account = self._accounts.setdefault(borrower, Account(use.slots))
         account.use = use
         # It is heard of again and says itself what it runs.
         self._residuals = [r for r in self._residuals if r.borrower != borrower]
@@ -330,7 +231,7 @@
         for name, account in list(self._accounts.items()):
             if account.loans and account.expires_s() > now_s:
                 continue
-            residual = _Residual(
+            residual = Residual(
                 name, account.exposed_slots(), account.exposed_tokens(), now_s
             )
             del self._accounts[name]
@@ -385,7 +286,7 @@
                     self._shrink(residual, left)
         self._residuals = [r for r in self._residuals if r.slots]
 
-    def _shrink(self, residual: _Residual, slots: int) -> None:
+    def _shrink(self, residual: Residual, slots: int) -> None:
         if slots < residual.slots:
             residual.tokens = residual.tokens * slots // residual.slots
             residual.slots = slots
--- a/endivesill/routing/wallet.py
+++ b/endivesill/routing/wallet.py
@@ -86,6 +86,7 @@
         self._own_asked_s: dict[str, float] = {}
         self._deferred: set[str] = set()
         self._number = 0
+        self._checked: Configuration | None = None
         self._ticker: TimerHandle | None = None
         self.use_of: Callable[[Target], Use] = lambda target: Use()
         self.on_loan: Callable[[Target], None] = lambda target: None
@@ -170,7 +171,11 @@
 
     def _tick(self) -> None:
         now_s = self._timer.now_s()
-        targets = self._configuration().targets
+        configuration = self._configuration()
+        if configuration is not self._checked and self._membership is not None:
+            self._drop_foreign_loans()
+        self._checked = configuration
+        targets = configuration.targets
         for name, demand_s in list(self._demand_s.items()):
             target = targets.get(name)
             if target is None or not self._has_work(target, now_s - demand_s):
