Run the routing bench over several entries

Cause: one entry that is home of all engines hides what sharing credits costs. Change: Plan.entries; memory in advance is lent sparingly where nothing waits.

--- a/bench/routing_run.py
+++ b/bench/routing_run.py
@@ -9,6 +9,7 @@
 
 from bench.fake_engine import FakeEngine, FakeEngines
 from bench.fake_sequence import EngineSpec, Sequence
+from bench.routing_entry import Entry, make_entries
 from bench.routing_workload import Arrival, make_arrivals
 from endivesill import errors
 from endivesill.configuration.model import (
@@ -18,9 +19,8 @@
     Service,
     Target,
 )
-from endivesill.routing import Grant, Lender, Outcome, Router, RouteRequest, Wallet
-from endivesill.routing.prefixes import PrefixIndex
-from endivesill.targets.monitor import TargetMonitor
+from endivesill.peers import MemoryNetwork
+from endivesill.routing import Grant, Outcome, RouteRequest
 from endivesill.timer import ManualTimer
 
 __all__ = ["Figures", "Plan", "run_plan"]
@@ -47,6 +47,7 @@
       rate_per_s: requests that arrive in a second.
       duration_s: how long they arrive.
       scenario: the fault that is brought about, or empty.
+      entries: VMs that the requests go to by turns.
     """
 
     policy: str
@@ -55,6 +56,7 @@
     duration_s: float
     seed: int = 1
     scenario: str = ""
+    entries: int = 1
     queue_limit: int = 200
 
 
@@ -81,6 +83,7 @@
     completed: int = 0
     refused: int = 0
     broken: int = 0
+    credit_bytes_s: float = 0.0
     cold_peak: int = 0
     cold_excess: int = 0
     starts_in_closed: int = 0
@@ -148,27 +151,25 @@
         )
 
     def _wire(self) -> None:
-        def current() -> Configuration:
-            return self.configuration
-
-        prefixes = PrefixIndex()
-        self.lender = Lender(self.timer, current, "bench")
-        wallet = Wallet(self.timer, current, "bench", self.lender)
-        self.wallet = wallet
-        self.router = Router(self.timer, current, wallet=wallet, prefixes=prefixes)
-        self.monitor = TargetMonitor(
+        self.network = MemoryNetwork(self.timer, self.plan.seed)
+        self.entries = make_entries(
+            self.plan.entries,
             self.timer,
-            current,
+            lambda: self.configuration,
             FakeEngines(self.engines),
-            self.lender.is_home,
-            self.lender,
-            prefixes,
+            self.network,
         )
 
     def assume_warm(self) -> None:
-        """Begin as a home that has known warm targets for long."""
+        """Begin with homes that have known warm targets for long."""
         for target in self.configuration.targets.values():
-            self.lender.ledger(target).assume_warm()
+            for entry in self.entries:
+                entry.assume_warm(target)
+
+    def allowance_slots(self, target: Target) -> int:
+        """Return what the target's home lends at most."""
+        home = next(e for e in self.entries if e.lender.is_home(target))
+        return home.lender.ledger(target).allowance_slots()
 
     def elapsed_s(self) -> float:
         """Return the time since the run's start."""
@@ -178,7 +179,7 @@
         """Tell whether the warm-up is over and arrivals go on."""
         return WARM_UP_S <= self.elapsed_s() < self.plan.duration_s
 
-    async def serve(self, arrival: Arrival) -> None:
+    async def serve(self, arrival: Arrival, entry: Entry) -> None:
         """Take one request through its attempts."""
         measured = self.measures()
         arrived_s = self.timer.now_s()
@@ -196,7 +197,7 @@
                 excluded=frozenset(excluded),
             )
             try:
-                grant = await self.router.acquire(request)
+                grant = await entry.router.acquire(request)
             except errors.RefusedError:
                 self.figures.refused += measured
                 return
@@ -221,7 +222,7 @@
         engine = self.engines[target.name]
         if not engine.cold_left or self.plan.policy != "credit":
             return
-        allowance = self.lender.ledger(target).allowance_slots()
+        allowance = self.allowance_slots(target)
         excess = engine.cold_running() + 1 - allowance
         self.figures.cold_excess = max(self.figures.cold_excess, excess)
 
@@ -237,10 +238,11 @@
     async def arrive(self) -> None:
         """Let the requests arrive at their times."""
         plan = self.plan
-        tasks = []
+        tasks: list[asyncio.Task[None]] = []
         for arrival in make_arrivals(plan.seed, plan.rate_per_s, plan.duration_s):
             await self.timer.sleep(arrival.at_s - self.elapsed_s())
-            tasks.append(asyncio.ensure_future(self.serve(arrival)))
+            entry = self.entries[len(tasks) % plan.entries]
+            tasks.append(asyncio.ensure_future(self.serve(arrival, entry)))
         await asyncio.gather(*tasks)
 
     def schedule(self) -> None:
@@ -357,8 +359,8 @@
 async def _simulate(plan: Plan) -> Figures:
     run = Run(plan)
     run.assume_warm()
-    await run.wallet.start()
-    await run.monitor.start()
+    for entry in run.entries:
+        await entry.start()
     run.schedule()
     arriving = asyncio.ensure_future(run.arrive())
     await run.timer.advance(WARM_UP_S)
@@ -372,11 +374,13 @@
         await run.timer.advance(5.0)
     arriving.cancel()
     await asyncio.gather(arriving, return_exceptions=True)
-    await run.monitor.stop()
-    await run.wallet.stop()
+    for entry in run.entries:
+        await entry.stop()
     measured_s = plan.duration_s - WARM_UP_S
     figures.goodput_tokens_s = round(run.good_tokens / measured_s, 1)
     figures.timely_goodput_tokens_s = round(run.timely_tokens / measured_s, 1)
+    per_entry = plan.entries * run.elapsed_s()
+    figures.credit_bytes_s = round(run.network.bytes / per_entry, 1)
     figures.stall_s = round(figures.stall_s, 2)
     figures.gap_ms = gap_quantiles(run.gaps)
     figures.first_token_ms = quantiles([t for _, t in run.first_tokens])
--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -216,10 +216,19 @@
         foreign = self._foreign_slots * TOKENS_PER_SLOT
         allowance = self.allowance_tokens()
         free = allowance - others - max(residual, foreign)
-        wants = [a.use.tokens + a.use.ahead_tokens for a in self._accounts.values()]
+        wants = [
+            a.use.tokens + self._ahead_tokens(a.use, allowance)
+            for a in self._accounts.values()
+        ]
         share = _fair_share(wants, allowance - residual)
-        wanted = min(use.tokens + use.ahead_tokens, max(share, use.tokens))
-        return max(0, min(wanted, free))
+        wanted = use.tokens + self._ahead_tokens(use, allowance)
+        return max(0, min(wanted, max(share, use.tokens), free))
+
+    def _ahead_tokens(self, use: Use, allowance: int) -> int:
+        """Return the memory to lend in advance; little where nothing waits."""
+        if use.queued:
+            return use.ahead_tokens
+        return min(use.ahead_tokens, allowance // (4 * len(self._accounts)))
 
     def _prefill_share(self) -> int:
         busy = sum(
