Raise the overbooking while requests wait, and ask for memory once

Cause: with several entries the reserved share stayed under the mark that raised the overbooking, and a queue asked for its memory at every target. Change: waiting requests without preemptions raise it; a queue's memory is asked for in parts over the targets, sized by the request that waits.

--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -73,6 +73,7 @@
         self._serial = 0
         self._adapted_s = now_s
         self._memory_tokens = target.memory_tokens
+        self._pressed = False
         self._foreign_slots = 0
         self._reported: collections.deque[tuple[float, int]] = collections.deque()
         self._known: collections.deque[tuple[float, int]] = collections.deque()
@@ -222,7 +223,9 @@
         ]
         share = _fair_share(wants, allowance - residual)
         wanted = use.tokens + self._ahead_tokens(use, allowance)
-        return max(0, min(wanted, max(share, use.tokens), free))
+        granted = max(0, min(wanted, max(share, use.tokens), free))
+        self._pressed = self._pressed or (granted < wanted and use.queued > 0)
+        return granted
 
     def _ahead_tokens(self, use: Use, allowance: int) -> int:
         """Return the memory to lend in advance; little where nothing waits."""
@@ -265,8 +268,8 @@
         booted = self.warmth.observe_boot(boot_id)
         if booted:
             self._residuals.clear()
-        used = sum(account.use.tokens for account in self._accounts.values())
-        self.memory.observe(preemptions, used / max(1, self.allowance_tokens()))
+        self.memory.observe(preemptions, pressed=self._pressed)
+        self._pressed = False
         self._expire(now_s)
         self._note_known(now_s)
         self._reported.append((now_s, running))
--- a/endivesill/routing/limits.py
+++ b/endivesill/routing/limits.py
@@ -65,13 +65,13 @@
         """Return how much may be reserved of a memory."""
         return self.overbooking * memory_tokens
 
-    def observe(self, preemptions: int, fill: float) -> None:
+    def observe(self, preemptions: int, *, pressed: bool) -> None:
         """Adapt to the preemptions since the boot.
 
         Args:
           preemptions: the engine's count.
-          fill: the share of the limit that is reserved; a limit that is not
-            used has not proved itself.
+          pressed: whether requests wait for this memory; a limit that holds
+            nothing back has not proved itself.
         """
         before, self._preemptions = self._preemptions, preemptions
         if before is None or preemptions < before:
@@ -79,7 +79,7 @@
         if preemptions > before:
             lowered = self.overbooking * OVERBOOKING_DECREASE
             self.overbooking = max(OVERBOOKING_MINIMUM, lowered)
-        elif fill > 0.9:
+        elif pressed:
             raised = self.overbooking + OVERBOOKING_INCREASE
             self.overbooking = min(OVERBOOKING_MAXIMUM, raised)
 
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
@@ -32,19 +33,22 @@
 CHECK_PERIOD_S = 0.25
 REMAINING_SHARE = 0.5
 AHEAD_SLOTS = 2
+AHEAD_TOKENS = 1024
 
 
 @attrs.define
 class _ServiceState:
     """The policy and the queue of one service.
 
-    It is pressing while a request at hand asks for credits.
+    It is pressing while a request at hand asks for credits; the needed tokens
+    are the memory that the last one without a place needs.
     """
 
     policy: Policy
     queue: WaitQueue
     checking: bool = False
     pressing: bool = False
+    needed_tokens: int = 0
 
 
 class Router(Service):
@@ -166,6 +170,7 @@
 
     def _need_credit(self, state: _ServiceState, choice: Choice) -> bool:
         """Ask for the credits that a choice lacked; True if some came at once."""
+        state.needed_tokens = choice.request.prompt_tokens + choice.output_tokens
         state.pressing = True
         came = [self.wallet.need(c.target) for c in choice.short_of_credit]
         state.pressing = False
@@ -292,13 +297,14 @@
         observation = self.directory.observation(target.name)
         loan = self.wallet.loan(target.name)
         answers, first_token_ms = observation.take_answers()
-        ahead = self._ahead_slots(target)
+        queued = self._queued(target)
         mean_tokens = candidate.reserved_tokens // max(1, candidate.outstanding)
+        need_tokens = max(mean_tokens, self._needed_tokens(target), AHEAD_TOKENS)
         return Use(
             slots=candidate.outstanding,
             tokens=max(0, candidate.reserved_tokens),
-            ahead_slots=ahead,
-            ahead_tokens=2 * ahead * max(mean_tokens, 1024),
+            ahead_slots=AHEAD_SLOTS + observation.recent_starts(self.now_s()) + queued,
+            ahead_tokens=self._ahead_requests(target, queued) * need_tokens,
             serial=loan.serial if loan else 0,
             median_gap_ms=observation.gap_quantile_ms(0.5),
             tail_gap_ms=observation.gap_quantile_ms(0.99),
@@ -306,12 +312,20 @@
             first_token_ms=first_token_ms,
             recooled=observation.take_recooled(),
             least_slots=candidate.asked(),
-            queued=self._queued(target),
+            queued=queued,
         )
 
-    def _ahead_slots(self, target: Target) -> int:
-        starts = self.directory.observation(target.name).recent_starts(self.now_s())
-        return AHEAD_SLOTS + starts + self._queued(target)
+    def _ahead_requests(self, target: Target, queued: int) -> int:
+        """Return for how many requests this target's memory is asked in advance.
+
+        What waits is asked for once over all targets, not at each of them.
+        """
+        count = len(self.directory.candidates(target.service, self.now_s()))
+        return 1 + math.ceil(queued / max(1, count))
+
+    def _needed_tokens(self, target: Target) -> int:
+        state = self._services.get(target.service)
+        return state.needed_tokens if state and len(state.queue) else 0
 
     def _queued(self, target: Target) -> int:
         state = self._services.get(target.service)
--- a/tests/test_routing_estimates.py
+++ b/tests/test_routing_estimates.py
@@ -89,21 +89,21 @@
             limit.observe(10.0, 71.0, running=1)
         self.assertEqual(8, limit.slots)
 
-    def test_preemptions_lower_the_overbooking_and_a_proven_fill_raises_it(self):
+    def test_preemptions_lower_the_overbooking_and_waiting_requests_raise_it(self):
         limit = MemoryLimit()
-        limit.observe(0, 0.5)
-        limit.observe(3, 1.0)
+        limit.observe(0, pressed=False)
+        limit.observe(3, pressed=True)
         self.assertLess(limit.overbooking, 1.0)
         lowered = limit.overbooking
-        limit.observe(3, 0.5)
+        limit.observe(3, pressed=False)
         self.assertEqual(lowered, limit.overbooking)
-        limit.observe(3, 0.95)
+        limit.observe(3, pressed=True)
         self.assertGreater(limit.overbooking, lowered)
 
     def test_preemptions_of_an_earlier_boot_do_not_count(self):
         limit = MemoryLimit()
-        limit.observe(50, 0.5)
-        limit.observe(2, 0.5)
+        limit.observe(50, pressed=False)
+        limit.observe(2, pressed=False)
         self.assertEqual(1.0, limit.overbooking)
 
     def test_prefill_limit_follows_the_tail_of_the_gaps(self):
