Count gained memory as gained credit

Cause: an ask that brought only memory counted as fruitless, woke nobody and made the next ask later. Change: a loan is larger by slots or by memory; the request at hand is asked for.

--- a/endivesill/routing/accounts.py
+++ b/endivesill/routing/accounts.py
@@ -63,6 +63,12 @@
     serial: int
     expires_s: float
 
+    def is_larger_than(self, earlier: Loan | None) -> bool:
+        """Tell whether more may be run on it than on an earlier one."""
+        if earlier is None:
+            return True
+        return self.slots > earlier.slots or self.tokens > earlier.tokens
+
 
 @attrs.define
 class Account:
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -325,7 +325,9 @@
 
     def _needed_tokens(self, target: Target) -> int:
         state = self._services.get(target.service)
-        return state.needed_tokens if state and len(state.queue) else 0
+        if state is None or not (state.pressing or len(state.queue)):
+            return 0
+        return state.needed_tokens
 
     def _queued(self, target: Target) -> int:
         state = self._services.get(target.service)
--- a/endivesill/routing/wallet.py
+++ b/endivesill/routing/wallet.py
@@ -152,10 +152,10 @@
         if now_s - self._own_asked_s.get(target.name, -math.inf) < period_s:
             return False
         self._own_asked_s[target.name] = now_s
-        before = self._loans.get(target.name)
+        before = self.loan(target.name)
         loan = self._lender.ask(self._borrower, target, self.use_of(target))
         self._hold(target, self._lender.instance_id, loan)
-        return before is None or before[1].slots < loan.slots
+        return loan.is_larger_than(before)
 
     def _ask_own_later(self, target: Target) -> bool:
         """Ask again once the shortest period is over."""
@@ -255,8 +255,7 @@
                 continue
             slots, tokens, prefill_tokens, serial = fields
             loan = Loan(slots, tokens, prefill_tokens, serial, expires_s)
-            held = self._loans.get(target.name)
-            gained = gained or held is None or held[1].slots < slots
+            gained = gained or loan.is_larger_than(self.loan(target.name))
             self._hold(target, answer["instance"], loan)
             self.on_credits(target)
         home.fruitless = 0 if gained else min(home.fruitless + 1, MAXIMUM_FRUITLESS)
