Count requests by outcome and delivered tokens

Cause: the entry showed neither in /metrics.

Change: entry_requests by outcome, entry_tokens, and gauges of running requests and kept generations.

Tests: test_requests_and_tokens_are_counted.

--- a/endivesill/entry/application.py
+++ b/endivesill/entry/application.py
@@ -47,8 +47,13 @@
 
     def __init__(self, context: EntryContext) -> None:
         self._context = context
-        self.table = RelayTable(context.timer, context.settings.resume_window_s)
+        self.table = RelayTable(
+            context.timer, context.settings.resume_window_s, context.metrics
+        )
         self.running = 0
+        metrics = context.metrics
+        metrics.gauge("entry_running", lambda: self.running)
+        metrics.gauge("entry_kept_generations", lambda: self.table.kept_count())
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request."""
@@ -60,21 +65,31 @@
             await self._health(request, answer)
             return
         self.running += 1
+        try:
+            outcome = await self._conclude(request, answer)
+            self._context.metrics.counter("entry_requests", outcome=outcome).add()
+        finally:
+            self.running -= 1
+
+    async def _conclude(self, request: AsgiRequest, answer: Answer) -> str:
+        """Answer a request; return how it ended, for the metrics."""
         try:
             await self._answer(request, answer)
             self._note_end(request, answer)
+            return "answered"
         except errors.CallerGoneError as error:
             events.emit(CALLER_GONE, request_id=answer.request_id)
             await answer.problem(error)
+            return "caller-gone"
         except errors.EndivesillError as error:
             self._note_refusal(request, answer, error)
             await answer.problem(error)
+            return "refused"
         except Exception as error:
             events.emit(REQUEST_FAILED, request_id=answer.request_id, error=repr(error))
             _log.exception("request %s failed", answer.request_id)
             await answer.problem(error)
-        finally:
-            self.running -= 1
+            return "failed"
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send new callers."""
--- a/endivesill/entry/context.py
+++ b/endivesill/entry/context.py
@@ -16,6 +16,7 @@
 from endivesill.entry.index import IndexCache
 from endivesill.entry.settings import EntrySettings
 from endivesill.entry.watchdog import Watchdog
+from endivesill.metrics import Metrics
 from endivesill.routing import Grant, Router
 from endivesill.targets import EngineAdapter, PlainAdapter
 from endivesill.timer import TimerService
@@ -43,6 +44,7 @@
       watchdog: bounds on waits of streams.
       admission: the bound on an organisation's requests.
       background: tasks that outlive their request.
+      metrics: counters and recorders of the process.
       is_draining: tells whether a planned stop has begun.
     """
 
@@ -59,6 +61,7 @@
     watchdog: Watchdog
     admission: Admission
     background: Background
+    metrics: Metrics
     is_draining: Callable[[], bool]
 
     def check_lease(self) -> None:
--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -21,6 +21,7 @@
 from endivesill.entry.watchdog import Watchdog
 from endivesill.kernel import Kernel, Service
 from endivesill.keys import KeyRing
+from endivesill.metrics import Metrics
 from endivesill.routing import Router
 from endivesill.server import HttpServer
 from endivesill.targets import (
@@ -46,6 +47,7 @@
       owner: this VM's instance, for the ledger.
       settings: the entry's settings.
       budget: how often failed attempts are made again.
+      metrics: counters and recorders of the process.
       is_draining: tells whether a planned stop has begun.
       is_gone: tells whether a VM instance is known to be gone.
       options: further options of the listener, such as its TLS files.
@@ -60,6 +62,7 @@
         owner: str,
         settings: EntrySettings | None = None,
         budget: RetryBudget | None = None,
+        metrics: Metrics | None = None,
         is_draining: Callable[[], bool] = lambda: False,
         is_gone: Callable[[str], bool] = lambda owner: False,
         **options: Any,
@@ -71,6 +74,7 @@
         self._owner = owner
         self._settings = settings or EntrySettings()
         self._budget = budget or FixedRetryBudget()
+        self._metrics = metrics or Metrics()
         self._is_draining = is_draining
         self._is_gone = is_gone
         self._options = options
@@ -126,6 +130,7 @@
             watchdog=Watchdog(timer),
             admission=Admission(),
             background=self._background,
+            metrics=self._metrics,
             is_draining=self._is_draining,
         )
 
--- a/endivesill/entry/table.py
+++ b/endivesill/entry/table.py
@@ -7,6 +7,7 @@
 from endivesill import errors, events
 from endivesill.entry.events import GENERATION_KEPT
 from endivesill.entry.relay import Deliver, OpenStream, Relay
+from endivesill.metrics import Metrics
 from endivesill.routing import Outcome
 from endivesill.timer import TimerHandle, TimerService
 
@@ -23,10 +24,12 @@
     Args:
       timer: the timer service.
       window_s: how long a generation is kept for a reconnect.
+      metrics: where delivered tokens are counted.
     """
 
-    def __init__(self, timer: TimerService, window_s: float) -> None:
+    def __init__(self, timer: TimerService, window_s: float, metrics: Metrics) -> None:
         self._timer = timer
+        self._tokens = metrics.counter("entry_tokens")
         self._window_s = window_s
         self._is_closed = False
         self._running: set[Relay] = set()
@@ -53,6 +56,7 @@
           TargetError: it broke for good.
         """
         self._running.add(relay)
+        first_index = relay.next_index
         try:
             await relay.run(open_stream, deliver, first_token_s)
             relay.finish(Outcome.DONE)
@@ -69,6 +73,7 @@
             self._cancel(relay, Outcome.FAILED)
             raise
         finally:
+            self._tokens.add(relay.next_index - first_index)
             self._running.discard(relay)
 
     def _leave(self, relay: Relay) -> None:
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -113,8 +113,9 @@
         return f"http://{entry.address}"
 
     async def stop(self):
-        servers = [server.kill() for server in self.servers.values()]
-        await asyncio.gather(*(kernel.stop() for kernel in self.kernels), *servers)
+        cut = [*self.entries, *self.servers.values()]
+        await asyncio.gather(*(each.kill() for each in cut))
+        await asyncio.gather(*(kernel.stop() for kernel in self.kernels))
 
 
 class FleetTestCase:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -20,6 +20,17 @@
         self.assertEqual(numbered(30), words(text))
         self.assertTrue(text.endswith("data: [DONE]\n\n"))
 
+    async def test_requests_and_tokens_are_counted(self):
+        await self.stream(self.url, max_tokens=30)
+        await self.stream(self.url, model="nil")
+        application = self.fleet.entries[0].application
+        await until(lambda: not application.running)
+        text = application._context.metrics.text()
+        self.assertIn("endivesill_entry_tokens_total 30\n", text)
+        for outcome in ("answered", "refused"):
+            line = f'endivesill_entry_requests_total{{outcome="{outcome}"}} 1\n'
+            self.assertIn(line, text)
+
     async def test_a_whole_answer_joins_the_tokens(self):
         messages = [{"role": "user", "content": "plan"}]
         body = {"model": "llm", "messages": messages, "max_tokens": 3}
