End connections with their answers while draining

Cause: an idle connection closed at the end of a planned stop may meet a request that is on its way.

Change: answers given during a drain close their connection, so that few are left idle when the listener closes. Killing a listener no longer waits.

--- a/endivesill/entry/application.py
+++ b/endivesill/entry/application.py
@@ -60,7 +60,8 @@
         if scope["type"] != "http":
             return
         request = AsgiRequest(scope, receive)
-        answer = Answer(scope, send, uuid.uuid4().hex)
+        is_last = self._context.is_draining()
+        answer = Answer(scope, send, uuid.uuid4().hex, is_last)
         if request.path.startswith("/health/"):
             await self._health(request, answer)
             return
--- a/endivesill/entry/http.py
+++ b/endivesill/entry/http.py
@@ -122,13 +122,17 @@
       scope: the ASGI scope of the request.
       send: the ASGI channel of the answer.
       request_id: given back in each answer.
+      is_last: whether the connection is to end with this answer.
 
     Attributes:
       status: the status sent; 0 before the answer has begun.
     """
 
-    def __init__(self, scope: Scope, send: Send, request_id: str) -> None:
+    def __init__(
+        self, scope: Scope, send: Send, request_id: str, is_last: bool = False
+    ) -> None:
         self.send = send
+        self._is_last = is_last
         self.request_id = request_id
         self.status = 0
         self._connection = scope.get("extensions", {}).get(CONNECTION_EXTENSION, {})
@@ -137,6 +141,8 @@
         """Begin the answer."""
         self.status = status
         with_id = [*headers, (b"x-request-id", self.request_id.encode())]
+        if self._is_last:
+            with_id.append((b"connection", b"close"))
         message = {"type": "http.response.start", "status": status}
         await self.send({**message, "headers": with_id})
 
--- a/endivesill/server.py
+++ b/endivesill/server.py
@@ -191,8 +191,13 @@
 
     async def kill(self) -> None:
         """Cut all connections and requests at once, as a process that dies."""
-        self._server.force_exit = True
+        for listener in getattr(self._server, "servers", []):
+            listener.close()
         self.abort()
         for task in list(self._server.server_state.tasks):
             task.cancel()
-        await self.stop()
+        serving = self._task
+        self._task = None
+        if serving is not None:
+            serving.cancel()
+            await asyncio.gather(serving, return_exceptions=True)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -53,6 +53,13 @@
         _, text = await stream
         self.assertEqual(numbered(200), words(text))
 
+    async def test_a_drain_ends_connections_with_their_answers(self):
+        seen = []
+        for self.fleet.draining in (False, True):
+            response, _ = await self.post(f"{self.url}/app/x")
+            seen.append(response.headers.get("Connection"))
+        self.assertEqual([None, "close"], seen)
+
     async def test_readiness_follows_the_lease_and_the_drain(self):
         seen = []
         for lease, draining in ((True, False), (False, False), (True, True)):
