Bound how often a generation is followed from engine to engine

Cause: two engines that name each other as the new place would have been asked without end or backoff.

Change: at most 4 moves within one answer; the stall bound is worked out once a stream in place of once a block.

Tests: test_engines_that_name_each_other_are_not_asked_for_ever.

--- a/endivesill/entry/claims.py
+++ b/endivesill/entry/claims.py
@@ -224,8 +224,8 @@
     ) -> None:
         """Record the outcome of a claimed call.
 
-        The caller gets its answer even if this fails; it is tried again behind
-        the caller's back, and until then the key counts as running or unknown.
+        The caller gets its answer even if this fails; it is tried again in the
+        background, and until then the key counts as running or unknown.
         """
         if not await self._record(claim.ledger_id, claim.attempt, result, answer):
             self._record_later(claim.ledger_id, claim.attempt, result, answer)
--- a/endivesill/entry/relay.py
+++ b/endivesill/entry/relay.py
@@ -26,6 +26,7 @@
 
 RESUME_TIMEOUT_S = 5.0
 BACKOFF_LIMIT_S = 2.0
+MAXIMUM_MOVES = 4
 
 Deliver = Callable[["Relay", bytes], Awaitable[None]]
 OpenStream = Callable[[str], Awaitable[EngineStream]]
@@ -92,7 +93,7 @@
           TargetError: it broke for good; `next_index` tells how far it came.
         """
         with self._context.watchdog.watch(first_token_s, self._stalled) as waiting:
-            failures = 0
+            failures = moves = 0
             while True:
                 reached = self._scanner.next_index
                 attempt_id, previous = uuid.uuid4().hex, tuple(self.attempts)
@@ -108,7 +109,8 @@
                 except errors.TargetError as error:
                     if self._stream is None and not previous:
                         raise
-                    moved = self._follow(error)
+                    moved = moves < MAXIMUM_MOVES and self._follow(error)
+                    moves += moved
                     failures = 0 if moved else failures + 1
                     if self._scanner.next_index > reached:
                         failures = 1
@@ -144,6 +146,7 @@
     ) -> None:
         scan = self._scanner.scan
         read = stream.read
+        stall_limit_s = self._stall_limit_s()
         while not self._scanner.done:
             waiting.active = True
             chunk = await read()
@@ -153,7 +156,7 @@
                 raise errors.TargetError("the stream ended before its end event")
             block = scan(chunk)
             if block.tokens:
-                waiting.limit_s = self._stall_limit_s()
+                waiting.limit_s = stall_limit_s
                 self.grant.tokens(block.tokens)
                 await deliver(self, block.data)
                 self.next_index = self._scanner.next_index
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -239,6 +239,20 @@
         )
         self.assertEqual(numbered(300, 3), words(rest))
 
+    async def test_engines_that_name_each_other_are_not_asked_for_ever(self):
+        first, second = ScriptedEngine(), ScriptedEngine()
+        urls = [f"http://{await engine.start()}" for engine in (first, second)]
+        to_first, to_second = (answering(410, f"X-Moved-To: {url}") for url in urls)
+        first.scripts = [serving(0, 2, breaking), to_second]
+        second.scripts = [to_first]
+        for name, engine, url in zip("xy", (first, second), urls, strict=True):
+            self.fleet.add_target(name, "llm", url.removeprefix("http://"))
+            self.addAsyncCleanup(engine.stop)
+        self.fleet.configure(target__a={"leaving": True}, target__y={"leaving": True})
+        _, text = await self.stream(self.urls[0])
+        self.assertEqual(2, self.error_of(text)["next_index"])
+        self.assertLess(len(first.starts) + len(second.starts), 12)
+
     async def test_an_engine_that_offers_no_moves_keeps_its_generation(self):
         self.engine.options.offers_moves = False
         stream = asyncio.ensure_future(self.stream(self.urls[0], max_tokens=100))
