--- a/bench/standin_engine.py
+++ b/bench/standin_engine.py
@@ -23,20 +23,15 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from bench.standin_cache import PrefixCache
 from bench.standin_generation import StandinGeneration
-from endivesill.routing.prefixes import (
-    CHARACTERS_PER_TOKEN,
-    PREFIX_BLOCK_TOKENS,
-    prefix_hashes,
-)
+from endivesill.routing.prefixes import CHARACTERS_PER_TOKEN
 from endivesill.server import HttpServer
 from endivesill.timer import SystemTimer, TimerService
 
 __all__ = ["EngineOptions", "StandinEngine", "main"]
 
 KEPT_GENERATIONS = 10_000
-KEPT_CACHE_EVENTS = 1000
-CACHED_PREFIXES = 256
 NOT_RUN = {"X-Run": "not-run"}
 
 
@@ -108,11 +103,7 @@
         self._reports: collections.deque[tuple[float, dict[str, Any]]] = (
             collections.deque()
         )
-        self._prefixes: dict[str, int] = {}
-        self._cache_events: collections.deque[dict[str, Any]] = collections.deque(
-            maxlen=KEPT_CACHE_EVENTS
-        )
-        self._sequence = 0
+        self._cache = PrefixCache()
 
     def application(self) -> Starlette:
         """Return the ASGI application."""
@@ -161,7 +152,7 @@
             self.starts.get(generation.generation_id, 0) + 1
         )
         self._note(str(document.get("user", generation.generation_id)))
-        self._cache(prompt)
+        self._cache.store(prompt)
         self._begin(generation)
         return self._streaming(request, generation, 0)
 
@@ -318,28 +309,9 @@
             self._reports.popleft()
         return JSONResponse(self._reports[0][1])
 
-    def _cache(self, prompt: str) -> None:
-        for number, prefix in enumerate(prefix_hashes(prompt), start=1):
-            tokens = number * PREFIX_BLOCK_TOKENS
-            if prefix not in self._prefixes:
-                self._cache_event("stored", prefix, tokens)
-            self._prefixes[prefix] = tokens
-        while len(self._prefixes) > CACHED_PREFIXES:
-            prefix = next(iter(self._prefixes))
-            self._cache_event("evicted", prefix, self._prefixes.pop(prefix))
-
-    def _cache_event(self, kind: str, prefix: str, tokens: int) -> None:
-        self._sequence += 1
-        event = {"sequence": self._sequence, "kind": kind}
-        self._cache_events.append({**event, "prefix": prefix, "tokens": tokens})
-
     async def _list_cache_events(self, request: Request) -> Response:
         after = int(request.query_params.get("after", "0"))
-        oldest = self._cache_events[0]["sequence"] if self._cache_events else 1
-        newer = [event for event in self._cache_events if event["sequence"] > after]
-        return JSONResponse(
-            {"boot_id": self.boot_id, "first_sequence": oldest, "events": newer}
-        )
+        return JSONResponse({"boot_id": self.boot_id, **self._cache.after(after)})
 
     async def _order(self, request: Request) -> Response:
         order = json.loads(await request.body())
@@ -351,17 +323,13 @@
         self.orders[order["order_id"]] = order
         if order["kind"] == "load-model":
             self.model = f"{order['subject']}@{order['version']}"
-            self._clear()
+            self._cache.clear()
         elif order["kind"] == "load-adapter":
             self.adapters = [*self.adapters, f"{order['subject']}@{order['version']}"]
         else:
             self.role = order["subject"]
         return JSONResponse(self._report())
 
-    def _clear(self) -> None:
-        self._prefixes.clear()
-        self._cache_event("cleared", "", 0)
-
     async def _ran(self, request: Request) -> Response:
         return JSONResponse(self.starts)
 
@@ -373,7 +341,7 @@
     async def _cool(self, request: Request) -> Response:
         """Turn cold again, with no word of it but the cleared cache."""
         self.answered = 0
-        self._clear()
+        self._cache.clear()
         return JSONResponse({})
 
 
--- a/endivesill/entry/application.py
+++ b/endivesill/entry/application.py
@@ -21,7 +21,8 @@
 from endivesill.entry.generations import Generation
 from endivesill.entry.http import Answer, AsgiRequest, Receive, Scope, Send
 from endivesill.entry.identity import parse_event_id
-from endivesill.entry.plain import answer_plain, parse_plain_request
+from endivesill.entry.plain import answer_plain
+from endivesill.entry.plain_request import parse_plain_request
 from endivesill.entry.reconnect import reconnect
 from endivesill.entry.relay import Relay
 from endivesill.entry.streaming import stream_generation
--- a/endivesill/entry/http.py
+++ b/endivesill/entry/http.py
@@ -12,7 +12,16 @@
 from endivesill.server import CONNECTION_EXTENSION
 from endivesill.timer import TimerService
 
-__all__ = ["Answer", "AsgiRequest", "Receive", "Scope", "Send", "problem_document"]
+__all__ = [
+    "Answer",
+    "AsgiRequest",
+    "RawHeaders",
+    "Receive",
+    "Scope",
+    "Send",
+    "problem_document",
+    "raw_headers",
+]
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -202,3 +211,8 @@
     if retry_after_s is not None:
         document["retry_after_s"] = round(retry_after_s, 3)
     return status, document
+
+
+def raw_headers(headers: tuple[tuple[str, str], ...]) -> RawHeaders:
+    """Return headers as ASGI wants them; a length is kept, so that cuts show."""
+    return [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
