--- a/endivesill/entry/exchange.py
+++ b/endivesill/entry/exchange.py
@@ -6,18 +6,17 @@
 
 from endivesill import errors, events
 from endivesill.configuration.model import Limits
+from endivesill.entry.attempts import Attempts
 from endivesill.entry.claims import StoredAnswer
 from endivesill.entry.context import EntryContext
 from endivesill.entry.events import (
     CALL_SENT,
     CALL_SKIPPED,
     READER_STALLED,
-    REQUEST_RETRIED,
 )
-from endivesill.entry.failures import final_error
 from endivesill.entry.http import Answer, raw_headers
 from endivesill.entry.plain_request import PlainRequest
-from endivesill.routing import Grant, Outcome, RouteRequest
+from endivesill.routing import Grant, Outcome
 from endivesill.targets import PlainAnswer, PlainCall
 
 __all__ = ["PlainExchange"]
@@ -40,9 +39,9 @@
         self._answer = answer
         self._call = call
         self._limits = limits
-        self._excluded: set[str] = set()
-        self._deadline_s = context.timer.now_s() + call.service.deadline_s
-        self._run_state = errors.RunState.NOT_RUN
+        self._attempts = Attempts(
+            context, call.service, call.organisation, answer.request_id
+        )
         self._target_answer: PlainAnswer | None = None
         self._stored: list[bytes] = []
         self._stored_bytes = 0
@@ -66,37 +65,16 @@
           TargetError: it failed; `run` tells whether it may have run.
           RefusedError: no target took it.
         """
-        failures = 0
         while True:
-            grant = await self._acquire()
+            grant = await self._attempts.acquire()
             try:
                 await self._attempt(grant)
                 break
             except errors.TargetError as error:
-                failures += 1
-                if error.run is errors.RunState.UNKNOWN:
-                    self._run_state = errors.RunState.UNKNOWN
-                await self._back_off(grant, error, failures)
-        call = self._call
-        self._context.budget.succeeded(call.service.name, call.organisation.name)
-
-    async def _acquire(self) -> Grant:
-        route = RouteRequest(
-            request_id=self._answer.request_id,
-            service=self._call.service,
-            organisation=self._call.organisation,
-            priority=self._call.service.priority,
-            deadline_s=self._deadline_s,
-            excluded=frozenset(self._excluded),
-        )
-        try:
-            self._context.check_lease()
-            return await self._context.router.acquire(route)
-        except errors.RefusedError as error:
-            # An earlier attempt may have run.
-            if error.run is errors.RunState.NOT_RUN:
-                error.run = self._run_state
-            raise
+                if self._answer.status or not self._may_repeat(error):
+                    raise self._attempts.final_error(error) from error
+                await self._attempts.back_off(grant, error)
+        self._attempts.succeeded()
 
     async def _attempt(self, grant: Grant) -> None:
         outcome = Outcome.FAILED
@@ -197,36 +175,6 @@
         events.emit(READER_STALLED, request_id=self._answer.request_id)
         self._answer.abort()
 
-    async def _back_off(
-        self, grant: Grant, error: errors.TargetError, failures: int
-    ) -> None:
-        """Wait before another attempt.
-
-        Raises:
-          TargetError: there is none, and an attempt may have run.
-          RefusedError: there is none, and no attempt has run.
-        """
-        final = final_error(error, self._run_state)
-        if self._answer.status or not self._may_repeat(error):
-            raise final from error
-        wait_s = self._context.budget.retry_after_s(
-            self._call.service.name, self._call.organisation.name, failures
-        )
-        if wait_s is None:
-            raise final from error
-        if self._context.timer.now_s() + wait_s >= self._deadline_s:
-            raise final from error
-        if not isinstance(error, errors.GrantExpiredError):
-            self._excluded.add(grant.target.name)
-        events.emit(
-            REQUEST_RETRIED,
-            request_id=self._answer.request_id,
-            target=grant.target.name,
-            error=str(error),
-            wait_s=wait_s,
-        )
-        await self._context.timer.sleep(wait_s)
-
     def _may_repeat(self, error: errors.TargetError) -> bool:
         """Tell whether another attempt keeps the call's promise.
 
--- a/endivesill/entry/generations.py
+++ b/endivesill/entry/generations.py
@@ -8,19 +8,17 @@
 
 from endivesill import errors, events
 from endivesill.configuration.model import Organisation, Service
+from endivesill.entry.attempts import Attempts
 from endivesill.entry.calls import GenerationCall
 from endivesill.entry.context import EntryContext
-from endivesill.entry.events import GENERATION_STARTED, REQUEST_RETRIED
-from endivesill.entry.failures import final_error
+from endivesill.entry.events import GENERATION_STARTED
 from endivesill.entry.relay import Deliver, Relay
 from endivesill.entry.table import RelayTable
-from endivesill.routing import Grant, RouteRequest, prefix_hashes
+from endivesill.routing import Grant, prefix_hashes
 from endivesill.targets import EngineStream, GenerationRequest
 
 __all__ = ["Generation"]
 
-DEADLINE_STATUS = 504
-
 
 class Generation:
     """One caller's generation with its attempts.
@@ -51,10 +49,8 @@
         self._call = call
         self._service = service
         self._organisation = organisation
-        self._excluded: set[str] = set()
-        self._deadline_s = context.timer.now_s() + service.deadline_s
         self._prefix = prefix_hashes(call.prompt)
-        self._run_state = errors.RunState.NOT_RUN
+        self._attempts = Attempts(context, service, organisation, request_id)
         self.request_id = request_id
         self.relay: Relay | None = None
 
@@ -68,43 +64,22 @@
           RefusedError: it was not started, or its first token is late.
           TargetError: it broke; the relay's `next_index` tells how far it came.
         """
-        failures = 0
         while True:
-            grant = await self._acquire()
+            grant = await self._attempts.acquire(
+                self._call.prompt_tokens,
+                self._prefix,
+                self._call.maximum_output_tokens,
+            )
             try:
                 relay = await self._attempt(grant, deliver)
                 break
             except errors.TargetError as error:
-                failures += 1
-                if error.run is errors.RunState.UNKNOWN:
-                    self._run_state = errors.RunState.UNKNOWN
-                await self._back_off(grant, error, failures)
-        self._context.budget.succeeded(self._service.name, self._organisation.name)
+                if self.relay is not None and self.relay.next_index:
+                    raise
+                await self._attempts.back_off(grant, error)
+        self._attempts.succeeded()
         return relay
 
-    async def _acquire(self) -> Grant:
-        try:
-            self._context.check_lease()
-            return await self._context.router.acquire(self._route_request())
-        except errors.RefusedError as error:
-            # An earlier attempt may have run.
-            if error.run is errors.RunState.NOT_RUN:
-                error.run = self._run_state
-            raise
-
-    def _route_request(self) -> RouteRequest:
-        return RouteRequest(
-            request_id=self.request_id,
-            service=self._service,
-            organisation=self._organisation,
-            prompt_tokens=self._call.prompt_tokens,
-            prefix=self._prefix,
-            maximum_output_tokens=self._call.maximum_output_tokens,
-            priority=self._service.priority,
-            deadline_s=self._deadline_s,
-            excluded=frozenset(self._excluded),
-        )
-
     async def _attempt(self, grant: Grant, deliver: Deliver) -> Relay:
         generation_id = self._context.ids.make(
             grant.target.name, self._organisation.name
@@ -114,7 +89,7 @@
         )
         relay.is_kept = self._call.streamed
         self.relay = relay
-        left_s = max(0.0, self._deadline_s - self._context.timer.now_s())
+        left_s = max(0.0, self._attempts.deadline_s - self._context.timer.now_s())
 
         async def open_stream(attempt_id: str) -> EngineStream:
             return await self._open(relay, attempt_id, left_s)
@@ -146,34 +121,3 @@
             return await self._context.timer.wait_for(opening, timeout_s)
         except errors.DeadlineExceededError:
             raise errors.TargetError("no answer by the deadline") from None
-
-    async def _back_off(
-        self, grant: Grant, error: errors.TargetError, failures: int
-    ) -> None:
-        """Wait before another attempt.
-
-        Raises:
-          TargetError: there is none.
-          RefusedError: the first token is late.
-        """
-        if self.relay is not None and self.relay.next_index:
-            raise error
-        wait_s = self._context.budget.retry_after_s(
-            self._service.name, self._organisation.name, failures
-        )
-        if self._context.timer.now_s() + (wait_s or 0.0) >= self._deadline_s:
-            raise errors.RefusedError(
-                "deadline", run=self._run_state, status=DEADLINE_STATUS
-            ) from error
-        if wait_s is None:
-            raise final_error(error, self._run_state) from error
-        if not isinstance(error, errors.GrantExpiredError):
-            self._excluded.add(grant.target.name)
-        events.emit(
-            REQUEST_RETRIED,
-            request_id=self.request_id,
-            target=grant.target.name,
-            error=str(error),
-            wait_s=wait_s,
-        )
-        await self._context.timer.sleep(wait_s)
