Begin a whole answer anew when its engine is gone

Cause: nothing of a whole answer has reached the caller before its end, yet a break in its generation failed it.

Change: such a generation starts again elsewhere, its earlier tokens dropped.

Tests: test_a_whole_answer_begins_anew_when_its_engine_is_gone failed before.

--- a/endivesill/entry/generations.py
+++ b/endivesill/entry/generations.py
@@ -1,7 +1,8 @@
 """Generations: from a caller's request to the last token.
 
-Until the first token, a failed attempt may start again at another engine, as a
-new generation. After it, only that generation goes on; see `relay`.
+Until a token has gone out to the caller, a failed attempt may start again at
+another engine, as a new generation. After it, only that generation goes on; see
+`relay`.
 """
 
 from __future__ import annotations
@@ -74,12 +75,17 @@
                 relay = await self._attempt(grant, deliver)
                 break
             except errors.TargetError as error:
-                if self.relay is not None and self.relay.next_index:
+                if self._has_reached_caller():
                     raise
                 await self._attempts.back_off(grant, error)
         self._attempts.succeeded()
         return relay
 
+    def _has_reached_caller(self) -> bool:
+        """Tell whether tokens have gone out, so that no other generation may."""
+        relay = self.relay
+        return relay is not None and relay.next_index > 0 and self._call.streamed
+
     async def _attempt(self, grant: Grant, deliver: Deliver) -> Relay:
         generation_id = self._context.ids.make(
             grant.target.name, self._organisation.name
--- a/endivesill/entry/whole.py
+++ b/endivesill/entry/whole.py
@@ -23,19 +23,25 @@
     Raises:
       EndivesillError: it did not come to its end.
     """
-    blocks: list[bytes] = []
-    size = 0
+    collected = bytearray()
+    current: Relay | None = None
 
     async def deliver(relay: Relay, block: bytes) -> None:
-        nonlocal size
-        size += len(block)
-        if size > LARGEST_ANSWER_BYTES:
-            raise errors.TargetError("the answer is too large to be sent whole")
-        blocks.append(block)
+        nonlocal current
+        if relay is not current:
+            # An earlier attempt broke: its tokens are of another generation.
+            collected.clear()
+            current = relay
+        if len(collected) + len(block) > LARGEST_ANSWER_BYTES:
+            raise errors.RefusedError(
+                "answer-too-large", run=errors.RunState.UNKNOWN, status=502
+            )
+        collected.extend(block)
 
     async def work() -> None:
         relay = await generation.run(deliver)
-        document = join_chunks(b"".join(blocks), relay.generation_id)
+        data = bytes(collected) if relay is current else b""
+        document = join_chunks(data, relay.generation_id)
         headers = [
             (b"content-type", b"application/json"),
             (b"x-generation-id", relay.generation_id.encode()),
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -90,6 +90,15 @@
         self.assertEqual(response.headers["X-Generation-Id"], error["generation"])
         self.assertEqual({}, other.starts)
 
+    async def test_a_whole_answer_begins_anew_when_its_engine_is_gone(self):
+        await self.add_scripted(serving(0, 2, breaking), answering(410), name="a")
+        await self.fleet.add_engine("b")
+        url = await self.fleet.add_entry()
+        body = {"model": "llm", "prompt": "x", "max_tokens": 3}
+        _, document = await self.post(f"{url}/v1/completions", json.dumps(body))
+        self.assertEqual("w0 w1 w2 ", document["choices"][0]["text"])
+        self.assertEqual(3, document["usage"]["completion_tokens"])
+
     async def test_an_answer_of_another_attempt_is_dropped(self):
         async def crossed(engine, writer, line, headers):
             engine.begin(writer, headers, "another")
