--- a/bench/all.py
+++ b/bench/all.py
@@ -14,7 +14,15 @@
 
 __all__ = ["main"]
 
-BENCHES = ("control", "configuration", "membership", "routing", "entry")
+BENCHES = (
+    "control",
+    "configuration",
+    "membership",
+    "credits",
+    "routing",
+    "entry",
+    "entry_tables",
+)
 RESULTS = pathlib.Path("bench/results")
 LIMIT_S = 240.0
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -29,19 +30,34 @@
 CALLER_KEY = "caller-key-for-one-run"
 STARTUP_LIMIT_S = 30.0
 POLL_S = 0.1
+PORT_RANGE = range(20_000, 32_000)
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Return ports of loopback that were free a moment ago.
+
+    They lie under the range that systems give to outgoing connections, which
+    could otherwise take a port while its process is down.
+    """
+    ports: list[int] = []
+    for port in random.sample(PORT_RANGE, len(PORT_RANGE)):
+        if len(ports) == count:
+            break
+        if _is_free(port):
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
 class ManagedProcess:
     """A child process that can be killed, stopped, suspended and restarted.
 
