Show that a caller that comes back early takes its stream over

Cause: the case in which an entry has not noticed that its caller is gone was argued in the design only.

Tests: test_a_caller_that_comes_back_early_takes_its_stream_over.

--- a/endivesill/entry/watchdog.py
+++ b/endivesill/entry/watchdog.py
@@ -18,16 +18,15 @@
 
 
 class Progress:
-    """The steps of one stream.
+    """The waits of one stream for one party, its engine or its caller.
 
     Args:
-      limit_s: how long it may stand still.
-      expired: called once when it has.
+      limit_s: how long one wait may last.
+      expired: called when a wait has lasted that long.
 
     Attributes:
-      steps: the stream adds 1 for each step; it never stands at a bound of
-        another phase, as each phase has a progress of its own.
-      active: whether the stream waits in this phase now.
+      steps: the stream adds 1 after each wait.
+      active: whether the stream waits now.
     """
 
     __slots__ = ("active", "expired", "limit_s", "seen_s", "seen_steps", "steps")
@@ -41,7 +40,7 @@
         self.seen_s = 0.0
 
     def look(self, now_s: float) -> None:
-        """Compare with the last look and expire if nothing has moved."""
+        """Compare with the last look and expire if it is still the same wait."""
         if not self.active or self.steps != self.seen_steps:
             self.seen_steps = self.steps if self.active else -1
             self.seen_s = now_s
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -4,6 +4,8 @@
 import json
 import unittest
 
+import aiohttp
+
 from endivesill import events
 from endivesill.entry.identity import GenerationIds
 from endivesill.entry.settings import EntrySettings
@@ -188,6 +190,23 @@
         self.assertEqual(numbered(200), words(first) + words(rest))
         self.assertIn("stream-reconnected", self.seen)
 
+    async def test_a_caller_that_comes_back_early_takes_its_stream_over(self):
+        body = {"model": "llm", "prompt": "x", "stream": True, "max_tokens": 300}
+        async with self.session.post(
+            f"{self.urls[0]}/v1/completions", json=body, headers=KEY
+        ) as response:
+            text = ""
+            while text.count("\n\n") < 3:
+                text += (await response.content.readany()).decode()
+            first = text[: text.rindex("\n\n") + 2]
+            _, rest = await self.stream(
+                self.urls[1], headers={**KEY, "Last-Event-ID": last_id(first)}
+            )
+            with self.assertRaises(aiohttp.ClientError):
+                await response.content.read()
+        self.assertEqual(numbered(300), words(first) + words(rest))
+        self.assertNotIn("[DONE]", text)
+
     async def test_nobody_coming_back_cancels_after_the_window(self):
         await self.begin(self.urls[0], tokens=5000)
         table = self.fleet.entries[0].application.table
