--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -138,12 +138,14 @@
     )
     source = NamedConfigurationSource(kernel)
     kernel.add("peer-port", PeerPort(transport, **server_options(tls)))
+    datagrams = UdpDatagramTransport(vm.peer_address, keys.texts())
+    keys.subscribe(lambda: datagrams.replace_keys(keys.texts()))
     membership = SwimMembership(
         kernel,
         vm,
         settings.section(MembershipSettings),
         transport,
-        UdpDatagramTransport(vm.peer_address, keys.texts()),
+        datagrams,
         source,
     )
     kernel.add("membership", membership)
@@ -227,7 +229,7 @@
 ) -> None:
     timer = kernel.timer
     instance_id = membership.own_record.instance_id
-    lender = Lender(timer, source.current, instance_id, membership, transport)
+    lender = Lender(timer, source.current, instance_id, membership, transport, source)
     wallet = Wallet(timer, source.current, instance_id, lender, membership, transport)
     prefixes = PrefixIndex()
     router = Router(
