Record an unknown outcome when an answer cannot be passed on

Cause: a fault while passing an answer on left its key running until its limit.

Change: any other failure of a claimed call records it as unknown.

Tests: test_an_answer_that_cannot_be_passed_on_leaves_its_key_unknown failed before (still-running in place of outcome-unknown).

--- a/endivesill/entry/plain.py
+++ b/endivesill/entry/plain.py
@@ -78,4 +78,7 @@
         result = Result.RELEASED if is_released else Result.UNKNOWN
         await context.claims.finish(claim, result)
         raise
+    except Exception:
+        await context.claims.finish(claim, Result.UNKNOWN)
+        raise
     await context.claims.finish(claim, Result.DONE, exchange.stored_answer())
--- a/tests/test_entry_plain.py
+++ b/tests/test_entry_plain.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import aiohttp
+
 from endivesill import errors
 from tests.entry_fakes import KEY, FleetTestCase, ScriptedTarget, until
 
@@ -188,6 +190,20 @@
             self.assertEqual((status, "unknown"), (response.status, document["run"]))
         self.assertEqual(1, len(target.ran))
 
+    async def test_an_answer_that_cannot_be_passed_on_leaves_its_key_unknown(self):
+        async def bad_header(target, reader, writer):
+            await target.read_request(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nX-A: \x01\r\nContent-Length: 0\r\n\r\n")
+
+        target = await self.add_scripted(bad_header)
+        url = await self.fleet.add_entry()
+        with self.assertRaises(aiohttp.ClientError):
+            await self.book(url, Idempotency_Key="k")
+        await until(lambda: not self.fleet.entries[0].application.running)
+        response, document = await self.book(url, Idempotency_Key="k")
+        self.assertEqual((409, "outcome-unknown"), (response.status, document["title"]))
+        self.assertEqual(1, len(target.ran))
+
     async def test_a_call_that_did_not_run_releases_its_key(self):
         plain = await self.fleet.add_plain()
         plain.refusing = True
