Append nothing once the leadership is over

Cause: proposals of a batch begin in tasks of their own; one that began after the leader had stepped down was appended to a follower's log in the old term. Change: an append belongs to the leadership in force or is refused. A failed disk starts one hand-over, not several. Conclusion: terms in a log never go down.

--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -105,6 +105,8 @@
 
     def _append(self, kind: EntryKind, body: str) -> LogEntry:
         core = self._core
+        if core.leadership is not self:
+            raise errors.NotLeaderError(core.leader_to_call())
         index = core.log.last_index + 1
         entry = LogEntry(index, self.term, core.next_time_s(), kind, body)
         core.log.append([entry])
@@ -117,7 +119,8 @@
         """React to a sync of the own log, or to its failure."""
         core = self._core
         if core.log.last_error is not None:
-            self.run_task(self._leave())
+            if not self.transferring:
+                self.run_task(self._leave())
             return
         self._advance_commit()
         self.answered.notify()
@@ -128,10 +131,8 @@
         if self._core.leadership is self:
             self._core.step_down("the disk failed")
 
-    def note_answer(self, progress: Progress) -> None:
+    def note_answer(self) -> None:
         """React to an answer of a replica."""
-        if progress.match_index >= self._core.commit_index:
-            progress.caught_up = True
         self._advance_commit()
         self.answered.notify()
 
--- a/endivesill/control/progress.py
+++ b/endivesill/control/progress.py
@@ -15,9 +15,7 @@
       match_index: the last index known to be on its disk.
       answered_s: when the last call that it answered was sent; minus infinity
         before the first answer.
-      caught_up: whether it has had everything that was committed at a time.
     """
 
     match_index: int = 0
     answered_s: float = float("-inf")
-    caught_up: bool = False
--- a/endivesill/control/replication.py
+++ b/endivesill/control/replication.py
@@ -175,7 +175,7 @@
             self._agreed = True
         else:
             self._go_back(min(request.previous_index, answer.last_index + 1))
-        self._leadership.note_answer(progress)
+        self._leadership.note_answer()
 
     def _go_back(self, index: int) -> None:
         self._agreed = False
@@ -227,10 +227,10 @@
             core.note_term(answer.term)
             return None
         self.progress.answered_s = max(self.progress.answered_s, sent_s)
-        self._leadership.note_answer(self.progress)
+        self._leadership.note_answer()
         return answer
 
     def _note_installed(self, index: int) -> None:
         self.progress.match_index = max(self.progress.match_index, index)
         self._next_index = self.progress.match_index + 1
-        self._leadership.note_answer(self.progress)
+        self._leadership.note_answer()
--- a/tests/test_control_replication.py
+++ b/tests/test_control_replication.py
@@ -153,10 +153,10 @@
         for progress in leadership.progress.values():
             progress.match_index = core.log.last_index
         leadership.term += 1
-        leadership.note_answer(progress)
+        leadership.note_answer()
         self.assertEqual(before, core.commit_index)
         leadership.term -= 1
-        leadership.note_answer(progress)
+        leadership.note_answer()
         self.assertEqual(core.log.last_index, core.commit_index)
         await task
 
@@ -214,6 +214,17 @@
                 holders = [x for x in leaderships if x and x.holds_lease()]
                 self.assertLessEqual(len(holders), 1)
 
+    async def test_a_batch_that_outlives_the_leadership_is_not_appended(self):
+        cluster = await self.start()
+        leader = await cluster.leader()
+        leadership, log = leader.core.leadership, leader.core.log
+        last_index = log.last_index
+        leader.core.step_down("as the test wants")
+        proposal = Proposal("test.put", {"key": "a", "value": 1}, "c", 1)
+        with self.assertRaises(errors.NotLeaderError):
+            await leadership.propose(proposal, 1.0)
+        self.assertEqual(last_index, log.last_index)
+
     async def test_a_leader_that_only_sends_steps_down(self):
         cluster = await self.start()
         old = await cluster.leader()
