--- a/endivesill/entry/http.py
+++ b/endivesill/entry/http.py
@@ -12,7 +12,16 @@
 from endivesill.server import CONNECTION_EXTENSION
 from endivesill.timer import TimerService
 
-__all__ = ["Answer", "AsgiRequest", "Receive", "Scope", "Send", "problem_document"]
+__all__ = [
+    "Answer",
+    "AsgiRequest",
+    "RawHeaders",
+    "Receive",
+    "Scope",
+    "Send",
+    "problem_document",
+    "raw_headers",
+]
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -122,13 +131,17 @@
       scope: the ASGI scope of the request.
       send: the ASGI channel of the answer.
       request_id: given back in each answer.
+      is_last: whether the connection is to end with this answer.
 
     Attributes:
       status: the status sent; 0 before the answer has begun.
     """
 
-    def __init__(self, scope: Scope, send: Send, request_id: str) -> None:
+    def __init__(
+        self, scope: Scope, send: Send, request_id: str, is_last: bool = False
+    ) -> None:
         self.send = send
+        self._is_last = is_last
         self.request_id = request_id
         self.status = 0
         self._connection = scope.get("extensions", {}).get(CONNECTION_EXTENSION, {})
@@ -137,6 +150,8 @@
         """Begin the answer."""
         self.status = status
         with_id = [*headers, (b"x-request-id", self.request_id.encode())]
+        if self._is_last:
+            with_id.append((b"connection", b"close"))
         message = {"type": "http.response.start", "status": status}
         await self.send({**message, "headers": with_id})
 
@@ -196,3 +211,8 @@
     if retry_after_s is not None:
         document["retry_after_s"] = round(retry_after_s, 3)
     return status, document
+
+
+def raw_headers(headers: tuple[tuple[str, str], ...]) -> RawHeaders:
+    """Return headers as ASGI wants them; a length is kept, so that cuts show."""
+    return [(n.encode("latin-1"), v.encode("latin-1")) for n, v in headers]
--- a/endivesill/routing/wallet.py
+++ b/endivesill/routing/wallet.py
@@ -27,6 +27,7 @@
 TICK_S = 0.25
 URGENT_S = 0.25
 ASK_TIMEOUT_S = 1.0
+MAXIMUM_FRUITLESS = 3
 IDLE_S = 10.0
 OWN_RENEW_S = 1.0
 OWN_URGENT_S = 0.02
@@ -34,13 +35,23 @@
 
 @attrs.define
 class _Home:
-    """What is known of the exchange with one home."""
+    """What is known of the exchange with one home.
+
+    Asks that bring nothing make the next urgent one wait longer.
+    """
 
     address: str
     asked_s: float = -math.inf
     urgent: bool = False
+    fruitless: int = 0
     task: asyncio.Task[None] | None = None
 
+    def period_s(self) -> float:
+        """Return the shortest time between two asks now."""
+        if not self.urgent:
+            return RENEW_S
+        return min(RENEW_S, URGENT_S * 2**self.fruitless)
+
 
 class Wallet(Service):
     """Holds the loans of this entry.
@@ -75,6 +86,7 @@
         self._own_asked_s: dict[str, float] = {}
         self._deferred: set[str] = set()
         self._number = 0
+        self._checked: Configuration | None = None
         self._ticker: TimerHandle | None = None
         self.use_of: Callable[[Target], Use] = lambda target: Use()
         self.on_loan: Callable[[Target], None] = lambda target: None
@@ -140,10 +152,10 @@
         if now_s - self._own_asked_s.get(target.name, -math.inf) < period_s:
             return False
         self._own_asked_s[target.name] = now_s
-        before = self._loans.get(target.name)
+        before = self.loan(target.name)
         loan = self._lender.ask(self._borrower, target, self.use_of(target))
         self._hold(target, self._lender.instance_id, loan)
-        return before is None or before[1].slots < loan.slots
+        return loan.is_larger_than(before)
 
     def _ask_own_later(self, target: Target) -> bool:
         """Ask again once the shortest period is over."""
@@ -154,12 +166,16 @@
 
     def _ask_deferred(self, target: Target) -> None:
         self._deferred.discard(target.name)
-        if self._lender.is_home(target) and self._ask_own(target, OWN_URGENT_S):
+        if self._lender.is_home(target) and self._ask_own(target, 0.0):
             self.on_credits(target)
 
     def _tick(self) -> None:
         now_s = self._timer.now_s()
-        targets = self._configuration().targets
+        configuration = self._configuration()
+        if configuration is not self._checked and self._membership is not None:
+            self._drop_foreign_loans()
+        self._checked = configuration
+        targets = configuration.targets
         for name, demand_s in list(self._demand_s.items()):
             target = targets.get(name)
             if target is None or not self._has_work(target, now_s - demand_s):
@@ -186,8 +202,7 @@
     def _ask_if_due(self, home: _Home) -> None:
         if home.task is not None and not home.task.done():
             return
-        period_s = URGENT_S if home.urgent else RENEW_S
-        if self._timer.now_s() - home.asked_s < period_s:
+        if self._timer.now_s() - home.asked_s < home.period_s():
             return
         targets = self._targets_of(home)
         if not targets:
@@ -232,6 +247,7 @@
         self, home: _Home, targets: list[Target], answer: Message, expires_s: float
     ) -> None:
         assert self._membership is not None
+        gained = False
         for target in targets:
             fields = answer["loans"].get(target.name)
             record = self._membership.home_of(target)
@@ -239,8 +255,10 @@
                 continue
             slots, tokens, prefill_tokens, serial = fields
             loan = Loan(slots, tokens, prefill_tokens, serial, expires_s)
+            gained = gained or loan.is_larger_than(self.loan(target.name))
             self._hold(target, answer["instance"], loan)
             self.on_credits(target)
+        home.fruitless = 0 if gained else min(home.fruitless + 1, MAXIMUM_FRUITLESS)
 
     async def _revoke(self, message: Message) -> Message:
         target = self._configuration().targets.get(message["target"])
