--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 
 import uvloop
 
@@ -25,6 +26,7 @@
 )
 from bench.report import Report
 from endivesill.configuration.copy import ConfigurationCopy
+from endivesill.configuration.lease import LEASE_S
 from endivesill.configuration.replica import MemoryReplica, VoterSet
 from endivesill.configuration.state import APPLY, ConfigurationState
 from endivesill.control.commands import CommandContext
@@ -133,6 +135,31 @@
     return 2 * spent_s, [2.0 * (count.bytes - earlier) for count, earlier in counts]
 
 
+async def measure_lost_quorum() -> tuple[float, float]:
+    """Return how long leases last after a lost quorum and take to come back."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = WatcherFleet(SMALL_FLEET, 3, pathlib.Path(folder))
+        await fleet.start()
+        await fleet.apply(1, documents(10, 12), 0)
+        await asyncio.sleep(SETTLE_S)
+        fleet.block_replicas(2)
+        lost_s = await _time_until(fleet, lambda: not any(fleet.leases()))
+        await asyncio.sleep(SETTLE_S)
+        fleet.unblock_replicas()
+        back_s = await _time_until(fleet, lambda: all(fleet.leases()))
+        await fleet.stop()
+    return lost_s, back_s
+
+
+async def _time_until(fleet: WatcherFleet, reached: Callable[[], bool]) -> float:
+    begin_s = fleet.timer.now_s()
+    while True:
+        waited_s = fleet.timer.now_s() - begin_s
+        if reached() or waited_s > CHANGE_LIMIT_S:
+            return waited_s
+        await asyncio.sleep(POLL_S)
+
+
 def measure_sizes(report: Report) -> None:
     """Measure deltas, full copies and the time of one change at full size."""
     items = documents(MEMORY_SIZES[-1], TARGETS)
@@ -257,6 +284,10 @@
     _add_in_force(report, "in force on 7 VMs", times)
     times = asyncio.run(measure_in_force(LARGE_FLEET, 8, LARGE_CHANGES))
     _add_in_force(report, "in force on 100 VMs", times)
+    lost_s, back_s = asyncio.run(measure_lost_quorum())
+    held = lost_s <= LEASE_S + POLL_S
+    report.add("lost quorum: no VM takes work", lost_s, "s", f"<= {LEASE_S}", held)
+    report.add("quorum back: all VMs take work", back_s, "s")
     _add_idle(report)
     measure_sizes(report)
     memory = [(float(size), memory_mb(size)) for size in MEMORY_SIZES]
--- a/bench/configuration_fleet.py
+++ b/bench/configuration_fleet.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
 from typing import Any
 
 from endivesill.configuration.control_replica import ControlReplicaView
 from endivesill.configuration.model import Configuration
-from endivesill.configuration.replica import ConfigurationReplica, ReplicaPort
+from endivesill.configuration.replica import (
+    PROBE_PATH,
+    ConfigurationReplica,
+    ReplicaPort,
+)
 from endivesill.configuration.state import APPLY
 from endivesill.configuration.tree import parent_of
 from endivesill.configuration.watcher import ConfigurationWatcher
@@ -120,6 +125,7 @@
         self._servers: list[HttpServer] = []
         self._transports: list[HttpPeerTransport] = []
         self._kernels: list[Kernel] = []
+        self._blocked: dict[HttpPeerTransport, Any] = {}
         self.replicas: list[ControlReplica] = []
         self.watchers: list[ConfigurationWatcher] = []
         self.roots = 0
@@ -206,6 +212,21 @@
         message = apply_message(number, changed, base)
         return await self.replicas[0].propose(APPLY, message, PROPOSE_TIMEOUT_S)
 
+    def leases(self) -> list[bool]:
+        """Return which watchers hold a lease."""
+        return [watcher.holds_lease() for watcher in self.watchers]
+
+    def block_replicas(self, count: int) -> None:
+        """Let some replicas answer no more questions of the watchers."""
+        for transport in self._transports[:count]:
+            self._blocked[transport] = transport.handlers.pop(PROBE_PATH)
+
+    def unblock_replicas(self) -> None:
+        """Let all replicas answer again."""
+        for transport, handler in self._blocked.items():
+            transport.handlers[PROBE_PATH] = handler
+        self._blocked.clear()
+
     def time_in_force_s(self, revision: int) -> float | None:
         """Return when the last VM had a revision, or None if one has not."""
         times = []
@@ -218,13 +239,11 @@
 
     async def stop(self) -> None:
         """Stop everything."""
-        for watcher in self.watchers:
-            await watcher.stop()
+        await asyncio.gather(*(watcher.stop() for watcher in self.watchers))
         for kernel in self._kernels:
             await kernel.stop()
         for replica in self.replicas:
             await replica.halt()
         for transport in self._transports:
             await transport.close()
-        for server in self._servers:
-            await server.stop()
+        await asyncio.gather(*(server.stop() for server in self._servers))
