Forget voter changes that were never committed

A VM kept the voters of the highest log index that it had ever heard of; a change that was appended and cut off again kept it from a lease with one voter down. The new test failed first. 34 distribution tests pass.

--- a/endivesill/configuration/probe.py
+++ b/endivesill/configuration/probe.py
@@ -16,7 +16,7 @@
 from endivesill import errors
 from endivesill.configuration.acknowledgements import Packed
 from endivesill.configuration.copy import ConfigurationCopy
-from endivesill.configuration.lease import PROBE_MARGIN_S
+from endivesill.configuration.lease import LEASE_S, PROBE_MARGIN_S
 from endivesill.configuration.replica import PROBE_PATH, VoterSet
 from endivesill.peers import Message, PeerTransport
 from endivesill.timer import TimerService
@@ -28,6 +28,7 @@
 class _Answer:
     sent_s: float
     newest: int
+    voters: VoterSet
 
 
 class MajorityProbe:
@@ -147,11 +148,12 @@
         self._changed.set()
 
     async def _ask_one(self, address: str, hold_s: float, acks: Packed) -> None:
+        voters = self._voters
         message: Message = {
             "vm": self._vm_name,
             "as_of": self._copy.as_of,
             "hold_s": hold_s,
-            "voters_index": self._voters.index,
+            "voters_index": voters.index,
         }
         if self._acks_sent.get(address) != acks:
             message["acks"] = acks
@@ -167,16 +169,29 @@
         self._acks_sent[address] = acks
         if answer.get("acks_wanted"):
             self._acks_sent.pop(address)
-        self._take(address, answer, sent_s)
+        if "voters" in answer:
+            voters = VoterSet(answer["voters_index"], answer["voters"])
+        self._answers[answer["id"]] = _Answer(sent_s, answer["newest"], voters)
+        self._take(address, answer)
 
-    def _take(self, address: str, answer: Message, sent_s: float) -> None:
-        if answer.get("voters_index", -1) > self._voters.index:
-            self._voters = VoterSet(answer["voters_index"], answer["voters"])
-        self._answers[answer["id"]] = _Answer(sent_s, answer["newest"])
+    def _take(self, address: str, answer: Message) -> None:
+        self._voters = self._newest_voters()
         self._copy.confirm(answer["revision"], answer["applied"])
         if answer["revision"] > self._copy.revision:
             self.newer_address = address
 
+    def _newest_voters(self) -> VoterSet:
+        """Return the newest voters among the answers that can give a lease.
+
+        A voter change that was never committed is forgotten with the answers
+        that named it.
+        """
+        oldest_s = self._timer.now_s() - 2 * LEASE_S
+        recent = [a for a in self._answers.values() if a.sent_s >= oldest_s]
+        if not recent:
+            return self._voters
+        return max(recent, key=lambda answer: answer.voters.index).voters
+
 
 async def call(
     transport: PeerTransport,
--- a/tests/test_configuration_distribution.py
+++ b/tests/test_configuration_distribution.py
@@ -181,6 +181,17 @@
         await self.timer.advance(lease.LEASE_S)
         self.assertFalse(self.watcher(self.root()).holds_lease())
 
+    async def test_a_change_of_voters_that_was_never_committed_is_forgotten(self):
+        addresses = {f"r{n}": f"c{n}:1" for n in range(5)}
+        replica = self.fleet.replicas[0]
+        before, replica.voter_set = replica.voter_set, VoterSet(9, addresses)
+        await self.timer.advance(1.0)
+        replica.voter_set = before
+        await self.timer.advance(10.0)
+        self.network.isolate(self.fleet.control_addresses[2])
+        await self.timer.advance(2 * lease.LEASE_S)
+        self.assertTrue(self.watcher(self.root()).holds_lease())
+
 
 class RelayTest(FleetCase):
     async def test_when_a_relay_dies_its_children_keep_their_lease(self):
