--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -175,9 +175,19 @@
         """Run a task that is cancelled at the end of the term."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._note_end)
         return task
 
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Stop leading when a task has failed: a part of the work is not done."""
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = repr(task.exception())
+        events.emit(events.TASK_FAILED, task="control-leadership", error=error)
+        if self._core.leadership is self:
+            self._core.step_down("a task failed")
+
     def _tick(self) -> None:
         if not self.has_quorum():
             self._core.step_down("no answers from a majority")
@@ -260,20 +270,20 @@
         """
         core = self._core
         heir = identity or self._furthest_voter()
-        if heir is None or heir not in self.progress or self.transferring:
+        progress = self.progress.get(heir) if heir else None
+        if heir is None or progress is None or self.transferring:
             return False
+        address = core.voter_set.members[heir]
         self.transferring = True
         events.emit(LEADERSHIP_TRANSFER, term=self.term, to=heir)
         timeout_s = core.settings.election_timeout_s
         try:
             await self._wait_until(
-                lambda: self.progress[heir].match_index >= core.log.last_index,
-                timeout_s,
+                lambda: progress.match_index >= core.log.last_index, timeout_s
             )
             # From here on another leader may be elected in spite of the lease.
             self._lease_allowed = False
             request = LeadRequest(core.cluster, heir, self.term)
-            address = core.voter_set.voters[heir]
             await core.transport.call(
                 address, LEAD_PATH, to_message(request), timeout_s
             )
--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -11,9 +11,8 @@
 import collections
 import math
 
-import attrs
-
 from endivesill.configuration.model import Target
+from endivesill.routing.accounts import PREDECESSOR, Account, Loan, Residual, Use
 from endivesill.routing.limits import DecodeLimit, MemoryLimit, PrefillLimit
 from endivesill.routing.warmth import ColdStart
 
@@ -24,107 +23,11 @@
 TAKEOVER_S = LOAN_LIFE_S + RENEW_S + 1.0
 REPORT_LAG_LIMIT_S = 3.0
 EVIDENCE_S = 15.0
-UNREPORTED_LIFE_S = 60.0
-PREDECESSOR = ""
 FOREIGN_WINDOW_S = 6.0
 TOKENS_PER_SLOT = 512
 ADAPT_PERIOD_S = 1.0
 
 
-@attrs.frozen
-class Use:
-    """What a borrower says of its work at a target.
-
-    Attributes:
-      slots: requests that it runs there.
-      tokens: memory tokens that it has reserved there.
-      ahead_slots: how many it would like to start.
-      ahead_tokens: memory tokens that those would need.
-      serial: serial of the loan that it holds; 0 for none.
-      median_gap_ms: median gap between tokens; 0 if unknown.
-      tail_gap_ms: 95th percentile of the gap; 0 if unknown.
-      answers: answers completed since the last ask.
-      first_token_ms: their mean time to the first token.
-      recooled: whether it has seen the target turn cold.
-      least_slots: the fewest that it ran at any time since the last ask.
-    """
-
-    slots: int = 0
-    tokens: int = 0
-    ahead_slots: int = 0
-    ahead_tokens: int = 0
-    serial: int = 0
-    median_gap_ms: float = 0.0
-    tail_gap_ms: float = 0.0
-    answers: int = 0
-    first_token_ms: float = 0.0
-    recooled: bool = False
-    least_slots: int = 0
-
-
-@attrs.frozen
-class Loan:
-    """Credits of one borrower at one target.
-
-    Attributes:
-      slots: requests that it may run at once.
-      tokens: memory tokens that it may reserve.
-      prefill_tokens: prompt tokens that it may have in flight.
-      serial: grows with each loan of a ledger.
-      expires_s: when it ends, on the holder's own clock.
-    """
-
-    slots: int
-    tokens: int
-    prefill_tokens: int
-    serial: int
-    expires_s: float
-
-
-@attrs.define
-class _Account:
-    """A borrower's loans that it may still hold, by serial, and its last use.
-
-    Its base is what it ran when it first asked, on an earlier home's loans. Its
-    asks are the times with the fewest slots that it had run since the one before.
-    """
-
-    base_slots: int = 0
-    loans: dict[int, Loan] = attrs.Factory(dict)
-    use: Use = attrs.Factory(Use)
-    asks: collections.deque[tuple[float, int]] = attrs.Factory(collections.deque)
-
-    def certain_slots(self, from_s: float, until_s: float) -> int:
-        """Return how many it ran at least, at any time of a period."""
-        if not self.asks or self.asks[-1][0] < until_s:
-            return 0
-        return min(least for asked_s, least in self.asks if asked_s >= from_s)
-
-    def exposed_slots(self) -> int:
-        return max([self.use.slots, *(loan.slots for loan in self.loans.values())])
-
-    def exposed_tokens(self) -> int:
-        return max([self.use.tokens, *(loan.tokens for loan in self.loans.values())])
-
-    def expires_s(self) -> float:
-        return max((loan.expires_s for loan in self.loans.values()), default=0.0)
-
-
-@attrs.define
-class _Residual:
-    """Work of borrowers that are not heard of; since then they start no more."""
-
-    borrower: str
-    slots: int
-    tokens: int
-    since_s: float
-
-    def is_over(self, now_s: float) -> bool:
-        """Tell whether the work has ended, as far as time alone can tell."""
-        life_s = 0.0 if self.borrower == PREDECESSOR else UNREPORTED_LIFE_S
-        return now_s - self.since_s >= life_s
-
-
 class Ledger:
     """What a home lends of one target.
 
@@ -157,10 +60,10 @@
         self.memory = MemoryLimit()
         self.prefill = PrefillLimit()
         self.answering = True
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, Account] = {}
         # What an earlier home's borrowers may run, until reports show otherwise.
         self._residuals = [
-            _Residual(
+            Residual(
                 PREDECESSOR,
                 target.maximum_slots,
                 target.memory_tokens,
@@ -170,6 +73,7 @@
         self._serial = 0
         self._adapted_s = now_s
         self._memory_tokens = target.memory_tokens
+        self._pressed = False
         self._foreign_slots = 0
         self._reported: collections.deque[tuple[float, int]] = collections.deque()
         self._known: collections.deque[tuple[float, int]] = collections.deque()
@@ -217,10 +121,8 @@
           lends: whether anything may be lent now.
         """
         self._expire(now_s)
-        account = self._accounts.setdefault(borrower, _Account(use.slots))
+        account = self._account(borrower, use)
         account.use = use
-        # It is heard of again and says itself what it runs.
-        self._residuals = [r for r in self._residuals if r.borrower != borrower]
         account.asks.append((now_s, use.least_slots))
         while now_s - account.asks[0][0] > EVIDENCE_S:
             account.asks.popleft()
@@ -242,6 +144,17 @@
         self._note_known(now_s)
         return loan
 
+    def _account(self, borrower: str, use: Use) -> Account:
+        """Return a borrower's account; one heard of again keeps its base."""
+        account = self._accounts.get(borrower)
+        if account is None:
+            lost = [r.base_slots for r in self._residuals if r.borrower == borrower]
+            account = Account(min([use.slots, *lost]))
+            self._accounts[borrower] = account
+        # It says itself what it runs.
+        self._residuals = [r for r in self._residuals if r.borrower != borrower]
+        return account
+
     def _adapt(self, use: Use, now_s: float) -> None:
         if use.answers:
             target_ms = self._first_token_target_ms
@@ -270,23 +183,42 @@
             self.warmth.assume(others + use.slots)
             allowance = self.allowance_slots()
         free = allowance - others - max(residual, self._foreign_slots)
-        wants = [a.use.slots + a.use.ahead_slots for a in self._accounts.values()]
+        wants = [
+            a.use.slots + self._ahead_slots(a.use, allowance)
+            for a in self._accounts.values()
+        ]
         share = _fair_share(wants, allowance - residual)
-        wanted = min(use.slots + use.ahead_slots, max(share, use.slots))
-        return max(0, min(wanted, free))
+        if use.queued:
+            # Shares under one slot go to who asks first.
+            share = max(1, share)
+        wanted = use.slots + self._ahead_slots(use, allowance)
+        return max(0, min(wanted, max(share, use.slots), free))
+
+    def _ahead_slots(self, use: Use, allowance: int) -> int:
+        """Return the slots to lend in advance; few where nothing waits."""
+        if use.queued:
+            return use.ahead_slots
+        return min(use.ahead_slots, allowance // (2 * len(self._accounts)))
 
     def _takeover_slots(self, borrower: str, use: Use) -> int:
         """Lend what borrowers ran before, and the cold allowance among all."""
-        bases = sum(account.base_slots for account in self._accounts.values())
-        extra = sum(
-            max(0, account.exposed_slots() - account.base_slots)
+        others = [
+            (account.base_slots, account.exposed_slots())
             for name, account in self._accounts.items()
             if name != borrower
-        )
+        ]
+        others += [
+            (residual.base_slots, residual.slots)
+            for residual in self._residuals
+            if residual.borrower != PREDECESSOR
+        ]
+        base = self._accounts[borrower].base_slots
+        bases = base + sum(other_base for other_base, _ in others)
+        extra = sum(max(0, exposed - other_base) for other_base, exposed in others)
         room = max(0, self.target.maximum_slots - bases)
         cold = max(0, min(self.warmth.cold_slots, room) - extra)
-        base = self._accounts[borrower].base_slots
-        return min(use.slots + use.ahead_slots, base + cold)
+        ahead = self._ahead_slots(use, self.warmth.cold_slots)
+        return min(use.slots + ahead, base + cold)
 
     def _grant_tokens(self, borrower: str, use: Use) -> int:
         if not self._memory_tokens:
@@ -300,10 +232,21 @@
         foreign = self._foreign_slots * TOKENS_PER_SLOT
         allowance = self.allowance_tokens()
         free = allowance - others - max(residual, foreign)
-        wants = [a.use.tokens + a.use.ahead_tokens for a in self._accounts.values()]
+        wants = [
+            a.use.tokens + self._ahead_tokens(a.use, allowance)
+            for a in self._accounts.values()
+        ]
         share = _fair_share(wants, allowance - residual)
-        wanted = min(use.tokens + use.ahead_tokens, max(share, use.tokens))
-        return max(0, min(wanted, free))
+        wanted = use.tokens + self._ahead_tokens(use, allowance)
+        granted = max(0, min(wanted, max(share, use.tokens), free))
+        self._pressed = self._pressed or (granted < wanted and use.queued > 0)
+        return granted
+
+    def _ahead_tokens(self, use: Use, allowance: int) -> int:
+        """Return the memory to lend in advance; little where nothing waits."""
+        if use.queued:
+            return use.ahead_tokens
+        return min(use.ahead_tokens, allowance // (4 * len(self._accounts)))
 
     def _prefill_share(self) -> int:
         busy = sum(
@@ -315,8 +258,12 @@
         for name, account in list(self._accounts.items()):
             if account.loans and account.expires_s() > now_s:
                 continue
-            residual = _Residual(
-                name, account.exposed_slots(), account.exposed_tokens(), now_s
+            residual = Residual(
+                name,
+                account.exposed_slots(),
+                account.exposed_tokens(),
+                now_s,
+                account.base_slots,
             )
             del self._accounts[name]
             if residual.slots:
@@ -340,8 +287,8 @@
         booted = self.warmth.observe_boot(boot_id)
         if booted:
             self._residuals.clear()
-        used = sum(account.use.tokens for account in self._accounts.values())
-        self.memory.observe(preemptions, used / max(1, self.allowance_tokens()))
+        self.memory.observe(preemptions, pressed=self._pressed)
+        self._pressed = False
         self._expire(now_s)
         self._note_known(now_s)
         self._reported.append((now_s, running))
@@ -370,7 +317,7 @@
                     self._shrink(residual, left)
         self._residuals = [r for r in self._residuals if r.slots]
 
-    def _shrink(self, residual: _Residual, slots: int) -> None:
+    def _shrink(self, residual: Residual, slots: int) -> None:
         if slots < residual.slots:
             residual.tokens = residual.tokens * slots // residual.slots
             residual.slots = slots
