--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -65,11 +65,15 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return UDP addresses on loopback that nobody uses now."""
+    """Return free UDP addresses, on a loopback host of this number of VMs only.
+
+    Fleets of other sizes that start at the same time cannot take them meanwhile.
+    """
+    host = f"127.0.{count % 250 + 1}.1"
     sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
     for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+        each.bind((host, 0))
+    addresses = [f"{host}:{each.getsockname()[1]}" for each in sockets]
     for each in sockets:
         each.close()
     return addresses
