--- a/endivesill/membership/knowledge.py
+++ b/endivesill/membership/knowledge.py
@@ -45,30 +45,32 @@
         """Return everything, for a VM that may know nothing."""
         return [*self._table.all(), *self._leaving_targets.notices()]
 
-    def take(self, update: VmUpdate) -> None:
+    def take(self, update: VmUpdate, *, spread: bool = True) -> None:
         """Take an update of one VM and spread it if it is news."""
         if update.name == self._table.own_name:
             self._own.hear(update)
             return
         taken = self._table.merge(update)
-        if taken is not None:
+        if taken is not None and spread:
             self._gossip.tell(taken)
 
-    def merge(self, updates: Iterable[Update]) -> None:
-        """Take updates that came with a datagram."""
+    def merge(self, updates: Iterable[Update], *, spread: bool = True) -> None:
+        """Take updates, and spread those that are news."""
         for update in updates:
             if isinstance(update, VmUpdate):
-                self.take(update)
-            elif self._leaving_targets.merge(update):
+                self.take(update, spread=spread)
+            elif self._leaving_targets.merge(update) and spread:
                 self._gossip.tell(update)
 
     def merge_view(self, updates: Iterable[Update]) -> None:
         """Take another VM's whole view.
 
         The two may have been parted. A VM that is gone over there and well here
-        becomes suspect, so that it can refute before its homes move.
+        becomes suspect, so that it can refute before its homes move. To a VM that
+        is joining everything is new, and to the others nothing of it is.
         """
-        self.merge(self._soften(update) for update in updates)
+        spread = self._own.phase is not Phase.JOINING
+        self.merge((self._soften(update) for update in updates), spread=spread)
 
     def _soften(self, update: Update) -> Update:
         if not isinstance(update, VmUpdate) or update.health is not Health.GONE:
