Work out membership's cost at 560 VMs from the larger of line and figure

Cause: the line through 50, 100 and 150 VMs falls with the share of delegates and would give 0.03 % of a core at 560 VMs. Also: the order service opens its own session to the engines.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -123,17 +123,19 @@
     report.slope("membership bytes sent", "VMs", "B/s a VM", sent)
     report.slope("membership datagrams sent", "VMs", "1/s a VM", datagrams)
     report.slope("membership processor time", "VMs", "% of a core a VM", spent)
-    at_size = fit_line(sent).at(FLEET_AT_SIZE)
+    # The share of delegates falls with the size, so the line may fall too; what is
+    # measured at the largest size counts where the line is under it.
+    at_size = max(fit_line(sent).at(FLEET_AT_SIZE), sent[-1][1])
     report.add(
-        f"bytes sent a VM a second at {FLEET_AT_SIZE} VMs, by the line",
+        f"bytes sent a VM a second at {FLEET_AT_SIZE} VMs, worked out",
         at_size,
         "B/s",
         f"<= {SENT_TARGET_BYTES:g} B/s",
         at_size <= SENT_TARGET_BYTES,
     )
-    share = fit_line(spent).at(FLEET_AT_SIZE)
+    share = max(fit_line(spent).at(FLEET_AT_SIZE), spent[-1][1])
     report.add(
-        f"processor time a VM at {FLEET_AT_SIZE} VMs, by the line",
+        f"processor time a VM at {FLEET_AT_SIZE} VMs, worked out",
         share,
         "% of a core",
         f"<= {100 * PROCESSOR_TARGET:g} %",
--- a/endivesill/orders/service.py
+++ b/endivesill/orders/service.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import aiohttp
+
 from endivesill import errors
 from endivesill.configuration.model import Target
 from endivesill.configuration.source import ConfigurationSource
@@ -15,6 +17,7 @@
 from endivesill.orders.orderer import EngineOrders, Orderer
 from endivesill.orders.settings import OrderSettings
 from endivesill.peers import Message, PeerTransport
+from endivesill.targets import EngineAdapter, open_session
 
 __all__ = ["ORDER_PATH", "OrderService"]
 
@@ -39,7 +42,7 @@
       membership: the fleet.
       configuration: the source of the configuration.
       peers: the transport of the peer port.
-      engines: the adapter to the engines.
+      engines: the adapter to the engines; None makes one at the start.
     """
 
     def __init__(
@@ -52,7 +55,7 @@
         membership: MembershipView,
         configuration: ConfigurationSource,
         peers: PeerTransport,
-        engines: EngineOrders,
+        engines: EngineOrders | None = None,
     ) -> None:
         self._kernel = kernel
         self._holder = f"{own_name}/{instance_id}"
@@ -62,6 +65,7 @@
         self._configuration = configuration
         self._peers = peers
         self._engines = engines
+        self._session: aiohttp.ClientSession | None = None
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._leases: dict[str, OrdererLease] = {}
         self._orderers: dict[str, Orderer] = {}
@@ -70,6 +74,9 @@
 
     async def start(self) -> None:
         """Begin to compete."""
+        if self._engines is None:
+            self._session = open_session()
+            self._engines = EngineAdapter(self._session, self._kernel.timer)
         self._tasks["watch"] = self._kernel.supervise("orders", self._watch)
 
     async def stop(self) -> None:
@@ -78,6 +85,8 @@
         for task in self._tasks.values():
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        if self._session is not None:
+            await self._session.close()
 
     async def hand_over(self) -> None:
         """Give the leases back once no order is under way."""
@@ -180,6 +189,8 @@
 
     def _lease(self, data_centre: str) -> OrdererLease:
         if data_centre not in self._leases:
+            if self._engines is None:
+                raise errors.UnavailableError("the order service has not started")
             lease = OrdererLease(
                 self._kernel.timer,
                 self._control,
