--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
@@ -32,15 +33,22 @@
 CHECK_PERIOD_S = 0.25
 REMAINING_SHARE = 0.5
 AHEAD_SLOTS = 2
+AHEAD_TOKENS = 1024
 
 
 @attrs.define
 class _ServiceState:
-    """The policy and the queue of one service."""
+    """The policy and the queue of one service.
+
+    It is pressing while a request at hand asks for credits; the needed tokens
+    are the memory that the last one without a place needs.
+    """
 
     policy: Policy
     queue: WaitQueue
     checking: bool = False
+    pressing: bool = False
+    needed_tokens: int = 0
 
 
 class Router(Service):
@@ -147,7 +155,7 @@
         output_tokens = reserved_tokens - request.prompt_tokens
         choice = Choice(request, now_s, output_tokens, self.prefixes)
         chosen = state.policy.choose(choice, candidates)
-        if chosen is None and self._need_credit(choice):
+        if chosen is None and self._need_credit(state, choice):
             choice = Choice(request, now_s, output_tokens, self.prefixes)
             chosen = state.policy.choose(choice, candidates)
         if chosen is None:
@@ -160,12 +168,13 @@
             return candidates
         return [c for c in candidates if c.target.name not in request.excluded]
 
-    def _need_credit(self, choice: Choice) -> bool:
+    def _need_credit(self, state: _ServiceState, choice: Choice) -> bool:
         """Ask for the credits that a choice lacked; True if some came at once."""
-        came = False
-        for candidate in choice.short_of_credit:
-            came = self.wallet.need(candidate.target) or came
-        return came
+        state.needed_tokens = choice.request.prompt_tokens + choice.output_tokens
+        state.pressing = True
+        came = [self.wallet.need(c.target) for c in choice.short_of_credit]
+        state.pressing = False
+        return any(came)
 
     def _grant(self, choice: Choice, chosen: Candidate, considered: int) -> RoutedGrant:
         request = choice.request
@@ -205,7 +214,7 @@
         if not state.checking:
             state.checking = True
             self._timer.call_after(CHECK_PERIOD_S, lambda: self._check(state))
-        if len(state.queue) > 1 and waiter in state.queue.heads(now_s):
+        if waiter in state.queue.heads(now_s):
             self._pump(state)
         return waiter
 
@@ -288,13 +297,14 @@
         observation = self.directory.observation(target.name)
         loan = self.wallet.loan(target.name)
         answers, first_token_ms = observation.take_answers()
-        ahead = self._ahead_slots(target)
+        queued = self._queued(target)
         mean_tokens = candidate.reserved_tokens // max(1, candidate.outstanding)
+        need_tokens = max(mean_tokens, self._needed_tokens(target), AHEAD_TOKENS)
         return Use(
             slots=candidate.outstanding,
             tokens=max(0, candidate.reserved_tokens),
-            ahead_slots=ahead,
-            ahead_tokens=2 * ahead * max(mean_tokens, 1024),
+            ahead_slots=AHEAD_SLOTS + observation.recent_starts(self.now_s()) + queued,
+            ahead_tokens=self._ahead_requests(target, queued) * need_tokens,
             serial=loan.serial if loan else 0,
             median_gap_ms=observation.gap_quantile_ms(0.5),
             tail_gap_ms=observation.gap_quantile_ms(0.99),
@@ -302,13 +312,26 @@
             first_token_ms=first_token_ms,
             recooled=observation.take_recooled(),
             least_slots=candidate.asked(),
+            queued=queued,
         )
 
-    def _ahead_slots(self, target: Target) -> int:
+    def _ahead_requests(self, target: Target, queued: int) -> int:
+        """Return for how many requests this target's memory is asked in advance.
+
+        What waits is asked for once over all targets, not at each of them.
+        """
+        count = len(self.directory.candidates(target.service, self.now_s()))
+        return 1 + math.ceil(queued / max(1, count))
+
+    def _needed_tokens(self, target: Target) -> int:
+        state = self._services.get(target.service)
+        if state is None or not (state.pressing or len(state.queue)):
+            return 0
+        return state.needed_tokens
+
+    def _queued(self, target: Target) -> int:
         state = self._services.get(target.service)
-        queued = len(state.queue) if state else 0
-        starts = self.directory.observation(target.name).recent_starts(self.now_s())
-        return AHEAD_SLOTS + starts + queued
+        return max(len(state.queue), int(state.pressing)) if state else 0
 
     def _loan_changed(self, target: Target) -> None:
         self.directory.candidate(target).answered(self.wallet.loan(target.name))
@@ -368,7 +391,6 @@
         if outcome is Outcome.DONE:
             organisation = request.organisation.name
             observation.answered()
-            self.retries.succeeded(request.service.name, organisation)
             if grant.produced:
                 self.lengths.record(request.service, organisation, grant.produced)
         self._pump_service(grant)
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -90,6 +90,15 @@
         self.assertEqual(response.headers["X-Generation-Id"], error["generation"])
         self.assertEqual({}, other.starts)
 
+    async def test_a_whole_answer_begins_anew_when_its_engine_is_gone(self):
+        await self.add_scripted(serving(0, 2, breaking), answering(410), name="a")
+        await self.fleet.add_engine("b")
+        url = await self.fleet.add_entry()
+        body = {"model": "llm", "prompt": "x", "max_tokens": 3}
+        _, document = await self.post(f"{url}/v1/completions", json.dumps(body))
+        self.assertEqual("w0 w1 w2 ", document["choices"][0]["text"])
+        self.assertEqual(3, document["usage"]["completion_tokens"])
+
     async def test_an_answer_of_another_attempt_is_dropped(self):
         async def crossed(engine, writer, line, headers):
             engine.begin(writer, headers, "another")
@@ -239,6 +248,20 @@
         )
         self.assertEqual(numbered(300, 3), words(rest))
 
+    async def test_engines_that_name_each_other_are_not_asked_for_ever(self):
+        first, second = ScriptedEngine(), ScriptedEngine()
+        urls = [f"http://{await engine.start()}" for engine in (first, second)]
+        to_first, to_second = (answering(410, f"X-Moved-To: {url}") for url in urls)
+        first.scripts = [serving(0, 2, breaking), to_second]
+        second.scripts = [to_first]
+        for name, engine, url in zip("xy", (first, second), urls, strict=True):
+            self.fleet.add_target(name, "llm", url.removeprefix("http://"))
+            self.addAsyncCleanup(engine.stop)
+        self.fleet.configure(target__a={"leaving": True}, target__y={"leaving": True})
+        _, text = await self.stream(self.urls[0])
+        self.assertEqual(2, self.error_of(text)["next_index"])
+        self.assertLess(len(first.starts) + len(second.starts), 12)
+
     async def test_an_engine_that_offers_no_moves_keeps_its_generation(self):
         self.engine.options.offers_moves = False
         stream = asyncio.ensure_future(self.stream(self.urls[0], max_tokens=100))
