--- a/bench/order_trials.py
+++ b/bench/order_trials.py
@@ -86,10 +86,10 @@
             return
 
     async def kill(self) -> None:
-        tasks = [*self.tasks, *self.orderer._running.values()]
-        for task in tasks:
+        for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.orderer.close()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
 class _History:
--- a/endivesill/membership/datagrams.py
+++ b/endivesill/membership/datagrams.py
@@ -109,6 +109,9 @@
             return
         host, _, port = address.rpartition(":")
         data = self._sign(0, body) + body
+        if len(data) > DATAGRAM_LIMIT_BYTES:
+            events.emit(DATAGRAM_REFUSED, source=self.address, detail="too large")
+            return
         self._count(len(data))
         self._endpoint.sendto(data, (host, int(port)))
 
@@ -120,8 +123,9 @@
             hmac.compare_digest(mac, self._sign(number, body))
             for number in range(len(self._signers))
         ]
-        if not any(valid):
-            events.emit(DATAGRAM_REFUSED, source=source, detail="no valid key")
+        if not any(valid) or len(data) > DATAGRAM_LIMIT_BYTES:
+            detail = "too large" if any(valid) else "no valid key"
+            events.emit(DATAGRAM_REFUSED, source=source, detail=detail)
             return
         if self.receiver is not None:
             self.receiver(source, body)
--- a/endivesill/membership/gossip.py
+++ b/endivesill/membership/gossip.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 import random
 from collections.abc import Callable
@@ -70,7 +71,7 @@
     def tell(self, update: Update) -> None:
         """Spread an update; it replaces an older one of the same VM or target."""
         key = update.key()
-        size = len(str(encode_update(update)))
+        size = len(json.dumps(encode_update(update)))
         self._pending[key] = _Pending(update, size)
         self._fresh[key] = None
         if self._push is None:
@@ -83,10 +84,10 @@
         vms = len(self._table.peers()) + 1
         limit = max(MINIMUM_SENDS, math.ceil(math.log2(vms + 1)))
         ordered = sorted(self._pending.items(), key=lambda item: item[1].sends)
-        chosen = []
+        chosen: list[Update] = []
         room = UPDATES_LIMIT_BYTES
         for key, pending in ordered:
-            if pending.size_bytes > room:
+            if chosen and pending.size_bytes > room:
                 break
             room -= pending.size_bytes
             chosen.append(pending.update)
--- a/endivesill/membership/probes.py
+++ b/endivesill/membership/probes.py
@@ -182,10 +182,10 @@
         near = [m for m in candidates if m.data_centre == member.data_centre]
         far = [m for m in candidates if m.data_centre != member.data_centre]
         own = self._table.own.data_centre
-        if member.data_centre != own:
-            near = near[: max(1, int(count * RELAY_SHARE))]
         self._rng.shuffle(near)
         self._rng.shuffle(far)
+        if member.data_centre != own:
+            near = near[: max(1, int(count * RELAY_SHARE))]
         return (near + far)[:count]
 
     async def relay(self, datagram: Datagram, requester: str) -> None:
--- a/endivesill/orders/commands.py
+++ b/endivesill/orders/commands.py
@@ -26,7 +26,7 @@
 
 
 def _lease(state: State, data_centre: str) -> dict[str, Any]:
-    return state.section(LEASES).get(data_centre, _NO_LEASE)
+    return state.section(LEASES).get(data_centre, dict(_NO_LEASE))
 
 
 @query("orderer.current")
--- a/endivesill/orders/orderer.py
+++ b/endivesill/orders/orderer.py
@@ -85,6 +85,13 @@
         """Tell whether no order is under way."""
         return not self._running
 
+    async def close(self) -> None:
+        """Give up what is under way; the next orderer learns its outcome."""
+        tasks = list(self._running.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def give(self, request: OrderRequest) -> OrderRecord:
         """Give an order, or return the first answer to its id.
 
--- a/endivesill/orders/service.py
+++ b/endivesill/orders/service.py
@@ -85,6 +85,8 @@
         for task in self._tasks.values():
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        for orderer in self._orderers.values():
+            await orderer.close()
         if self._session is not None:
             await self._session.close()
 
--- a/tests/test_orders_orderer.py
+++ b/tests/test_orders_orderer.py
@@ -139,9 +139,8 @@
             self.engines.engines[target].work_s = 1.5
             task = self.start(self.one, role(f"o-{target}", target))
             await self.timer.advance(0.1)
-            for inner in self.one._running.values():
-                inner.cancel()
             task.cancel()
+            await self.one.close()
         two = await self.orderer("two")
         settling = asyncio.ensure_future(two.settle_pending())
         await self.timer.advance(5.0)
@@ -157,8 +156,7 @@
         task = self.start(self.one, role("o1", "plain-0"))
         await self.timer.advance(0.1)
         task.cancel()
-        for inner in self.one._running.values():
-            inner.cancel()
+        await self.one.close()
         two = await self.orderer("two")
         settling = asyncio.ensure_future(two.settle_pending())
         keeping = asyncio.ensure_future(two.lease.keep())
