--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -28,7 +28,8 @@
 __all__ = ["Cost", "Exchange", "measure_exchanges", "measure_fleet"]
 
 KEY = "bench-key-0123456789"
-SETTLE_S = 20.0
+START_GAP_S = 0.1
+SETTLE_S = 15.0
 MEASURED_S = 10.0
 EXCHANGES = 500
 BODY = {"probe": 12345, "from": "vm-123", "digest": 4294967295, "updates": ["x" * 70]}
@@ -65,11 +66,15 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return UDP addresses on loopback that nobody uses now."""
+    """Return free UDP addresses, on a loopback host of this number of VMs only.
+
+    Fleets of other sizes that start at the same time cannot take them meanwhile.
+    """
+    host = f"127.0.{count % 250 + 1}.1"
     sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
     for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{each.getsockname()[1]}" for each in sockets]
+        each.bind((host, 0))
+    addresses = [f"{host}:{each.getsockname()[1]}" for each in sockets]
     for each in sockets:
         each.close()
     return addresses
@@ -98,7 +103,7 @@
         )
         members.append(member)
         await member.start()
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(START_GAP_S)
     await asyncio.sleep(SETTLE_S)
     before = [(t.sent_bytes, t.sent_datagrams) for t in transports]
     started_s, started_cpu_s = time.monotonic(), time.process_time()
--- a/bench/order_trials.py
+++ b/bench/order_trials.py
@@ -86,10 +86,10 @@
             return
 
     async def kill(self) -> None:
-        tasks = [*self.tasks, *self.orderer._running.values()]
-        for task in tasks:
+        for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.orderer.close()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
 class _History:
@@ -121,7 +121,7 @@
             request = self.request()
             for contender in self.rng.sample(contenders, self.rng.randint(1, 2)):
                 contender.give(request)
-            self.engines.delay_s = self.rng.choice((0.0, 0.01, 0.5, 1.5, 2.5))
+            self.engines.delay_s = self.rng.choice((0.0, 0.01, 0.5, 1.5, 2.8))
             self.engines.lose_answers = self.rng.random() < 0.2
             self.engines.lose_orders = self.rng.random() < 0.1
             self.control.failure = None
