--- a/endivesill/routing/queue.py
+++ b/endivesill/routing/queue.py
@@ -21,8 +21,8 @@
 __all__ = ["DrainRate", "FairQueue", "FifoQueue", "Waiter", "WaitQueue"]
 
 AGING_S = 2.0
-DRAIN_WINDOW_S = 5.0
-DRAIN_MINIMUM_S = 1.0
+DRAIN_WINDOW_S = 10.0
+DRAIN_MINIMUM_S = 2.0
 
 
 @attrs.define(eq=False)
--- a/endivesill/routing/wallet.py
+++ b/endivesill/routing/wallet.py
@@ -258,7 +258,8 @@
             gained = gained or loan.is_larger_than(self.loan(target.name))
             self._hold(target, answer["instance"], loan)
             self.on_credits(target)
-        home.fruitless = 0 if gained else min(home.fruitless + 1, MAXIMUM_FRUITLESS)
+        step = -1 if gained else 1
+        home.fruitless = min(max(0, home.fruitless + step), MAXIMUM_FRUITLESS)
 
     async def _revoke(self, message: Message) -> Message:
         target = self._configuration().targets.get(message["target"])
