Take an entry's use for asks only

Cause: each tick of an entry with only long streams took its answers, its first tokens and its low-water mark without sending them. Change: the wallet asks separately whether anything runs. Two tests of the queue drain for longer, as the rate now needs two busy seconds; one of them checks that a late waiter does not count, which it only seemed to do before. Proof: test_use_is_taken_for_asks_only failed first (222 uses for 21 asks). Conclusion: the evidence of cold starts and the bound on credits keep their inputs.

--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -93,6 +93,7 @@
         self._answer_delay = self._metrics.recorder("refusal_answer")
         self._services: dict[str, _ServiceState] = {}
         wallet.use_of = self._use_of
+        wallet.running_at = lambda t: self.directory.candidate(t).outstanding
         wallet.on_loan = self._loan_changed
         wallet.on_credits = self._credits_came
 
--- a/endivesill/routing/wallet.py
+++ b/endivesill/routing/wallet.py
@@ -89,6 +89,7 @@
         self._checked: Configuration | None = None
         self._ticker: TimerHandle | None = None
         self.use_of: Callable[[Target], Use] = lambda target: Use()
+        self.running_at: Callable[[Target], int] = lambda target: 0
         self.on_loan: Callable[[Target], None] = lambda target: None
         self.on_credits: Callable[[Target], None] = lambda target: None
         lender.on_revoke(self.revoke)
@@ -191,7 +192,7 @@
             self._ask_if_due(home)
 
     def _has_work(self, target: Target, idle_s: float) -> bool:
-        return idle_s < IDLE_S or self.use_of(target).slots > 0
+        return idle_s < IDLE_S or self.running_at(target) > 0
 
     def _home(self, target: Target) -> _Home | None:
         record = self._membership.home_of(target) if self._membership else None
--- a/tests/test_routing_queue.py
+++ b/tests/test_routing_queue.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -84,10 +85,10 @@
 
     def test_estimate_follows_the_backlog_and_the_rate(self):
         queue = FairQueue()
-        for _ in range(40):
+        for _ in range(50):
             queue.push(make_waiter("large"), 100)
         now_s = 0.0
-        for _ in range(20):
+        for _ in range(30):
             now_s += 0.1
             queue.served(queue.heads(now_s)[0], now_s)
         large = queue.wait_s(make_waiter("large"), now_s)
@@ -97,12 +98,15 @@
 
     def test_waiters_that_miss_their_deadline_do_not_delay_the_rest(self):
         queue = FairQueue()
-        for _ in range(30):
+        for _ in range(40):
             queue.push(make_waiter(), 100)
-        for step in range(1, 21):
+        for step in range(1, 31):
             queue.served(queue.heads(0.1 * step)[0], 0.1 * step)
-        waits = [wait_s for _, wait_s in queue.estimates(2.0)]
-        self.assertEqual(sorted(waits), waits)
+        late, *rest = sorted(queue, key=lambda w: (w.start_tag, w.number))
+        late.request = attrs.evolve(late.request, deadline_s=0.0)
+        waits = {id(waiter): wait_s for waiter, wait_s in queue.estimates(3.0)}
+        self.assertEqual(0.0, waits[id(rest[0])])
+        self.assertAlmostEqual(0.1, waits[id(rest[1])], delta=0.02)
 
     @settings(derandomize=True, deadline=None, max_examples=150)
     @given(
--- a/tests/test_routing_wallet.py
+++ b/tests/test_routing_wallet.py
@@ -39,9 +39,12 @@
         )
         self.running = 0
         self.recooled = False
+        self.uses = 0
         self.wallet.use_of = self.use_of
+        self.wallet.running_at = lambda target: self.running
 
     def use_of(self, target):
+        self.uses += 1
         loan = self.wallet.loan(target.name)
         return Use(
             slots=self.running,
@@ -224,6 +227,14 @@
         await fleet.timer.advance(60.0)
         self.assertEqual(before, fleet.network.messages)
 
+    async def test_use_is_taken_for_asks_only(self):
+        fleet = self.fleet
+        fleet.b.running = 1
+        await fleet.borrow(fleet.b)
+        await fleet.timer.advance(60.0)
+        asks = fleet.a.lender._asks["b-1"]
+        self.assertEqual(asks, fleet.b.uses)
+
     async def test_busy_entry_asks_a_home_once_a_period(self):
         fleet = self.fleet
         fleet.b.running = 2
