Believe a jump of one entry's only when others see it too

Cause: a stalled link between one entry and a target would have cooled the target for the whole fleet. Longer asks of newer VMs are read. Tests: test_jump_at_one_entry_of_many_counts_once_another_sees_it. Conclusion: with equal shares a cold target is still seen within one slow step each.

--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -26,6 +26,7 @@
 FOREIGN_WINDOW_S = 6.0
 TOKENS_PER_SLOT = 512
 ADAPT_PERIOD_S = 1.0
+JUMP_S = 10.0
 
 
 class Ledger:
@@ -74,6 +75,7 @@
         self._adapted_s = now_s
         self._memory_tokens = target.memory_tokens
         self._pressed = False
+        self._jumps: dict[str, float] = {}
         self._foreign_slots = 0
         self._reported: collections.deque[tuple[float, int]] = collections.deque()
         self._known: collections.deque[tuple[float, int]] = collections.deque()
@@ -128,8 +130,6 @@
             account.asks.popleft()
         held = account.loans.get(use.serial)
         account.loans = {use.serial: held} if held else {}
-        if use.recooled:
-            self.recool()
         self._adapt(use, now_s)
         slots = self._grant_slots(borrower, use, now_s) if lends else 0
         self._serial += 1
@@ -155,6 +155,19 @@
         self._residuals = [r for r in self._residuals if r.borrower != borrower]
         return account
 
+    def confirms_jump(self, borrower: str, use: Use, now_s: float) -> bool:
+        """Tell whether a borrower's word is enough that the target turned cold.
+
+        A stalled link looks the same to one borrower. So it takes two, or one that
+        runs at least half of the work.
+        """
+        running = sum(account.use.slots for account in self._accounts.values())
+        self._jumps[borrower] = now_s
+        self._jumps = {
+            name: at_s for name, at_s in self._jumps.items() if now_s - at_s < JUMP_S
+        }
+        return len(self._jumps) > 1 or 2 * use.slots >= running
+
     def _adapt(self, use: Use, now_s: float) -> None:
         if use.answers:
             target_ms = self._first_token_target_ms
--- a/endivesill/routing/lender.py
+++ b/endivesill/routing/lender.py
@@ -23,6 +23,7 @@
 ASK_PATH = "/credits/ask"
 REVOKE_PATH = "/credits/revoke"
 REVOKE_TIMEOUT_S = 1.0
+USE_FIELDS = len(attrs.fields(Use))
 
 
 class Lender(Service):
@@ -92,8 +93,12 @@
     def ask(self, borrower: str, target: Target, use: Use) -> Loan:
         """Lend to a borrower; its clock is this VM's."""
         now_s = self._timer.now_s()
-        loan = self.ledger(target).ask(borrower, use, now_s, lends=self._may_lend())
-        if use.recooled:
+        ledger = self.ledger(target)
+        cooled = use.recooled and ledger.confirms_jump(borrower, use, now_s)
+        if cooled:
+            ledger.recool()
+        loan = ledger.ask(borrower, use, now_s, lends=self._may_lend())
+        if cooled:
             self.revoke(target, "entry-saw-jump")
         return loan
 
@@ -112,7 +117,7 @@
             if target is None or not self.is_home(target):
                 continue
             self._borrowers.setdefault(name, {})[borrower] = message["address"]
-            loan = self.ask(borrower, target, Use(*fields))
+            loan = self.ask(borrower, target, Use(*fields[:USE_FIELDS]))
             loans[name] = [loan.slots, loan.tokens, loan.prefill_tokens, loan.serial]
         return {"instance": self.instance_id, "loans": loans}
 
