Add explain and load to the command line; move generations off leaving engines

Cause: an operator needs both without an operator port; the target's own word that it leaves reached the lender only, not the knowledge that entries share. Change: cli_tools, porcelain; the monitor's sink tells the leaving targets; a claimant counts as gone only when its instance was seen to go.

--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from endivesill.configuration.control_replica import ControlReplicaView
+from endivesill.configuration.model import Target
 from endivesill.configuration.named import NamedConfigurationSource
 from endivesill.configuration.replica import ReplicaPort
 from endivesill.configuration.store import ConfigurationFile
@@ -28,6 +29,7 @@
 from endivesill.kernel import Kernel, Service
 from endivesill.keys import KeyFileWatch, KeyRing
 from endivesill.membership.datagrams import UdpDatagramTransport
+from endivesill.membership.leaving import LeavingTargets
 from endivesill.membership.service import SwimMembership
 from endivesill.membership.settings import MembershipSettings
 from endivesill.membership.view import VmState
@@ -42,7 +44,7 @@
 from endivesill.routing import Backoff, Lender, PrefixIndex, Router, Wallet
 from endivesill.server import HttpServer
 from endivesill.settings import Settings
-from endivesill.targets import EngineAdapter, open_session
+from endivesill.targets import EngineAdapter, LoadReport, open_session
 from endivesill.targets.monitor import TargetMonitor
 from endivesill.timer import TimerService
 from endivesill.tls import TlsSettings, client_context, server_options
@@ -72,6 +74,32 @@
         await self._transport.close()
 
 
+class MonitorSink:
+    """Takes what the polls of targets find.
+
+    Args:
+      lender: lends by the load of the targets.
+      leaving: keeps which targets are leaving.
+    """
+
+    def __init__(self, lender: Lender, leaving: LeavingTargets) -> None:
+        self._lender = lender
+        self._leaving = leaving
+
+    def observe_load(self, target: Target, report: LoadReport) -> None:
+        """Take a load report."""
+        self._leaving.report(target.name, report.boot_id, report.leaving_in_s)
+        self._lender.observe_load(target, report)
+
+    def observe_silence(self, target: Target) -> None:
+        """Note that the target does not answer."""
+        self._lender.observe_silence(target)
+
+    def observe_cleared(self, target: Target) -> None:
+        """Note that the target has lost its prefix cache."""
+        self._lender.observe_cleared(target)
+
+
 class MonitorService(Service):
     """The polls of the targets that this VM is home of.
 
@@ -108,7 +136,7 @@
             self._configuration.current,
             EngineAdapter(self._session, timer),
             self._membership.is_home,
-            self._lender,
+            MonitorSink(self._lender, self._membership.leaving_targets),
             self._prefixes,
         )
         await self._monitor.start()
@@ -257,9 +285,17 @@
         budget=SharedRetryBudget(router.retries, Backoff()),
         is_draining=lambda: not drain.is_ready(),
         is_gone=lambda owner: _is_gone(membership, owner),
+        metrics=metrics,
         **(server_options(tls) if tls.callers else {}),
     )
     kernel.add("entry", entry)
+    leaving = membership.leaving_targets
+
+    def move_generations(target_name: str) -> None:
+        if leaving.is_leaving(target_name):
+            entry.target_leaving(target_name)
+
+    leaving.subscribe(move_generations)
 
 
 def _add_operators(
@@ -292,9 +328,12 @@
 
 
 def _is_gone(membership: SwimMembership, instance_id: str) -> bool:
-    """Tell whether a VM instance is known to be gone."""
-    return all(
-        vm.instance_id != instance_id or vm.state is VmState.GONE
+    """Tell whether a VM instance is known to be gone.
+
+    One that was never heard of is not: this VM may have joined just now.
+    """
+    return any(
+        vm.instance_id == instance_id and vm.state is VmState.GONE
         for vm in membership.vms()
     )
 
--- a/endivesill/cli.py
+++ b/endivesill/cli.py
@@ -26,6 +26,7 @@
     NumberOption,
     ReplicaArgument,
 )
+from endivesill.cli_tools import add_tools
 from endivesill.keys import KeyRing
 from endivesill.operators.client import OperatorClient
 from endivesill.tls import trusting_context
@@ -75,6 +76,7 @@
 fleet = cyclopts.App(name="fleet", help="The VMs of the fleet.")
 for group in (config, data_centre, target, vm, control, fleet):
     app.command(group)
+add_tools(app)
 app.register_install_completion_command(name="--install-completion")
 
 
--- a/endivesill/daemon.py
+++ b/endivesill/daemon.py
@@ -13,6 +13,7 @@
 from endivesill import errors, events
 from endivesill.assembly import build_kernel
 from endivesill.drain import DrainService
+from endivesill.entry.memory import freeze_start_up_objects
 from endivesill.kernel import Kernel
 from endivesill.settings import Settings, read_settings
 from endivesill.timer import SystemTimer
@@ -33,6 +34,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, drain.begin, number.name)
     await kernel.start()
+    freeze_start_up_objects()
     events.emit(events.PROCESS_STARTED, vm=settings.vm.name)
     await drain.wait_drained()
     await _stop(kernel, settings)
--- a/endivesill/porcelain.py
+++ b/endivesill/porcelain.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import itertools
+import pathlib
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import attrs
@@ -16,8 +18,12 @@
 from endivesill.configuration import Folder, read_folder
 from endivesill.configuration.changes import Change, digest_of_documents
 from endivesill.configuration.folder import read_base_revision, write_base_revision
+from endivesill.explain import Story
+from endivesill.explain import explain as story_of
+from endivesill.load import LoadRunner, Summary, read_experiment, summarize
 from endivesill.operators.client import OperatorClient
 from endivesill.peers import Message
+from endivesill.timer import SystemTimer
 
 __all__ = [
     "ChangeAnswer",
@@ -32,7 +38,9 @@
     "control_remove",
     "control_replace",
     "control_status",
+    "explain",
     "fleet_status",
+    "load",
     "status",
     "vm_drain",
 ]
@@ -301,3 +309,36 @@
 async def vm_drain(client: OperatorClient) -> Message:
     """Begin the planned stop of the VM that is asked."""
     return await client.post("/v1/drain", {})
+
+
+def explain(log_files: Iterable[pathlib.Path], request_id: str) -> Story:
+    """Tell from log files what happened to a request.
+
+    Raises:
+      EndivesillError: a file cannot be read, or none names the request.
+    """
+    try:
+        lines = itertools.chain.from_iterable(_lines(path) for path in log_files)
+        story = story_of(lines, request_id)
+    except OSError as error:
+        raise errors.EndivesillError(str(error)) from None
+    if story is None:
+        raise errors.EndivesillError(f"no log line names request {request_id}")
+    return story
+
+
+def _lines(path: pathlib.Path) -> Iterator[str]:
+    with path.open(encoding="utf-8", errors="replace") as file:
+        yield from file
+
+
+async def load(experiment_file: str) -> Summary:
+    """Run an experiment of the load tool and sum it up.
+
+    Raises:
+      FindingsError: the experiment's file is wrong.
+    """
+    experiment = read_experiment(experiment_file)
+    records = await LoadRunner(experiment, SystemTimer()).run()
+    settings = experiment.settings
+    return summarize(records, settings.duration_s, settings.stall_threshold_ms / 1000)
