Prefer near targets in an entry's subset; poll load reports every second

Cause: the subset was spread over all regions by hash, so at 150 engines a model most of an entry's work would cross regions; idle engines were polled every 8 s, so a target's own word that it leaves could be 8 s late against a bound of 2 s. Change: 12 of 16 targets from the own data centre, then region, then others; one load report a second.

--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -268,6 +268,7 @@
         prefixes=prefixes,
         is_leaving=membership.leaving_targets.is_leaving,
         entry_name=settings.vm.name,
+        data_centre=settings.vm.data_centre,
         metrics=metrics,
     )
     kernel.add("monitor", MonitorService(kernel, lender, prefixes, source, membership))
--- a/endivesill/routing/directory.py
+++ b/endivesill/routing/directory.py
@@ -15,6 +15,7 @@
 __all__ = ["SUBSET_SIZE", "TargetDirectory"]
 
 SUBSET_SIZE = 16
+NEAR_SIZE = 12
 REFRESH_S = 1.0
 
 
@@ -30,14 +31,17 @@
 class TargetDirectory:
     """Candidates by service, limited to a subset for this entry.
 
-    The subset is the first `SUBSET_SIZE` eligible targets in the order of a
-    hash of the entry and the target, so that entries spread over all targets
-    and each talks to few homes.
+    The subset is `SUBSET_SIZE` eligible targets: up to `NEAR_SIZE` of the entry's
+    own data centre, then those of its region and the others, each in the order
+    of a hash of the entry and the target. So entries spread over all targets,
+    each talks to few homes, most of them near, and a data centre that is full
+    has others to turn to.
 
     Args:
       configuration: returns the configuration in force.
       entry_name: the name of this VM.
       is_leaving: tells of a target's name whether the target leaves.
+      data_centre: the data centre of this VM.
     """
 
     def __init__(
@@ -45,10 +49,12 @@
         configuration: Callable[[], Configuration],
         entry_name: str,
         is_leaving: Callable[[str], bool],
+        data_centre: str = "",
     ) -> None:
         self._configuration = configuration
         self._entry_name = entry_name
         self._is_leaving = is_leaving
+        self._data_centre = data_centre
         self._indexed: Configuration | None = None
         self._services: dict[str, _ServiceTargets] = {}
         self._candidates: dict[str, Candidate] = {}
@@ -107,17 +113,31 @@
             del self._candidates[name]
             self.observations.pop(name, None)
 
-    def _rank(self, target: Target) -> bytes:
+    def _rank(self, target: Target) -> tuple[int, bytes]:
         text = f"{self._entry_name}\0{target.name}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
+        spread = hashlib.blake2b(text, digest_size=8).digest()
+        return self._distance(target.data_centre), spread
+
+    def _distance(self, data_centre: str) -> int:
+        """Return 0 for the own data centre, 1 for its region, 2 beyond."""
+        if data_centre == self._data_centre:
+            return 0
+        data_centres = self._configuration().data_centres
+        own = data_centres.get(self._data_centre)
+        other = data_centres.get(data_centre)
+        if own is None or other is None:
+            return 2
+        return 1 if own.region == other.region else 2
 
     def _refresh(self, service: _ServiceTargets) -> None:
-        service.candidates = []
-        for target in service.ordered:
-            if not self.is_eligible(target):
-                continue
-            candidate = self.candidate(target)
-            candidate.target = target
-            service.candidates.append(candidate)
-            if len(service.candidates) == SUBSET_SIZE:
-                return
+        eligible = [t for t in service.ordered if self.is_eligible(t)]
+        near = sum(t.data_centre == self._data_centre for t in eligible)
+        first = min(near, NEAR_SIZE)
+        subset = eligible[:first] + eligible[near:] + eligible[first:near]
+        service.candidates = [self._current(t) for t in subset[:SUBSET_SIZE]]
+
+    def _current(self, target: Target) -> Candidate:
+        """Return a target's candidate with the target as configured now."""
+        candidate = self.candidate(target)
+        candidate.target = target
+        return candidate
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -62,6 +62,7 @@
       prefixes: what the targets cache.
       is_leaving: tells of a target's name whether the target leaves.
       entry_name: the name of this VM.
+      data_centre: its data centre, whose targets come first.
       metrics: where durations are recorded.
     """
 
@@ -75,6 +76,7 @@
         prefixes: PrefixIndex | None = None,
         is_leaving: Callable[[str], bool] = lambda name: False,
         entry_name: str = "",
+        data_centre: str = "",
         metrics: Metrics | None = None,
     ) -> None:
         self._timer = timer
@@ -86,7 +88,9 @@
             wallet = Wallet(timer, configuration, entry_name, lender)
         self.wallet = wallet
         self.prefixes = prefixes or PrefixIndex()
-        self.directory = TargetDirectory(configuration, entry_name, is_leaving)
+        self.directory = TargetDirectory(
+            configuration, entry_name, is_leaving, data_centre
+        )
         self.lengths = LengthEstimator()
         self.retries = RetryBudgets()
         self._metrics = metrics or Metrics()
--- a/endivesill/targets/monitor.py
+++ b/endivesill/targets/monitor.py
@@ -23,8 +23,7 @@
 __all__ = ["MonitoredAdapter", "TargetMonitor", "TargetSink"]
 
 TICK_S = 0.5
-LOAD_PERIOD_S = 2.0
-IDLE_LOAD_PERIOD_S = 8.0
+LOAD_PERIOD_S = 1.0
 CACHE_PERIOD_S = 4.0
 RESYNC_PERIOD_S = 20.0
 POLL_TIMEOUT_S = 2.0
@@ -79,11 +78,6 @@
     resync_s: float = -math.inf
     failures: int = 0
     busy: bool = False
-    last: LoadReport | None = None
-
-    def load_period_s(self) -> float:
-        idle = self.last is not None and not self.last.running + self.last.waiting
-        return IDLE_LOAD_PERIOD_S if idle else LOAD_PERIOD_S
 
 
 class TargetMonitor(Service):
@@ -146,7 +140,7 @@
     def _poll_if_due(self, target: Target) -> None:
         watch = self._watches.setdefault(target.name, _Watch())
         now_s = self._timer.now_s()
-        if watch.busy or now_s - watch.load_s < watch.load_period_s():
+        if watch.busy or now_s - watch.load_s < LOAD_PERIOD_S:
             return
         watch.busy = True
         watch.load_s = now_s
@@ -170,7 +164,6 @@
         if watch.failures >= FAILURES_TO_SILENT:
             events.emit(TARGET_ANSWERING, target=target.name)
         watch.failures = 0
-        watch.last = report
         self._sink.observe_load(target, report)
         now_s = self._timer.now_s()
         if now_s - watch.cache_s >= CACHE_PERIOD_S:
