--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,33 @@
+"""Tests that the page on promises names what exists."""
+
+import pathlib
+import re
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "PROMISES.md"
+
+
+class PromisesPageTest(unittest.TestCase):
+    def setUp(self):
+        self.page = PAGE.read_text(encoding="utf-8")
+
+    def test_every_promise_has_a_row(self):
+        rows = [line for line in self.page.splitlines() if line.startswith("| ")]
+        self.assertEqual(9, len(rows) - 2)
+
+    def test_every_named_test_exists(self):
+        names = re.findall(r"`(test_\w+)\.(\w+)\.(test_\w+)`", self.page)
+        self.assertGreater(len(names), 20)
+        for module, case, method in names:
+            path = ROOT / "tests" / f"{module}.py"
+            text = path.read_text(encoding="utf-8")
+            name = f"{module}.{case}.{method}"
+            self.assertIn(f"\nclass {case}(", text, name)
+            self.assertIn(f"def {method}(", text, name)
+
+    def test_every_named_module_exists(self):
+        paths = re.findall(r"`(endivesill/[\w/]+\.py)`", self.page)
+        self.assertGreater(len(paths), 15)
+        for path in paths:
+            self.assertTrue((ROOT / path).is_file(), path)
