Lend a cold target in advance while nobody queues; wire the orders

A home lends an entry without a queue at most allowance / (2 x entries) in advance, which is 0 for two cold slots and three entries, so with room elsewhere nobody ever had a credit for it. Ruled out: the configuration (in force) and the poll (answering). Change: while no borrower has a queue each may hold one slot; the order service is added to the daemon with its hand-over; 64 connections a peer, since held calls must not delay the log. Conclusion: the share of a returned data centre ramps without a queue.

--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -40,6 +40,8 @@
     OperatorApplication,
     OperatorPort,
 )
+from endivesill.orders.service import OrderService
+from endivesill.orders.settings import OrderSettings
 from endivesill.peers import HttpPeerTransport
 from endivesill.routing import Backoff, Lender, PrefixIndex, Router, Wallet
 from endivesill.server import HttpServer
@@ -190,6 +192,7 @@
     drain = _add_drain(kernel, settings, source, membership, control)
     if "entry" in vm.roles:
         _add_entry(kernel, settings, keys, metrics, transport, source, membership)
+    _add_orders(kernel, settings, membership, source, transport, drain)
     kernel.add("vm-list", _vm_list(kernel, settings, membership, source, drain))
     kernel.add("key-file", KeyFileWatch(timer, keys, vm.key_file))
     _add_operators(kernel, settings, keys, metrics, transport, membership)
@@ -299,6 +302,28 @@
     leaving.subscribe(move_generations)
 
 
+def _add_orders(
+    kernel: Kernel,
+    settings: Settings,
+    membership: SwimMembership,
+    source: NamedConfigurationSource,
+    transport: HttpPeerTransport,
+    drain: DrainService,
+) -> None:
+    orders = OrderService(
+        kernel,
+        settings.vm.name,
+        membership.own_record.instance_id,
+        settings.section(OrderSettings),
+        kernel.find("control", ControlClient),
+        membership,
+        source,
+        transport,
+    )
+    kernel.add("orders", orders)
+    drain.add_hand_over("orders", orders.hand_over)
+
+
 def _add_operators(
     kernel: Kernel,
     settings: Settings,
--- a/endivesill/peers.py
+++ b/endivesill/peers.py
@@ -35,7 +35,7 @@
 Handler = Callable[[Message], Awaitable[Message]]
 
 CONNECT_TIMEOUT_S = 1.0
-CONNECTIONS_PER_PEER = 8
+CONNECTIONS_PER_PEER = 64
 
 # Peers need none of these; they are most of a small message.
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -208,10 +208,17 @@
         return max(0, min(wanted, max(share, use.slots), free))
 
     def _ahead_slots(self, use: Use, allowance: int) -> int:
-        """Return the slots to lend in advance; few where nothing waits."""
+        """Return the slots to lend in advance; few where nothing waits.
+
+        While no borrower has a queue each may hold one, so that a target that is
+        cold gets work although others have room.
+        """
         if use.queued:
             return use.ahead_slots
-        return min(use.ahead_slots, allowance // (2 * len(self._accounts)))
+        share = allowance // (2 * len(self._accounts))
+        if not any(account.use.queued for account in self._accounts.values()):
+            share = max(1, share)
+        return min(use.ahead_slots, share)
 
     def _takeover_slots(self, borrower: str, use: Use) -> int:
         """Lend what borrowers ran before, and the cold allowance among all."""
--- a/tests/test_routing_credits.py
+++ b/tests/test_routing_credits.py
@@ -115,6 +115,19 @@
         ]
         self.assertEqual(COLD_SLOTS, sum(loan.slots for loan in queued))
 
+    def test_cold_target_is_lent_in_advance_while_nobody_queues(self):
+        ledger = make_ledger(warm=False)
+        now_s = TAKEOVER_S + 1
+        idle = Use(ahead_slots=2)
+        loans = [ledger.ask(name, idle, now_s) for name in ("a", "b", "c")]
+        self.assertEqual([1, 1, 0], [loan.slots for loan in loans])
+        waiting = Use(ahead_slots=2, queued=1)
+        ledger.ask("c", waiting, now_s + 1)
+        back = ledger.ask("a", Use(ahead_slots=2, serial=loans[0].serial), now_s + 2)
+        self.assertEqual(0, back.slots)
+        ledger.ask("a", Use(ahead_slots=2, serial=back.serial), now_s + 3)
+        self.assertEqual(1, ledger.ask("c", waiting, now_s + 4).slots)
+
     def test_home_without_the_lease_lends_nothing(self):
         ledger = make_ledger()
         loan = ledger.ask("a", Use(ahead_slots=4, queued=1), 1.0, lends=False)
