Take all benches' ports from one place

Cause: three benches chose ports of the outgoing range, which another process's connection can take while theirs is down. Change: bench/ports.py serves fleet, control and entry. Conclusion: a restart on the same port does not fail for that.

--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -350,7 +350,7 @@
 
 @_role("claims of idempotency keys")
 def _claims(measured: Measured) -> list[Row]:
-    rate = measured.result("control", "commits a second of 32 clients")
+    rate = measured.result("control", "commits of 32 clients")
     wanted = TARGET.requests_per_s * 0.1 * 2
     groups = -(-wanted // rate)
     return [
@@ -361,7 +361,7 @@
             "commits a second of one group, 32 clients",
             rate,
             "1/s",
-            "control: commits a second of 32 clients",
+            "control: commits of 32 clients",
         ),
         Row("groups needed on such disks and cores", groups, "groups", "arithmetic"),
     ]
--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -7,35 +7,24 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
 from bench.control_state import BENCH_KEY
+from bench.ports import free_ports
 from endivesill import errors
 from endivesill.control import RemoteControlClient
 from endivesill.keys import KeyRing
 from endivesill.peers import HttpPeerTransport
 from endivesill.timer import SystemTimer
 
-__all__ = ["Processes", "Relay", "free_addresses"]
+__all__ = ["Processes", "Relay"]
 
 RELAY_CHUNK_BYTES = 65_536
 START_TIMEOUT_S = 30.0
 POLL_S = 0.02
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose ports are free."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-    for item in sockets:
-        item.close()
-    return addresses
-
-
 class Relay:
     """Passes connections on to a replica and counts the bytes both ways."""
 
@@ -92,8 +81,9 @@
 
     def __init__(self, size: int, folder: pathlib.Path, relayed: bool = False) -> None:
         self._folder = folder
-        listens = free_addresses(size)
-        self.addresses = free_addresses(size) if relayed else listens
+        free = [f"127.0.0.1:{port}" for port in free_ports(2 * size)]
+        listens = free[:size]
+        self.addresses = free[size:] if relayed else listens
         self._listens = dict(zip(self.addresses, listens, strict=True))
         self.relays = {
             address: Relay(address, listen)
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -12,7 +12,6 @@
 import json
 import os
 import pathlib
-import socket
 import statistics
 import subprocess
 import sys
@@ -24,6 +23,7 @@
 import uvloop
 
 from bench.entry_servers import CALLER_KEY
+from bench.ports import free_ports
 from bench.report import Report
 
 __all__ = ["main"]
@@ -110,9 +110,7 @@
     """One server process."""
 
     def __init__(self, kind: str, source: str = "") -> None:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.port = probe.getsockname()[1]
+        (self.port,) = free_ports(1)
         self.address = f"127.0.0.1:{self.port}"
         arguments = [sys.executable, "-m", "bench.entry_servers", kind, self.address]
         self._process = subprocess.Popen(arguments + ([source] if source else []))
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,10 +10,8 @@
 import json
 import os
 import pathlib
-import random
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -22,40 +20,15 @@
 import aiohttp
 import attrs
 
+from bench.ports import free_ports
 from endivesill.keys import hash_key
 
-__all__ = ["Fleet", "FleetPlan", "ManagedProcess", "free_ports"]
+__all__ = ["Fleet", "FleetPlan", "ManagedProcess"]
 
 PEER_KEY = "fleet-key-for-one-run"
 CALLER_KEY = "caller-key-for-one-run"
 STARTUP_LIMIT_S = 30.0
 POLL_S = 0.1
-PORT_RANGE = range(20_000, 32_000)
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that were free a moment ago.
-
-    They lie under the range that systems give to outgoing connections, which
-    could otherwise take a port while its process is down.
-    """
-    ports: list[int] = []
-    for port in random.sample(PORT_RANGE, len(PORT_RANGE)):
-        if len(ports) == count:
-            break
-        if _is_free(port):
-            ports.append(port)
-    return ports
-
-
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as one:
-            try:
-                one.bind(("127.0.0.1", port))
-            except OSError:
-                return False
-    return True
 
 
 class ManagedProcess:
