--- a/endivesill/configuration/state.py
+++ b/endivesill/configuration/state.py
@@ -35,7 +35,11 @@
 CHANGE = "configuration.change"
 COMMAND_NAMES = (APPLY, CHANGE)
 
+# The items have sections of their own, as snapshots are made a part of a section
+# at a time.
 SECTION = "configuration"
+DOCUMENTS_SECTION = "configuration-documents"
+ORIGINS_SECTION = "configuration-origins"
 NUMBERS_KEPT = 1_000
 HISTORY_KEPT = 1_000
 HISTORY_KEYS_SHOWN = 20
@@ -48,11 +52,17 @@
     """The configuration's section of the replicated state.
 
     Args:
-      content: the section's JSON object; `writable` fills in what is missing.
+      content: all but the items.
+      documents: the documents of the folder's layer.
+      origins: the origins of their values.
     """
 
-    def __init__(self, content: dict[str, Any]) -> None:
+    def __init__(
+        self, content: dict[str, Any], documents: Documents, origins: dict[str, Any]
+    ) -> None:
         self._content = content
+        self._documents = documents
+        self._origins = origins
 
     @classmethod
     def writable(cls, state: State) -> ConfigurationState:
@@ -64,19 +74,23 @@
                 folder_revision=0,
                 last_index=0,
                 digest="",
-                documents={},
-                origins={},
                 overlays={},
                 numbers={},
                 history=[],
                 change_log={"floor": 0, "entries": [], "keys": 0},
             )
-        return cls(content)
+        documents = state.section(DOCUMENTS_SECTION)
+        return cls(content, documents, state.section(ORIGINS_SECTION))
 
     @classmethod
     def readable(cls, state: State) -> ConfigurationState:
         """Return the section for a query, which leaves the state as it is."""
-        return cls(state.sections.get(SECTION, {}))
+        sections = state.sections
+        return cls(
+            sections.get(SECTION, {}),
+            sections.get(DOCUMENTS_SECTION, {}),
+            sections.get(ORIGINS_SECTION, {}),
+        )
 
     @property
     def revision(self) -> int:
@@ -101,12 +115,12 @@
     @property
     def documents(self) -> Documents:
         """The documents of the folder's layer."""
-        return self._content.get("documents", {})
+        return self._documents
 
     @property
     def origins(self) -> dict[str, Any]:
         """Where each value was written, with the revision that set it."""
-        return self._content.get("origins", {})
+        return self._origins
 
     @property
     def overlays(self) -> dict[str, Any]:
@@ -241,6 +255,8 @@
     earlier = store.earlier_answer(message)
     if earlier is not None:
         return earlier
+    if not _is_well_formed(message):
+        return _refusal(store, [_finding("the change is not well formed")])
     if not store.folder_revision <= message["base_revision"] <= store.revision:
         return _base_conflict(store)
     change = Change(message["changed"], tuple(message["removed"]))
@@ -293,6 +309,19 @@
     return store.commit(message, before, [key])
 
 
+def _is_well_formed(message: Message) -> bool:
+    """Tell whether the change's parts have the types that the checks need."""
+    objects = [*message["changed"].values(), *message["origins"].values()]
+    places = [p for o in message["origins"].values() for p in _values_of(o)]
+    return all(isinstance(value, dict) for value in objects) and all(
+        isinstance(text, str) for text in [*message["removed"], *places]
+    )
+
+
+def _values_of(value: Any) -> list[Any]:
+    return list(value.values()) if isinstance(value, dict) else []
+
+
 def _base_conflict(store: ConfigurationState) -> Message:
     last: Message = {}
     for record in reversed(store.history):
@@ -311,7 +340,8 @@
 
 def _finding(text: str, place: str = "") -> Message:
     file, _, line = place.rpartition(":")
-    return {"file": file, "line": int(line or 0), "text": text}
+    number = int(line) if line.isdecimal() else 0
+    return {"file": file, "line": number, "text": text}
 
 
 def _refusal(store: ConfigurationState, findings: list[Message]) -> Message:
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -83,6 +83,19 @@
         self.assertEqual(5, len(answer["findings"]))
         self.assertEqual(1, self.store.revision)
 
+    def test_a_change_of_the_wrong_form_is_refused(self):
+        region = {"region": "r"}
+        wrong = [
+            {"changed": {"data-centre/c": "region"}},
+            {"changed": {}, "removed": [["data-centre/a"]]},
+            {"changed": {}, "origins": {"data-centre/a": "places.ini"}},
+            {"changed": {"data-centre/c": region}, "origins": {"x": {"region": 3}}},
+        ]
+        for number, parts in enumerate(wrong, start=2):
+            message = {**apply_message(number, {}, base=1), **parts}
+            answer = self.run_command(APPLY, message)
+            self.assertEqual("refused", answer["outcome"], parts)
+
     def test_an_item_that_others_refer_to_cannot_be_removed(self):
         answer = self.apply(2, {}, base=1, removed=["service/llm"])
         self.assertIn("no service llm", answer["findings"][0]["text"])
