--- a/endivesill/configuration/state.py
+++ b/endivesill/configuration/state.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from endivesill.configuration import model
 from endivesill.configuration.changes import (
     Change,
     ChangeLog,
@@ -20,6 +19,7 @@
     difference,
     updated_digest,
 )
+from endivesill.configuration.checks import change_findings, finding, is_well_formed
 from endivesill.control.commands import CommandContext, State, command, query
 from endivesill.peers import Message
 
@@ -255,12 +255,12 @@
     earlier = store.earlier_answer(message)
     if earlier is not None:
         return earlier
-    if not _is_well_formed(message):
-        return _refusal(store, [_finding("the change is not well formed")])
+    if not is_well_formed(message):
+        return _refusal(store, [finding("the change is not well formed")])
     if not store.folder_revision <= message["base_revision"] <= store.revision:
         return _base_conflict(store)
     change = Change(message["changed"], tuple(message["removed"]))
-    findings = _change_findings(store, change, message["origins"])
+    findings = change_findings(store.documents, change, message["origins"])
     if findings:
         return _refusal(store, findings)
     after = {**store.documents, **change.changed}
@@ -290,9 +290,9 @@
     key = message["key"]
     kind, _, name = key.partition("/")
     if kind not in OVERLAY_FIELDS:
-        return _refusal(store, [_finding(f"a {kind} has no single change")])
+        return _refusal(store, [finding(f"a {kind} has no single change")])
     if key not in store.documents and key not in store.overlays:
-        return _refusal(store, [_finding(f"there is no {kind} {name}")])
+        return _refusal(store, [finding(f"there is no {kind} {name}")])
     if (key in store.overlays) == message["value"]:
         return store.answer(message, "unchanged")
     before = dict(store.effective_documents([key]))
@@ -309,19 +309,6 @@
     return store.commit(message, before, [key])
 
 
-def _is_well_formed(message: Message) -> bool:
-    """Tell whether the change's parts have the types that the checks need."""
-    objects = [*message["changed"].values(), *message["origins"].values()]
-    places = [p for o in message["origins"].values() for p in _values_of(o)]
-    return all(isinstance(value, dict) for value in objects) and all(
-        isinstance(text, str) for text in [*message["removed"], *places]
-    )
-
-
-def _values_of(value: Any) -> list[Any]:
-    return list(value.values()) if isinstance(value, dict) else []
-
-
 def _base_conflict(store: ConfigurationState) -> Message:
     last: Message = {}
     for record in reversed(store.history):
@@ -338,12 +325,6 @@
     }
 
 
-def _finding(text: str, place: str = "") -> Message:
-    file, _, line = place.rpartition(":")
-    number = int(line) if line.isdecimal() else 0
-    return {"file": file, "line": number, "text": text}
-
-
 def _refusal(store: ConfigurationState, findings: list[Message]) -> Message:
     return {
         "outcome": "refused",
@@ -352,52 +333,6 @@
     }
 
 
-def _change_findings(
-    store: ConfigurationState, change: Change, origins: dict[str, Any]
-) -> list[Message]:
-    """Check a change against the state that it would be made to."""
-    removed = set(change.removed)
-
-    def known(key: str) -> bool:
-        return key in change.changed or (key in store.documents and key not in removed)
-
-    findings: list[Message] = []
-    for key, document in sorted(change.changed.items()):
-        problems = model.document_findings(key, document)
-        if not problems:
-            problems = model.reference_findings(key, document, known)
-        place = min(origins.get(key, {}).values(), default="")
-        findings.extend(_finding(f"{key}: {text}", place) for text in problems)
-    if any(key.startswith(("service/", "data-centre/")) for key in removed):
-        for key, document in sorted(store.documents.items()):
-            if key in removed or key in change.changed:
-                continue
-            problems = model.reference_findings(key, document, known)
-            findings.extend(_finding(f"{key}: {text}") for text in problems)
-    findings.extend(_equal_key_findings(store, change))
-    return findings
-
-
-def _equal_key_findings(store: ConfigurationState, change: Change) -> list[Message]:
-    hashes = {
-        document.get("key_sha256"): key
-        for key, document in sorted(change.changed.items(), reverse=True)
-        if key.startswith("organisation/")
-    }
-    if not hashes:
-        return []
-    findings: list[Message] = []
-    after = {**store.documents, **change.changed}
-    for key in change.removed:
-        after.pop(key, None)
-    for key, document in sorted(after.items()):
-        if key.startswith("organisation/"):
-            owner = hashes.get(document.get("key_sha256"), key)
-            if owner != key:
-                findings.append(_finding(f"{key} has the same key as {owner}"))
-    return findings
-
-
 @query("configuration.current")
 def current(state: State, message: Message) -> Message:
     """Return the revision and the digest."""
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -89,6 +89,7 @@
             {"changed": {"data-centre/c": "region"}},
             {"changed": {}, "removed": [["data-centre/a"]]},
             {"changed": {}, "origins": {"data-centre/a": "places.ini"}},
+            {"changed": {"organisation/o": {"key_sha256": [["k"]]}}},
             {"changed": {"data-centre/c": region}, "origins": {"x": {"region": 3}}},
         ]
         for number, parts in enumerate(wrong, start=2):
