--- a/endivesill/configuration/state.py
+++ b/endivesill/configuration/state.py
@@ -11,7 +11,6 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from endivesill.configuration import model
 from endivesill.configuration.changes import (
     Change,
     ChangeLog,
@@ -20,6 +19,7 @@
     difference,
     updated_digest,
 )
+from endivesill.configuration.checks import change_findings, finding, is_well_formed
 from endivesill.control.commands import CommandContext, State, command, query
 from endivesill.peers import Message
 
@@ -35,7 +35,11 @@
 CHANGE = "configuration.change"
 COMMAND_NAMES = (APPLY, CHANGE)
 
+# The items have sections of their own, as snapshots are made a part of a section
+# at a time.
 SECTION = "configuration"
+DOCUMENTS_SECTION = "configuration-documents"
+ORIGINS_SECTION = "configuration-origins"
 NUMBERS_KEPT = 1_000
 HISTORY_KEPT = 1_000
 HISTORY_KEYS_SHOWN = 20
@@ -48,11 +52,17 @@
     """The configuration's section of the replicated state.
 
     Args:
-      content: the section's JSON object; `writable` fills in what is missing.
+      content: all but the items.
+      documents: the documents of the folder's layer.
+      origins: the origins of their values.
     """
 
-    def __init__(self, content: dict[str, Any]) -> None:
+    def __init__(
+        self, content: dict[str, Any], documents: Documents, origins: dict[str, Any]
+    ) -> None:
         self._content = content
+        self._documents = documents
+        self._origins = origins
 
     @classmethod
     def writable(cls, state: State) -> ConfigurationState:
@@ -64,19 +74,23 @@
                 folder_revision=0,
                 last_index=0,
                 digest="",
-                documents={},
-                origins={},
                 overlays={},
                 numbers={},
                 history=[],
                 change_log={"floor": 0, "entries": [], "keys": 0},
             )
-        return cls(content)
+        documents = state.section(DOCUMENTS_SECTION)
+        return cls(content, documents, state.section(ORIGINS_SECTION))
 
     @classmethod
     def readable(cls, state: State) -> ConfigurationState:
         """Return the section for a query, which leaves the state as it is."""
-        return cls(state.sections.get(SECTION, {}))
+        sections = state.sections
+        return cls(
+            sections.get(SECTION, {}),
+            sections.get(DOCUMENTS_SECTION, {}),
+            sections.get(ORIGINS_SECTION, {}),
+        )
 
     @property
     def revision(self) -> int:
@@ -101,12 +115,12 @@
     @property
     def documents(self) -> Documents:
         """The documents of the folder's layer."""
-        return self._content.get("documents", {})
+        return self._documents
 
     @property
     def origins(self) -> dict[str, Any]:
         """Where each value was written, with the revision that set it."""
-        return self._content.get("origins", {})
+        return self._origins
 
     @property
     def overlays(self) -> dict[str, Any]:
@@ -241,10 +255,12 @@
     earlier = store.earlier_answer(message)
     if earlier is not None:
         return earlier
+    if not is_well_formed(message):
+        return _refusal(store, [finding("the change is not well formed")])
     if not store.folder_revision <= message["base_revision"] <= store.revision:
         return _base_conflict(store)
     change = Change(message["changed"], tuple(message["removed"]))
-    findings = _change_findings(store, change, message["origins"])
+    findings = change_findings(store.documents, change, message["origins"])
     if findings:
         return _refusal(store, findings)
     after = {**store.documents, **change.changed}
@@ -274,9 +290,9 @@
     key = message["key"]
     kind, _, name = key.partition("/")
     if kind not in OVERLAY_FIELDS:
-        return _refusal(store, [_finding(f"a {kind} has no single change")])
+        return _refusal(store, [finding(f"a {kind} has no single change")])
     if key not in store.documents and key not in store.overlays:
-        return _refusal(store, [_finding(f"there is no {kind} {name}")])
+        return _refusal(store, [finding(f"there is no {kind} {name}")])
     if (key in store.overlays) == message["value"]:
         return store.answer(message, "unchanged")
     before = dict(store.effective_documents([key]))
@@ -309,11 +325,6 @@
     }
 
 
-def _finding(text: str, place: str = "") -> Message:
-    file, _, line = place.rpartition(":")
-    return {"file": file, "line": int(line or 0), "text": text}
-
-
 def _refusal(store: ConfigurationState, findings: list[Message]) -> Message:
     return {
         "outcome": "refused",
@@ -322,52 +333,6 @@
     }
 
 
-def _change_findings(
-    store: ConfigurationState, change: Change, origins: dict[str, Any]
-) -> list[Message]:
-    """Check a change against the state that it would be made to."""
-    removed = set(change.removed)
-
-    def known(key: str) -> bool:
-        return key in change.changed or (key in store.documents and key not in removed)
-
-    findings: list[Message] = []
-    for key, document in sorted(change.changed.items()):
-        problems = model.document_findings(key, document)
-        if not problems:
-            problems = model.reference_findings(key, document, known)
-        place = min(origins.get(key, {}).values(), default="")
-        findings.extend(_finding(f"{key}: {text}", place) for text in problems)
-    if any(key.startswith(("service/", "data-centre/")) for key in removed):
-        for key, document in sorted(store.documents.items()):
-            if key in removed or key in change.changed:
-                continue
-            problems = model.reference_findings(key, document, known)
-            findings.extend(_finding(f"{key}: {text}") for text in problems)
-    findings.extend(_equal_key_findings(store, change))
-    return findings
-
-
-def _equal_key_findings(store: ConfigurationState, change: Change) -> list[Message]:
-    hashes = {
-        document.get("key_sha256"): key
-        for key, document in sorted(change.changed.items(), reverse=True)
-        if key.startswith("organisation/")
-    }
-    if not hashes:
-        return []
-    findings: list[Message] = []
-    after = {**store.documents, **change.changed}
-    for key in change.removed:
-        after.pop(key, None)
-    for key, document in sorted(after.items()):
-        if key.startswith("organisation/"):
-            owner = hashes.get(document.get("key_sha256"), key)
-            if owner != key:
-                findings.append(_finding(f"{key} has the same key as {owner}"))
-    return findings
-
-
 @query("configuration.current")
 def current(state: State, message: Message) -> Message:
     """Return the revision and the digest."""
