End a drain although callers keep coming; shorten loans to four seconds

Change: after the lag new requests get 503 draining, not-run, with Retry-After; the soak leaves a VM alone that is being stopped, and its load goes to entries that say that they are ready, as a balancer's does; a loan lasts 4 s in place of 8 and is renewed every 1.5 s, so a take-over lasts 6 s in place of 12.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -45,6 +45,7 @@
 duration_s = {duration_s}
 drain_s = {drain_s}
 rate_per_s = {rate_per_s}
+health_period_s = 0.4
 seed = {seed}
 [organisation farriers]
 key = {key}
@@ -171,7 +172,7 @@
 
     async def _planned_stop(self, vm: str) -> None:
         process = self._fleet.processes[vm]
-        if not process.running:
+        if not process.running or vm in self._busy:
             return
         self._busy.add(vm)
         begin_s = self._timer.now_s()
--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -288,6 +288,7 @@
         settings=settings.section(EntrySettings),
         budget=SharedRetryBudget(router.retries, Backoff()),
         is_draining=lambda: not drain.is_ready(),
+        accepts=drain.accepts,
         is_gone=lambda owner: _is_gone(membership, owner),
         metrics=metrics,
         **(server_options(tls) if tls.callers else {}),
--- a/endivesill/drain.py
+++ b/endivesill/drain.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import enum
+import math
 from collections.abc import Awaitable, Callable
 
 from endivesill import events
@@ -71,6 +72,7 @@
         self._hand_overs: list[tuple[str, HandOver]] = []
         self._listeners: list[Callable[[DrainState], None]] = []
         self._drained = asyncio.Event()
+        self._accepts_until_s = math.inf
         self.state = DrainState.SERVING
 
     def add_hand_over(self, name: str, hand_over: HandOver) -> None:
@@ -85,6 +87,14 @@
         """Tell whether the balancer may send callers here."""
         return self.state is DrainState.SERVING
 
+    def accepts(self) -> bool:
+        """Tell whether new requests are still taken.
+
+        They are while the balancer may not know yet; afterwards a caller that
+        comes all the same is told to go elsewhere, so that the drain ends.
+        """
+        return self._kernel.timer.now_s() < self._accepts_until_s
+
     async def start(self) -> None:
         """Begin to watch the configuration."""
         self._configuration.subscribe(self._configured)
@@ -104,6 +114,7 @@
         if self.state is not DrainState.SERVING:
             return
         events.emit(DRAIN_BEGUN, vm=self._vm_name, reason=reason)
+        self._accepts_until_s = self._kernel.timer.now_s() + self._balancer_lag_s
         self._enter(DrainState.DRAINING)
         self._kernel.supervise("drain", self._drain)
 
@@ -117,10 +128,9 @@
             listener(state)
 
     async def _drain(self) -> None:
-        lag_ends_s = self._kernel.timer.now_s() + self._balancer_lag_s
         for name, hand_over in self._hand_overs:
             await self._hand_over(name, hand_over)
-        left_s = lag_ends_s - self._kernel.timer.now_s()
+        left_s = self._accepts_until_s - self._kernel.timer.now_s()
         await self._kernel.timer.sleep(max(0.0, left_s))
         await self._wait_for_requests()
         events.emit(DRAIN_DONE, vm=self._vm_name)
--- a/endivesill/entry/application.py
+++ b/endivesill/entry/application.py
@@ -104,6 +104,7 @@
         await answer.whole(200 if healthy else 503, [], b"")
 
     async def _answer(self, request: AsgiRequest, answer: Answer) -> None:
+        self._context.check_accepts()
         index = self._context.index.current()
         limits = index.configuration.limits
         request.check_header_size(limits.header_bytes)
--- a/endivesill/entry/context.py
+++ b/endivesill/entry/context.py
@@ -24,6 +24,7 @@
 __all__ = ["EntryContext"]
 
 LEASE_RETRY_AFTER_S = 1.0
+DRAIN_RETRY_AFTER_S = 1.0
 
 
 @attrs.frozen
@@ -46,6 +47,7 @@
       background: tasks that outlive their request.
       metrics: counters and recorders of the process.
       is_draining: tells whether a planned stop has begun.
+      accepts: tells whether new requests are taken.
     """
 
     timer: TimerService
@@ -63,6 +65,7 @@
     background: Background
     metrics: Metrics
     is_draining: Callable[[], bool]
+    accepts: Callable[[], bool] = lambda: True
 
     def check_lease(self) -> None:
         """Check that new work may start.
@@ -73,6 +76,15 @@
         if not self.source.holds_lease():
             raise errors.RefusedError("no-lease", retry_after_s=LEASE_RETRY_AFTER_S)
 
+    def check_accepts(self) -> None:
+        """Check that this entry takes new requests.
+
+        Raises:
+          RefusedError: it is to be stopped, and the balancer has had its time.
+        """
+        if not self.accepts():
+            raise errors.RefusedError("draining", retry_after_s=DRAIN_RETRY_AFTER_S)
+
     def start_check(self, grant: Grant) -> Callable[[], bool]:
         """Return what is asked just before the first byte of an attempt."""
         return lambda: self.source.holds_lease() and grant.may_start()
--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -49,6 +49,7 @@
       budget: how often failed attempts are made again.
       metrics: counters and recorders of the process.
       is_draining: tells whether a planned stop has begun.
+      accepts: tells whether new requests are taken.
       is_gone: tells whether a VM instance is known to be gone.
       options: further options of the listener, such as its TLS files.
     """
@@ -64,6 +65,7 @@
         budget: RetryBudget | None = None,
         metrics: Metrics | None = None,
         is_draining: Callable[[], bool] = lambda: False,
+        accepts: Callable[[], bool] = lambda: True,
         is_gone: Callable[[str], bool] = lambda owner: False,
         **options: Any,
     ) -> None:
@@ -76,6 +78,7 @@
         self._budget = budget or FixedRetryBudget()
         self._metrics = metrics or Metrics()
         self._is_draining = is_draining
+        self._accepts = accepts
         self._is_gone = is_gone
         self._options = options
         self._background = Background()
@@ -132,6 +135,7 @@
             background=self._background,
             metrics=self._metrics,
             is_draining=self._is_draining,
+            accepts=self._accepts,
         )
 
     async def stop(self) -> None:
--- a/endivesill/load/plan.py
+++ b/endivesill/load/plan.py
@@ -108,6 +108,13 @@
         "arrival process", default="poisson", choices=tuple(ARRIVALS)
     )
     seed: int = schema.field("seed of all random choices", default=1, minimum=0)
+    health_period_s: float = schema.field(
+        "time between looks at which entries are ready, as a balancer does; "
+        "0 sends to all",
+        default=0.0,
+        minimum=0,
+        maximum=60,
+    )
     stall_threshold_ms: float = schema.field(
         "a gap between tokens beyond this counts as stall time",
         default=1000.0,
--- a/endivesill/load/runner.py
+++ b/endivesill/load/runner.py
@@ -28,6 +28,7 @@
 MAXIMUM_RECONNECTS = 20
 RECONNECT_DELAY_S = 0.25
 CONNECT_TIMEOUT_S = 2.0
+HEALTH_TIMEOUT_S = 0.5
 WORD = "oats "
 
 
@@ -60,6 +61,7 @@
         self._experiment = experiment
         self._timer = timer
         self._tasks: set[asyncio.Task[None]] = set()
+        self._ready = list(experiment.settings.addresses)
         self.records: list[RequestRecord] = []
         self.unsent = 0
 
@@ -105,6 +107,10 @@
         async with aiohttp.ClientSession(
             connector=connector, timeout=timeout
         ) as session:
+            if settings.health_period_s:
+                looking = asyncio.ensure_future(self._look_for_ready(session))
+            else:
+                looking = None
             for arrival in self.arrivals():
                 wait_s = start_s + arrival.at_s - self._timer.now_s()
                 if wait_s > 0:
@@ -112,6 +118,8 @@
                 self._start(session, arrival, start_s + arrival.at_s)
             if self._tasks:
                 await asyncio.wait(self._tasks, timeout=settings.drain_s)
+            if looking is not None:
+                looking.cancel()
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -148,8 +156,29 @@
         finally:
             record.end_s = self._timer.now_s()
 
+    async def _look_for_ready(self, session: aiohttp.ClientSession) -> None:
+        """Keep the ready entries, as the platform's balancer does."""
+        settings = self._experiment.settings
+        while True:
+            answers = await asyncio.gather(
+                *(self._is_ready(session, address) for address in settings.addresses)
+            )
+            pairs = zip(settings.addresses, answers, strict=True)
+            self._ready = [address for address, ready in pairs if ready]
+            await self._timer.sleep(settings.health_period_s)
+
+    @staticmethod
+    async def _is_ready(session: aiohttp.ClientSession, address: str) -> bool:
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        try:
+            url = f"http://{address}/health/ready"
+            async with session.get(url, timeout=timeout) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
     def _address(self, arrival: Arrival, attempt: int) -> str:
-        addresses = self._experiment.settings.addresses
+        addresses = self._ready or self._experiment.settings.addresses
         return addresses[(arrival.address_index + attempt) % len(addresses)]
 
     def _tag(self, arrival: Arrival) -> str:
--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -18,9 +18,9 @@
 
 __all__ = ["LOAN_LIFE_S", "RENEW_S", "TAKEOVER_S", "Ledger", "Loan", "Use"]
 
-LOAN_LIFE_S = 8.0
-RENEW_S = 3.0
-TAKEOVER_S = LOAN_LIFE_S + RENEW_S + 1.0
+LOAN_LIFE_S = 4.0
+RENEW_S = 1.5
+TAKEOVER_S = LOAN_LIFE_S + RENEW_S + 0.5
 REPORT_LAG_LIMIT_S = 3.0
 EVIDENCE_S = 15.0
 FOREIGN_WINDOW_S = 6.0
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -69,6 +69,7 @@
         self.kernels = []
         self.entries = []
         self.draining = False
+        self.accepting = True
 
     def configure(self, **changes):
         """Merge documents by key (with / for __) and put them in force."""
@@ -111,6 +112,7 @@
             f"vm-{number}",
             settings,
             is_draining=lambda: self.draining,
+            accepts=lambda: self.accepting,
             **options,
         )
         kernel.add("entry", entry)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -42,6 +42,15 @@
         await self.timer.advance(0.2)
         self.assertIs(DrainState.DRAINED, self.drain.state)
 
+    async def test_takes_new_requests_for_the_balancer_lag_only(self):
+        self.assertTrue(self.drain.accepts())
+        self.drain.begin("test")
+        await self.timer.advance(BALANCER_LAG_S - 0.1)
+        self.assertTrue(self.drain.accepts())
+        await self.timer.advance(0.2)
+        self.assertFalse(self.drain.accepts())
+        self.assertIs(DrainState.DRAINING, self.drain.state)
+
     async def test_waits_for_the_last_request_however_long_it_runs(self):
         self.drain.begin("test")
         await self.timer.advance(3 * 3600.0)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -60,6 +60,15 @@
             seen.append(response.headers.get("Connection"))
         self.assertEqual([None, "close"], seen)
 
+    async def test_a_drain_past_the_balancer_lag_refuses_as_not_run(self):
+        self.fleet.accepting = False
+        response, document = await self.post(f"{self.url}/app/x")
+        self.assertEqual(503, response.status)
+        found = (document["title"], document["run"])
+        self.assertEqual(("draining", "not-run"), found)
+        self.assertEqual("1", response.headers["Retry-After"])
+        self.assertEqual([], self.plain.ran)
+
     async def test_readiness_follows_the_lease_and_the_drain(self):
         seen = []
         for lease, draining in ((True, False), (False, False), (True, True)):
