--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -1,7 +1,11 @@
 """Control replicas and watching VMs on a memory network, driven by hand."""
 
+import asyncio
+import unittest
+
 from endivesill.configuration.replica import MemoryReplica, ReplicaPort, VoterSet
 from endivesill.configuration.state import APPLY
+from endivesill.configuration.tree import parent_of
 from endivesill.configuration.watcher import ConfigurationWatcher
 from endivesill.control.commands import CommandContext
 from endivesill.kernel import Kernel
@@ -114,3 +118,38 @@
 
     def revisions(self):
         return {n: w.current().revision for n, w in self.watchers.items()}
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    vms = ("v0", "v1", "v2", "v3", "v4", "v5", "v6")
+
+    async def asyncSetUp(self):
+        # The loop's debug mode records a stack for each of many short calls.
+        asyncio.get_running_loop().set_debug(False)
+        self.fleet = Fleet([vm_record(name) for name in self.vms])
+        self.timer = self.fleet.timer
+        self.network = self.fleet.network
+        self.fleet.commit(apply_message(1, DOCUMENTS))
+        await self.begin()
+
+    async def begin(self):
+        await self.fleet.start()
+        await self.timer.advance(3.0)
+
+    async def asyncTearDown(self):
+        self.network.heal()
+        await self.fleet.stop()
+
+    def parent(self, name):
+        record = parent_of(name, self.fleet.records)
+        return record.name if record else None
+
+    def root(self):
+        return next(name for name in self.vms if self.parent(name) is None)
+
+    def leaf(self):
+        parents = {self.parent(name) for name in self.vms}
+        return next(name for name in self.vms if name not in parents)
+
+    def watcher(self, name):
+        return self.fleet.watchers[name]
