Bound the stop of the peer port; take a return that is told again as no news

The same logs showed 23,000 to 45,000 target-returned lines a VM: a notice that a target is back has no time, and a notice of equal rank counted as sooner whenever the known one was not leaving, so every VM told every other one for ever. Change: the peer port cuts calls that do not end within 2 s and logs which they were; a notice of equal rank is news only if the target leaves sooner. Each stopped service is logged. The peer port has a module of its own. Conclusion: what held the port is to be read from the new event in the next soak.

--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import aiohttp
 
 from endivesill.configuration.control_replica import ControlReplicaView
@@ -42,9 +40,9 @@
 )
 from endivesill.orders.service import OrderService
 from endivesill.orders.settings import OrderSettings
+from endivesill.peer_port import PeerPort
 from endivesill.peers import HttpPeerTransport
 from endivesill.routing import Backoff, Lender, PrefixIndex, Router, Wallet
-from endivesill.server import HttpServer
 from endivesill.settings import Settings
 from endivesill.targets import EngineAdapter, LoadReport, open_session
 from endivesill.targets.monitor import TargetMonitor
@@ -54,28 +52,6 @@
 __all__ = ["build_kernel"]
 
 
-class PeerPort(Service):
-    """The listener for the system's own processes.
-
-    Args:
-      transport: the peer transport that answers.
-      options: further options of the listener, such as its TLS files.
-    """
-
-    def __init__(self, transport: HttpPeerTransport, **options: Any) -> None:
-        self._transport = transport
-        self._server = HttpServer(transport.address, transport.application(), **options)
-
-    async def start(self) -> None:
-        """Listen."""
-        await self._server.start()
-
-    async def stop(self) -> None:
-        """Close the port and the client's connections."""
-        await self._server.stop()
-        await self._transport.close()
-
-
 class MonitorSink:
     """Takes what the polls of targets find.
 
@@ -167,7 +143,7 @@
         vm.peer_address, keys, tls.scheme, client_context(tls)
     )
     source = NamedConfigurationSource(kernel)
-    kernel.add("peer-port", PeerPort(transport, **server_options(tls)))
+    kernel.add("peer-port", PeerPort(timer, transport, **server_options(tls)))
     datagrams = UdpDatagramTransport(vm.peer_address, keys.texts())
     keys.subscribe(lambda: datagrams.replace_keys(keys.texts()))
     membership = SwimMembership(
--- a/endivesill/events.py
+++ b/endivesill/events.py
@@ -78,4 +78,5 @@
 PROCESS_STARTED = define(1001, "process-started", "The daemon has started.")
 PROCESS_STOPPING = define(1002, "process-stopping", "A planned stop has begun.")
 PROCESS_STOPPED = define(1003, "process-stopped", "The daemon has stopped.")
+SERVICE_STOPPED = define(1005, "service-stopped", "A service of the kernel stopped.")
 TASK_FAILED = define(1004, "task-failed", "A background task failed; it restarts.")
--- a/endivesill/kernel.py
+++ b/endivesill/kernel.py
@@ -83,6 +83,7 @@
                 await self._services[name].stop()
             except Exception:
                 _log.exception("service %s failed to stop", name)
+            events.emit(events.SERVICE_STOPPED, service=name)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/endivesill/membership/leaving.py
+++ b/endivesill/membership/leaving.py
@@ -104,7 +104,8 @@
             if notice.rank() < known.notice.rank():
                 return False
             same = notice.rank() == known.notice.rank()
-            if same and not self._is_sooner(known, notice.notice_s):
+            sooner = notice.leaving and self._is_sooner(known, notice.notice_s)
+            if same and not sooner:
                 return False
         past = known.past_boots if known is not None else []
         if known is not None and known.notice.boot_id != notice.boot_id:
--- a/endivesill/peers.py
+++ b/endivesill/peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import json
 import random
 from collections.abc import Awaitable, Callable
@@ -86,6 +87,9 @@
       keys: the keys of the peer port.
       scheme: `http` or `https`.
       ssl_context: the client's TLS context with https.
+
+    Attributes:
+      running: calls that are being answered, by path.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         self._scheme = scheme
         self._ssl_context = ssl_context
         self._session: aiohttp.ClientSession | None = None
+        self.running: collections.Counter[str] = collections.Counter()
 
     def application(self) -> Starlette:
         """Return the ASGI application of the peer port."""
@@ -110,14 +115,19 @@
             client = request.client.host if request.client else ""
             events.emit(KEY_REFUSED, port="peer", client=client)
             return Response(status_code=401)
-        handler = self.handlers.get(request.url.path)
+        path = request.url.path
+        handler = self.handlers.get(path)
         if handler is None:
             return Response(status_code=404)
         try:
             message = json.loads(await request.body())
         except ValueError:
             return Response(status_code=400)
-        return JSONResponse(await handler(message))
+        self.running[path] += 1
+        try:
+            return JSONResponse(await handler(message))
+        finally:
+            self.running[path] -= 1
 
     async def call(
         self, address: str, path: str, message: Message, timeout_s: float
--- a/tests/test_membership_leaving.py
+++ b/tests/test_membership_leaving.py
@@ -33,6 +33,13 @@
         self.assertFalse(self.leaving.is_leaving(self.name))
         self.assertEqual([], self.told)
 
+    def test_return_that_is_told_again_is_no_news(self):
+        self.leaving.report(self.name, "boot-1", 5.0)
+        self.leaving.report(self.name, "boot-2", None)
+        (notice,) = self.leaving.notices()
+        self.assertFalse(notice.leaving)
+        self.assertFalse(self.leaving.merge(notice))
+
     def test_later_older_report_does_not_undo_the_target_s_word(self):
         self.leaving.report(self.name, "boot-1", 30.0)
         self.leaving.report(self.name, "boot-1", None)
