--- a/bench/all.py
+++ b/bench/all.py
@@ -15,11 +15,11 @@
 __all__ = ["main"]
 
 BENCHES = (
-    "control",
-    "configuration",
+    "routing",
     "membership",
     "credits",
-    "routing",
+    "control",
+    "configuration",
     "entry",
     "entry_tables",
 )
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -6,8 +6,6 @@
 import math
 from collections.abc import Callable
 
-import attrs
-
 from endivesill import errors, events
 from endivesill.configuration.model import Configuration, Target
 from endivesill.configuration.source import ConfigurationSource
@@ -20,10 +18,11 @@
 from endivesill.routing.lender import Lender
 from endivesill.routing.lengths import LengthEstimator
 from endivesill.routing.messages import Grant, Outcome, RouteRequest
-from endivesill.routing.policy import POLICIES, Candidate, Choice, Policy
+from endivesill.routing.policy import POLICIES, Candidate, Choice
 from endivesill.routing.prefixes import PrefixIndex
-from endivesill.routing.queue import Waiter, WaitQueue
+from endivesill.routing.queue import Waiter
 from endivesill.routing.retries import RetryBudgets
+from endivesill.routing.service_state import ServiceState
 from endivesill.routing.wallet import Wallet
 from endivesill.timer import TimerService
 
@@ -36,21 +35,6 @@
 AHEAD_TOKENS = 1024
 
 
-@attrs.define
-class _ServiceState:
-    """The policy and the queue of one service.
-
-    It is pressing while a request at hand asks for credits; the needed tokens
-    are the memory that the last one without a place needs.
-    """
-
-    policy: Policy
-    queue: WaitQueue
-    checking: bool = False
-    pressing: bool = False
-    needed_tokens: int = 0
-
-
 class Router(Service):
     """Chooses targets and lets requests wait for a free one.
 
@@ -95,7 +79,7 @@
         self.retries = RetryBudgets()
         self._metrics = metrics or Metrics()
         self._answer_delay = self._metrics.recorder("refusal_answer")
-        self._services: dict[str, _ServiceState] = {}
+        self._services: dict[str, ServiceState] = {}
         wallet.use_of = self._use_of
         wallet.running_at = lambda t: self.directory.candidate(t).outstanding
         wallet.on_loan = self._loan_changed
@@ -143,16 +127,16 @@
         if not self._candidates(request, self.now_s()):
             raise self._refusal(request, "no-target", RETRY_AFTER_S)
 
-    def _state(self, request: RouteRequest) -> _ServiceState:
+    def _state(self, request: RouteRequest) -> ServiceState:
         service = request.service
         kind = POLICIES[service.routing_policy]
         state = self._services.get(service.name)
         if state is None or (type(state.policy) is not kind and not len(state.queue)):
-            state = _ServiceState(kind(), kind.queue())
+            state = ServiceState(kind(), kind.queue())
             self._services[service.name] = state
         return state
 
-    def _place(self, state: _ServiceState, request: RouteRequest) -> RoutedGrant | None:
+    def _place(self, state: ServiceState, request: RouteRequest) -> RoutedGrant | None:
         """Choose a target for a request and account for it there."""
         now_s = self.now_s()
         candidates = self._candidates(request, now_s)
@@ -173,7 +157,7 @@
             return candidates
         return [c for c in candidates if c.target.name not in request.excluded]
 
-    def _need_credit(self, state: _ServiceState, choice: Choice) -> bool:
+    def _need_credit(self, state: ServiceState, choice: Choice) -> bool:
         """Ask for the credits that a choice lacked; True if some came at once."""
         state.needed_tokens = choice.request.prompt_tokens + choice.output_tokens
         state.pressing = True
@@ -201,7 +185,7 @@
         uncached_tokens = choice.uncached_tokens
         return RoutedGrant(self, request, chosen, uncached_tokens, reserved_tokens)
 
-    def _enqueue(self, state: _ServiceState, request: RouteRequest) -> Waiter:
+    def _enqueue(self, state: ServiceState, request: RouteRequest) -> Waiter:
         now_s = self.now_s()
         cost = request.prompt_tokens + self.lengths.mean_remaining(
             request.service, request.organisation.name
@@ -223,7 +207,7 @@
             self._pump(state)
         return waiter
 
-    def _abandon(self, state: _ServiceState, waiter: Waiter) -> None:
+    def _abandon(self, state: ServiceState, waiter: Waiter) -> None:
         """Give back what a cancelled waiter may have been given meanwhile."""
         state.queue.remove(waiter)
         future = waiter.future
@@ -231,7 +215,7 @@
             return
         future.result().finished(Outcome.CANCELLED)
 
-    def _check(self, state: _ServiceState) -> None:
+    def _check(self, state: ServiceState) -> None:
         """Refuse who will not be served in time, and serve who can be."""
         state.checking = False
         now_s = self.now_s()
@@ -248,14 +232,14 @@
             state.checking = True
             self._timer.call_after(CHECK_PERIOD_S, lambda: self._check(state))
 
-    def _pump(self, state: _ServiceState) -> None:
+    def _pump(self, state: ServiceState) -> None:
         """Serve waiters, in the queue's order, until none finds a place."""
         while len(state.queue):
             now_s = self.now_s()
             if not any(self._serve(state, w, now_s) for w in state.queue.heads(now_s)):
                 return
 
-    def _serve(self, state: _ServiceState, waiter: Waiter, now_s: float) -> bool:
+    def _serve(self, state: ServiceState, waiter: Waiter, now_s: float) -> bool:
         request = waiter.request
         if self._source is not None and not self._source.holds_lease():
             state.queue.remove(waiter)
