--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -5,25 +5,23 @@
 import unittest
 
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "endivesill"
-FOUNDATIONS = set(
-    [
-        "errors",
-        "timer",
-        "kernel",
-        "events",
-        "metrics",
-        "findings",
-        "ini",
-        "schema",
-        "settings",
-        "keys",
-        "tls",
-        "peers",
-        "peer_port",
-        "server",
-    ]
-)
-TOOL = set(["porcelain", "presentation", "cli", "cli_options", "cli_tools"])
+FOUNDATIONS = {
+    "errors",
+    "events",
+    "findings",
+    "ini",
+    "kernel",
+    "keys",
+    "metrics",
+    "peer_port",
+    "peers",
+    "schema",
+    "server",
+    "settings",
+    "timer",
+    "tls",
+}
+TOOL = {"cli", "cli_options", "cli_tools", "porcelain", "presentation"}
 ALLOWED = {
     "control": set(),
     "configuration": {"control", "membership"},
