--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -201,7 +201,7 @@
             for a in self._accounts.values()
         ]
         share = _fair_share(wants, allowance - residual)
-        if use.queued:
+        if use.queued or not self._anybody_queues():
             # Shares under one slot go to who asks first.
             share = max(1, share)
         wanted = use.slots + self._ahead_slots(use, allowance)
@@ -216,10 +216,13 @@
         if use.queued:
             return use.ahead_slots
         share = allowance // (2 * len(self._accounts))
-        if not any(account.use.queued for account in self._accounts.values()):
+        if not self._anybody_queues():
             share = max(1, share)
         return min(use.ahead_slots, share)
 
+    def _anybody_queues(self) -> bool:
+        return any(account.use.queued for account in self._accounts.values())
+
     def _takeover_slots(self, borrower: str, use: Use) -> int:
         """Lend what borrowers ran before, and the cold allowance among all."""
         others = [
--- a/tests/test_routing_credits.py
+++ b/tests/test_routing_credits.py
@@ -128,6 +128,19 @@
         ledger.ask("a", Use(ahead_slots=2, serial=back.serial), now_s + 3)
         self.assertEqual(1, ledger.ask("c", waiting, now_s + 4).slots)
 
+    def test_cold_target_goes_on_being_lent_when_loans_are_renewed(self):
+        ledger = make_ledger(warm=False)
+        now_s = TAKEOVER_S + 1
+        serials = dict.fromkeys("abc", 0)
+        for _ in range(5):
+            now_s += 1.0
+            lent = {}
+            for name, serial in serials.items():
+                use = Use(ahead_slots=2, serial=serial)
+                lent[name] = ledger.ask(name, use, now_s)
+                serials[name] = lent[name].serial
+            self.assertEqual(COLD_SLOTS, sum(loan.slots for loan in lent.values()))
+
     def test_home_without_the_lease_lends_nothing(self):
         ledger = make_ledger()
         loan = ledger.ask("a", Use(ahead_slots=4, queued=1), 1.0, lends=False)
