Ask for the credits of targets passed over although another had room

Cause: credits were asked for only when no target could be chosen. A target that came back while the others had room was never asked for, and after ten seconds no entry held a loan of it (trace of the ledger in a scratch copy: the last asks 4 s after the return). So a data centre that was put back stayed unused until the rest was full. Ruled out: the ledger (it lent both cold slots), the configuration. Change: a target that a choice passed over for want of credit counts as wanted, in the turn of the renewals.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -24,6 +24,7 @@
 GENERATIONS = 12
 TAKE_OUT_WAIT_S = 3.0
 RETURN_LIMIT_S = 15.0
+RETURN_STREAMS = 6
 PLANNED_STOP_LIMIT_S = 20.0
 LIMIT_S = 60.0
 
@@ -137,7 +138,8 @@
     loop = asyncio.get_running_loop()
     end_s = loop.time() + RETURN_LIMIT_S
     while loop.time() < end_s:
-        await asyncio.gather(*(caller.generate(name, 10) for name in fleet.vm_names))
+        names = fleet.vm_names * RETURN_STREAMS
+        await asyncio.gather(*(caller.generate(name, 10) for name in names))
         if await starts(fleet, engine) > before:
             return True
     return False
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -149,6 +149,9 @@
             chosen = state.policy.choose(choice, candidates)
         if chosen is None:
             return None
+        for candidate in choice.short_of_credit:
+            # Asked for in its turn, so that a target that is back is used again.
+            self.wallet.demand(candidate.target)
         return self._grant(choice, chosen, len(candidates))
 
     def _candidates(self, request: RouteRequest, now_s: float) -> list[Candidate]:
--- a/tests/test_routing_router.py
+++ b/tests/test_routing_router.py
@@ -100,6 +100,20 @@
         self.source.replace(taken_out)
         self.assertFalse(grant.may_start())
 
+    async def test_target_without_credit_is_asked_for_although_another_has_room(self):
+        self.build([make_target("e0"), make_target("e1")])
+        await self.wallet.start()
+        first = await self.grant(0)
+        (other,) = {"e0", "e1"} - {first.target.name}
+        first.finished(Outcome.DONE)
+        for number in range(1, 11):
+            self.wallet.revoke(self.source.current().targets[other])
+            grant = await self.grant(number)
+            self.assertEqual(first.target, grant.target)
+            grant.finished(Outcome.DONE)
+            await self.timer.advance(1.95)
+        self.assertIsNotNone(self.wallet.loan(other))
+
     async def test_leaving_target_gets_no_new_work(self):
         self.build([make_target("e0"), make_target("e1")])
         grant = await self.grant()
