--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,7 +14,8 @@
 
 import cyclopts
 
-from bench.capacity_model import ROLES, Measured, Row
+from bench.capacity_model import ROLES
+from bench.capacity_runs import Measured, Row
 from bench.fit import fit_line
 
 __all__ = ["main", "render"]
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -2,149 +2,27 @@
 
 from __future__ import annotations
 
-import json
-import pathlib
 from collections.abc import Callable
-from typing import Any
 
-import attrs
+from bench.capacity_runs import TARGET, Measured, Row
 
-from bench.fit import Fit, fit_line
-
-__all__ = ["ROLES", "TARGET", "Measured", "Row", "TargetSize"]
+__all__ = ["ROLES"]
 
 HTTP_HEADER_BYTES = 300.0
+DATAGRAM_OVERHEAD_BYTES = 60.0
+POLL_BYTES = 480.0
+RENEW_S = 1.5
+CALM_RENEW_S = 12.0
+ENGINES_OF_A_GROUP = 5
 CONTROL_CORE_SHARE = 0.027
 CONTROL_MEMORY_MB = 256.0
 CONTROL_BYTES_PER_S = 3_000.0
 
-Maker = Callable[["Measured"], list["Row"]]
+Maker = Callable[[Measured], list[Row]]
 
 ROLES: dict[str, Maker] = {}
 
 
-@attrs.frozen
-class TargetSize:
-    """The size that the users expect within two years."""
-
-    nodes: int = 560
-    control_vms: int = 12
-    targets: int = 2400
-    requests_per_s: float = 13_000.0
-    tokens_per_s: float = 5_400_000.0
-    organisations: int = 19_000
-    models: int = 16
-    regions: int = 4
-    data_centres: int = 8
-    changes_per_day: int = 1800
-    failures_per_day: int = 18
-    restarts_per_day: int = 170
-    tokens_per_stream_s: float = 20.0
-
-    @property
-    def entries(self) -> int:
-        """Nodes that are not set aside for control."""
-        return self.nodes - self.control_vms
-
-    @property
-    def entry_tokens_per_s(self) -> float:
-        """Tokens a second through one entry."""
-        return self.tokens_per_s / self.entries
-
-    @property
-    def entry_requests_per_s(self) -> float:
-        """Requests a second at one entry."""
-        return self.requests_per_s / self.entries
-
-    @property
-    def entry_streams(self) -> float:
-        """Streams at once at one entry."""
-        return self.entry_tokens_per_s / self.tokens_per_stream_s
-
-    @property
-    def targets_per_home(self) -> float:
-        """Targets that one entry is home of."""
-        return self.targets / self.entries
-
-    @property
-    def entries_per_data_centre(self) -> float:
-        """Entries in one data centre."""
-        return self.entries / self.data_centres
-
-
-TARGET = TargetSize()
-
-
-@attrs.frozen
-class Row:
-    """One line of a role's table.
-
-    Attributes:
-      quantity: what is worked out.
-      value: the figure at the target size.
-      unit: its unit.
-      source: the bench and slope it rests on.
-      bound: the users' bound; None where there is none.
-    """
-
-    quantity: str
-    value: float
-    unit: str
-    source: str
-    bound: float | None = None
-
-    @property
-    def carried(self) -> str:
-        """Whether today's mechanism stays within the bound."""
-        if self.bound is None:
-            return ""
-        return "yes" if self.value <= self.bound else "**no**"
-
-
-class Measured:
-    """The benches' runs.
-
-    Args:
-      folder: the JSON files, one a bench.
-
-    Raises:
-      OSError: a file cannot be read.
-      ValueError: a file is not the JSON of a run.
-    """
-
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._runs: dict[str, dict[str, Any]] = {}
-        for path in sorted(folder.glob("*.json")):
-            document = json.loads(path.read_text(encoding="utf-8"))
-            self._runs[document["bench"]] = document
-
-    def runs(self) -> dict[str, dict[str, Any]]:
-        """Return the runs by bench."""
-        return self._runs
-
-    def fit(self, bench: str, name: str) -> Fit:
-        """Return the line through a slope's points.
-
-        Raises:
-          KeyError: there is no such slope.
-        """
-        for slope in self._runs[bench]["slopes"]:
-            if slope["name"] == name:
-                return fit_line(slope["points"])
-        raise KeyError(f"bench {bench} has no slope {name!r}")
-
-    def result(self, bench: str, name: str) -> float:
-        """Return a figure by the beginning of its name.
-
-        Raises:
-          KeyError: there is no such figure.
-        """
-        for result in self._runs[bench]["results"]:
-            if result["name"].startswith(name):
-                return result["value"]
-        raise KeyError(f"bench {bench} has no figure {name!r}")
-
-
 def _role(name: str) -> Callable[[Maker], Maker]:
     def register(maker: Maker) -> Maker:
         ROLES[name] = maker
@@ -199,29 +77,29 @@
 
 @_role("configuration watcher")
 def _watcher(measured: Measured) -> list[Row]:
-    sent = measured.fit("configuration", "bytes of the lease and deltas at rest")
-    processor = measured.fit("configuration", "processor time of the lease at rest")
-    memory = measured.fit("configuration", "memory of a control VM that is an entry")
+    sent = "bytes of the lease and deltas at rest"
+    processor = "processor time of the lease at rest"
+    memory = "memory of a control VM that is an entry"
     return [
         Row(
             "bytes of lease and deltas at rest",
-            sent.at(TARGET.nodes),
+            measured.at("configuration", sent, TARGET.nodes),
             "B/s",
-            "configuration: bytes of the lease and deltas at rest",
+            f"configuration: {sent}",
             CONTROL_BYTES_PER_S,
         ),
         Row(
             "processor time of the lease",
-            processor.at(TARGET.nodes),
+            measured.at("configuration", processor, TARGET.nodes),
             "cores",
-            "configuration: processor time of the lease at rest",
+            f"configuration: {processor}",
             CONTROL_CORE_SHARE,
         ),
         Row(
             "memory with the whole configuration",
-            memory.at(TARGET.organisations),
+            measured.at("configuration", memory, TARGET.organisations),
             "MB",
-            "configuration: memory of a control VM that is an entry",
+            f"configuration: {memory}",
             CONTROL_MEMORY_MB,
         ),
     ]
@@ -229,27 +107,27 @@
 
 @_role("membership member")
 def _member(measured: Measured) -> list[Row]:
-    sent = measured.fit("membership", "membership bytes sent")
-    datagrams = measured.fit("membership", "membership datagrams sent")
-    processor = measured.fit("membership", "membership processor time")
+    def figure(name: str) -> float:
+        return measured.at("membership", name, TARGET.nodes)
+
     return [
         Row("state", float(TARGET.nodes), "members", "arithmetic"),
         Row(
             "datagrams sent",
-            datagrams.at(TARGET.nodes),
+            figure("membership datagrams sent"),
             "1/s",
             "membership: membership datagrams sent",
         ),
         Row(
             "bytes sent",
-            sent.at(TARGET.nodes),
+            figure("membership bytes sent"),
             "B/s",
             "membership: membership bytes sent",
             CONTROL_BYTES_PER_S,
         ),
         Row(
             "processor time",
-            processor.at(TARGET.nodes) / 100,
+            figure("membership processor time") / 100,
             "cores",
             "membership: membership processor time",
             CONTROL_CORE_SHARE,
@@ -257,46 +135,93 @@
     ]
 
 
+def _pair_bytes(measured: Measured, targets: float) -> float:
+    """Return the bytes of an entry and a home, with HTTP headers."""
+    pair = measured.fit("credits", "credit bytes of an entry and a home")
+    return pair.at(targets) + HTTP_HEADER_BYTES / RENEW_S
+
+
+def _group_bytes(measured: Measured) -> float:
+    """Return the bytes of an entry and a group's home over datagrams."""
+    pair = measured.fit("credits", "credit bytes of an entry and a home")
+    an_exchange = pair.at(ENGINES_OF_A_GROUP) * RENEW_S + 2 * DATAGRAM_OVERHEAD_BYTES
+    return an_exchange / CALM_RENEW_S
+
+
+def _grouped_node_bytes(measured: Measured) -> float:
+    """Return what a node sends as borrower and as home of a group."""
+    groups = TARGET.targets / ENGINES_OF_A_GROUP
+    borrowers = TARGET.models * TARGET.entries / groups
+    return _group_bytes(measured) * (TARGET.models + borrowers) / 2
+
+
 @_role("target home")
 def _home(measured: Measured) -> list[Row]:
-    pair = measured.fit("credits", "credit bytes of an entry and a home")
-    messages = measured.fit("credits", "credit messages of an entry and a home")
     shared = TARGET.targets_per_home
-    exchanges_per_s = messages.at(shared) / 2
-    with_headers = pair.at(shared) + exchanges_per_s * HTTP_HEADER_BYTES
     homes = TARGET.entries_per_data_centre - 1
-    grouped = pair.at(TARGET.targets / TARGET.data_centres / TARGET.models)
-    grouped += exchanges_per_s * HTTP_HEADER_BYTES
     source = "credits: credit bytes of an entry and a home"
+    pair = _pair_bytes(measured, shared)
     return [
         Row("state", shared, "targets", "arithmetic"),
-        Row("bytes of one entry and one home", with_headers, "B/s", source),
+        Row("bytes of one entry and one home", pair, "B/s", source),
         Row(
-            "bytes of an entry with every home of its data centre, all models busy",
-            with_headers * homes,
+            "today: an entry with every home of its data centre, all models busy",
+            pair * homes,
             "B/s",
             source,
             CONTROL_BYTES_PER_S,
         ),
         Row(
-            "the same with one home for a model and data centre",
-            grouped * TARGET.models,
+            "groups of 5 engines, datagrams, asked every 12 s: one entry and one home",
+            _group_bytes(measured),
             "B/s",
             source,
-            CONTROL_BYTES_PER_S,
         ),
         Row(
-            "the same over datagrams, asked for every 8 s of a 24 s loan",
-            (pair.at(18.75) * TARGET.models) * 3 / 8 + TARGET.models / 8 * 2 * 60,
+            "the same: sent by a node as borrower of 16 models and as home",
+            _grouped_node_bytes(measured),
             "B/s",
             source,
             CONTROL_BYTES_PER_S,
         ),
+        Row("load reports polled", shared, "1/s", "arithmetic"),
+    ]
+
+
+@_role("sum of an entry node")
+def _sum(measured: Measured) -> list[Row]:
+    lease = measured.at(
+        "configuration", "bytes of the lease and deltas at rest", TARGET.nodes
+    )
+    members = measured.at("membership", "membership bytes sent", TARGET.nodes)
+    polls = TARGET.targets_per_home * POLL_BYTES
+    homes = TARGET.entries_per_data_centre - 1
+    today = (
+        lease + members + polls + homes * _pair_bytes(measured, TARGET.targets_per_home)
+    )
+    built = lease + members + _grouped_node_bytes(measured)
+    processor = measured.at(
+        "configuration", "processor time of the lease at rest", TARGET.nodes
+    )
+    processor += measured.at("membership", "membership processor time", 560) / 100
+    pair = measured.fit("credits", "credit processor of an entry and a home")
+    group = pair.at(ENGINES_OF_A_GROUP) * RENEW_S / CALM_RENEW_S
+    processor += group * TARGET.models * 2
+    return [
+        Row("bytes, today's mechanisms", today, "B/s", "the rows above", 3000.0),
         Row(
-            "polls of load reports and cache events",
-            shared * (1 / 2 + 1 / 4),
-            "1/s",
-            "arithmetic on the monitor's periods",
+            "bytes, groups over datagrams and reports along with the streams",
+            built,
+            "B/s",
+            "the rows above",
+            CONTROL_BYTES_PER_S,
+        ),
+        Row(
+            "processor time of the same",
+            processor,
+            "cores",
+            "configuration, membership, credits",
+            CONTROL_CORE_SHARE,
         ),
     ]
 
@@ -307,7 +232,7 @@
     processor = measured.fit("control", "idle processor of a leader")
     log = measured.fit("control", "memory of the log")
     state = measured.fit("control", "memory of the state")
-    probes = measured.fit("configuration", "bytes at a replica")
+    probes = measured.first("configuration", "bytes at a replica")
     changes_per_s = TARGET.changes_per_day / 86_400
     return [
         Row(
@@ -325,10 +250,10 @@
             CONTROL_CORE_SHARE,
         ),
         Row(
-            "bytes of configuration leases at a replica",
-            probes.at(TARGET.nodes),
+            "bytes of configuration leases, one root for each data centre",
+            probes * TARGET.data_centres,
             "B/s",
-            "configuration: bytes at a replica",
+            "configuration: bytes at a replica, smallest size (one root)",
             CONTROL_BYTES_PER_S,
         ),
         Row("changes of configuration", changes_per_s, "1/s", "arithmetic"),
--- a/bench/routing_run.py
+++ b/bench/routing_run.py
@@ -10,6 +10,7 @@
 from bench.fake_engine import FakeEngine, FakeEngines
 from bench.fake_sequence import EngineSpec, Sequence
 from bench.routing_entry import Entry, make_entries
+from bench.routing_quantiles import GAP_BUCKET_MS, gap_quantiles, quantiles
 from bench.routing_workload import Arrival, make_arrivals
 from endivesill import errors
 from endivesill.configuration.model import (
@@ -33,7 +34,6 @@
 DEADLINE_S = 10.0
 MAXIMUM_ATTEMPTS = 3
 COLD_SLOTS = 4
-GAP_BUCKET_MS = 0.5
 LONG_STEP_TOKENS = 700
 
 
@@ -330,32 +330,6 @@
         self.grant.tokens(1)
 
 
-def quantiles(values: list[float]) -> dict[str, float]:
-    """Return 50, 95 and 99 in 100 of some values."""
-    ordered = sorted(values) or [0.0]
-    last = len(ordered) - 1
-    return {
-        f"p{share}": round(ordered[int(last * share / 100)], 1)
-        for share in (50, 95, 99)
-    }
-
-
-def gap_quantiles(gaps: dict[int, int]) -> dict[str, float]:
-    """Return 50, 95 and 99 in 100 of the counted gaps."""
-    total = sum(gaps.values()) or 1
-    found = {}
-    for share in (50, 95, 99):
-        seen = 0
-        for bucket in sorted(gaps):
-            seen += gaps[bucket]
-            if seen * 100 >= share * total:
-                found[f"p{share}"] = (bucket + 1) * GAP_BUCKET_MS
-                break
-        else:
-            found[f"p{share}"] = 0.0
-    return found
-
-
 async def _simulate(plan: Plan) -> Figures:
     run = Run(plan)
     run.assume_warm()
