Read files that people write in one place

Cause: three modules read a file and turned its errors into findings alike. Change: ini.read_text serves the settings, the experiments and the key files.

--- a/endivesill/ini.py
+++ b/endivesill/ini.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import configparser
+import pathlib
 import re
 
 import attrs
 
+from endivesill import errors
 from endivesill.findings import Finding
 
-__all__ = ["IniSection", "IniValue", "parse_ini"]
+__all__ = ["IniSection", "IniValue", "parse_ini", "read_text"]
 
 _HEADER = re.compile(r"^\[(?P<name>[^\]]+)\]\s*$")
 _KEY = re.compile(r"^(?P<key>[^\s#;=:\[][^=:]*?)\s*[=:]")
@@ -48,6 +50,18 @@
     values: dict[str, IniValue] = attrs.Factory(dict)
 
 
+def read_text(path: str) -> str:
+    """Read a file that a person wrote.
+
+    Raises:
+      FindingsError: it cannot be read or is not UTF-8.
+    """
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.FindingsError([Finding(path, 0, str(error))]) from None
+
+
 def parse_ini(text: str, file: str) -> tuple[list[IniSection], list[Finding]]:
     """Parse one file.
 
--- a/endivesill/keys.py
+++ b/endivesill/keys.py
@@ -9,6 +9,7 @@
 
 from endivesill import errors, events
 from endivesill.findings import Finding
+from endivesill.ini import read_text
 from endivesill.kernel import Service
 from endivesill.timer import TimerHandle, TimerService
 
@@ -55,10 +56,7 @@
         Raises:
           FindingsError: the file cannot be read or a key is too short.
         """
-        try:
-            lines = pathlib.Path(path).read_text(encoding="utf-8").splitlines()
-        except (OSError, UnicodeDecodeError) as error:
-            raise errors.FindingsError([Finding(path, 0, str(error))]) from None
+        lines = read_text(path).splitlines()
         keys, findings = [], []
         for number, line in enumerate(lines, start=1):
             key = line.strip()
--- a/endivesill/load/plan.py
+++ b/endivesill/load/plan.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import pathlib
 import random
 from collections.abc import Callable
 from typing import TypeVar
@@ -11,7 +10,7 @@
 
 from endivesill import errors, schema
 from endivesill.findings import Finding
-from endivesill.ini import IniSection, parse_ini
+from endivesill.ini import IniSection, parse_ini, read_text
 
 __all__ = [
     "ARRIVALS",
@@ -181,11 +180,7 @@
     Raises:
       FindingsError: with every finding, each with file and line.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.FindingsError([Finding(path, 0, str(error))]) from None
-    return parse_experiment(text, path)
+    return parse_experiment(read_text(path), path)
 
 
 def parse_experiment(text: str, file: str) -> Experiment:
--- a/endivesill/settings.py
+++ b/endivesill/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import pathlib
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -10,7 +9,7 @@
 
 from endivesill import errors, schema
 from endivesill.findings import Finding
-from endivesill.ini import parse_ini
+from endivesill.ini import parse_ini, read_text
 
 __all__ = ["SECTIONS", "Settings", "VmSettings", "read_settings", "settings_section"]
 
@@ -119,11 +118,7 @@
     Raises:
       FindingsError: with every finding, each with file and line.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.FindingsError([Finding(path, 0, str(error))]) from None
-    return parse_settings(text, path)
+    return parse_settings(read_text(path), path)
 
 
 def parse_settings(text: str, file: str) -> Settings:
