Plot gaps, stall time and preemptions by load

Cause: the plots showed the slopes only. Change: make bench writes one plot a figure, both policies by load, from the routing bench's JSON; a test on made-up results.

--- a/bench/all.py
+++ b/bench/all.py
@@ -4,6 +4,7 @@
 
 import json
 import pathlib
+import re
 import subprocess
 import sys
 from typing import Any
@@ -25,6 +26,10 @@
 )
 RESULTS = pathlib.Path("bench/results")
 LIMIT_S = 240.0
+BY_LOAD = re.compile(
+    r"load (?P<load>[\d.]+), (?P<vms>\d+ VMs?) (?P<policy>[\w-]+)\(\d+\) "
+    r"(?P<figure>gap p\d+|stall time|preemptions)$"
+)
 
 
 def run_bench(name: str, folder: pathlib.Path) -> dict[str, Any] | None:
@@ -66,6 +71,29 @@
         path.write_text(svg, encoding="utf-8")
 
 
+def write_load_plots(document: dict[str, Any], folder: pathlib.Path) -> None:
+    """Write gaps, stalls and preemptions by load, both policies in one plot."""
+    plots: dict[str, dict[str, list[tuple[float, float]]]] = {}
+    units: dict[str, str] = {}
+    for result in document["results"]:
+        match = BY_LOAD.match(result["name"])
+        if match is None:
+            continue
+        line = f"{match['policy']}, {match['vms']}"
+        points = plots.setdefault(match["figure"], {}).setdefault(line, [])
+        points.append((float(match["load"]), float(result["value"])))
+        units[match["figure"]] = result["unit"]
+    for figure, lines in plots.items():
+        svg = line_plot(
+            f"{figure} by load",
+            "load, as a share of capacity",
+            units[figure],
+            [Line(label, points) for label, points in lines.items()],
+        )
+        path = folder / f"routing-by-load-{figure.replace(' ', '-')}.svg"
+        path.write_text(svg, encoding="utf-8")
+
+
 def main(folder: pathlib.Path = RESULTS, /) -> None:
     """Run all benches; exit with 1 if one did not finish.
 
@@ -82,6 +110,7 @@
             failed.append(name)
             continue
         write_plots(document, folder)
+        write_load_plots(document, folder)
     if failed:
         print(f"not finished: {', '.join(failed)}", file=sys.stderr)
         raise SystemExit(1)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,8 +1,11 @@
 """Tests of what the benches share."""
 
+import pathlib
+import tempfile
 import unittest
 import xml.etree.ElementTree as ElementTree
 
+from bench.all import write_load_plots
 from bench.compare import compare
 from bench.fit import fit_line
 from bench.plot import Line, line_plot
@@ -40,3 +43,18 @@
     def test_a_slope_needs_three_points(self):
         with self.assertRaises(ValueError):
             fit_line([(1, 1.0), (2, 2.0)])
+
+
+class LoadPlotTest(unittest.TestCase):
+    def test_both_policies_stand_in_one_plot_by_load(self):
+        results = [
+            {"name": f"load {load}, 1 VM {policy} stall time", "value": 1, "unit": "s"}
+            for load in ("0.7", "1.0")
+            for policy in ("credit(128)", "least-outstanding(60)")
+        ]
+        with tempfile.TemporaryDirectory() as folder:
+            write_load_plots({"results": results}, pathlib.Path(folder))
+            (path,) = pathlib.Path(folder).iterdir()
+            svg = path.read_text(encoding="utf-8")
+        self.assertEqual(2, svg.count("<polyline"))
+        self.assertIn("least-outstanding, 1 VM", svg)
