--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -203,12 +203,20 @@
     processor = measured.at(
         "configuration", "processor time of the lease at rest", TARGET.nodes
     )
-    processor += measured.at("membership", "membership processor time", 560) / 100
+    processor += (
+        measured.at("membership", "membership processor time", TARGET.nodes) / 100
+    )
     pair = measured.fit("credits", "credit processor of an entry and a home")
     group = pair.at(ENGINES_OF_A_GROUP) * RENEW_S / CALM_RENEW_S
     processor += group * TARGET.models * 2
     return [
-        Row("bytes, today's mechanisms", today, "B/s", "the rows above", 3000.0),
+        Row(
+            "bytes, today's mechanisms",
+            today,
+            "B/s",
+            "the rows above",
+            CONTROL_BYTES_PER_S,
+        ),
         Row(
             "bytes, groups over datagrams and reports along with the streams",
             built,
