--- a/bench/configuration_fleet.py
+++ b/bench/configuration_fleet.py
@@ -18,10 +18,11 @@
 from endivesill.configuration.watcher import ConfigurationWatcher
 from endivesill.control.disk import FileDisk
 from endivesill.control.replica import ControlReplica
+from endivesill.http_peers import HttpPeerTransport
 from endivesill.kernel import Kernel
 from endivesill.keys import KeyRing, hash_key
 from endivesill.membership.view import StaticMembership, VmRecord
-from endivesill.peers import HttpPeerTransport, Message
+from endivesill.peers import Message
 from endivesill.server import HttpServer
 from endivesill.timer import SystemTimer
 
--- a/bench/control_clients.py
+++ b/bench/control_clients.py
@@ -10,8 +10,8 @@
 
 from bench.control_state import BENCH_KEY
 from endivesill.control import RemoteControlClient
+from endivesill.http_peers import HttpPeerTransport
 from endivesill.keys import KeyRing
-from endivesill.peers import HttpPeerTransport
 from endivesill.timer import SystemTimer
 
 __all__ = ["main"]
--- a/bench/control_processes.py
+++ b/bench/control_processes.py
@@ -14,8 +14,8 @@
 from bench.ports import free_ports
 from endivesill import errors
 from endivesill.control import RemoteControlClient
+from endivesill.http_peers import HttpPeerTransport
 from endivesill.keys import KeyRing
-from endivesill.peers import HttpPeerTransport
 from endivesill.timer import SystemTimer
 
 __all__ = ["Processes", "Relay"]
--- a/bench/control_runner.py
+++ b/bench/control_runner.py
@@ -9,8 +9,9 @@
 
 from bench.control_state import BENCH_KEY
 from endivesill.control import ControlReplica, ControlSettings, FileDisk
+from endivesill.http_peers import HttpPeerTransport
 from endivesill.keys import KeyRing
-from endivesill.peers import HttpPeerTransport, Message
+from endivesill.peers import Message
 from endivesill.server import HttpServer
 from endivesill.timer import SystemTimer
 
--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -14,6 +14,7 @@
 from bench.memory_fleet import vm_settings
 from endivesill.configuration import Configuration
 from endivesill.configuration.source import FixedConfiguration
+from endivesill.http_peers import HttpPeerTransport
 from endivesill.kernel import Kernel
 from endivesill.keys import KeyRing
 from endivesill.membership import (
@@ -21,7 +22,7 @@
     SwimMembership,
     UdpDatagramTransport,
 )
-from endivesill.peers import HttpPeerTransport, MemoryNetwork, Message
+from endivesill.peers import MemoryNetwork, Message
 from endivesill.server import HttpServer
 from endivesill.timer import SystemTimer
 
--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -24,6 +24,7 @@
 from endivesill.entry.budget import SharedRetryBudget
 from endivesill.entry.service import EntryService
 from endivesill.entry.settings import EntrySettings
+from endivesill.http_peers import HttpPeerTransport
 from endivesill.kernel import Kernel, Service
 from endivesill.keys import KeyFileWatch, KeyRing
 from endivesill.membership.datagrams import UdpDatagramTransport
@@ -41,7 +42,6 @@
 from endivesill.orders.service import OrderService
 from endivesill.orders.settings import OrderSettings
 from endivesill.peer_port import PeerPort
-from endivesill.peers import HttpPeerTransport
 from endivesill.routing import Backoff, Lender, PrefixIndex, Router, Wallet
 from endivesill.settings import Settings
 from endivesill.targets import EngineAdapter, LoadReport, open_session
--- a/endivesill/control/bootstrap.py
+++ b/endivesill/control/bootstrap.py
@@ -59,10 +59,15 @@
     Args:
       core: the replica's shared state.
       addresses: the control addresses of the settings.
+      may_found: whether an empty disk may be part of a new cluster; if not, it
+        has lost what was on it and only joins.
     """
 
-    def __init__(self, core: ReplicaCore, addresses: tuple[str, ...]) -> None:
+    def __init__(
+        self, core: ReplicaCore, addresses: tuple[str, ...], *, may_found: bool = True
+    ) -> None:
         self._core = core
+        self._may_found = may_found
         self._addresses = tuple(sorted(set(addresses)))
 
     @property
@@ -86,11 +91,15 @@
             existing = [hello for hello in hellos.values() if hello.cluster]
             if existing:
                 await self._adopt_or_join(existing)
-            elif self._is_listed and len(hellos) == len(self._addresses):
+            elif self._is_ready_to_found(hellos):
                 await self._found(hellos)
             if not core.cluster:
                 await core.timer.sleep(RETRY_S)
 
+    def _is_ready_to_found(self, hellos: dict[str, Hello]) -> bool:
+        complete = len(hellos) == len(self._addresses)
+        return self._may_found and self._is_listed and complete
+
     async def _ask_all(self) -> dict[str, Hello]:
         core = self._core
 
@@ -138,6 +147,19 @@
             return
         await self._join()
 
+    async def rejoin(self) -> None:
+        """Ask to be a learner whenever no leader calls this replica.
+
+        A voter that was replaced while it was away is told by nobody; for a
+        voter that is still one, the question changes nothing.
+        """
+        core = self._core
+        while True:
+            await core.timer.sleep(JOIN_RETRY_S)
+            silent_s = core.timer.now_s() - core.leader_contact_s
+            if core.cluster and core.leadership is None and silent_s > JOIN_RETRY_S:
+                await self._join()
+
     async def _join(self) -> None:
         """Ask every replica until the leader takes this one as a learner."""
         core = self._core
--- a/endivesill/control/events.py
+++ b/endivesill/control/events.py
@@ -17,6 +17,7 @@
     "SNAPSHOT_WRITTEN",
     "VOTERS_CHANGED",
     "VOTERS_REFUSED",
+    "VOTER_REPAIR",
 ]
 
 REPLICA_STARTED = events.define(
@@ -65,3 +66,6 @@
 COMMAND_FAILED = events.define(
     6014, "control-command-failed", "A command raised an error; nothing else stops."
 )
+VOTER_REPAIR = events.define(
+    6015, "control-voter-repair", "The leader repairs the set of voters by itself."
+)
--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -32,13 +32,14 @@
 
     Attributes:
       term: the term in which it leads.
+      began_s: when it began to lead.
       progress: what is known of the other replicas, by identity.
       transferring: whether it is handing over and takes no proposals.
     """
 
     def __init__(self, core: ReplicaCore) -> None:
         self._core = core
-        self._began_s = core.timer.now_s()
+        self.began_s = core.timer.now_s()
         self._peers: dict[str, PeerReplication] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._lease_allowed = True
@@ -73,6 +74,8 @@
         core = self._core
         if self.transferring:
             raise errors.NotLeaderError(None)
+        if len(core.voter_set.voters) < core.settings.minimum_voters:
+            raise errors.UnavailableError("too few voters yet")
         if core.log.last_index - core.commit_index > LARGEST_BACKLOG_ENTRIES:
             raise errors.UnavailableError("too many proposals wait for a commit")
         entry = self._append(EntryKind.COMMAND, proposal.to_text())
@@ -212,7 +215,7 @@
 
     def has_quorum(self) -> bool:
         """Tell whether a majority has answered within an election timeout."""
-        heard_s = max(self._began_s, self._majority_answered_s())
+        heard_s = max(self.began_s, self._majority_answered_s())
         elapsed_s = self._core.timer.now_s() - heard_s
         return elapsed_s < self._core.settings.election_timeout_s
 
--- a/endivesill/control/replica.py
+++ b/endivesill/control/replica.py
@@ -35,6 +35,7 @@
     QUERY_PATH,
     RemoteControlClient,
 )
+from endivesill.control.repair import Repair
 from endivesill.control.settings import ControlSettings
 from endivesill.control.snapshotter import Snapshotter
 from endivesill.control.storage import ReplicaStorage
@@ -63,6 +64,9 @@
       addresses: peer addresses of all control VMs, this one included.
       settings: the `[control]` settings.
       seed: seed of the election timeouts; None for a random one.
+      may_found: whether an empty disk may be part of a new cluster.
+      wanted_voters: how many voters the leader makes and keeps by itself; 0
+        leaves the voters to operators.
 
     Raises:
       EndivesillError: the settings do not fit together.
@@ -79,6 +83,9 @@
         addresses: tuple[str, ...],
         settings: ControlSettings | None = None,
         seed: int | None = None,
+        *,
+        may_found: bool = True,
+        wanted_voters: int = 0,
     ) -> None:
         settings = settings or ControlSettings()
         if settings.election_timeout_s < 2 * settings.heartbeat_s:
@@ -92,8 +99,10 @@
         self._election = Election(self._core)
         self._follower = Follower(self._core)
         self._snapshotter = Snapshotter(self._core)
-        self._bootstrap = Bootstrap(self._core, addresses)
+        self._bootstrap = Bootstrap(self._core, addresses, may_found=may_found)
         self._manager = VoterManager(self._core)
+        self._repair = Repair(self._core, self._manager, wanted_voters)
+        self._repairs = wanted_voters > 0
         self._client = RemoteControlClient(
             timer, transport, addresses, self._core.leader_to_call
         )
@@ -118,6 +127,7 @@
             ("control-bootstrap", self._bootstrap.run),
             ("control-election", self._election.run),
             ("control-snapshots", self._snapshotter.run),
+            *self._repair_tasks(),
         ):
             self._tasks.append(asyncio.ensure_future(self._supervise(name, run)))
         events.emit(
@@ -128,6 +138,14 @@
             cluster=core.cluster,
         )
 
+    def _repair_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
+        if not self._repairs:
+            return []
+        return [
+            ("control-repair", self._repair.run),
+            ("control-rejoin", self._bootstrap.rejoin),
+        ]
+
     async def stop(self) -> None:
         """Hand leadership over, if this replica leads, and stop."""
         await self.transfer_leadership()
--- a/endivesill/control/settings.py
+++ b/endivesill/control/settings.py
@@ -36,6 +36,9 @@
     batch_entries: int = schema.field(
         "entries in one message to a replica at most", default=256, minimum=1
     )
+    minimum_voters: int = schema.field(
+        "voters without which nothing is accepted", default=1, minimum=1
+    )
     chunk_bytes: int = schema.field(
         "size of one part of a snapshot that is sent", default=262_144, minimum=64
     )
--- a/endivesill/control/voter_manager.py
+++ b/endivesill/control/voter_manager.py
@@ -142,6 +142,20 @@
             await self._add_learner(identity, address)
         return {"joined": True}
 
+    async def promote(self, identity: str) -> None:
+        """Make a learner that has caught up a voter."""
+        async with self._lock:
+            await self._promote(identity)
+
+    async def drop(self, identity: str) -> None:
+        """Remove a replica that is lost.
+
+        Raises:
+          UnsafeChangeError: the cluster might lose its quorum.
+        """
+        async with self._lock:
+            await self._check_and_commit(self._core.voter_set.without(identity))
+
     async def _change(self, operation: str, replica: str, address: str) -> str:
         """Make a change and return what is missing at its end."""
         async with self._lock:
--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -9,6 +9,7 @@
     "ConflictError",
     "DeadlineExceededError",
     "DiskFullError",
+    "DocumentError",
     "EndivesillError",
     "FindingsError",
     "GrantExpiredError",
@@ -69,6 +70,10 @@
         self.sent = sent
 
 
+class DocumentError(EndivesillError):
+    """A document from outside that cannot be used; the text names the place."""
+
+
 class OrderError(EndivesillError):
     """An order to an engine that is wrong in itself."""
 
--- a/endivesill/events.py
+++ b/endivesill/events.py
@@ -13,11 +13,18 @@
 from typing import Any
 
 import attrs
-import eliot
 
 from endivesill import errors
 
-__all__ = ["CATALOGUE", "EventKind", "define", "emit", "markdown_catalogue"]
+__all__ = [
+    "CATALOGUE",
+    "EventKind",
+    "define",
+    "emit",
+    "listen",
+    "markdown_catalogue",
+    "write_to",
+]
 
 
 @attrs.frozen
@@ -37,6 +44,17 @@
 
 CATALOGUE: dict[int, EventKind] = {}
 
+Sink = Callable[["EventKind", dict[str, Any]], None]
+
+
+def _eliot_sink(kind: EventKind, fields: dict[str, Any]) -> None:
+    # Deferred: processes with a sink of their own need not load eliot.
+    import eliot
+
+    eliot.log_message(message_type=kind.name, event=kind.number, **fields)
+
+
+_sink: Sink = _eliot_sink
 _listeners: list[Callable[[EventKind, dict[str, Any]], None]] = []
 
 
@@ -55,11 +73,17 @@
 
 def emit(kind: EventKind, **fields: Any) -> None:
     """Write one event to the log."""
-    eliot.log_message(message_type=kind.name, event=kind.number, **fields)
+    _sink(kind, fields)
     for listener in _listeners:
         listener(kind, fields)
 
 
+def write_to(sink: Sink) -> None:
+    """Send all events to another sink than eliot."""
+    global _sink
+    _sink = sink
+
+
 def listen(listener: Callable[[EventKind, dict[str, Any]], None]) -> Callable[[], None]:
     """Call a listener for each event; return what removes it again."""
     _listeners.append(listener)
--- /dev/null
+++ b/endivesill/fleet/engine_list.py
@@ -0,0 +1,124 @@
+"""Reads the platform's list of engines while this VM leads the control group."""
+
+from __future__ import annotations
+
+import attrs
+
+from endivesill import errors, events
+from endivesill.fleet.events import ENGINE_LIST_CHANGED, LIST_LOST, LIST_REGAINED
+from endivesill.fleet.model import EngineInfo
+from endivesill.peers import Message
+from endivesill.timer import TimerService
+
+__all__ = ["EngineList", "EngineListReader", "ListSource", "list_to_message"]
+
+# Notices of engines that leave within two seconds must not wait long.
+READ_PERIOD_S = 0.25
+# Longest pause between two tries while the list cannot be read.
+FAILED_PERIOD_LIMIT_S = 2.0
+
+
+@attrs.frozen
+class EngineList:
+    """One reading of the list.
+
+    Attributes:
+      term: the leader's term in which it was read.
+      number: counts the changed readings of a term.
+      read_s: when it was read, on the reader's clock.
+      engines: the engines by boot.
+    """
+
+    term: int
+    number: int
+    read_s: float
+    engines: dict[str, EngineInfo]
+
+    @property
+    def stamp(self) -> list[int]:
+        """Orders readings; compares with those of other leaders."""
+        return [self.term, self.number]
+
+
+class ListSource:
+    """Base of what reads the whole list of one platform."""
+
+    async def read(self) -> list[EngineInfo]:
+        """Return all engines.
+
+        Raises:
+          UnavailableError: the list could not be read as a whole.
+        """
+        raise NotImplementedError
+
+
+def list_to_message(reading: EngineList, now_s: float) -> Message:
+    """Return a reading as a JSON object; times of coldness as of now."""
+    age_s = now_s - reading.read_s
+    rows = []
+    for engine in reading.engines.values():
+        row = attrs.asdict(engine)
+        row["cold_s"] = round(max(0.0, engine.cold_s - age_s), 3)
+        rows.append(row)
+    return {"stamp": reading.stamp, "engines": rows}
+
+
+class EngineListReader:
+    """Reads the list, one reading at a time.
+
+    Args:
+      timer: the timer service.
+      source: where it is read from.
+
+    Attributes:
+      current: the last reading, or None before the first.
+    """
+
+    def __init__(self, timer: TimerService, source: ListSource) -> None:
+        self._timer = timer
+        self._source = source
+        self._failures = 0
+        self.current: EngineList | None = None
+
+    async def read(self, term: int) -> bool:
+        """Read the list once; return whether the engines in it have changed."""
+        try:
+            engines = await self._source.read()
+        except errors.UnavailableError as error:
+            self._failures += 1
+            if self._failures == 1:
+                events.emit(LIST_LOST, reason=str(error))
+            return False
+        if self._failures:
+            events.emit(LIST_REGAINED, failures=self._failures)
+            self._failures = 0
+        return self._take({engine.boot: engine for engine in engines}, term)
+
+    def _take(self, engines: dict[str, EngineInfo], term: int) -> bool:
+        current = self.current
+        same = current is not None and current.term == term
+        number = current.number if current is not None and same else 0
+        changed = not same or _facts(current.engines) != _facts(engines)  # type: ignore[union-attr]
+        if changed:
+            number += 1
+            events.emit(
+                ENGINE_LIST_CHANGED,
+                stamp=[term, number],
+                ready=sum(not e.is_draining for e in engines.values()),
+                draining=[e.identity for e in engines.values() if e.is_draining],
+            )
+        self.current = EngineList(term, number, self._timer.now_s(), engines)
+        return changed
+
+    async def pause(self) -> None:
+        """Wait until the next reading is due."""
+        factor = min(2**self._failures, FAILED_PERIOD_LIMIT_S / READ_PERIOD_S)
+        await self._timer.sleep(READ_PERIOD_S * factor)
+
+
+def _facts(engines: dict[str, EngineInfo]) -> dict[str, EngineInfo]:
+    """Return the engines without what changes by the passing of time alone."""
+    return {
+        boot: attrs.evolve(engine, cold_s=1.0 if engine.cold_s > 0 else 0.0)
+        for boot, engine in engines.items()
+    }
--- /dev/null
+++ b/endivesill/fleet/events.py
@@ -0,0 +1,37 @@
+"""Log events of the fleet's shared knowledge."""
+
+from endivesill import events
+
+__all__ = [
+    "CHANGE_ANSWERED",
+    "ENGINE_LIST_CHANGED",
+    "LEADER_LOST",
+    "LEADER_REACHED",
+    "LIST_ENTRY_SKIPPED",
+    "LIST_LOST",
+    "LIST_REGAINED",
+    "STATE_IN_FORCE",
+]
+
+STATE_IN_FORCE = events.define(
+    5101, "state-in-force", "This process uses a newer desired state."
+)
+CHANGE_ANSWERED = events.define(
+    5102, "change-answered", "An operator's order was answered."
+)
+LEADER_REACHED = events.define(
+    5103, "leader-reached", "The control leader answers this process again."
+)
+LEADER_LOST = events.define(5104, "leader-lost", "No control VM answers as the leader.")
+ENGINE_LIST_CHANGED = events.define(
+    4501, "engine-list-changed", "The list of engines in use has changed."
+)
+LIST_LOST = events.define(
+    4502, "engine-list-lost", "The platform's list cannot be read; the last one holds."
+)
+LIST_REGAINED = events.define(
+    4503, "engine-list-regained", "The platform's list can be read again."
+)
+LIST_ENTRY_SKIPPED = events.define(
+    4504, "list-entry-skipped", "An entry of the platform's list cannot be read."
+)
--- /dev/null
+++ b/endivesill/fleet/hub.py
@@ -0,0 +1,176 @@
+"""The leader's part in the fleet's knowledge: it tells entries what is new.
+
+An entry asks with what it knows; the answer comes at once if there is news, and
+otherwise after a short wait. Each answer rests on a confirmed leadership, so
+that it is not older than any acknowledged change.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from endivesill import errors, events
+from endivesill.control import Applied, ControlReplica
+from endivesill.control.signals import Signal
+from endivesill.fleet.engine_list import (
+    EngineListReader,
+    ListSource,
+    list_to_message,
+)
+from endivesill.fleet.load import LoadTable
+from endivesill.fleet.shares import ShareLedger
+from endivesill.fleet.state import current_state, evacuations
+from endivesill.peers import Message, PeerTransport
+from endivesill.timer import TimerService
+
+__all__ = ["SYNC_PATH", "FleetHub"]
+
+SYNC_PATH = "/fleet/sync"
+
+# Longest wait for news; also the age of the loads that entries tell each other.
+NEWS_WAIT_S = 0.2
+CONFIRM_TIMEOUT_S = 0.4
+NOT_LEADING_PAUSE_S = 0.2
+
+
+class FleetHub:
+    """Answers entries while this VM leads.
+
+    Args:
+      timer: the timer service.
+      replica: this VM's control replica.
+      transport: the peer port.
+      source: reads the platform's list.
+    """
+
+    def __init__(
+        self,
+        timer: TimerService,
+        replica: ControlReplica,
+        transport: PeerTransport,
+        source: ListSource,
+    ) -> None:
+        self._timer = timer
+        self._replica = replica
+        self._news = Signal()
+        self._reader = EngineListReader(timer, source)
+        self._loads = LoadTable()
+        self._ledger: ShareLedger | None = None
+        self._term = 0
+        transport.handle(SYNC_PATH, self._handle_sync)
+        replica.subscribe_applied(self._note_applied)
+
+    def _note_applied(self, applied: Applied) -> None:
+        self._news.notify()
+
+    async def run(self) -> None:
+        """Read the platform's list whenever this VM leads."""
+        while True:
+            term = await self._confirmed_term()
+            if term is None:
+                await self._timer.sleep(NOT_LEADING_PAUSE_S)
+                continue
+            if await self._reader.read(term):
+                self._news.notify()
+            await self._reader.pause()
+
+    async def _confirmed_term(self) -> int | None:
+        """Return the term in which this VM leads for sure, or None."""
+        leadership = self._replica.core.leadership
+        if leadership is None:
+            return None
+        try:
+            index = await leadership.read_index(CONFIRM_TIMEOUT_S)
+            await self._timer.wait_for(
+                self._replica.core.wait_applied(index), CONFIRM_TIMEOUT_S
+            )
+        except (errors.UnavailableError, errors.DeadlineExceededError):
+            return None
+        if leadership.term != self._term:
+            self._term = leadership.term
+            self._ledger = ShareLedger(self._timer.now_s())
+        return leadership.term
+
+    async def _handle_sync(self, message: Message) -> Message:
+        """Tell an entry what it does not know yet.
+
+        Args:
+          message: `{"entry", "version", "evacuations", "list", "share", "loads",
+            "leaving"}`: who asks, what it knows, and its load by engine.
+
+        Returns:
+          `{"leader"}` from a VM that does not lead; otherwise `{"share",
+          "entries", "loads", "controls"}` and, where newer, `"state"`,
+          `"evacuations"` and `"list"`.
+        """
+        entry = message["entry"]
+        if message.get("leaving"):
+            if self._ledger is not None:
+                self._ledger.give_back(entry)
+            self._loads.forget(entry)
+            return {}
+        self._loads.report(entry, message["loads"], self._timer.now_s())
+        if not self._has_news(message):
+            await self._wait_for_news(message)
+        if await self._confirmed_term() is None:
+            return {"leader": self._replica.core.leader_to_call()}
+        return self._answer(entry, message)
+
+    async def _wait_for_news(self, message: Message) -> None:
+        async def wait() -> None:
+            while not self._has_news(message):
+                await self._news.wait()
+
+        try:
+            await self._timer.wait_for(wait(), NEWS_WAIT_S)
+        except errors.DeadlineExceededError:
+            return
+
+    def _has_news(self, message: Message) -> bool:
+        return bool(self._newer(message)) or self._replica.core.leadership is None
+
+    def _newer(self, message: Message) -> dict[str, Any]:
+        """Return what the asker lacks."""
+        news: dict[str, Any] = {}
+        state = current_state(self._replica.state)
+        held = message["version"]
+        if state is not None and (held is None or state["version"] > held):
+            news["state"] = {
+                "version": state["version"],
+                "document": state["document"],
+            }
+        index, data_centres = evacuations(self._replica.state)
+        if index > message["evacuations"]:
+            news["evacuations"] = {"index": index, "data_centres": data_centres}
+        reading = self._reader.current
+        if reading is not None and reading.stamp > message["list"]:
+            news["list"] = list_to_message(reading, self._timer.now_s())
+        return news
+
+    def _answer(self, entry: str, message: Message) -> Message:
+        now_s = self._timer.now_s()
+        assert self._ledger is not None
+        return {
+            **self._newer(message),
+            "share": self._ledger.lend(entry, message["share"], now_s),
+            "entries": len(self._ledger.entries(now_s)),
+            "loads": self._loads.of_others(entry, now_s),
+            "controls": sorted(self._replica.core.voter_set.members.values()),
+            "term": self._term,
+        }
+
+
+def supervise(timer: TimerService, name: str, run: Any) -> asyncio.Task[None]:
+    """Run a coroutine function again and again; failures are logged."""
+
+    async def loop() -> None:
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:
+                events.emit(events.TASK_FAILED, task=name, error=repr(error))
+            await timer.sleep(NOT_LEADING_PAUSE_S)
+
+    return asyncio.ensure_future(loop())
--- /dev/null
+++ b/endivesill/fleet/state.py
@@ -0,0 +1,109 @@
+"""The replicated state of the fleet: desired state and emptied data centres.
+
+The document of a desired state is kept as the operator sent it, so that it can
+be read back unchanged; this module looks only at its version and digest.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+import json
+from typing import Any
+
+from endivesill.control import CommandContext, State, command, query
+from endivesill.peers import Message
+
+__all__ = [
+    "CURRENT",
+    "REPLACE",
+    "SET_EVACUATION",
+    "ReplaceOutcome",
+    "current_state",
+    "document_digest",
+    "evacuations",
+]
+
+REPLACE = "desired_state.replace"
+SET_EVACUATION = "evacuation.set"
+CURRENT = "desired_state.current"
+
+STATE_SECTION = "desired_state"
+EVACUATION_SECTION = "evacuations"
+
+
+class ReplaceOutcome(enum.Enum):
+    """What became of a desired state that an operator sent."""
+
+    IN_FORCE = "in-force"
+    HELD_ALREADY = "held-already"
+    SUPERSEDED = "superseded"
+    CONFLICT = "conflict"
+
+
+def document_digest(document: Any) -> str:
+    """Return a digest that is equal for equal JSON values."""
+    text = json.dumps(document, sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+@command(REPLACE)
+def replace_state(state: State, message: Message, context: CommandContext) -> Message:
+    """Take a desired state if its version is the highest.
+
+    Args:
+      state: the replicated state.
+      message: `{"version", "digest", "document"}`.
+      context: where the command stands in the log.
+
+    Returns:
+      `{"outcome", "version"}`: a `ReplaceOutcome` and the version in force.
+    """
+    section = state.section(STATE_SECTION)
+    held = section.get("version")
+    if held is None or message["version"] > held:
+        section.update(message, index=context.index)
+        outcome = ReplaceOutcome.IN_FORCE
+    elif message["version"] < held:
+        outcome = ReplaceOutcome.SUPERSEDED
+    elif message["digest"] == section["digest"]:
+        outcome = ReplaceOutcome.HELD_ALREADY
+    else:
+        outcome = ReplaceOutcome.CONFLICT
+    return {"outcome": outcome.value, "version": section["version"]}
+
+
+@command(SET_EVACUATION)
+def set_evacuation(state: State, message: Message, context: CommandContext) -> Message:
+    """Empty a data centre or take it back.
+
+    Args:
+      state: the replicated state.
+      message: `{"data_centre", "evacuated"}`.
+      context: where the command stands in the log.
+    """
+    section = state.section(EVACUATION_SECTION)
+    emptied = section.setdefault("data_centres", {})
+    if message["evacuated"]:
+        emptied[message["data_centre"]] = context.index
+    else:
+        emptied.pop(message["data_centre"], None)
+    section["index"] = context.index
+    return {}
+
+
+def current_state(state: State) -> Message | None:
+    """Return `{"version", "digest", "document", "index"}`, or None without one."""
+    return state.section(STATE_SECTION) or None
+
+
+def evacuations(state: State) -> tuple[int, list[str]]:
+    """Return the index of the last change and the emptied data centres."""
+    section = state.section(EVACUATION_SECTION)
+    return section.get("index", 0), sorted(section.get("data_centres", {}))
+
+
+@query(CURRENT)
+def query_current(state: State, message: Message) -> Message:
+    """Return the desired state in force; an empty object without one."""
+    return current_state(state) or {}
--- /dev/null
+++ b/endivesill/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' requests to engines: routes, placement, streams."""
--- /dev/null
+++ b/endivesill/forwarding/events.py
@@ -0,0 +1,37 @@
+"""Log events of forwarding."""
+
+from endivesill import events
+
+__all__ = [
+    "ANSWER_SKIPPED",
+    "ATTEMPT_ENDED",
+    "REQUEST_ENDED",
+    "REQUEST_PLACED",
+    "REQUEST_REFUSED",
+    "STREAM_RESUMED",
+    "TARGET_EJECTED",
+    "TARGET_READMITTED",
+]
+
+REQUEST_PLACED = events.define(
+    2101, "request-placed", "A target was chosen for a request."
+)
+REQUEST_REFUSED = events.define(
+    2102, "request-refused", "A request was answered without being run."
+)
+ATTEMPT_ENDED = events.define(
+    2103, "attempt-failed", "A target did not give a good answer to a request."
+)
+REQUEST_ENDED = events.define(2104, "request-ended", "A request has its last byte.")
+STREAM_RESUMED = events.define(
+    2105, "stream-resumed", "A stream goes on from a copy of its run."
+)
+ANSWER_SKIPPED = events.define(
+    2106, "answer-skipped", "An answer to another request came on a connection."
+)
+TARGET_EJECTED = events.define(
+    4511, "target-ejected", "A target's own answers show that it fails; it rests."
+)
+TARGET_READMITTED = events.define(
+    4512, "target-readmitted", "An ejected target may have requests again."
+)
--- /dev/null
+++ b/endivesill/forwarding/forwarder.py
@@ -0,0 +1,398 @@
+"""Answers callers' requests: route, place, send, pass the answer on."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from endivesill import errors, events
+from endivesill.fleet.model import Organisation, RequestKind, Route, Service
+from endivesill.forwarding.attempt import (
+    Attempt,
+    AttemptError,
+    Failure,
+    Sender,
+)
+from endivesill.forwarding.call import Call
+from endivesill.forwarding.events import (
+    ATTEMPT_ENDED,
+    REQUEST_ENDED,
+    REQUEST_PLACED,
+    REQUEST_REFUSED,
+)
+from endivesill.forwarding.placement import Need
+from endivesill.forwarding.protocol import EngineProtocol, RequestInfo
+from endivesill.forwarding.retry_budget import RetryBudget
+from endivesill.forwarding.route_table import RouteTable, pick_service
+from endivesill.forwarding.statistics import Statistics
+from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
+from endivesill.forwarding.targets import CONNECT_REST_S, Target, TargetTable
+from endivesill.forwarding.waiting import (
+    Admission,
+    NoRoomError,
+    release,
+    retry_after_s,
+)
+from endivesill.http1 import (
+    ConnectionPool,
+    Exchange,
+    Headers,
+    UpstreamError,
+    strip_hop_by_hop,
+)
+from endivesill.timer import TimerService
+
+__all__ = ["Forwarder"]
+
+# Sendings of one request that targets rejected or that found no connection.
+REJECTIONS_LIMIT = 4
+# Share of the time left that one attempt of a repeatable request may take while
+# there is another target to try; answers the pattern of a target that hangs.
+ATTEMPT_TIME_SHARE = 0.4
+# Retry-After of an entry that does not know the routes yet.
+NO_STATE_RETRY_S = 0.5
+# Output expected of a generation without an estimate, as a share of its longest.
+OUTPUT_SHARE = 0.5
+
+
+class Forwarder:
+    """Serves the callers' port.
+
+    Args:
+      timer: the timer service.
+      table: the targets.
+      admission: gives requests their places.
+      budget: the budget of repeats.
+      pool: connections to targets.
+      protocol: reads and writes heads.
+      statistics: counts outcomes.
+      random_source: picks among services and spreads returns.
+
+    Attributes:
+      routes: the desired state in force; None before there is one.
+      refuse_streams: whether new generations are refused because this process
+        ends before they would.
+    """
+
+    def __init__(
+        self,
+        timer: TimerService,
+        table: TargetTable,
+        admission: Admission,
+        budget: RetryBudget,
+        pool: ConnectionPool,
+        protocol: EngineProtocol,
+        statistics: Statistics,
+        random_source: random.Random,
+    ) -> None:
+        self._timer = timer
+        self._table = table
+        self._admission = admission
+        self._budget = budget
+        self._pool = pool
+        self._protocol = protocol
+        self._statistics = statistics
+        self._random = random_source
+        self._sender = Sender(timer, pool, table, protocol)
+        self.routes: RouteTable | None = None
+        self.refuse_streams = False
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        info = self._protocol.decode_request(exchange.headers)
+        if self.routes is None:
+            self._refuse(exchange, info, 503, "no desired state", NO_STATE_RETRY_S)
+            return
+        host = exchange.header(b"host").decode("latin-1").lower()
+        path = exchange.target.partition(b"?")[0].decode("latin-1")
+        route = self.routes.find(host.partition(":")[0], path)
+        if route is None:
+            self._refuse(exchange, info, 404, "no route", None)
+            return
+        organisation = None
+        if self.routes.needs_keys and not route.is_public:
+            organisation = self.routes.holder(info.key)
+            if organisation is None:
+                self._refuse(exchange, info, 401, "unknown key", None)
+                return
+        if self.refuse_streams and route.kind is RequestKind.STREAMING:
+            self._refuse(exchange, info, 503, "stopping", 0.0)
+            return
+        await self._serve_bounded(self._call(exchange, info, route, organisation))
+
+    def _call(
+        self,
+        exchange: Exchange,
+        info: RequestInfo,
+        route: Route,
+        organisation: Organisation | None,
+    ) -> Call:
+        assert self.routes is not None
+        service = self.routes.state.services[pick_service(route, self._random)]
+        received_s = exchange.received_s
+        caller_s = info.deadline_s if info.deadline_s is not None else route.timeout_s
+        priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            priority = organisation.priority
+        return Call(
+            exchange=exchange,
+            info=info,
+            route=route,
+            service=service,
+            organisation=organisation.name if organisation else "",
+            priority=priority,
+            need=need_of(info, service),
+            received_s=received_s,
+            end_s=received_s + min(caller_s, route.timeout_s),
+            caller_end_s=received_s + caller_s,
+        )
+
+    async def _serve_bounded(self, call: Call) -> None:
+        """Serve a request until its time is over or its caller has left."""
+        exchange = call.exchange
+        task = asyncio.current_task()
+        assert task is not None
+        if exchange.gone.is_set():
+            self._log_end(call, "caller-gone", "before it was placed")
+            exchange.abort()
+            return
+
+        def leave() -> None:
+            # A call that may not be repeated and has begun is left to finish.
+            if call.route.kind is not RequestKind.UNSAFE or not call.may_have_run:
+                task.cancel()
+
+        exchange.on_gone = leave
+        try:
+            left_s = call.end_s - self._timer.now_s()
+            await self._timer.wait_for(self._serve(call), left_s)
+        except errors.DeadlineExceededError:
+            self._give_up(call, 504, "timeout")
+        except asyncio.CancelledError:
+            self._log_end(call, "caller-gone", "")
+            raise
+        finally:
+            exchange.on_gone = None
+
+    async def _serve(self, call: Call) -> None:
+        self._budget.note_request(call.service.name)
+        rejections = 0
+        while True:
+            try:
+                target = await self._admission.place(call)
+            except NoRoomError as error:
+                self._give_up(call, 502, error.reason)
+                return
+            self._log_placed(call, target)
+            try:
+                if call.route.kind is RequestKind.STREAMING:
+                    await self._stream(call, target)
+                    return
+                if await self._plain(call, target):
+                    return
+            except AttemptError as error:
+                self._note_failure(call, target, error)
+                rejections += 1
+                if not self._may_repeat(call, error, rejections):
+                    self._give_up(call, 502, str(error))
+                    return
+            call.excluded.append(target)
+
+    # Plain requests.
+
+    async def _plain(self, call: Call, target: Target) -> bool:
+        """Send a request once; return whether the caller has its answer."""
+        try:
+            attempt, body = await self._whole_answer(call, target)
+        finally:
+            release(target, call)
+        good = attempt.answer.status < 500
+        self._table.note_outcome(target, good=good)
+        call.runs += 1
+        if not good and self._may_run_again(call):
+            self._log_attempt(call, target, f"status {attempt.answer.status}")
+            return False
+        self._pass_on(call, attempt, body)
+        return True
+
+    async def _whole_answer(self, call: Call, target: Target) -> tuple[Attempt, bytes]:
+        """Return a target's whole answer.
+
+        Raises:
+          AttemptError: there is none.
+        """
+
+        async def exchange() -> tuple[Attempt, bytes]:
+            attempt = await self._sender.send(call, target)
+            try:
+                return attempt, await attempt.connection.read_all()
+            except UpstreamError as error:
+                raise AttemptError(Failure.BROKEN, str(error)) from None
+            finally:
+                self._pool.release(attempt.connection)
+
+        left_s = call.end_s - self._timer.now_s()
+        if call.is_idempotent and call.runs + 1 < call.route.max_attempts:
+            left_s *= ATTEMPT_TIME_SHARE
+        try:
+            return await self._timer.wait_for(exchange(), left_s)
+        except errors.DeadlineExceededError:
+            raise AttemptError(Failure.BROKEN, "no answer in time") from None
+
+    def _may_run_again(self, call: Call) -> bool:
+        """Tell whether a request that has run may run once more, elsewhere."""
+        return (
+            call.is_idempotent
+            and call.runs < call.route.max_attempts
+            and self._timer.now_s() < call.end_s
+            and len(self._table.candidates(call.service.name, call.excluded)) > 1
+            and self._budget.take(call.service.name)
+        )
+
+    def _may_repeat(self, call: Call, error: AttemptError, rejections: int) -> bool:
+        """Tell whether a request without an answer may be sent once more."""
+        failure = error.failure
+        if failure.not_run:
+            call.may_have_run = call.runs > 0
+            if rejections > REJECTIONS_LIMIT or self._timer.now_s() >= call.end_s:
+                return False
+            return not failure.arrived or self._budget.take(call.service.name)
+        call.runs += 1
+        return self._may_run_again(call)
+
+    def _pass_on(self, call: Call, attempt: Attempt, body: bytes) -> None:
+        status = attempt.answer.status
+        headers = strip_hop_by_hop(attempt.head.headers)
+        call.exchange.respond(status, headers, body)
+        self._log_end(call, "answered", "", status=status, size_bytes=len(body))
+
+    # Streams.
+
+    async def _stream(self, call: Call, target: Target) -> None:
+        relay = StreamRelay(self._timer, self._sender, self._pool, self._table, call)
+        try:
+            attempt = await relay.run(target)
+        except StreamBrokenError as error:
+            self._table.note_outcome(target, good=False)
+            self._give_up(call, 502, str(error), events=relay.events)
+            return
+        if attempt is None:
+            self._table.note_outcome(target, good=True)
+            self._log_end(
+                call,
+                "answered",
+                "",
+                status=200,
+                events=relay.events,
+                first_event_s=round(relay.first_event_s - call.received_s, 4),
+                longest_gap_s=round(relay.longest_gap_s, 4),
+                resumes=relay.resumes,
+            )
+            return
+        try:
+            body = await attempt.connection.read_all()
+        except UpstreamError as error:
+            self._give_up(call, 502, str(error))
+            return
+        finally:
+            self._pool.release(attempt.connection)
+        self._table.note_outcome(target, good=attempt.answer.status < 500)
+        self._pass_on(call, attempt, body)
+
+    # Ends.
+
+    def _note_failure(self, call: Call, target: Target, error: AttemptError) -> None:
+        failure = error.failure
+        if failure in (Failure.NO_CONNECTION, Failure.WRONG_TARGET):
+            self._table.rest(target, CONNECT_REST_S, str(error))
+            self._pool.forget(target.info.address)
+        elif failure is not Failure.TARGET_LEFT:
+            self._table.note_outcome(target, good=False)
+        self._log_attempt(call, target, str(error))
+
+    def _give_up(self, call: Call, status: int, reason: str, **fields: int) -> None:
+        """Give a request its final answer: not run, unknown, or a broken stream."""
+        exchange = call.exchange
+        if exchange.answered:
+            self._log_end(call, "broken", reason, **fields)
+            exchange.abort()
+        elif call.may_have_run:
+            exchange.respond(status, [])
+            self._log_end(call, "unknown", reason, status=status)
+        else:
+            after_s = retry_after_s(self._random.random())
+            self._refuse(exchange, call.info, 503, reason, after_s, call)
+
+    def _refuse(
+        self,
+        exchange: Exchange,
+        info: RequestInfo,
+        status: int,
+        reason: str,
+        after_s: float | None,
+        call: Call | None = None,
+    ) -> None:
+        headers: Headers = self._protocol.refusal_headers(after_s)
+        exchange.respond(status, headers)
+        self._statistics.refused(reason, status)
+        events.emit(
+            REQUEST_REFUSED,
+            request=info.attempt_id,
+            status=status,
+            reason=reason,
+            retry_after_s=after_s,
+            version=self.routes.state.version if self.routes else None,
+            route=call.route.name if call else None,
+            waited_s=round(call.waited_s, 4) if call else 0.0,
+            waiting=self._admission.waiting(),
+        )
+
+    # Logs.
+
+    def _log_placed(self, call: Call, target: Target) -> None:
+        events.emit(
+            REQUEST_PLACED,
+            request=call.info.attempt_id,
+            route=call.route.name,
+            route_kind=call.route.kind.value,
+            target=target.info.identity,
+            sends=call.sends,
+            waited_s=round(call.waited_s, 4),
+            requests=target.all_requests,
+            reserved_tokens=target.all_reserved_tokens,
+            unread_tokens=target.all_unread_tokens,
+        )
+
+    def _log_attempt(self, call: Call, target: Target, reason: str) -> None:
+        events.emit(
+            ATTEMPT_ENDED,
+            request=call.info.attempt_id,
+            target=target.info.identity,
+            reason=reason,
+            sends=call.sends,
+            runs=call.runs,
+        )
+
+    def _log_end(self, call: Call, outcome: str, reason: str, **fields: float) -> None:
+        elapsed_s = self._timer.now_s() - call.received_s
+        self._statistics.ended(call.route.kind.value, outcome, elapsed_s)
+        events.emit(
+            REQUEST_ENDED,
+            request=call.info.attempt_id,
+            route=call.route.name,
+            outcome=outcome,
+            reason=reason,
+            elapsed_s=round(elapsed_s, 4),
+            sends=call.sends,
+            **fields,
+        )
+
+
+def need_of(info: RequestInfo, service: Service) -> Need:
+    """Return what a request takes at a target of a service."""
+    if service.memory is None:
+        return Need()
+    longest = info.maximum_output_tokens
+    expected = info.expected_output_tokens or OUTPUT_SHARE * longest
+    output = min(expected, longest) if longest else expected
+    return Need(info.prompt_tokens, info.prompt_tokens + int(output))
--- /dev/null
+++ b/endivesill/forwarding/placement.py
@@ -0,0 +1,118 @@
+"""Which target a request goes to: pure decisions on counted loads."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from endivesill.fleet.model import Service
+from endivesill.forwarding.targets import Target
+
+__all__ = ["Need", "choose_backup", "choose_target", "fits"]
+
+# Prompt tokens that an engine reads in a second, where nothing was measured;
+# engines of today read some ten thousand.
+READ_TOKENS_PER_S = 14_000.0
+# What one more running request costs the others and itself, in seconds of wait;
+# a step of decoding grows by about this much over an answer.
+RUNNING_COST_S = 0.01
+# A target elsewhere must be this much better: bytes between data centres cost.
+DISTANCE_COST_S = 0.03
+# Share of an engine's memory that is given out; the rest takes up outputs that
+# are longer than expected.
+MEMORY_SHARE = 0.92
+# Requests that a plain target may have besides those that it runs at once; its
+# own queue holds some, and more only wait there instead of here.
+PLAIN_QUEUE_SHARE = 1.0
+# Cost of a nearly full memory, at 1; it grows with the square of the fill.
+MEMORY_COST_S = 0.2
+
+
+@attrs.frozen
+class Need:
+    """What a request takes at a target.
+
+    Attributes:
+      prompt_tokens: prompt tokens to read; 0 for a plain request.
+      memory_tokens: memory for the prompt and the expected output.
+    """
+
+    prompt_tokens: int = 0
+    memory_tokens: int = 0
+
+
+def fits(target: Target, service: Service, need: Need) -> bool:
+    """Tell whether a target has room for a request now.
+
+    Answers the pattern of more requests than the engines hold: what does not
+    fit would wait or be preempted in an engine, where it cannot be placed anew.
+    """
+    if service.memory is None:
+        return target.all_requests < (1 + PLAIN_QUEUE_SHARE) * target.info.slots
+    memory = service.memory
+    if target.all_requests >= memory.slots:
+        return False
+    limit = MEMORY_SHARE * memory.capacity_tokens
+    if target.all_requests == 0 and target.all_reserved_tokens == 0:
+        return need.memory_tokens <= memory.capacity_tokens
+    return target.all_reserved_tokens + need.memory_tokens <= limit
+
+
+def cost_s(target: Target, service: Service, need: Need, data_centre: str) -> float:
+    """Return the expected wait for the first answer, with what else it costs."""
+    cost = RUNNING_COST_S * target.all_requests / max(1, target.info.slots) * 6
+    if service.memory is not None:
+        unread = target.all_unread_tokens + need.prompt_tokens
+        cost = unread / READ_TOKENS_PER_S + RUNNING_COST_S * target.all_requests
+        fill = target.all_reserved_tokens / max(1, service.memory.capacity_tokens)
+        cost += MEMORY_COST_S * fill * fill
+    if target.info.data_centre != data_centre:
+        cost += DISTANCE_COST_S
+    return cost
+
+
+def choose_target(
+    targets: Sequence[Target],
+    service: Service,
+    need: Need,
+    data_centre: str,
+    random_source: random.Random,
+) -> Target | None:
+    """Return the cheapest target that has room, or None.
+
+    Equal ones are drawn by lot, so that entries with the same reports do not
+    all choose the same target.
+    """
+    best: list[Target] = []
+    best_cost_s = float("inf")
+    for target in targets:
+        if not fits(target, service, need):
+            continue
+        cost = cost_s(target, service, need, data_centre)
+        if cost < best_cost_s - 1e-9:
+            best, best_cost_s = [target], cost
+        elif cost <= best_cost_s + 1e-9:
+            best.append(target)
+    return random_source.choice(best) if best else None
+
+
+def choose_backup(
+    targets: Sequence[Target], service: Service, need: Need, holder: Target
+) -> Target | None:
+    """Return the target with the most free memory for a copy of a run, or None.
+
+    Answers the pattern of engines that are taken away on short notice while
+    they generate.
+    """
+    memory = service.memory
+    if memory is None or not memory.has_backups:
+        return None
+    others = [target for target in targets if target is not holder]
+    if not others:
+        return None
+    best = min(others, key=lambda target: target.all_reserved_tokens)
+    limit = MEMORY_SHARE * memory.capacity_tokens
+    fits_there = best.all_reserved_tokens + need.memory_tokens <= limit
+    return best if fits_there else None
--- /dev/null
+++ b/endivesill/forwarding/protocol.py
@@ -0,0 +1,99 @@
+"""What forwarding needs of the heads of requests and answers.
+
+An adapter implements `EngineProtocol` for the headers of one platform.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import attrs
+
+from endivesill.http1 import Headers, ResponseHead
+
+__all__ = ["AnswerInfo", "Dispatch", "EngineProtocol", "RequestInfo"]
+
+
+@attrs.frozen
+class RequestInfo:
+    """A caller's request, as far as routing needs it.
+
+    Attributes:
+      attempt_id: names this attempt of the caller.
+      deadline_s: how long the caller still waits; None if it does not say.
+      key: its API key; empty if there is not exactly one.
+      prompt_tokens: length of the prompt; 0 for no generation.
+      maximum_output_tokens: longest output that it accepts.
+      expected_output_tokens: the caller's estimate; 0 without one.
+      prefix: parts of the prompt in order, each with its tokens.
+    """
+
+    attempt_id: str
+    deadline_s: float | None
+    key: str
+    prompt_tokens: int
+    maximum_output_tokens: int
+    expected_output_tokens: int
+    prefix: tuple[tuple[str, int], ...]
+
+
+@attrs.frozen
+class Dispatch:
+    """What the system adds to a request for one engine.
+
+    Attributes:
+      identity: the engine that must run it.
+      left_s: how long the caller still waits.
+      organisation: who sent it; empty if requests need no key.
+      urgency: 0 to 9, 0 first; None for the engine's usual one.
+      backup_address: engine that gets a copy of the run's memory; or empty.
+      resume_from: HOST:PORT/ID of a copy to go on from; or empty.
+      last_event_id: the last event that the caller has, with `resume_from`.
+      body_bytes: length of the body.
+    """
+
+    identity: str
+    left_s: float
+    organisation: str = ""
+    urgency: int | None = None
+    backup_address: str = ""
+    resume_from: str = ""
+    last_event_id: str = ""
+    body_bytes: int = 0
+
+
+@attrs.frozen
+class AnswerInfo:
+    """An engine's answer, as far as routing needs it.
+
+    Attributes:
+      status: the HTTP status.
+      attempt_id: the attempt that it answers; empty if it does not say.
+      is_sealed: whether the engine vouches for it.
+      not_run: whether the engine says that it did not run the request.
+      wrong_target: whether another target has the address.
+    """
+
+    status: int
+    attempt_id: str
+    is_sealed: bool
+    not_run: bool
+    wrong_target: bool
+
+
+class EngineProtocol(Protocol):
+    """Reads and writes heads."""
+
+    def decode_request(self, headers: Headers) -> RequestInfo:
+        """Return what routing needs of a caller's request."""
+
+    def encode_request(
+        self, method: str, target: bytes, headers: Headers, dispatch: Dispatch
+    ) -> bytes:
+        """Return the head of the request to an engine."""
+
+    def decode_answer(self, head: ResponseHead) -> AnswerInfo:
+        """Return what routing needs of an engine's answer."""
+
+    def refusal_headers(self, retry_after_s: float | None) -> Headers:
+        """Return the headers of an answer of the system's own."""
--- /dev/null
+++ b/endivesill/forwarding/targets.py
@@ -0,0 +1,208 @@
+"""The targets as one entry sees them: list, load, health, cold rate."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+
+import attrs
+
+from endivesill import events
+from endivesill.fleet.follower import FleetView
+from endivesill.fleet.load import EngineLoad
+from endivesill.fleet.model import EngineInfo, Service
+from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
+from endivesill.forwarding.health import HealthRecord
+from endivesill.timer import TimerService
+
+__all__ = ["CONNECT_REST_S", "Target", "TargetTable"]
+
+# A target that refuses connections or has lost its address is left alone for
+# this long, about two readings of the platform's list.
+CONNECT_REST_S = 0.5
+# No more than this share of a service's targets rests because of failures.
+EJECTED_SHARE = 0.5
+# The rate of a cold target is bounded for each second on the target's clock;
+# the wider window takes up the spread of the way there.
+COLD_WINDOW_S = 1.1
+
+
+NO_LOAD = EngineLoad()
+
+
+@attrs.define(eq=False)
+class Target:
+    """One start of an engine or plain service.
+
+    Attributes:
+      info: what the list says of it.
+      requests: this entry's requests under way there.
+      reserved_tokens: memory that they and their copies are expected to need.
+      unread_tokens: prompt tokens of those without a first event.
+      others: the same of the other entries, as last told.
+      connections: this entry's open connections with a request.
+      cold_until_s: until when the list says that it is cold.
+      rests_until_s: until when it gets nothing because of failures.
+      health: outcomes of this entry's requests.
+      sends_s: when this entry sent its last requests there.
+    """
+
+    info: EngineInfo
+    health: HealthRecord
+    requests: int = 0
+    reserved_tokens: int = 0
+    unread_tokens: int = 0
+    others: EngineLoad = NO_LOAD
+    cold_until_s: float = 0.0
+    rests_until_s: float = 0.0
+    listed: bool = True
+    sends_s: collections.deque[float] = attrs.Factory(collections.deque)
+
+    @property
+    def all_requests(self) -> int:
+        """Requests of all entries."""
+        return self.requests + self.others.requests
+
+    @property
+    def all_reserved_tokens(self) -> int:
+        """Memory reserved by all entries."""
+        return self.reserved_tokens + self.others.reserved_tokens
+
+    @property
+    def all_unread_tokens(self) -> int:
+        """Prompt tokens without a first event of all entries."""
+        return self.unread_tokens + self.others.unread_tokens
+
+    def load(self) -> EngineLoad:
+        """Return this entry's own load."""
+        return EngineLoad(self.requests, self.reserved_tokens, self.unread_tokens)
+
+
+class TargetTable:
+    """All targets of the platform's list.
+
+    Args:
+      timer: the timer service.
+      view: what the entry knows of the fleet.
+      data_centre: where the entry runs.
+    """
+
+    def __init__(self, timer: TimerService, view: FleetView, data_centre: str) -> None:
+        self._timer = timer
+        self._view = view
+        self.data_centre = data_centre
+        self._targets: dict[str, Target] = {}
+        self._by_service: dict[str, list[Target]] = {}
+
+    def update_engines(self) -> None:
+        """Take the engines of the view."""
+        now_s = self._timer.now_s()
+        for target in self._targets.values():
+            target.listed = False
+        for boot, info in self._view.engines.items():
+            target = self._targets.setdefault(boot, Target(info, HealthRecord()))
+            target.info = info
+            target.listed = True
+            target.cold_until_s = now_s + info.cold_s
+        for boot in [b for b, t in self._targets.items() if not t.listed]:
+            if not self._targets[boot].requests:
+                del self._targets[boot]
+        self._by_service = {}
+        for target in self._targets.values():
+            if target.listed:
+                self._by_service.setdefault(target.info.service, []).append(target)
+
+    def update_loads(self) -> None:
+        """Take the other entries' loads of the view."""
+        for boot, target in self._targets.items():
+            target.others = self._view.others.get(boot, NO_LOAD)
+
+    def own_loads(self) -> dict[str, EngineLoad]:
+        """Return this entry's load by boot of the engine."""
+        return {
+            boot: target.load()
+            for boot, target in self._targets.items()
+            if target.requests or target.reserved_tokens
+        }
+
+    def may_have_work(self, target: Target) -> bool:
+        """Tell whether new requests may go to a target at all."""
+        info = target.info
+        return (
+            target.listed
+            and not info.is_draining
+            and info.data_centre not in self._view.evacuated
+        )
+
+    def candidates(self, service: str, excluded: Iterable[Target]) -> list[Target]:
+        """Return the targets that may have a request now.
+
+        Targets that rest come in only where nothing else is left.
+        """
+        left_out = set(map(id, excluded))
+        now_s = self._timer.now_s()
+        open_targets = [
+            target
+            for target in self._by_service.get(service, [])
+            if id(target) not in left_out and self.may_have_work(target)
+        ]
+        awake = [t for t in open_targets if t.rests_until_s <= now_s]
+        return awake or open_targets
+
+    def has_targets(self, service: str) -> bool:
+        """Tell whether any target of a service may have work."""
+        return any(map(self.may_have_work, self._by_service.get(service, [])))
+
+    # Rates.
+
+    def cold_allowance(self, service: Service, factor: float, slack: float) -> float:
+        """Return what this entry may send a cold target in a second."""
+        share = self._view.loan.share_at(self._timer.now_s())
+        return share * (factor * service.cold_requests_per_s + slack)
+
+    def may_send_now(self, target: Target, allowance: float) -> bool:
+        """Tell whether one more request stays within an allowance a second."""
+        now_s = self._timer.now_s()
+        sends = target.sends_s
+        window_s = (
+            COLD_WINDOW_S if allowance >= 1 else COLD_WINDOW_S / max(allowance, 1e-6)
+        )
+        while sends and now_s - sends[0] > window_s:
+            sends.popleft()
+        return len(sends) < max(1, int(allowance))
+
+    def note_send(self, target: Target) -> None:
+        """Count a request that is sent now."""
+        target.sends_s.append(self._timer.now_s())
+
+    # Health.
+
+    def rest(self, target: Target, duration_s: float, reason: str) -> None:
+        """Leave a target alone for a time, unless too many rest already."""
+        now_s = self._timer.now_s()
+        peers = self._by_service.get(target.info.service, [])
+        resting = sum(t.rests_until_s > now_s for t in peers if t is not target)
+        if resting + 1 > EJECTED_SHARE * len(peers):
+            return
+        target.rests_until_s = now_s + duration_s
+        events.emit(
+            TARGET_EJECTED,
+            target=target.info.identity,
+            service=target.info.service,
+            duration_s=duration_s,
+            reason=reason,
+        )
+
+    def note_outcome(self, target: Target, *, good: bool) -> None:
+        """Count an answer; a target that fails far more than its peers rests."""
+        target.health.note(good=good)
+        peers = [
+            t.health
+            for t in self._by_service.get(target.info.service, [])
+            if t is not target
+        ]
+        rest_s = target.health.rest_s(peers)
+        if rest_s > 0:
+            self.rest(target, rest_s, "fails more often than its peers")
+        elif good and target.health.readmitted():
+            events.emit(TARGET_READMITTED, target=target.info.identity)
--- /dev/null
+++ b/endivesill/http1/__init__.py
@@ -0,0 +1,30 @@
+"""HTTP/1.1 connections with full control over their life, on asyncio."""
+
+from endivesill.http1.client import (
+    ConnectionPool,
+    ResponseHead,
+    UpstreamConnection,
+    UpstreamError,
+)
+from endivesill.http1.head import Headers, encode_head, header_value, strip_hop_by_hop
+from endivesill.http1.server import (
+    ConnectionLimits,
+    Exchange,
+    HttpListener,
+    ServerConnection,
+)
+
+__all__ = [
+    "ConnectionLimits",
+    "ConnectionPool",
+    "Exchange",
+    "Headers",
+    "HttpListener",
+    "ResponseHead",
+    "ServerConnection",
+    "UpstreamConnection",
+    "UpstreamError",
+    "encode_head",
+    "header_value",
+    "strip_hop_by_hop",
+]
--- /dev/null
+++ b/endivesill/http1/server.py
@@ -0,0 +1,477 @@
+"""The server side of HTTP/1.1: one task for each connection.
+
+The whole request is read before it is handled. Requests that follow on the same
+connection wait for the end of the answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import httptools
+
+from endivesill import errors, events
+from endivesill.http1.head import (
+    Headers,
+    encode_head,
+    header_value,
+    header_values,
+    status_line,
+)
+from endivesill.timer import TimerHandle, TimerService
+
+__all__ = ["ConnectionLimits", "Exchange", "HttpListener", "ServerConnection"]
+
+# Requests that a connection may have sent ahead before reading is paused.
+PIPELINE_LIMIT = 8
+# Period of the search for connections that are idle or slow for too long.
+SWEEP_S = 0.25
+# How long input is discarded after a close, so that a reset does not overtake
+# the last answer.
+LINGER_S = 1.0
+# Linux: a peer that acknowledges nothing for this long is gone.
+USER_TIMEOUT_MS = 4_000
+BACKLOG_CONNECTIONS = 512
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+BAD_REQUEST = events.define(
+    1030, "bad-request", "A connection sent bytes that are no acceptable request."
+)
+
+
+@attrs.define
+class ConnectionLimits:
+    """What a caller may send.
+
+    Attributes:
+      header_bytes: size of a head.
+      body_bytes: size of a body.
+      header_timeout_s: time from the first byte of a head to its end.
+      idle_timeout_s: time without a request on an open connection.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Exchange:
+    """One request and the way to answer it.
+
+    Attributes:
+      method: the request's method.
+      target: the request target as it was sent.
+      headers: the request's headers as they were sent.
+      body: the whole body.
+      received_s: when the last byte of the request was read.
+      gone: set once the caller has closed the connection or it broke.
+      on_gone: called when that happens, if set.
+      answered: whether a head was written.
+      close_after: whether the connection ends with this answer.
+    """
+
+    def __init__(
+        self,
+        connection: ServerConnection,
+        method: str,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        keep_alive: bool,
+    ) -> None:
+        self.connection = connection
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.received_s = connection.listener.timer.now_s()
+        self.gone = asyncio.Event()
+        self.on_gone: Callable[[], Any] | None = None
+        self.answered = False
+        self.finished = False
+        self.close_after = not keep_alive
+        self._chunked = False
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first value of a request header, or empty bytes."""
+        return header_value(self.headers, name)
+
+    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Write a whole answer."""
+        length = (b"Content-Length", b"%d" % len(body))
+        head = self._head(status, [*headers, length])
+        self._write(head if self.method == "HEAD" else head + body)
+        self._end()
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer of unknown length."""
+        self._chunked = True
+        chunked = (b"Transfer-Encoding", b"chunked")
+        self._write(self._head(status, [*headers, chunked]))
+
+    def send(self, data: bytes) -> None:
+        """Write a part of the body."""
+        self._write(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def finish(self) -> None:
+        """End the body of an answer of unknown length."""
+        self._write(b"0\r\n\r\n")
+        self._end()
+
+    def abort(self) -> None:
+        """Break the connection, so that no answer looks complete."""
+        self.finished = True
+        self.close_after = True
+        self.connection.abort()
+
+    async def drain(self) -> None:
+        """Wait until the caller has read most of what was written."""
+        await self.connection.writable.wait()
+
+    def _head(self, status: int, headers: Headers) -> bytes:
+        self.answered = True
+        if self.connection.listener.closing:
+            self.close_after = True
+        if self.close_after:
+            headers = [*headers, (b"Connection", b"close")]
+        return encode_head(status_line(status), headers)
+
+    def _write(self, data: bytes) -> None:
+        if not self.gone.is_set():
+            self.connection.transport.write(data)
+
+    def _end(self) -> None:
+        self.finished = True
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a caller.
+
+    Args:
+      listener: what accepted it.
+    """
+
+    def __init__(self, listener: HttpListener) -> None:
+        self.listener = listener
+        self.transport: Any = None
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self.current: Exchange | None = None
+        self.idle_since_s = listener.timer.now_s()
+        self.head_since_s: float | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._pending: collections.deque[Exchange] = collections.deque()
+        self._arrived = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._discarding = False
+        self._lost = False
+        self._error: tuple[int, str] | None = None
+        self._begin()
+
+    def _begin(self) -> None:
+        self._target = b""
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._field_bytes = 0
+        self._in_body = False
+
+    # asyncio.Protocol.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the connection's task."""
+        self.transport = transport
+        self.listener.connections.add(self)
+        set_options(transport)
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what has come."""
+        if self._discarding:
+            return
+        if self.head_since_s is None and not self._in_body:
+            self.head_since_s = self.listener.timer.now_s()
+        if not self._in_body:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(400, "an upgrade of the protocol")
+        except httptools.HttpParserError as error:
+            self._fail(400, str(error) or type(error).__name__)
+        if self._error is None and self._head_exceeds_limit():
+            self._fail(431, "the head is too large")
+        if len(self._pending) > PIPELINE_LIMIT and not self._lost:
+            self.transport.pause_reading()
+
+    def _head_exceeds_limit(self) -> bool:
+        return (
+            not self._in_body and self._head_bytes > self.listener.limits.header_bytes
+        )
+
+    def eof_received(self) -> bool:
+        """Take the end of the caller's stream as the end of its interest."""
+        self._note_gone()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the exchange that its caller is gone."""
+        self._lost = True
+        self.listener.connections.discard(self)
+        self._note_gone()
+        self.writable.set()
+        self._arrived.set()
+
+    def pause_writing(self) -> None:
+        """Hold back writers."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self.writable.set()
+
+    def _note_gone(self) -> None:
+        for exchange in (self.current, *self._pending):
+            if exchange is not None and not exchange.gone.is_set():
+                exchange.gone.set()
+                if exchange.on_gone is not None:
+                    exchange.on_gone()
+
+    # httptools callbacks.
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header, or a trailer field after the body."""
+        if not self._in_body:
+            self._headers.append((name, value))
+            self._field_bytes += len(name) + len(value)
+            if self._field_bytes > self.listener.limits.header_bytes:
+                self._fail(431, "the head is too large")
+
+    def on_headers_complete(self) -> None:
+        """Check the head before any of the body is taken."""
+        self._in_body = True
+        self.head_since_s = None
+        problem = check_framing(self._headers)
+        if problem:
+            raise errors.RequestError(400, problem)
+        length = header_value(self._headers, b"content-length", b"0")
+        if int(length) > self.listener.limits.body_bytes:
+            self._fail(413, "the body is too large")
+        elif header_value(self._headers, b"expect").lower() == b"100-continue":
+            self.transport.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self.listener.limits.body_bytes:
+            self._fail(413, "the body is too large")
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request."""
+        if self._error is not None:
+            return
+        exchange = Exchange(
+            self,
+            self._parser.get_method().decode("ascii"),
+            self._target,
+            self._headers,
+            b"".join(self._body),
+            self._parser.should_keep_alive(),
+        )
+        self._begin()
+        self._pending.append(exchange)
+        self._arrived.set()
+
+    def _fail(self, status: int, reason: str) -> None:
+        """Refuse what cannot be parsed, after the answers that are due before."""
+        if self._error is None:
+            self._error = (status, reason)
+            self._discarding = True
+            self._arrived.set()
+
+    # The connection's task.
+
+    async def _serve(self) -> None:
+        try:
+            while not self._lost:
+                if self._pending:
+                    await self._answer(self._pending.popleft())
+                elif self._error is not None:
+                    self._refuse(*self._error)
+                    return
+                else:
+                    self._arrived.clear()
+                    await self._arrived.wait()
+        finally:
+            self._close()
+
+    async def _answer(self, exchange: Exchange) -> None:
+        self.current = exchange
+        if not self._lost:
+            self.transport.resume_reading()
+        self.listener.active += 1
+        try:
+            await self.listener.handler(exchange)
+        except Exception as error:
+            events.emit(events.TASK_FAILED, task="http-handler", error=repr(error))
+        finally:
+            self.listener.active -= 1
+            self.current = None
+            self.idle_since_s = self.listener.timer.now_s()
+        if not exchange.finished:
+            self.abort()
+        if exchange.close_after:
+            self._lost = True
+
+    def _refuse(self, status: int, reason: str) -> None:
+        events.emit(BAD_REQUEST, status=status, reason=reason)
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        self.transport.write(encode_head(status_line(status), headers))
+
+    def expire(self, now_s: float) -> None:
+        """Close the connection if it is idle or its head is slow for too long."""
+        limits = self.listener.limits
+        if self.current is not None or self._pending or self._discarding:
+            return
+        if self.head_since_s is not None:
+            if now_s - self.head_since_s > limits.header_timeout_s:
+                self._fail(408, "the head did not come in time")
+        elif not self._in_body and now_s - self.idle_since_s > limits.idle_timeout_s:
+            self._close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or answered."""
+        if self.current is None and not self._pending and not self._in_body:
+            self._close()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._lost = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _close(self) -> None:
+        """Send what is buffered, discard what still comes, and close."""
+        self._lost = True
+        self._discarding = True
+        self._arrived.set()
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        transport = self.transport
+        self.listener.timer.call_after(LINGER_S, transport.close)
+
+
+def check_framing(headers: Headers) -> str:
+    """Return why a head could be read in two ways, or the empty string."""
+    lengths = header_values(headers, b"content-length")
+    codings = header_values(headers, b"transfer-encoding")
+    if len(lengths) > 1 or (lengths and codings):
+        return "the length is given twice"
+    if lengths and not lengths[0].isdigit():
+        return "the length is no number"
+    if codings and (len(codings) > 1 or codings[0].lower() != b"chunked"):
+        return "a transfer coding other than chunked"
+    if len(header_values(headers, b"host")) != 1:
+        return "not exactly one Host"
+    return ""
+
+
+def set_options(transport: asyncio.BaseTransport) -> None:
+    """Set the socket options that show a silent peer."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+    except OSError as error:
+        events.emit(events.TASK_FAILED, task="socket-options", error=repr(error))
+
+
+class HttpListener:
+    """Accepts connections at one address.
+
+    Args:
+      timer: the timer service.
+      address: HOST:PORT to listen on.
+      handler: answers one exchange.
+      limits: what callers may send; may be replaced at any time.
+
+    Attributes:
+      connections: the open connections.
+      active: how many exchanges are being answered.
+      closing: whether each answer ends its connection.
+    """
+
+    def __init__(
+        self,
+        timer: TimerService,
+        address: str,
+        handler: Callable[[Exchange], Awaitable[None]],
+        limits: ConnectionLimits | None = None,
+    ) -> None:
+        self.timer = timer
+        self.handler = handler
+        self.limits = limits or ConnectionLimits()
+        self.connections: set[ServerConnection] = set()
+        self.active = 0
+        self.closing = False
+        self._address = address
+        self._server: asyncio.Server | None = None
+        self._sweeper: TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self._address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: ServerConnection(self),
+            host,
+            int(port),
+            backlog=BACKLOG_CONNECTIONS,
+        )
+        self._sweeper = self.timer.call_every(SWEEP_S, self._sweep)
+
+    @property
+    def address(self) -> str:
+        """The address in use, once started."""
+        assert self._server is not None
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def _sweep(self) -> None:
+        now_s = self.timer.now_s()
+        for connection in list(self.connections):
+            connection.expire(now_s)
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    async def stop(self) -> None:
+        """Stop listening and break what is left."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
--- a/endivesill/operators/application.py
+++ b/endivesill/operators/application.py
@@ -18,6 +18,7 @@
 from endivesill.control import ControlClient
 from endivesill.drain import DrainService
 from endivesill.fleet_status import fleet_status
+from endivesill.http_peers import KEY_REFUSED
 from endivesill.keys import KeyRing
 from endivesill.membership.view import MembershipView, VmState
 from endivesill.metrics import Metrics
@@ -28,7 +29,7 @@
 )
 from endivesill.operators.progress import ConfigurationProgress
 from endivesill.operators.voters import VoterAdministration
-from endivesill.peers import KEY_REFUSED, Message
+from endivesill.peers import Message
 from endivesill.settings import VmSettings
 from endivesill.timer import TimerService
 
--- a/endivesill/peer_port.py
+++ b/endivesill/peer_port.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from endivesill import errors, events
+from endivesill.http_peers import HttpPeerTransport
 from endivesill.kernel import Service
-from endivesill.peers import HttpPeerTransport
 from endivesill.server import HttpServer
 from endivesill.timer import TimerService
 
--- a/endivesill/peers.py
+++ b/endivesill/peers.py
@@ -1,31 +1,22 @@
 """Messages between the system's own processes.
 
-A transport answers paths and calls other VMs' paths. `HttpPeerTransport` is
-HTTP with JSON; `MemoryPeerTransport` is its sibling for tests, over a
-`MemoryNetwork` that delays, drops and cuts.
+A transport answers paths and calls other VMs' paths. `HttpPeerTransport`
+(`http_peers.py`) is HTTP with JSON; `MemoryPeerTransport` is its sibling for
+tests, over a `MemoryNetwork` that delays, drops and cuts.
 """
 
 from __future__ import annotations
 
 import asyncio
-import collections
 import json
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import aiohttp
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
-from starlette.routing import Route
-
-from endivesill import errors, events
-from endivesill.keys import KeyRing
+from endivesill import errors
 from endivesill.timer import TimerService
 
 __all__ = [
-    "HttpPeerTransport",
     "MemoryNetwork",
     "MemoryPeerTransport",
     "Message",
@@ -35,17 +26,6 @@
 Message = dict[str, Any]
 Handler = Callable[[Message], Awaitable[Message]]
 
-CONNECT_TIMEOUT_S = 1.0
-CONNECTIONS_PER_PEER = 64
-
-# Peers need none of these; they are most of a small message.
-SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
-UNSENT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
-
-KEY_REFUSED = events.define(
-    1010, "key-refused", "A call to a peer or operator port had no valid key."
-)
-
 
 class PeerTransport:
     """Base of the transports.
@@ -79,98 +59,6 @@
         """Close what is open."""
 
 
-class HttpPeerTransport(PeerTransport):
-    """Peers over HTTP with JSON and a bearer key.
-
-    Args:
-      address: this process's HOST:PORT for peers.
-      keys: the keys of the peer port.
-      scheme: `http` or `https`.
-      ssl_context: the client's TLS context with https.
-
-    Attributes:
-      running: calls that are being answered, by path.
-    """
-
-    def __init__(
-        self,
-        address: str,
-        keys: KeyRing,
-        scheme: str = "http",
-        ssl_context: Any = None,
-    ) -> None:
-        super().__init__(address)
-        self._keys = keys
-        self._scheme = scheme
-        self._ssl_context = ssl_context
-        self._session: aiohttp.ClientSession | None = None
-        self.running: collections.Counter[str] = collections.Counter()
-
-    def application(self) -> Starlette:
-        """Return the ASGI application of the peer port."""
-        return Starlette(routes=[Route("/{path:path}", self._answer, methods=["POST"])])
-
-    async def _answer(self, request: Request) -> Response:
-        if not self._keys.accepts(request.headers.get("authorization")):
-            client = request.client.host if request.client else ""
-            events.emit(KEY_REFUSED, port="peer", client=client)
-            return Response(status_code=401)
-        path = request.url.path
-        handler = self.handlers.get(path)
-        if handler is None:
-            return Response(status_code=404)
-        try:
-            message = json.loads(await request.body())
-        except ValueError:
-            return Response(status_code=400)
-        self.running[path] += 1
-        try:
-            return JSONResponse(await handler(message))
-        finally:
-            self.running[path] -= 1
-
-    async def call(
-        self, address: str, path: str, message: Message, timeout_s: float
-    ) -> Message:
-        """Call a peer; see the base class."""
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                skip_auto_headers=UNSENT_HEADERS,
-                connector=aiohttp.TCPConnector(
-                    limit=0, limit_per_host=CONNECTIONS_PER_PEER, ssl=self._ssl_context
-                )
-                if self._ssl_context
-                else aiohttp.TCPConnector(limit=0, limit_per_host=CONNECTIONS_PER_PEER),
-            )
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=min(timeout_s, CONNECT_TIMEOUT_S)
-        )
-        try:
-            async with self._session.post(
-                f"{self._scheme}://{address}{path}",
-                data=json.dumps(message, separators=(",", ":")),
-                headers={"Authorization": self._keys.authorization()},
-                timeout=timeout,
-            ) as response:
-                body = await response.read()
-                if response.status != 200:
-                    raise errors.PeerUnreachableError(
-                        f"{address}{path} answered {response.status}"
-                    )
-                return json.loads(body)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise errors.PeerUnreachableError(
-                f"{address}{path}: {error!r}", sent=False
-            ) from None
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            raise errors.PeerUnreachableError(f"{address}{path}: {error!r}") from None
-
-    async def close(self) -> None:
-        """Close the client's connections."""
-        if self._session is not None:
-            await self._session.close()
-
-
 class MemoryNetwork:
     """The network between `MemoryPeerTransport`s.
 
--- /dev/null
+++ b/endivesill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/endivesill/platform/__main__.py
@@ -0,0 +1,52 @@
+"""Starts a process on the platform: `python3 -m endivesill.platform ROLE`."""
+
+from __future__ import annotations
+
+import sys
+
+import uvloop
+
+from endivesill import errors
+from endivesill.json_log import JsonLog
+from endivesill.platform.process import settings_path
+from endivesill.platform.settings import NodeSettings, read_settings
+from endivesill.timer import SystemTimer
+
+ROLES = ("entry", "control")
+
+
+async def run(role: str, settings: NodeSettings) -> None:
+    """Run a process of a role until it stops."""
+    timer = SystemTimer()
+    log = JsonLog(timer, settings.vm)
+    log.start()
+    try:
+        # Each role loads only what it needs, for a fast start in little memory.
+        if role == "entry":
+            from endivesill.platform.entry_process import EntryProcess
+
+            await EntryProcess(settings, timer).run()
+        else:
+            from endivesill.platform.control_process import run_control
+
+            await run_control(settings, timer)
+    finally:
+        log.flush()
+
+
+def main() -> int:
+    """Run the process; return its exit status."""
+    if len(sys.argv) != 2 or sys.argv[1] not in ROLES:
+        print(f"usage: python3 -m endivesill.platform {'|'.join(ROLES)}")
+        return 2
+    try:
+        settings = read_settings(settings_path())
+    except errors.FindingsError as error:
+        print(error, file=sys.stderr)
+        return 1
+    uvloop.run(run(sys.argv[1], settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/endivesill/platform/control_process.py
@@ -0,0 +1,105 @@
+"""The control process: a replica of the state and the operators' port."""
+
+from __future__ import annotations
+
+import asyncio
+
+from endivesill import events
+from endivesill.control import ControlReplica, ControlSettings, FileDisk
+from endivesill.fleet.hub import FleetHub, supervise
+from endivesill.http1 import ConnectionLimits, HttpListener
+from endivesill.link_peers import LinkPeerTransport
+from endivesill.platform.metrics_port import MetricsPort
+from endivesill.platform.operators import OperatorPort
+from endivesill.platform.process import StopSignal
+from endivesill.platform.provider import PlatformList
+from endivesill.platform.settings import NodeSettings
+from endivesill.timer import TimerService
+
+__all__ = ["run_control"]
+
+# Control VMs are milliseconds apart; an election must end well before the
+# operators' orders time out.
+HEARTBEAT_S = 0.25
+ELECTION_TIMEOUT_S = 0.8
+# A desired state may be as large as a megabyte and the disk is small, so that
+# the log is cut often.
+SNAPSHOT_ENTRIES = 100
+TRAILING_ENTRIES = 20
+SEGMENT_BYTES = 1_048_576
+# Orders are small but for desired states of many routes.
+OPERATOR_LIMITS = ConnectionLimits(body_bytes=16_777_216)
+STOP_SHARE = 5 / 6
+
+
+def control_settings(settings: NodeSettings) -> ControlSettings:
+    """Return the settings of the replica.
+
+    An acknowledged change must survive the loss of `tolerated_losses` disks, so
+    nothing is accepted by fewer voters than twice that.
+    """
+    return ControlSettings(
+        heartbeat_s=HEARTBEAT_S,
+        election_timeout_s=ELECTION_TIMEOUT_S,
+        snapshot_entries=SNAPSHOT_ENTRIES,
+        trailing_entries=TRAILING_ENTRIES,
+        segment_bytes=SEGMENT_BYTES,
+        minimum_voters=max(1, 2 * settings.tolerated_losses),
+    )
+
+
+async def run_control(settings: NodeSettings, timer: TimerService) -> None:
+    """Run a control process until it is told to stop."""
+    stop = StopSignal(settings, timer)
+    transport = LinkPeerTransport(timer, settings.peer_address)
+    replica = ControlReplica(
+        timer,
+        transport,
+        FileDisk(settings.data_folder),
+        settings.seed_peers,
+        control_settings(settings),
+        may_found=settings.is_first_start,
+        wanted_voters=2 * settings.tolerated_losses + 1,
+    )
+    hub = FleetHub(
+        timer, replica, transport, PlatformList(timer, settings.list_address)
+    )
+    operators = OperatorPort(timer, replica)
+    listener = HttpListener(
+        timer, settings.control_address, operators.handle, OPERATOR_LIMITS
+    )
+    metrics = MetricsPort(timer, settings, lambda: _lines(replica))
+    await replica.start()
+    await transport.start()
+    await listener.start()
+    await metrics.start()
+    task = supervise(timer, "fleet-hub", hub.run)
+    events.emit(
+        events.PROCESS_STARTED,
+        vm=settings.vm,
+        identity=replica.identity,
+        role="control",
+    )
+    await stop.wait()
+    events.emit(events.PROCESS_STOPPING, vm=settings.vm)
+    await replica.transfer_leadership()
+    listener.closing = True
+    await listener.stop()
+    task.cancel()
+    await replica.halt()
+    await transport.close()
+    events.emit(events.PROCESS_STOPPED, vm=settings.vm)
+    await asyncio.sleep(0)
+
+
+def _lines(replica: ControlReplica) -> list[str]:
+    core = replica.core
+    lag = core.commit_index - replica.applied_index
+    return [
+        f"endivesill_control_term {core.term}",
+        f"endivesill_control_leads {int(replica.is_leader)}",
+        f"endivesill_control_voters {len(core.voter_set.voters)}",
+        f"endivesill_control_commit_index {core.commit_index}",
+        f"endivesill_control_apply_lag {lag}",
+        f"endivesill_control_last_index {core.log.last_index}",
+    ]
--- /dev/null
+++ b/endivesill/platform/engines.py
@@ -0,0 +1,148 @@
+"""Decodes the platform's list of engines and the heads of requests and answers."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from endivesill import errors, events
+from endivesill.fleet.events import LIST_ENTRY_SKIPPED
+from endivesill.fleet.model import EngineInfo
+from endivesill.forwarding.protocol import AnswerInfo, Dispatch, RequestInfo
+from endivesill.http1 import Headers, ResponseHead, header_value
+from endivesill.http1.head import encode_head, header_values, strip_hop_by_hop
+from endivesill.platform import wire
+from endivesill.platform.decode import Reader
+
+__all__ = ["PlatformProtocol", "decode_list_page"]
+
+MS_PER_S = 1_000.0
+STATES = {"ready": False, "draining": True}
+
+
+def decode_list_page(body: bytes) -> tuple[list[EngineInfo], str]:
+    """Return the engines of a page and the token of the next one.
+
+    Entries that cannot be read are left out with a log line; the others hold.
+
+    Raises:
+      DocumentError: the page as a whole cannot be read.
+    """
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        raise errors.DocumentError(f"list of engines: {error}") from None
+    reader = Reader(document, "list")
+    engines = []
+    for position, entry in enumerate(document.get("instances") or []):
+        try:
+            engines.append(_engine(Reader(entry, f"list[{position}]")))
+        except errors.DocumentError as error:
+            events.emit(LIST_ENTRY_SKIPPED, reason=str(error))
+    return engines, reader.text("next", "")
+
+
+def _engine(reader: Reader) -> EngineInfo:
+    state = reader.text("state")
+    if state not in STATES:
+        raise errors.DocumentError(f"no state {state!r}")
+    address = reader.text("address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise errors.DocumentError(f"no address {address!r}")
+    # An engine may start again under its identity; `born` tells its starts apart.
+    born = reader.integer("born", 0)
+    return EngineInfo(
+        identity=reader.text("id"),
+        boot=f"{reader.text('id')}@{born}",
+        service=reader.text("service"),
+        address=address,
+        data_centre=reader.text("zone", ""),
+        slots=reader.integer("slots", 1),
+        is_draining=STATES[state],
+        cold_s=reader.number("cold_remaining_ms", 0) / MS_PER_S,
+    )
+
+
+def _integers(value: bytes, separator: bytes = b",") -> list[int]:
+    parts = [part.strip() for part in value.split(separator)]
+    return [int(part) for part in parts] if all(p.isdigit() for p in parts) else []
+
+
+class PlatformProtocol:
+    """Heads of requests and answers as the platform's parties write them."""
+
+    def decode_request(self, headers: Headers) -> RequestInfo:
+        """Return what the router needs of a caller's request."""
+        counts = _integers(header_value(headers, wire.TOKEN_COUNTS))
+        hint = _integers(header_value(headers, wire.LENGTH_HINT))
+        deadline = _integers(header_value(headers, wire.DEADLINE))
+        keys = header_values(headers, wire.API_KEY)
+        return RequestInfo(
+            attempt_id=header_value(headers, wire.ATTEMPT_ID).decode("latin-1"),
+            deadline_s=deadline[0] / MS_PER_S if deadline else None,
+            key=keys[0].decode("latin-1") if len(keys) == 1 else "",
+            prompt_tokens=counts[0] if counts else 0,
+            maximum_output_tokens=counts[1] if len(counts) > 1 else 0,
+            expected_output_tokens=hint[0] if hint else 0,
+            prefix=_prefix(header_value(headers, wire.PROMPT_PREFIX)),
+        )
+
+    def encode_request(
+        self, method: str, target: bytes, headers: Headers, dispatch: Dispatch
+    ) -> bytes:
+        """Return the head of the request to an engine."""
+        lines = [
+            (name, value)
+            for name, value in strip_hop_by_hop(headers)
+            if name.lower() not in wire.SYSTEM_HEADERS
+            and not (dispatch.resume_from and name.lower() == wire.LAST_EVENT_ID)
+        ]
+        lines += _dispatch_headers(dispatch)
+        if dispatch.body_bytes or method not in ("GET", "HEAD", "DELETE"):
+            lines.append((b"Content-Length", b"%d" % dispatch.body_bytes))
+        return encode_head(method.encode() + b" " + target + b" HTTP/1.1", lines)
+
+    def decode_answer(self, head: ResponseHead) -> AnswerInfo:
+        """Return what the router needs of an engine's answer."""
+        status = head.status
+        return AnswerInfo(
+            status=status,
+            attempt_id=head.header(wire.ATTEMPT_ID).decode("latin-1"),
+            is_sealed=bool(head.header(wire.RESPONSE_SEAL)),
+            not_run=status == 421 or bool(head.header(wire.NOT_EXECUTED)),
+            wrong_target=status == 421,
+        )
+
+    def refusal_headers(self, retry_after_s: float | None) -> Headers:
+        """Return the headers of an answer of the system's own."""
+        if retry_after_s is None:
+            return []
+        return [(b"Retry-After", b"%.2f" % retry_after_s)]
+
+
+def _prefix(value: bytes) -> tuple[tuple[str, int], ...]:
+    parts: list[tuple[str, int]] = []
+    for item in value.split(b","):
+        identity, _, tokens = item.strip().partition(b":")
+        if not tokens.isdigit():
+            return tuple(parts)
+        parts.append((identity.decode("latin-1"), int(tokens)))
+    return tuple(parts)
+
+
+def _dispatch_headers(dispatch: Dispatch) -> Headers:
+    lines: list[tuple[bytes, Any]] = [
+        (b"X-Endivesill-Deadline-Remaining", b"%d" % int(dispatch.left_s * MS_PER_S)),
+        (b"X-Endivesill-Expected-Instance", dispatch.identity.encode()),
+    ]
+    if dispatch.organisation:
+        lines.append((b"X-Endivesill-Tenant", dispatch.organisation.encode()))
+    if dispatch.urgency is not None:
+        lines.append((b"X-Endivesill-Request-Urgency", b"%d" % dispatch.urgency))
+    if dispatch.backup_address:
+        lines.append((b"X-Endivesill-Kv-Backup", dispatch.backup_address.encode()))
+    if dispatch.resume_from:
+        lines.append((b"Kv-From", dispatch.resume_from.encode()))
+        lines.append((b"Last-Event-Id", dispatch.last_event_id.encode()))
+    return lines
--- /dev/null
+++ b/endivesill/platform/entry_process.py
@@ -0,0 +1,179 @@
+"""The entry process: forwards callers' requests."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from endivesill import errors, events
+from endivesill.fleet.events import STATE_IN_FORCE
+from endivesill.fleet.follower import FleetFollower
+from endivesill.fleet.hub import supervise
+from endivesill.fleet.load import EngineLoad
+from endivesill.forwarding.forwarder import Forwarder
+from endivesill.forwarding.retry_budget import RetryBudget
+from endivesill.forwarding.route_table import RouteTable
+from endivesill.forwarding.statistics import Statistics
+from endivesill.forwarding.targets import TargetTable
+from endivesill.forwarding.waiting import Admission
+from endivesill.http1 import ConnectionLimits, ConnectionPool, Exchange, HttpListener
+from endivesill.link_peers import LinkPeerTransport
+from endivesill.platform.desired_state import decode_desired_state
+from endivesill.platform.engines import PlatformProtocol
+from endivesill.platform.metrics_port import MetricsPort
+from endivesill.platform.process import SettingsWatch, StopSignal
+from endivesill.platform.settings import NodeSettings
+from endivesill.timer import TimerService
+
+__all__ = ["EntryProcess"]
+
+# A connection to an engine takes a few milliseconds; one that takes longer has
+# lost a packet, and another engine is tried.
+CONNECT_TIMEOUT_S = 0.3
+# Idle connections to engines are closed before the engine might do so.
+LONGEST_IDLE_S = 3.0
+PRUNE_S = 0.5
+# Waiting requests look for room at least this often.
+SERVE_S = 0.02
+# Without word from the control VMs for this long, callers do better elsewhere.
+READY_SILENCE_S = 6.0
+# After a stop was asked for: how long the balancer may still send new
+# connections, and the share of the grace until which requests are served.
+BALANCER_LAG_S = 2.5
+SERVING_SHARE = 5 / 6
+STOP_POLL_S = 0.05
+
+
+class EntryProcess:
+    """One entry.
+
+    Args:
+      settings: the process's settings.
+      timer: the timer service.
+    """
+
+    def __init__(self, settings: NodeSettings, timer: TimerService) -> None:
+        self._settings = settings
+        self._timer = timer
+        self._stopping = False
+        random_source = random.Random()
+        bounds = settings.bounds
+        self._follower = FleetFollower(
+            timer,
+            LinkPeerTransport(timer, settings.peer_address),
+            settings.seed_peers,
+            self._own_loads,
+            self._note_news,
+        )
+        view = self._follower.view
+        self._table = TargetTable(timer, view, settings.data_centre)
+        self._admission = Admission(
+            timer, self._table, (bounds.cold_factor, bounds.cold_slack), random_source
+        )
+        self._statistics = Statistics()
+        self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, LONGEST_IDLE_S)
+        budget = RetryBudget(
+            timer,
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_s,
+            lambda: view.loan.share_at(timer.now_s()),
+        )
+        self._forwarder = Forwarder(
+            timer,
+            self._table,
+            self._admission,
+            budget,
+            self._pool,
+            PlatformProtocol(),
+            self._statistics,
+            random_source,
+        )
+        self._front = HttpListener(
+            timer, settings.front_address, self._forwarder.handle
+        )
+        self._ready = HttpListener(timer, settings.ready_address, self._answer_ready)
+        self._metrics = MetricsPort(timer, settings, self._statistics.lines)
+
+    async def run(self) -> None:
+        """Serve until the process is told to stop."""
+        stop = StopSignal(self._settings, self._timer)
+        SettingsWatch(self._timer, lambda s: self._follower.use_seeds(s.seed_peers))
+        await self._ready.start()
+        await self._front.start()
+        await self._metrics.start()
+        task = supervise(self._timer, "fleet-follower", self._follower.run)
+        self._timer.call_every(PRUNE_S, self._pool.prune)
+        self._timer.call_every(SERVE_S, self._admission.serve_waiters)
+        events.emit(events.PROCESS_STARTED, vm=self._settings.vm, role="entry")
+        await stop.wait()
+        await self._drain(stop.since_s)
+        await self._follower.leave()
+        task.cancel()
+        await self._front.stop()
+        events.emit(events.PROCESS_STOPPED, vm=self._settings.vm)
+
+    # What the fleet says.
+
+    def _own_loads(self) -> dict[str, EngineLoad]:
+        return self._table.own_loads()
+
+    def _note_news(self, news: set[str]) -> None:
+        view = self._follower.view
+        if "state" in news:
+            self._use_state(view.document)
+        if "engines" in news:
+            self._table.update_engines()
+        self._table.update_loads()
+        if news - {"loads"}:
+            self._admission.serve_waiters()
+
+    def _use_state(self, document: Any) -> None:
+        try:
+            state = decode_desired_state(document)
+        except errors.DocumentError as error:
+            # The control VMs accept nothing that they cannot decode.
+            events.emit(events.TASK_FAILED, task="desired-state", error=str(error))
+            return
+        self._forwarder.routes = RouteTable(state)
+        self._front.limits = ConnectionLimits(
+            state.header_bytes,
+            state.body_bytes,
+            state.header_timeout_s,
+            state.idle_timeout_s,
+        )
+        events.emit(STATE_IN_FORCE, version=state.version, routes=len(state.routes))
+
+    # Readiness and stop.
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        view = self._follower.view
+        silent_s = self._timer.now_s() - view.confirmed_s
+        return (
+            not self._stopping
+            and self._forwarder.routes is not None
+            and bool(view.engines)
+            and silent_s < READY_SILENCE_S
+        )
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        exchange.respond(200 if self.is_ready() else 503, [])
+
+    async def _drain(self, since_s: float) -> None:
+        """Finish what is under way, and what still comes meanwhile."""
+        self._stopping = True
+        self._front.closing = True
+        grace_s = self._settings.bounds.grace_s
+        events.emit(
+            events.PROCESS_STOPPING, vm=self._settings.vm, active=self._front.active
+        )
+        lag_end_s = since_s + BALANCER_LAG_S
+        end_s = since_s + SERVING_SHARE * grace_s
+        while (now_s := self._timer.now_s()) < end_s:
+            if now_s > lag_end_s:
+                self._forwarder.refuse_streams = True
+                self._front.close_idle()
+                if not self._front.connections:
+                    return
+            await self._timer.sleep(STOP_POLL_S)
--- /dev/null
+++ b/endivesill/platform/operators.py
@@ -0,0 +1,107 @@
+"""Answers the operators' calls: desired state and evacuations."""
+
+from __future__ import annotations
+
+import json
+import urllib.parse
+from typing import Any
+
+from endivesill import errors, events
+from endivesill.control import ControlReplica
+from endivesill.fleet.events import CHANGE_ANSWERED
+from endivesill.fleet.state import (
+    CURRENT,
+    REPLACE,
+    SET_EVACUATION,
+    ReplaceOutcome,
+    document_digest,
+)
+from endivesill.http1 import Exchange
+from endivesill.platform import wire
+from endivesill.platform.desired_state import decode_desired_state
+from endivesill.timer import TimerService
+
+__all__ = ["OperatorPort"]
+
+# Operators go to another node after a second without an answer.
+ANSWER_WITHIN_S = 0.85
+
+
+class OperatorPort:
+    """Handles exchanges of the control address.
+
+    Args:
+      timer: the timer service.
+      replica: this VM's control replica.
+    """
+
+    def __init__(self, timer: TimerService, replica: ControlReplica) -> None:
+        self._timer = timer
+        self._replica = replica
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call; without a sure answer it is a 503."""
+        path = exchange.target.partition(b"?")[0]
+        try:
+            status, document = await self._answer(exchange, path)
+        except errors.DocumentError as error:
+            status, document = 400, {"error": str(error)}
+        except errors.ConflictError as error:
+            status, document = 409, {"error": str(error)}
+        except errors.EndivesillError as error:
+            status, document = 503, {"error": str(error)}
+        self._respond(exchange, status, document)
+        events.emit(
+            CHANGE_ANSWERED,
+            call=path.decode("latin-1"),
+            status=status,
+            detail=document.get("error", ""),
+            version=document.get("version"),
+            elapsed_s=round(self._timer.now_s() - exchange.received_s, 4),
+        )
+
+    async def _answer(self, exchange: Exchange, path: bytes) -> tuple[int, Any]:
+        method = exchange.method
+        if method == "POST" and path == wire.REPLACE_PATH:
+            return 200, await self._replace(exchange.body)
+        if method == "GET" and path == wire.READ_PATH:
+            return await self._read()
+        if method == "POST" and path.startswith(wire.EVACUATE_PREFIX):
+            return 200, await self._evacuate(path, wire.EVACUATE_PREFIX, True)
+        if method == "POST" and path.startswith(wire.TAKE_BACK_PREFIX):
+            return 200, await self._evacuate(path, wire.TAKE_BACK_PREFIX, False)
+        return 404, {"error": "no such call"}
+
+    async def _replace(self, body: bytes) -> dict[str, Any]:
+        try:
+            document = json.loads(body)
+        except ValueError as error:
+            raise errors.DocumentError(str(error)) from None
+        version = decode_desired_state(document).version
+        message = {
+            "version": version,
+            "digest": document_digest(document),
+            "document": document,
+        }
+        result = await self._replica.propose(REPLACE, message, ANSWER_WITHIN_S)
+        if result["outcome"] == ReplaceOutcome.CONFLICT.value:
+            raise errors.ConflictError(f"version {version} has other content")
+        return {"version": result["version"]}
+
+    async def _read(self) -> tuple[int, Any]:
+        current = await self._replica.query(CURRENT, {}, ANSWER_WITHIN_S)
+        if not current:
+            return 503, {"error": "no desired state yet"}
+        return 200, current["document"]
+
+    async def _evacuate(
+        self, path: bytes, prefix: bytes, evacuated: bool
+    ) -> dict[str, Any]:
+        data_centre = urllib.parse.unquote(path[len(prefix) :].decode("latin-1"))
+        message = {"data_centre": data_centre, "evacuated": evacuated}
+        await self._replica.propose(SET_EVACUATION, message, ANSWER_WITHIN_S)
+        return {}
+
+    def _respond(self, exchange: Exchange, status: int, document: Any) -> None:
+        body = json.dumps(document, separators=(",", ":")).encode()
+        exchange.respond(status, [(b"Content-Type", b"application/json")], body)
--- /dev/null
+++ b/endivesill/platform/provider.py
@@ -0,0 +1,67 @@
+"""Reads the platform's list of engines, page by page."""
+
+from __future__ import annotations
+
+import urllib.parse
+
+from endivesill import errors
+from endivesill.fleet.engine_list import ListSource
+from endivesill.fleet.model import EngineInfo
+from endivesill.http1 import ConnectionPool, UpstreamError, encode_head
+from endivesill.platform import wire
+from endivesill.platform.engines import decode_list_page
+from endivesill.timer import TimerService
+
+__all__ = ["PlatformList"]
+
+CONNECT_TIMEOUT_S = 0.5
+PAGE_TIMEOUT_S = 1.0
+LONGEST_IDLE_S = 5.0
+
+
+class PlatformList(ListSource):
+    """The list at the platform's address.
+
+    Args:
+      timer: the timer service.
+      address: HOST:PORT of the list.
+    """
+
+    def __init__(self, timer: TimerService, address: str) -> None:
+        self._timer = timer
+        self._address = address
+        self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, LONGEST_IDLE_S)
+
+    async def read(self) -> list[EngineInfo]:
+        """Read all pages; see the base class."""
+        engines: list[EngineInfo] = []
+        token = ""
+        while True:
+            try:
+                body = await self._timer.wait_for(self._page(token), PAGE_TIMEOUT_S)
+                page, token = decode_list_page(body)
+            except (
+                UpstreamError,
+                errors.DeadlineExceededError,
+                errors.DocumentError,
+            ) as error:
+                raise errors.UnavailableError(f"list of engines: {error}") from None
+            engines += page
+            if not token:
+                return engines
+
+    async def _page(self, token: str) -> bytes:
+        path = wire.LIST_PATH
+        if token:
+            path += "?page_token=" + urllib.parse.quote(token)
+        start = f"GET {path} HTTP/1.1".encode()
+        connection = await self._pool.acquire(self._address)
+        try:
+            connection.send(encode_head(start, [(b"Host", self._address.encode())]))
+            head = await connection.head()
+            body = await connection.read_all()
+        finally:
+            self._pool.release(connection)
+        if head.status != 200:
+            raise UpstreamError(f"status {head.status}", sent=True)
+        return body
--- a/tests/test_peer_port.py
+++ b/tests/test_peer_port.py
@@ -4,9 +4,9 @@
 import unittest
 
 from endivesill import errors
+from endivesill.http_peers import HttpPeerTransport
 from endivesill.keys import KeyRing
 from endivesill.peer_port import STOP_LIMIT_S, PeerPort
-from endivesill.peers import HttpPeerTransport
 from endivesill.timer import ManualTimer
 
 
