--- a/endivesill/fleet/follower.py
+++ b/endivesill/fleet/follower.py
@@ -73,6 +73,8 @@
 
     Attributes:
       view: what is known.
+      entry: names this start of the entry.
+      leader: peer address of the leader; None while it is not known.
     """
 
     def __init__(
@@ -89,8 +91,9 @@
         self._known: list[str] = []
         self._own_loads = own_loads
         self._changed = changed
-        self._entry = uuid.uuid4().hex[:12]
-        self._leader: str | None = None
+        self._grants_seen = 0
+        self.entry = uuid.uuid4().hex[:12]
+        self.leader: str | None = None
         self._positions = itertools.count()
         self._connected = False
         self.view = FleetView()
@@ -103,7 +106,7 @@
         """Ask for news until cancelled."""
         retry_s = RETRY_S
         while True:
-            address = self._leader or self._next_address()
+            address = self.leader or self._next_address()
             sent_s = self._timer.now_s()
             try:
                 answer = await self._transport.call(
@@ -119,21 +122,36 @@
                 self._take(address, answer, sent_s)
                 continue
             leader = answer.get("leader")
-            self._leader = leader if leader != address else None
-            if self._leader is None:
+            self.leader = leader if leader != address else None
+            if self.leader is None:
                 self._note_silence(address, "does not lead")
             await self._timer.sleep(RETRY_S)
 
+    def note_grant(self, number: int) -> None:
+        """Note that a place which the leader granted is counted here now."""
+        self._grants_seen = max(self._grants_seen, number)
+
+    def report(self) -> Message:
+        """Return this entry's load, as the leader takes it."""
+        return {
+            "entry": self.entry,
+            "grants_seen": self._grants_seen,
+            "loads": {
+                boot: [load.requests, load.reserved_tokens, load.unread_tokens]
+                for boot, load in self._own_loads().items()
+            },
+        }
+
     async def leave(self) -> None:
         """Tell the leader that this entry stops."""
-        if self._leader is None:
+        if self.leader is None:
             return
         message = {**self._question(), "leaving": True}
         try:
-            await self._transport.call(self._leader, SYNC_PATH, message, SYNC_TIMEOUT_S)
+            await self._transport.call(self.leader, SYNC_PATH, message, SYNC_TIMEOUT_S)
         except errors.PeerUnreachableError as error:
             # The loan ends by itself.
-            events.emit(LEADER_LOST, address=self._leader, reason=str(error))
+            events.emit(LEADER_LOST, address=self.leader, reason=str(error))
 
     def _next_address(self) -> str:
         addresses = list(dict.fromkeys([*self._known, *self._seeds]))
@@ -142,19 +160,15 @@
     def _question(self) -> Message:
         view = self.view
         return {
-            "entry": self._entry,
+            **self.report(),
             "version": view.version,
             "evacuations": view.evacuation_index,
             "list": view.list_stamp,
             "share": view.loan.share_at(self._timer.now_s()),
-            "loads": {
-                boot: [load.requests, load.reserved_tokens, load.unread_tokens]
-                for boot, load in self._own_loads().items()
-            },
         }
 
     def _note_silence(self, address: str, reason: str) -> None:
-        self._leader = None
+        self.leader = None
         silent_s = self._timer.now_s() - self.view.confirmed_s
         if self._connected and silent_s > LOST_AFTER_S:
             self._connected = False
@@ -193,6 +207,6 @@
         view.loan = Loan(answer["share"], sent_s + LOAN_LIFE_S)
         view.entries = answer["entries"]
         view.confirmed_s = sent_s
-        self._leader = address
+        self.leader = address
         self._known = answer["controls"]
         self._changed(news)
--- a/endivesill/fleet/hub.py
+++ b/endivesill/fleet/hub.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from endivesill import errors, events
@@ -18,7 +19,7 @@
     ListSource,
     list_to_message,
 )
-from endivesill.fleet.load import LoadTable
+from endivesill.fleet.load import EngineLoad, FleetLoads
 from endivesill.fleet.shares import ShareLedger
 from endivesill.fleet.state import current_state, evacuations
 from endivesill.peers import Message, PeerTransport
@@ -42,6 +43,10 @@
       replica: this VM's control replica.
       transport: the peer port.
       source: reads the platform's list.
+
+    Attributes:
+      reader: holds the last reading of the list.
+      loads: the loads of all entries.
     """
 
     def __init__(
@@ -54,15 +59,25 @@
         self._timer = timer
         self._replica = replica
         self._news = Signal()
-        self._reader = EngineListReader(timer, source)
-        self._loads = LoadTable()
+        self._on_change: Callable[[], None] = lambda: None
+        self.reader = EngineListReader(timer, source)
+        self.loads = FleetLoads()
         self._ledger: ShareLedger | None = None
         self._term = 0
         transport.handle(SYNC_PATH, self._handle_sync)
         replica.subscribe_applied(self._note_applied)
 
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each report, list and change of the state."""
+        self._on_change = listener
+
+    def leads(self) -> bool:
+        """Tell whether this VM leads, as far as it knows."""
+        return self._replica.core.leadership is not None
+
     def _note_applied(self, applied: Applied) -> None:
         self._news.notify()
+        self._on_change()
 
     async def run(self) -> None:
         """Read the platform's list whenever this VM leads."""
@@ -71,9 +86,10 @@
             if term is None:
                 await self._timer.sleep(NOT_LEADING_PAUSE_S)
                 continue
-            if await self._reader.read(term):
+            if await self.reader.read(term):
                 self._news.notify()
-            await self._reader.pause()
+                self._on_change()
+            await self.reader.pause()
 
     async def _confirmed_term(self) -> int | None:
         """Return the term in which this VM leads for sure, or None."""
@@ -97,7 +113,8 @@
 
         Args:
           message: `{"entry", "version", "evacuations", "list", "share", "loads",
-            "leaving"}`: who asks, what it knows, and its load by engine.
+            "grants_seen", "leaving"}`: who asks, what it knows, and its load by
+            engine with the last place that is counted in it.
 
         Returns:
           `{"leader"}` from a VM that does not lead; otherwise `{"share",
@@ -108,9 +125,12 @@
         if message.get("leaving"):
             if self._ledger is not None:
                 self._ledger.give_back(entry)
-            self._loads.forget(entry)
+            self.loads.forget(entry)
             return {}
-        self._loads.report(entry, message["loads"], self._timer.now_s())
+        self.loads.report(
+            entry, message["loads"], message["grants_seen"], self._timer.now_s()
+        )
+        self._on_change()
         if not self._has_news(message):
             await self._wait_for_news(message)
         if await self._confirmed_term() is None:
@@ -143,7 +163,7 @@
         index, data_centres = evacuations(self._replica.state)
         if index > message["evacuations"]:
             news["evacuations"] = {"index": index, "data_centres": data_centres}
-        reading = self._reader.current
+        reading = self.reader.current
         if reading is not None and reading.stamp > message["list"]:
             news["list"] = list_to_message(reading, self._timer.now_s())
         return news
@@ -155,12 +175,19 @@
             **self._newer(message),
             "share": self._ledger.lend(entry, message["share"], now_s),
             "entries": len(self._ledger.entries(now_s)),
-            "loads": self._loads.of_others(entry, now_s),
+            "loads": _rows(self.loads.sums(now_s, without=entry)),
             "controls": sorted(self._replica.core.voter_set.members.values()),
             "term": self._term,
         }
 
 
+def _rows(loads: dict[str, EngineLoad]) -> dict[str, list[int]]:
+    return {
+        boot: [load.requests, load.reserved_tokens, load.unread_tokens]
+        for boot, load in loads.items()
+    }
+
+
 def supervise(timer: TimerService, name: str, run: Any) -> asyncio.Task[None]:
     """Run a coroutine function again and again; failures are logged."""
 
--- a/endivesill/fleet/load.py
+++ b/endivesill/fleet/load.py
@@ -1,15 +1,19 @@
-"""The load that each entry puts on each engine, told to the others."""
+"""The load that each entry puts on each engine, as the leader adds it up."""
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 
 import attrs
 
-__all__ = ["EngineLoad", "LoadTable", "add_loads"]
+__all__ = ["EngineLoad", "FleetLoads", "add_loads"]
 
 # An entry that has told nothing for this long is taken to have no load.
 REPORT_LIFE_S = 2.0
+# A place that was granted counts for this long until its entry reports it; an
+# answer and the next report take far less.
+GRANT_LIFE_S = 1.0
 
 
 @attrs.frozen
@@ -37,36 +41,73 @@
     return EngineLoad(requests, reserved, unread)
 
 
-class LoadTable:
-    """The last report of each entry."""
+@attrs.frozen
+class _Grant:
+    """A place that was granted and is not reported yet."""
+
+    number: int
+    boot: str
+    load: EngineLoad
+    end_s: float
+
+
+@attrs.define
+class _EntryLoads:
+    """What is known of one entry."""
+
+    reported_s: float = float("-inf")
+    loads: dict[str, EngineLoad] = attrs.Factory(dict)
+    grants: list[_Grant] = attrs.Factory(list)
+    last_number: int = 0
+
+
+class FleetLoads:
+    """The last report of each entry and the places granted since."""
 
     def __init__(self) -> None:
-        self._reports: dict[str, tuple[float, dict[str, EngineLoad]]] = {}
-
-    def report(self, entry: str, rows: dict[str, list[int]], now_s: float) -> None:
-        """Take an entry's report: `[requests, reserved, unread]` by engine."""
-        loads = {engine: EngineLoad(*row) for engine, row in rows.items()}
-        self._reports[entry] = (now_s, loads)
-
-    def of_others(self, entry: str, now_s: float) -> dict[str, list[int]]:
-        """Return the sums of all entries but one, as rows by engine."""
-        fresh = {
-            name: report
-            for name, report in self._reports.items()
-            if now_s - report[0] < REPORT_LIFE_S
-        }
-        self._reports = fresh
-        by_engine: dict[str, list[EngineLoad]] = {}
-        for name, (_, loads) in fresh.items():
-            if name != entry:
-                for engine, load in loads.items():
-                    by_engine.setdefault(engine, []).append(load)
-        sums = {engine: add_loads(loads) for engine, loads in by_engine.items()}
-        return {
-            engine: [s.requests, s.reserved_tokens, s.unread_tokens]
-            for engine, s in sums.items()
-        }
+        self._entries: dict[str, _EntryLoads] = {}
+
+    def report(
+        self, entry: str, rows: dict[str, list[int]], grants_seen: int, now_s: float
+    ) -> None:
+        """Take an entry's report.
+
+        Args:
+          entry: names one start of an entry.
+          rows: `[requests, reserved tokens, unread tokens]` by boot of the engine.
+          grants_seen: number of the last grant that the entry has received.
+          now_s: the time.
+        """
+        known = self._entries.setdefault(entry, _EntryLoads())
+        known.reported_s = now_s
+        known.loads = {boot: EngineLoad(*row) for boot, row in rows.items()}
+        known.grants = [g for g in known.grants if g.number > grants_seen]
+        # After a change of the leader the numbers go on from the entry's.
+        known.last_number = max(known.last_number, grants_seen)
+
+    def grant(self, entry: str, loads: dict[str, EngineLoad], now_s: float) -> int:
+        """Count a place that is granted to an entry; return the grant's number."""
+        known = self._entries.setdefault(entry, _EntryLoads(now_s))
+        known.last_number += 1
+        end_s = now_s + GRANT_LIFE_S
+        for boot, load in loads.items():
+            known.grants.append(_Grant(known.last_number, boot, load, end_s))
+        return known.last_number
+
+    def sums(self, now_s: float, without: str = "") -> dict[str, EngineLoad]:
+        """Return the load of all entries, but one if named, by boot."""
+        by_boot: dict[str, list[EngineLoad]] = collections.defaultdict(list)
+        for entry, known in list(self._entries.items()):
+            if now_s - known.reported_s > REPORT_LIFE_S:
+                del self._entries[entry]
+            elif entry != without:
+                for boot, load in known.loads.items():
+                    by_boot[boot].append(load)
+                for grant in known.grants:
+                    if grant.end_s > now_s:
+                        by_boot[grant.boot].append(grant.load)
+        return {boot: add_loads(loads) for boot, loads in by_boot.items()}
 
     def forget(self, entry: str) -> None:
-        """Drop the report of an entry that stops."""
-        self._reports.pop(entry, None)
+        """Drop an entry that stops."""
+        self._entries.pop(entry, None)
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -151,7 +151,6 @@
             connection.send(head + exchange.body, no_body=exchange.method == "HEAD")
         except UpstreamError as error:
             raise AttemptError(Failure.NO_CONNECTION, str(error)) from None
-        self._table.note_send(target)
         call.sends += 1
         call.may_have_run = True
 
--- a/endivesill/forwarding/call.py
+++ b/endivesill/forwarding/call.py
@@ -5,9 +5,8 @@
 import attrs
 
 from endivesill.fleet.model import Route, Service
-from endivesill.forwarding.placement import Need
 from endivesill.forwarding.protocol import RequestInfo
-from endivesill.forwarding.targets import Target
+from endivesill.forwarding.targets import Need, Target
 from endivesill.http1 import Exchange
 
 __all__ = ["Call"]
--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -5,9 +5,11 @@
 __all__ = [
     "ANSWER_SKIPPED",
     "ATTEMPT_ENDED",
+    "PLACE_REFUSED",
     "REQUEST_ENDED",
     "REQUEST_PLACED",
     "REQUEST_REFUSED",
+    "RUN_COPIED",
     "STREAM_RESUMED",
     "TARGET_EJECTED",
     "TARGET_READMITTED",
@@ -26,6 +28,12 @@
 STREAM_RESUMED = events.define(
     2105, "stream-resumed", "A stream goes on from a copy of its run."
 )
+RUN_COPIED = events.define(
+    2107, "run-copied", "The memory of a run was copied to another engine, or not."
+)
+PLACE_REFUSED = events.define(
+    2108, "place-refused", "The leader has no place for an entry's request."
+)
 ANSWER_SKIPPED = events.define(
     2106, "answer-skipped", "An answer to another request came on a connection."
 )
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -20,19 +20,15 @@
     REQUEST_PLACED,
     REQUEST_REFUSED,
 )
-from endivesill.forwarding.placement import Need
+from endivesill.forwarding.placer import Place, Placer
 from endivesill.forwarding.protocol import EngineProtocol, RequestInfo
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable, pick_service
+from endivesill.forwarding.run_copy import RunCopier
 from endivesill.forwarding.statistics import Statistics
 from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
-from endivesill.forwarding.targets import CONNECT_REST_S, Target, TargetTable
-from endivesill.forwarding.waiting import (
-    Admission,
-    NoRoomError,
-    release,
-    retry_after_s,
-)
+from endivesill.forwarding.targets import CONNECT_REST_S, Need, Target, TargetTable
+from endivesill.forwarding.waiting import Admission, NoRoomError
 from endivesill.http1 import (
     ConnectionPool,
     Exchange,
@@ -49,8 +45,16 @@
 # Share of the time left that one attempt of a repeatable request may take while
 # there is another target to try; answers the pattern of a target that hangs.
 ATTEMPT_TIME_SHARE = 0.4
+# Retry-After for a caller whose request found no room: engines give room back
+# as generations end, some each second.
+RETRY_AFTER_S = 1.0
+# Spread of Retry-After, so that refused callers do not return together.
+RETRY_SPREAD = 0.5
 # Retry-After of an entry that does not know the routes yet.
 NO_STATE_RETRY_S = 0.5
+# Share of its output that a generation holds in memory on the mean of its run;
+# the runs of an engine are at different points of theirs.
+MEAN_FILL = 0.5
 # Output expected of a generation without an estimate, as a share of its longest.
 OUTPUT_SHARE = 0.5
 
@@ -61,7 +65,8 @@
     Args:
       timer: the timer service.
       table: the targets.
-      admission: gives requests their places.
+      admission: places requests here.
+      placer: gets requests their places.
       budget: the budget of repeats.
       pool: connections to targets.
       protocol: reads and writes heads.
@@ -79,6 +84,7 @@
         timer: TimerService,
         table: TargetTable,
         admission: Admission,
+        placer: Placer,
         budget: RetryBudget,
         pool: ConnectionPool,
         protocol: EngineProtocol,
@@ -88,12 +94,14 @@
         self._timer = timer
         self._table = table
         self._admission = admission
+        self._placer = placer
         self._budget = budget
         self._pool = pool
         self._protocol = protocol
         self._statistics = statistics
         self._random = random_source
         self._sender = Sender(timer, pool, table, protocol)
+        self._copier = RunCopier(timer, pool, protocol)
         self.routes: RouteTable | None = None
         self.refuse_streams = False
 
@@ -179,14 +187,15 @@
         rejections = 0
         while True:
             try:
-                target = await self._admission.place(call)
+                place = await self._placer.place(call)
             except NoRoomError as error:
                 self._give_up(call, 502, error.reason)
                 return
-            self._log_placed(call, target)
+            target = place.target
+            self._log_placed(call, place)
             try:
                 if call.route.kind is RequestKind.STREAMING:
-                    await self._stream(call, target)
+                    await self._stream(call, place)
                     return
                 if await self._plain(call, target):
                     return
@@ -205,7 +214,7 @@
         try:
             attempt, body = await self._whole_answer(call, target)
         finally:
-            release(target, call)
+            target.give_back(call.need)
         good = attempt.answer.status < 500
         self._table.note_outcome(target, good=good)
         call.runs += 1
@@ -268,10 +277,19 @@
 
     # Streams.
 
-    async def _stream(self, call: Call, target: Target) -> None:
-        relay = StreamRelay(self._timer, self._sender, self._pool, self._table, call)
+    async def _stream(self, call: Call, place: Place) -> None:
+        target = place.target
+        relay = StreamRelay(
+            self._timer,
+            self._sender,
+            self._pool,
+            self._table,
+            self._placer,
+            self._copier,
+            call,
+        )
         try:
-            attempt = await relay.run(target)
+            attempt = await relay.run(place)
         except StreamBrokenError as error:
             self._table.note_outcome(target, good=False)
             self._give_up(call, 502, str(error), events=relay.events)
@@ -315,12 +333,13 @@
         exchange = call.exchange
         if exchange.answered:
             self._log_end(call, "broken", reason, **fields)
+            exchange.on_gone = None
             exchange.abort()
         elif call.may_have_run:
             exchange.respond(status, [])
             self._log_end(call, "unknown", reason, status=status)
         else:
-            after_s = retry_after_s(self._random.random())
+            after_s = RETRY_AFTER_S * (1 + RETRY_SPREAD * self._random.random())
             self._refuse(exchange, call.info, 503, reason, after_s, call)
 
     def _refuse(
@@ -349,13 +368,16 @@
 
     # Logs.
 
-    def _log_placed(self, call: Call, target: Target) -> None:
+    def _log_placed(self, call: Call, place: Place) -> None:
+        target = place.target
         events.emit(
             REQUEST_PLACED,
             request=call.info.attempt_id,
             route=call.route.name,
             route_kind=call.route.kind.value,
             target=target.info.identity,
+            backup=place.backup.info.identity if place.backup else None,
+            by_leader=place.by_leader,
             sends=call.sends,
             waited_s=round(call.waited_s, 4),
             requests=target.all_requests,
@@ -395,4 +417,5 @@
     longest = info.maximum_output_tokens
     expected = info.expected_output_tokens or OUTPUT_SHARE * longest
     output = min(expected, longest) if longest else expected
-    return Need(info.prompt_tokens, info.prompt_tokens + int(output))
+    held = int(MEAN_FILL * output)
+    return Need(info.prompt_tokens, info.prompt_tokens + held)
--- /dev/null
+++ b/endivesill/forwarding/home.py
@@ -0,0 +1,156 @@
+"""Places generations for all entries, at the leader of the control VMs.
+
+An engine's memory and its prompts to read are too scarce to be shared out by
+entries that each know only their own load: several would fill the same new
+engine at once. The leader sees all of it and gives one place after the other.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from endivesill import events
+from endivesill.fleet.load import EngineLoad, FleetLoads
+from endivesill.fleet.model import Service
+from endivesill.forwarding.events import PLACE_REFUSED
+from endivesill.forwarding.placement import choose_backup, choose_destination
+from endivesill.forwarding.targets import Need, Target, TargetTable
+from endivesill.forwarding.waiting import Admission, NoRoomError, PlaceRequest
+from endivesill.peers import Message
+from endivesill.timer import TimerService
+
+__all__ = ["PLACE_PATH", "PlacementHome"]
+
+PLACE_PATH = "/fleet/place"
+
+# Part of the rate that cold targets bear which the leader gives out; the other
+# part is for entries that place by themselves while there is no leader.
+COLD_SHARE = 0.5
+
+
+class PlacementHome:
+    """Answers entries that ask for a place.
+
+    Args:
+      timer: the timer service.
+      table: the targets, with no load of their own.
+      loads: the loads of all entries.
+      services: returns a service of the desired state in force, or None.
+      cold_bounds: factor and slack on the rate that a cold target bears.
+      leads: tells whether this VM leads.
+    """
+
+    def __init__(
+        self,
+        timer: TimerService,
+        table: TargetTable,
+        loads: FleetLoads,
+        services: Callable[[str], Service | None],
+        cold_bounds: tuple[float, float],
+        leads: Callable[[], bool],
+    ) -> None:
+        self._timer = timer
+        self._table = table
+        self._loads = loads
+        self._services = services
+        self._cold_bounds = cold_bounds
+        self._leads = leads
+        self._admission = Admission(
+            timer, table, self._cold_allowance, self._note_placed, random.Random()
+        )
+        self._asking: dict[int, str] = {}
+        self._grants: dict[int, tuple[int, Target | None]] = {}
+
+    def _cold_allowance(self, service: Service) -> float:
+        factor, slack = self._cold_bounds
+        return COLD_SHARE * (factor * service.cold_requests_per_s + slack)
+
+    def update(self) -> None:
+        """Take changed loads and targets, and serve who waits."""
+        self._table.update_loads(self._loads.sums(self._timer.now_s()))
+        self._admission.serve_waiters()
+
+    async def handle(self, message: Message) -> Message:
+        """Give an entry a place.
+
+        Args:
+          message: `{"entry", "loads", "grants_seen", "service", "priority",
+            "prompt_tokens", "memory_tokens", "patience_s", "excluded",
+            "holder"}`: who asks, its load, and what it needs a place for; with
+            a `holder`, the place is for a copy of a run at that engine.
+
+        Returns:
+          `{"number", "target", "backup"}` with boots of engines; `{"refused"}`
+          with the reason; `{"leader": None}` from a VM that does not lead.
+        """
+        now_s = self._timer.now_s()
+        service = self._services(message["service"])
+        if not self._leads() or service is None or service.memory is None:
+            return {"leader": None}
+        self._loads.report(
+            message["entry"], message["loads"], message["grants_seen"], now_s
+        )
+        self.update()
+        request = PlaceRequest(
+            service=service,
+            need=Need(message["prompt_tokens"], message["memory_tokens"]),
+            priority=message["priority"],
+            latest_s=now_s + message["patience_s"],
+            excluded=self._table.find_all(message["excluded"]),
+        )
+        if message["holder"]:
+            return self._place_copy(message, request)
+        return await self._place_run(message["entry"], request)
+
+    async def _place_run(self, entry: str, request: PlaceRequest) -> Message:
+        self._asking[id(request)] = entry
+        try:
+            target = await self._admission.place(request)
+            number, backup = self._grants.pop(id(request))
+        except NoRoomError as error:
+            events.emit(
+                PLACE_REFUSED,
+                entry=entry,
+                service=request.service.name,
+                reason=error.reason,
+                waiting=self._admission.waiting(),
+            )
+            return {"refused": error.reason}
+        finally:
+            self._asking.pop(id(request), None)
+            self._grants.pop(id(request), None)
+        return {
+            "number": number,
+            "target": target.info.boot,
+            "backup": backup.info.boot if backup else None,
+        }
+
+    def _note_placed(self, request: PlaceRequest, target: Target) -> None:
+        """Count a place for the entry that has asked, with its backup."""
+        need = request.need
+        targets = self._table.candidates(request.service.name, ())
+        backup = choose_backup(targets, request.service, need, target)
+        loads = {
+            target.info.boot: EngineLoad(1, need.memory_tokens, need.prompt_tokens)
+        }
+        if backup is not None:
+            loads[backup.info.boot] = EngineLoad(0, need.memory_tokens, 0)
+        now_s = self._timer.now_s()
+        number = self._loads.grant(self._asking[id(request)], loads, now_s)
+        self._grants[id(request)] = (number, backup)
+        self._table.note_send(target)
+        self._table.update_loads(self._loads.sums(now_s))
+
+    def _place_copy(self, message: Message, request: PlaceRequest) -> Message:
+        holder = self._table.find_all([message["holder"]])
+        targets = self._table.candidates(request.service.name, holder)
+        destination = choose_destination(targets, request.service, request.need)
+        if destination is None:
+            return {"refused": "no room for a copy"}
+        load = EngineLoad(1, request.need.memory_tokens, 0)
+        now_s = self._timer.now_s()
+        boot = destination.info.boot
+        number = self._loads.grant(message["entry"], {boot: load}, now_s)
+        self._table.update_loads(self._loads.sums(now_s))
+        return {"number": number, "target": boot, "backup": None}
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -5,12 +5,10 @@
 import random
 from collections.abc import Sequence
 
-import attrs
-
 from endivesill.fleet.model import Service
-from endivesill.forwarding.targets import Target
+from endivesill.forwarding.targets import Need, Target
 
-__all__ = ["Need", "choose_backup", "choose_target", "fits"]
+__all__ = ["choose_backup", "choose_destination", "choose_target", "fits"]
 
 # Prompt tokens that an engine reads in a second, where nothing was measured;
 # engines of today read some ten thousand.
@@ -30,19 +28,6 @@
 MEMORY_COST_S = 0.2
 
 
-@attrs.frozen
-class Need:
-    """What a request takes at a target.
-
-    Attributes:
-      prompt_tokens: prompt tokens to read; 0 for a plain request.
-      memory_tokens: memory for the prompt and the expected output.
-    """
-
-    prompt_tokens: int = 0
-    memory_tokens: int = 0
-
-
 def fits(target: Target, service: Service, need: Need) -> bool:
     """Tell whether a target has room for a request now.
 
@@ -106,13 +91,26 @@
     Answers the pattern of engines that are taken away on short notice while
     they generate.
     """
-    memory = service.memory
-    if memory is None or not memory.has_backups:
+    if service.memory is None or not service.memory.has_backups:
         return None
     others = [target for target in targets if target is not holder]
-    if not others:
+    return _roomiest(others, service, need)
+
+
+def choose_destination(
+    targets: Sequence[Target], service: Service, need: Need
+) -> Target | None:
+    """Return the target that gets a copy of a run without a backup, or None."""
+    if service.memory is None or not service.memory.has_moves:
         return None
-    best = min(others, key=lambda target: target.all_reserved_tokens)
-    limit = MEMORY_SHARE * memory.capacity_tokens
+    return _roomiest(targets, service, need)
+
+
+def _roomiest(targets: Sequence[Target], service: Service, need: Need) -> Target | None:
+    assert service.memory is not None
+    if not targets:
+        return None
+    best = min(targets, key=lambda target: target.all_reserved_tokens)
+    limit = MEMORY_SHARE * service.memory.capacity_tokens
     fits_there = best.all_reserved_tokens + need.memory_tokens <= limit
     return best if fits_there else None
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -95,5 +95,16 @@
     def decode_answer(self, head: ResponseHead) -> AnswerInfo:
         """Return what routing needs of an engine's answer."""
 
+    def encode_copy_order(
+        self, source: str, attempt_id: str, destination: str
+    ) -> bytes:
+        """Return the request that orders a copy of a run; addresses are HOST:PORT."""
+
+    def decode_copy_name(self, body: bytes) -> str:
+        """Return the name of a copy; empty if the answer has none."""
+
+    def encode_copy_release(self, source: str, name: str) -> bytes:
+        """Return the request that frees a copy."""
+
     def refusal_headers(self, retry_after_s: float | None) -> Headers:
         """Return the headers of an answer of the system's own."""
--- /dev/null
+++ b/endivesill/forwarding/run_copy.py
@@ -0,0 +1,194 @@
+"""Copies the memory of a run to another engine, so that it can go on there.
+
+The run is never stopped for it: an engine that goes on from a copy reads the
+few tokens that the copy lacks faster than they could be copied.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from endivesill import errors, events
+from endivesill.forwarding.call import Call
+from endivesill.forwarding.events import RUN_COPIED
+from endivesill.forwarding.protocol import EngineProtocol
+from endivesill.forwarding.targets import Target
+from endivesill.http1 import ConnectionPool, UpstreamError
+from endivesill.timer import TimerService
+
+__all__ = ["CopyRefusedError", "RunCopy", "RunCopier"]
+
+# A run of some thousand tokens takes a fifth of a second on a free link; runs
+# of one engine are copied one after the other.
+COPY_TIMEOUT_S = 4.0
+# Period in which a copy takes up what the run has made since; well within the
+# time for which an engine keeps a copy that nobody asks for.
+REFRESH_S = 1.5
+FREE_TIMEOUT_S = 1.0
+
+
+class CopyRefusedError(errors.EndivesillError):
+    """An engine that did not copy a run."""
+
+
+class RunCopier:
+    """Orders engines to copy runs.
+
+    Args:
+      timer: the timer service.
+      pool: connections to targets.
+      protocol: writes and reads the orders.
+    """
+
+    def __init__(
+        self, timer: TimerService, pool: ConnectionPool, protocol: EngineProtocol
+    ) -> None:
+        self.timer = timer
+        self._pool = pool
+        self._protocol = protocol
+        self._copying: set[str] = set()
+
+    def is_copying_from(self, source: Target) -> bool:
+        """Tell whether a run of an engine is being copied for the first time.
+
+        Copies wait for each other on the engine's link, so that more at once
+        gain nothing.
+        """
+        return source.info.boot in self._copying
+
+    def note_first_copy(self, source: Target, *, begins: bool) -> None:
+        """Note the begin or end of a first copy from an engine."""
+        if begins:
+            self._copying.add(source.info.boot)
+        else:
+            self._copying.discard(source.info.boot)
+
+    async def copy(self, call: Call, source: Target, destination: Target) -> str:
+        """Copy a run and return the name of the copy, as the source has it.
+
+        Args:
+          call: the request that runs.
+          source: where it runs.
+          destination: who gets the copy.
+
+        Raises:
+          CopyRefusedError: there is no copy.
+        """
+        order = self._protocol.encode_copy_order(
+            source.info.address, call.info.attempt_id, destination.info.address
+        )
+        status, body = await self._exchange(source, order, COPY_TIMEOUT_S)
+        if status != 200:
+            raise CopyRefusedError(f"status {status}")
+        return self._protocol.decode_copy_name(body)
+
+    async def free(self, source: Target, name: str) -> None:
+        """Free a copy that is not needed any more."""
+        order = self._protocol.encode_copy_release(source.info.address, name)
+        await self._exchange(source, order, FREE_TIMEOUT_S)
+
+    async def _exchange(
+        self, source: Target, order: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
+        try:
+            return await self.timer.wait_for(
+                self._send(source.info.address, order), timeout_s
+            )
+        except (UpstreamError, errors.DeadlineExceededError) as error:
+            raise CopyRefusedError(str(error)) from None
+
+    async def _send(self, address: str, order: bytes) -> tuple[int, bytes]:
+        connection = await self._pool.acquire(address)
+        try:
+            connection.send(order)
+            head = await connection.head()
+            return head.status, await connection.read_all()
+        finally:
+            self._pool.release(connection)
+
+
+class RunCopy:
+    """A copy of one run at another engine, kept up to date.
+
+    Args:
+      copier: orders the copies.
+      call: the request that runs.
+      source: where it runs.
+      destination: who gets the copy; a place is taken there.
+
+    Attributes:
+      destination: who has the copy.
+      name: names the copy; empty before there is one.
+      has_failed: whether there will be none.
+    """
+
+    def __init__(
+        self, copier: RunCopier, call: Call, source: Target, destination: Target
+    ) -> None:
+        self._copier = copier
+        self._call = call
+        self._source = source
+        self._task: asyncio.Task[None] | None = None
+        self._handle = ""
+        self.destination = destination
+        self.has_failed = False
+
+    @property
+    def name(self) -> str:
+        """Names the copy for the engine that goes on from it."""
+        if not self._handle:
+            return ""
+        return f"{self._source.info.address}/{self._handle}"
+
+    def start(self) -> None:
+        """Make the copy in the background."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def close(self, *, used: bool) -> None:
+        """End the copy; one that was not used is freed."""
+        if self._task is not None:
+            self._task.cancel()
+            self.destination.give_back_copy(self._call.need)
+            self._task = None
+        if self._handle and not used:
+            asyncio.ensure_future(self._free())
+
+    async def _run(self) -> None:
+        self._copier.note_first_copy(self._source, begins=True)
+        try:
+            await self._copy()
+        finally:
+            self._copier.note_first_copy(self._source, begins=False)
+        while not self.has_failed:
+            await self._copier.timer.sleep(REFRESH_S)
+            await self._copy()
+
+    async def _copy(self) -> None:
+        try:
+            self._handle = await self._copier.copy(
+                self._call, self._source, self.destination
+            )
+            outcome = "copied"
+        except CopyRefusedError as error:
+            self.has_failed = True
+            outcome = str(error)
+        events.emit(
+            RUN_COPIED,
+            request=self._call.info.attempt_id,
+            source=self._source.info.identity,
+            destination=self.destination.info.identity,
+            outcome=outcome,
+        )
+
+    async def _free(self) -> None:
+        try:
+            await self._copier.free(self._source, self._handle)
+        except CopyRefusedError as error:
+            # The engines free it themselves some seconds later.
+            events.emit(
+                RUN_COPIED,
+                request=self._call.info.attempt_id,
+                source=self._source.info.identity,
+                destination=self.destination.info.identity,
+                outcome=f"not freed: {error}",
+            )
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 
 from endivesill import errors, events
@@ -9,9 +11,9 @@
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.event_stream import EventSplitter, StreamEvent
 from endivesill.forwarding.events import ATTEMPT_ENDED, STREAM_RESUMED
-from endivesill.forwarding.placement import choose_backup
+from endivesill.forwarding.placer import Place, Placer
+from endivesill.forwarding.run_copy import RunCopier, RunCopy
 from endivesill.forwarding.targets import Target, TargetTable
-from endivesill.forwarding.waiting import note_first_event, release, reserve
 from endivesill.http1 import ConnectionPool, UpstreamError, strip_hop_by_hop
 from endivesill.timer import TimerService
 
@@ -19,6 +21,10 @@
 
 # Copies of a run that are tried one after the other.
 RESUMES_LIMIT = 6
+# A generation makes an event every few hundredths of a second. One that has
+# been silent for this long stands at an engine that is dark, and goes on
+# elsewhere if there is a copy; a preempted one is back before.
+SILENCE_S = 1.5
 
 
 class StreamBrokenError(errors.EndivesillError):
@@ -27,12 +33,21 @@
 
 @attrs.define(eq=False)
 class _Run:
-    """The run of a generation at one engine, with the copy of its memory."""
+    """The run of a generation at one engine.
+
+    Attributes:
+      target: the engine.
+      backup: who gets a copy of its memory as it grows.
+      attempt: the answer, once it has begun.
+      read: whether the prompt was counted as read.
+      copy: a copy that was ordered because the backup cannot be used.
+    """
 
     target: Target
     backup: Target | None
     attempt: Attempt | None = None
     read: bool = False
+    copy: RunCopy | None = None
 
 
 class StreamRelay:
@@ -43,8 +58,15 @@
       sender: sends requests.
       pool: connections to targets.
       table: the targets.
+      placer: finds places for copies.
+      copier: orders copies of runs.
       call: the request.
-      headers: returns the headers for the caller, of an engine's answer.
+
+    Attributes:
+      events: how many events were passed on.
+      first_event_s: when the first was.
+      longest_gap_s: the longest pause between two.
+      resumes: how often the stream went on at another engine.
     """
 
     def __init__(
@@ -53,13 +75,19 @@
         sender: Sender,
         pool: ConnectionPool,
         table: TargetTable,
+        placer: Placer,
+        copier: RunCopier,
         call: Call,
     ) -> None:
         self._timer = timer
         self._sender = sender
         self._pool = pool
         self._table = table
+        self._placer = placer
+        self._copier = copier
+        self._ordering: asyncio.Task[None] | None = None
         self._call = call
+        self._run: _Run | None = None
         self._last_number: int | None = None
         self.events = 0
         self.first_event_s = 0.0
@@ -67,8 +95,8 @@
         self.resumes = 0
         self._last_event_s = 0.0
 
-    async def run(self, target: Target) -> Attempt | None:
-        """Run the request at a target that has a place for it.
+    async def run(self, place: Place) -> Attempt | None:
+        """Run the request at a place that is taken for it.
 
         Returns:
           An attempt whose answer is not a stream, for the caller of this method
@@ -78,7 +106,16 @@
           AttemptError: the first attempt gave no answer and no copy exists.
           StreamBrokenError: events were passed on and no more can be had.
         """
-        run = self._begin(target)
+        run = self._run = _Run(place.target, place.backup)
+        self._table.watchers.add(self._review)
+        try:
+            return await self._run_on(run)
+        finally:
+            self._run = None
+            self._table.watchers.discard(self._review)
+
+    async def _run_on(self, run: _Run) -> Attempt | None:
+        """Run at one engine after the other."""
         resume_from = ""
         while True:
             try:
@@ -92,6 +129,7 @@
             finally:
                 self._end(run)
             run, resume_from = following
+            self._run = run
 
     async def _send(self, run: _Run, resume_from: str) -> Attempt:
         last_event_id = str(self._last_number or 0) if resume_from else ""
@@ -111,17 +149,13 @@
             raise StreamBrokenError(f"status {attempt.answer.status} on a resume")
         return attempt
 
-    def _begin(self, target: Target) -> _Run:
-        targets = self._table.candidates(self._call.service.name, ())
-        backup = choose_backup(targets, self._call.service, self._call.need, target)
-        if backup is not None:
-            backup.reserved_tokens += self._call.need.memory_tokens
-        return _Run(target, backup)
-
     def _end(self, run: _Run) -> None:
-        release(run.target, self._call, read=run.read)
+        need = self._call.need
+        run.target.give_back(need, read=run.read)
+        if run.copy is not None:
+            run.copy.close(used=False)
         if run.backup is not None:
-            run.backup.reserved_tokens -= self._call.need.memory_tokens
+            run.backup.give_back_copy(need)
         if run.attempt is not None and run.attempt.answer.status == 200:
             self._pool.release(run.attempt.connection)
 
@@ -137,23 +171,71 @@
             reason=str(error),
             events=self.events,
             backup=run.backup.info.identity if run.backup else None,
+            copy=run.copy.name if run.copy else None,
         )
         not_run = isinstance(error, AttemptError) and error.failure.not_run
         if not_run and not resumed:
             raise error
-        backup = run.backup
-        if backup is None or not_run or self.resumes >= RESUMES_LIMIT:
+        target, copy = self._copy_of(run)
+        if target is None or not_run or self.resumes >= RESUMES_LIMIT:
             raise StreamBrokenError(str(error)) from None
         self.resumes += 1
         events.emit(
             STREAM_RESUMED,
             request=call.info.attempt_id,
-            target=backup.info.identity,
+            target=target.info.identity,
             after_event=self._last_number,
         )
-        reserve(backup, call)
-        copy = f"{backup.info.address}/{call.info.attempt_id}"
-        return self._begin(backup), copy
+        target.take(call.need)
+        return _Run(target, self._placer.backup_for(call, target)), copy
+
+    def _copy_of(self, run: _Run) -> tuple[Target | None, str]:
+        """Return who has a copy of a run that has ended, and its name."""
+        if run.backup is not None and self._table.may_have_work(run.backup):
+            address = run.backup.info.address
+            return run.backup, f"{address}/{self._call.info.attempt_id}"
+        copy = run.copy
+        if copy is None or not copy.name:
+            return None, ""
+        if not self._table.may_have_work(copy.destination):
+            return None, ""
+        return copy.destination, copy.name
+
+    def _review(self) -> None:
+        """Look after the run when targets have changed, and from time to time."""
+        run = self._run
+        if run is None or run.attempt is None or not self.events:
+            return
+        backed_up = run.backup is not None and self._table.may_have_work(run.backup)
+        copied = run.copy is not None and self._table.may_have_work(
+            run.copy.destination
+        )
+        silent_s = self._timer.now_s() - self._last_event_s
+        if silent_s > SILENCE_S and (backed_up or copied):
+            run.attempt.connection.abort()
+        elif run.copy is not None and (run.copy.has_failed or not copied):
+            run.copy.close(used=False)
+            run.copy = None
+        if not backed_up and run.copy is None:
+            self._order_copy(run)
+
+    def _order_copy(self, run: _Run) -> None:
+        """Order a copy of a run that would be lost with its engine."""
+        if self._copier.is_copying_from(run.target):
+            return
+        if self._ordering is None or self._ordering.done():
+            self._ordering = asyncio.ensure_future(self._place_and_copy(run))
+
+    async def _place_and_copy(self, run: _Run) -> None:
+        call = self._call
+        destination = await self._placer.place_copy(call, run.target)
+        if destination is None:
+            return
+        if self._run is not run or run.copy is not None:
+            destination.give_back_copy(call.need)
+            return
+        run.copy = RunCopy(self._copier, call, run.target, destination)
+        run.copy.start()
 
     async def _relay(self, run: _Run, attempt: Attempt) -> None:
         exchange = self._call.exchange
@@ -166,7 +248,7 @@
                 continue
             if not run.read:
                 run.read = True
-                note_first_event(run.target, self._call)
+                run.target.note_read(self._call.need)
             self._note_events(len(fresh))
             exchange.send(b"".join(event.data for event in fresh))
             await exchange.drain()
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
 from endivesill import events
 from endivesill.fleet.follower import FleetView
 from endivesill.fleet.load import EngineLoad
-from endivesill.fleet.model import EngineInfo, Service
+from endivesill.fleet.model import EngineInfo
 from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
 from endivesill.forwarding.health import HealthRecord
 from endivesill.timer import TimerService
 
-__all__ = ["CONNECT_REST_S", "Target", "TargetTable"]
+__all__ = ["CONNECT_REST_S", "Need", "Target", "TargetTable"]
 
 # A target that refuses connections or has lost its address is left alone for
 # this long, about two readings of the platform's list.
@@ -30,6 +30,19 @@
 NO_LOAD = EngineLoad()
 
 
+@attrs.frozen
+class Need:
+    """What a request takes at a target.
+
+    Attributes:
+      prompt_tokens: prompt tokens to read; 0 for a plain request.
+      memory_tokens: memory for the prompt and the expected output.
+    """
+
+    prompt_tokens: int = 0
+    memory_tokens: int = 0
+
+
 @attrs.define(eq=False)
 class Target:
     """One start of an engine or plain service.
@@ -73,6 +86,36 @@
         """Prompt tokens without a first event of all entries."""
         return self.unread_tokens + self.others.unread_tokens
 
+    def take(self, need: Need) -> None:
+        """Count a request as under way here."""
+        self.requests += 1
+        self.reserved_tokens += need.memory_tokens
+        self.unread_tokens += need.prompt_tokens
+
+    def note_read(self, need: Need) -> None:
+        """Count the prompt of a request as read."""
+        self.unread_tokens -= need.prompt_tokens
+
+    def give_back(self, need: Need, *, read: bool = False) -> None:
+        """Count a request as ended.
+
+        Args:
+          need: what it took.
+          read: whether its prompt was counted as read.
+        """
+        self.requests -= 1
+        self.reserved_tokens -= need.memory_tokens
+        if not read:
+            self.unread_tokens -= need.prompt_tokens
+
+    def take_copy(self, need: Need) -> None:
+        """Count the copy of a run."""
+        self.reserved_tokens += need.memory_tokens
+
+    def give_back_copy(self, need: Need) -> None:
+        """Count the copy of a run as freed."""
+        self.reserved_tokens -= need.memory_tokens
+
     def load(self) -> EngineLoad:
         """Return this entry's own load."""
         return EngineLoad(self.requests, self.reserved_tokens, self.unread_tokens)
@@ -85,6 +128,9 @@
       timer: the timer service.
       view: what the entry knows of the fleet.
       data_centre: where the entry runs.
+
+    Attributes:
+      watchers: called by `notify`.
     """
 
     def __init__(self, timer: TimerService, view: FleetView, data_centre: str) -> None:
@@ -93,6 +139,12 @@
         self.data_centre = data_centre
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
+        self.watchers: set[Callable[[], None]] = set()
+
+    def notify(self) -> None:
+        """Call those who watch the targets, after a change or some time."""
+        for watcher in list(self.watchers):
+            watcher()
 
     def update_engines(self) -> None:
         """Take the engines of the view."""
@@ -112,10 +164,14 @@
             if target.listed:
                 self._by_service.setdefault(target.info.service, []).append(target)
 
-    def update_loads(self) -> None:
-        """Take the other entries' loads of the view."""
+    def update_loads(self, others: dict[str, EngineLoad]) -> None:
+        """Take the loads of the other entries, by boot."""
         for boot, target in self._targets.items():
-            target.others = self._view.others.get(boot, NO_LOAD)
+            target.others = others.get(boot, NO_LOAD)
+
+    def find_all(self, boots: Iterable[str]) -> list[Target]:
+        """Return the targets of some boots; unknown ones are left out."""
+        return [self._targets[boot] for boot in boots if boot in self._targets]
 
     def own_loads(self) -> dict[str, EngineLoad]:
         """Return this entry's load by boot of the engine."""
@@ -155,11 +211,6 @@
 
     # Rates.
 
-    def cold_allowance(self, service: Service, factor: float, slack: float) -> float:
-        """Return what this entry may send a cold target in a second."""
-        share = self._view.loan.share_at(self._timer.now_s())
-        return share * (factor * service.cold_requests_per_s + slack)
-
     def may_send_now(self, target: Target, allowance: float) -> bool:
         """Tell whether one more request stays within an allowance a second."""
         now_s = self._timer.now_s()
--- a/endivesill/link_peers.py
+++ b/endivesill/link_peers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 from endivesill import errors, events
@@ -45,8 +46,13 @@
         super().__init__(address)
         self._timer = timer
         self._listener = HttpListener(timer, address, self._answer, PEER_LIMITS)
+        self._cancelled_paths: set[str] = set()
         self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, LONGEST_IDLE_S)
 
+    def cancel_with_caller(self, path: str) -> None:
+        """Cancel the handlers of a path whose caller has given up."""
+        self._cancelled_paths.add(path)
+
     async def start(self) -> None:
         """Listen."""
         await self._listener.start()
@@ -57,7 +63,8 @@
         self._pool.close()
 
     async def _answer(self, exchange: Exchange) -> None:
-        handler = self.handlers.get(exchange.target.decode("latin-1"))
+        path = exchange.target.decode("latin-1")
+        handler = self.handlers.get(path)
         if handler is None:
             exchange.respond(404, [])
             return
@@ -66,11 +73,14 @@
         except ValueError:
             exchange.respond(400, [])
             return
+        task = asyncio.current_task()
+        if task is not None and path in self._cancelled_paths:
+            exchange.on_gone = task.cancel
         try:
             answer = await handler(message)
         except Exception as error:
-            task = f"peer-handler {exchange.target.decode('latin-1')}"
-            events.emit(events.TASK_FAILED, task=task, error=repr(error))
+            name = f"peer-handler {path}"
+            events.emit(events.TASK_FAILED, task=name, error=repr(error))
             exchange.respond(500, [])
             return
         exchange.respond(200, [], json.dumps(answer, separators=(",", ":")).encode())
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -9,9 +9,10 @@
 from endivesill.fleet.hub import FleetHub, supervise
 from endivesill.http1 import ConnectionLimits, HttpListener
 from endivesill.link_peers import LinkPeerTransport
+from endivesill.platform.leader_home import LeaderHome
 from endivesill.platform.metrics_port import MetricsPort
 from endivesill.platform.operators import OperatorPort
-from endivesill.platform.process import StopSignal
+from endivesill.platform.process import SettingsWatch, StopSignal
 from endivesill.platform.provider import PlatformList
 from endivesill.platform.settings import NodeSettings
 from endivesill.timer import TimerService
@@ -51,6 +52,8 @@
 async def run_control(settings: NodeSettings, timer: TimerService) -> None:
     """Run a control process until it is told to stop."""
     stop = StopSignal(settings, timer)
+    # The seeds matter only until the replica has a state; a change is logged.
+    SettingsWatch(timer, lambda changed: None)
     transport = LinkPeerTransport(timer, settings.peer_address)
     replica = ControlReplica(
         timer,
@@ -64,6 +67,7 @@
     hub = FleetHub(
         timer, replica, transport, PlatformList(timer, settings.list_address)
     )
+    LeaderHome(settings, timer, replica, hub, transport)
     operators = OperatorPort(timer, replica)
     listener = HttpListener(
         timer, settings.control_address, operators.handle, OPERATOR_LIMITS
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -114,6 +114,33 @@
             wrong_target=status == 421,
         )
 
+    def encode_copy_order(
+        self, source: str, attempt_id: str, destination: str
+    ) -> bytes:
+        """Return the request that orders a copy of a run."""
+        # `target` holds the address of the engine that gets the copy; without
+        # `last` the run goes on meanwhile.
+        body = json.dumps({"id": attempt_id, "target": destination}).encode()
+        headers = [
+            (b"Host", source.encode()),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        return encode_head(b"POST " + wire.MOVE_PATH + b" HTTP/1.1", headers) + body
+
+    def decode_copy_name(self, body: bytes) -> str:
+        """Return the name of a copy; empty if the answer has none."""
+        try:
+            return Reader(json.loads(body), "copy").text("handle")
+        except (ValueError, errors.DocumentError) as error:
+            events.emit(events.TASK_FAILED, task="decode-copy", error=str(error))
+            return ""
+
+    def encode_copy_release(self, source: str, name: str) -> bytes:
+        """Return the request that frees a copy."""
+        start = b"DELETE " + wire.COPY_PREFIX + name.encode() + b" HTTP/1.1"
+        return encode_head(start, [(b"Host", source.encode())])
+
     def refusal_headers(self, retry_after_s: float | None) -> Headers:
         """Return the headers of an answer of the system's own."""
         if retry_after_s is None:
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -10,7 +10,10 @@
 from endivesill.fleet.follower import FleetFollower
 from endivesill.fleet.hub import supervise
 from endivesill.fleet.load import EngineLoad
+from endivesill.fleet.model import Service
 from endivesill.forwarding.forwarder import Forwarder
+from endivesill.forwarding.home import COLD_SHARE
+from endivesill.forwarding.placer import Placer
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable
 from endivesill.forwarding.statistics import Statistics
@@ -35,6 +38,11 @@
 PRUNE_S = 0.5
 # Waiting requests look for room at least this often.
 SERVE_S = 0.02
+# Part of the rate that cold targets bear for places given without the leader,
+# which gives out the other part.
+OWN_COLD_SHARE = 1 - COLD_SHARE
+# Streams look after their copies at least this often.
+REVIEW_S = 0.5
 # Without word from the control VMs for this long, callers do better elsewhere.
 READY_SILENCE_S = 6.0
 # After a stop was asked for: how long the balancer may still send new
@@ -58,9 +66,10 @@
         self._stopping = False
         random_source = random.Random()
         bounds = settings.bounds
+        transport = LinkPeerTransport(timer, settings.peer_address)
         self._follower = FleetFollower(
             timer,
-            LinkPeerTransport(timer, settings.peer_address),
+            transport,
             settings.seed_peers,
             self._own_loads,
             self._note_news,
@@ -68,8 +77,13 @@
         view = self._follower.view
         self._table = TargetTable(timer, view, settings.data_centre)
         self._admission = Admission(
-            timer, self._table, (bounds.cold_factor, bounds.cold_slack), random_source
+            timer,
+            self._table,
+            self._cold_allowance,
+            lambda request, target: target.take(request.need),
+            random_source,
         )
+        placer = Placer(timer, self._table, self._admission, self._follower, transport)
         self._statistics = Statistics()
         self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, LONGEST_IDLE_S)
         budget = RetryBudget(
@@ -83,6 +97,7 @@
             timer,
             self._table,
             self._admission,
+            placer,
             budget,
             self._pool,
             PlatformProtocol(),
@@ -104,6 +119,7 @@
         await self._metrics.start()
         task = supervise(self._timer, "fleet-follower", self._follower.run)
         self._timer.call_every(PRUNE_S, self._pool.prune)
+        self._timer.call_every(REVIEW_S, self._table.notify)
         self._timer.call_every(SERVE_S, self._admission.serve_waiters)
         events.emit(events.PROCESS_STARTED, vm=self._settings.vm, role="entry")
         await stop.wait()
@@ -118,15 +134,22 @@
     def _own_loads(self) -> dict[str, EngineLoad]:
         return self._table.own_loads()
 
+    def _cold_allowance(self, service: Service) -> float:
+        bounds = self._settings.bounds
+        share = self._follower.view.loan.share_at(self._timer.now_s())
+        rate = bounds.cold_factor * service.cold_requests_per_s + bounds.cold_slack
+        return OWN_COLD_SHARE * share * rate
+
     def _note_news(self, news: set[str]) -> None:
         view = self._follower.view
         if "state" in news:
             self._use_state(view.document)
         if "engines" in news:
             self._table.update_engines()
-        self._table.update_loads()
+        self._table.update_loads(view.others)
         if news - {"loads"}:
             self._admission.serve_waiters()
+            self._table.notify()
 
     def _use_state(self, document: Any) -> None:
         try:
--- /dev/null
+++ b/endivesill/platform/leader_home.py
@@ -0,0 +1,82 @@
+"""Connects the home of all places with what the control process knows."""
+
+from __future__ import annotations
+
+from endivesill.control import ControlReplica
+from endivesill.fleet.follower import FleetView
+from endivesill.fleet.hub import FleetHub
+from endivesill.fleet.model import Service
+from endivesill.fleet.state import current_state, evacuations
+from endivesill.forwarding.home import PLACE_PATH, PlacementHome
+from endivesill.forwarding.targets import TargetTable
+from endivesill.link_peers import LinkPeerTransport
+from endivesill.platform.desired_state import decode_desired_state
+from endivesill.platform.settings import NodeSettings
+from endivesill.timer import TimerService
+
+__all__ = ["LeaderHome"]
+
+# Waiting requests look for room at least this often.
+SERVE_S = 0.02
+
+
+class LeaderHome:
+    """Keeps the home's view of the fleet up to date.
+
+    Args:
+      settings: the process's settings.
+      timer: the timer service.
+      replica: this VM's control replica.
+      hub: knows the engines and the loads.
+      transport: the peer port.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        timer: TimerService,
+        replica: ControlReplica,
+        hub: FleetHub,
+        transport: LinkPeerTransport,
+    ) -> None:
+        self._replica = replica
+        self._hub = hub
+        self._view = FleetView()
+        self._services: dict[str, Service] = {}
+        # Entries are everywhere, so that no data centre is nearer.
+        self._table = TargetTable(timer, self._view, data_centre="")
+        bounds = settings.bounds
+        self._home = PlacementHome(
+            timer,
+            self._table,
+            hub.loads,
+            lambda name: self._services.get(name),
+            (bounds.cold_factor, bounds.cold_slack),
+            hub.leads,
+        )
+        transport.handle(PLACE_PATH, self._home.handle)
+        transport.cancel_with_caller(PLACE_PATH)
+        hub.on_change(self._update)
+        timer.call_every(SERVE_S, self._serve)
+
+    def _serve(self) -> None:
+        if self._hub.leads():
+            self._home.update()
+
+    def _update(self) -> None:
+        if not self._hub.leads():
+            return
+        state = current_state(self._replica.state)
+        if state is not None and state["version"] != self._view.version:
+            self._view.version = state["version"]
+            self._services = decode_desired_state(state["document"]).services
+        index, data_centres = evacuations(self._replica.state)
+        if index != self._view.evacuation_index:
+            self._view.evacuation_index = index
+            self._view.evacuated = frozenset(data_centres)
+        reading = self._hub.reader.current
+        if reading is not None and reading.stamp != self._view.list_stamp:
+            self._view.list_stamp = reading.stamp
+            self._view.engines = reading.engines
+            self._table.update_engines()
+        self._home.update()
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -59,6 +59,8 @@
 # Calls to the platform and to engines.
 LIST_PATH = "/instances"
 REPORT_PATH = "/report"
+MOVE_PATH = b"/kv-move"
+COPY_PREFIX = b"/kv-handle/"
 
 SETTINGS_VARIABLE = "ENDIVESILL_NODE_FILE"
 SETTINGS_PATH = "/etc/endivesill/local.toml"
