Keep backups in other data centres and only while memory is plentiful

Change: a backup is in another data centre than its holder if one has room, and only up to 65% of an engine's memory. A run without one is copied when its engine is listed as leaving.

--- a/endivesill/forwarding/home.py
+++ b/endivesill/forwarding/home.py
@@ -144,8 +144,12 @@
 
     def _place_copy(self, message: Message, request: PlaceRequest) -> Message:
         holder = self._table.find_all([message["holder"]])
-        targets = self._table.candidates(request.service.name, holder)
-        destination = choose_destination(targets, request.service, request.need)
+        destination = None
+        if holder:
+            targets = self._table.candidates(request.service.name, ())
+            destination = choose_destination(
+                targets, request.service, request.need, holder[0]
+            )
         if destination is None:
             return {"refused": "no room for a copy"}
         load = EngineLoad(1, request.need.memory_tokens, 0)
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -21,6 +21,8 @@
 # Share of an engine's memory that is given out; the rest takes up outputs that
 # are longer than expected.
 MEMORY_SHARE = 0.92
+# Share up to which backups are made; what is over it is for requests that wait.
+BACKUP_SHARE = 0.65
 # Requests that a plain target may have besides those that it runs at once; its
 # own queue holds some, and more only wait there instead of here.
 PLAIN_QUEUE_SHARE = 1.0
@@ -86,31 +88,46 @@
 def choose_backup(
     targets: Sequence[Target], service: Service, need: Need, holder: Target
 ) -> Target | None:
-    """Return the target with the most free memory for a copy of a run, or None.
+    """Return the target for a copy of a run from its start on, or None.
 
-    Answers the pattern of engines that are taken away on short notice while
-    they generate.
+    Answers the pattern of engines that are taken away on short notice or crash
+    while they generate. A backup takes the memory of a run, so that there is
+    none where that would keep requests waiting.
     """
     if service.memory is None or not service.memory.has_backups:
         return None
-    others = [target for target in targets if target is not holder]
-    return _roomiest(others, service, need)
+    return _roomiest(targets, service, need, holder, BACKUP_SHARE)
 
 
 def choose_destination(
-    targets: Sequence[Target], service: Service, need: Need
+    targets: Sequence[Target], service: Service, need: Need, holder: Target
 ) -> Target | None:
     """Return the target that gets a copy of a run without a backup, or None."""
     if service.memory is None or not service.memory.has_moves:
         return None
-    return _roomiest(targets, service, need)
+    return _roomiest(targets, service, need, holder, MEMORY_SHARE)
+
 
+def _roomiest(
+    targets: Sequence[Target],
+    service: Service,
+    need: Need,
+    holder: Target,
+    share: float,
+) -> Target | None:
+    """Return the target with the most free memory, elsewhere if there is one.
 
-def _roomiest(targets: Sequence[Target], service: Service, need: Need) -> Target | None:
+    The engines of a data centre may all leave at once.
+    """
     assert service.memory is not None
-    if not targets:
-        return None
-    best = min(targets, key=lambda target: target.all_reserved_tokens)
-    limit = MEMORY_SHARE * service.memory.capacity_tokens
-    fits_there = best.all_reserved_tokens + need.memory_tokens <= limit
-    return best if fits_there else None
+    limit = share * service.memory.capacity_tokens - need.memory_tokens
+    roomy = [
+        target
+        for target in targets
+        if target is not holder and target.all_reserved_tokens <= limit
+    ]
+    here = holder.info.data_centre
+    elsewhere = [t for t in roomy if t.info.data_centre != here]
+    return min(
+        elsewhere or roomy, key=lambda target: target.all_reserved_tokens, default=None
+    )
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -139,8 +139,8 @@
         """Return a target with a place taken for a copy of a run, or None."""
         answer = await self._ask(call, 0.0, holder=holder.info.boot)
         if answer is None:
-            targets = self._table.candidates(call.service.name, [holder])
-            target = choose_destination(targets, call.service, call.need)
+            targets = self._table.candidates(call.service.name, ())
+            target = choose_destination(targets, call.service, call.need, holder)
         else:
             found = self._table.find_all(filter(None, [answer.get("target")]))
             target = found[0] if found else None
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -46,22 +46,6 @@
         self.timer = timer
         self._pool = pool
         self._protocol = protocol
-        self._copying: set[str] = set()
-
-    def is_copying_from(self, source: Target) -> bool:
-        """Tell whether a run of an engine is being copied for the first time.
-
-        Copies wait for each other on the engine's link, so that more at once
-        gain nothing.
-        """
-        return source.info.boot in self._copying
-
-    def note_first_copy(self, source: Target, *, begins: bool) -> None:
-        """Note the begin or end of a first copy from an engine."""
-        if begins:
-            self._copying.add(source.info.boot)
-        else:
-            self._copying.discard(source.info.boot)
 
     async def copy(self, call: Call, source: Target, destination: Target) -> str:
         """Copy a run and return the name of the copy, as the source has it.
@@ -154,11 +138,7 @@
             asyncio.ensure_future(self._free())
 
     async def _run(self) -> None:
-        self._copier.note_first_copy(self._source, begins=True)
-        try:
-            await self._copy()
-        finally:
-            self._copier.note_first_copy(self._source, begins=False)
+        await self._copy()
         while not self.has_failed:
             await self._copier.timer.sleep(REFRESH_S)
             await self._copy()
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -220,8 +220,12 @@
             self._order_copy(run)
 
     def _order_copy(self, run: _Run) -> None:
-        """Order a copy of a run that would be lost with its engine."""
-        if self._copier.is_copying_from(run.target):
+        """Order a copy of a run that would be lost with its engine.
+
+        Copies take memory that requests wait for, so that a run whose engine is
+        not about to leave gets none.
+        """
+        if run.target.listed and not run.target.info.is_draining:
             return
         if self._ordering is None or self._ordering.done():
             self._ordering = asyncio.ensure_future(self._place_and_copy(run))
