Follow the leader when an empty replica asks to be a learner

No seed led, each answered that it does not lead, and the VM stayed outside for good; a final fault that then took two more disks left two of five voters.

Change: the question goes on to the leader that an answer names, and is repeated every half second instead of every two.

--- a/endivesill/control/bootstrap.py
+++ b/endivesill/control/bootstrap.py
@@ -33,7 +33,9 @@
 FIRST_TERM = 1
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.5
-JOIN_RETRY_S = 2.0
+JOIN_RETRY_S = 0.5
+# Without a word of a leader for this long a replica asks to be a learner.
+REJOIN_S = 2.0
 
 
 @attrs.frozen
@@ -91,6 +93,7 @@
             existing = [hello for hello in hellos.values() if hello.cluster]
             if existing:
                 await self._adopt_or_join(existing)
+                await core.timer.sleep(JOIN_RETRY_S)
             elif self._is_ready_to_found(hellos):
                 await self._found(hellos)
             if not core.cluster:
@@ -155,18 +158,24 @@
         """
         core = self._core
         while True:
-            await core.timer.sleep(JOIN_RETRY_S)
+            await core.timer.sleep(REJOIN_S)
             silent_s = core.timer.now_s() - core.leader_contact_s
-            if core.cluster and core.leadership is None and silent_s > JOIN_RETRY_S:
+            if core.cluster and core.leadership is None and silent_s > REJOIN_S:
                 await self._join()
 
     async def _join(self) -> None:
-        """Ask every replica until the leader takes this one as a learner."""
+        """Ask until the leader takes this replica as a learner.
+
+        The leader need not be one of the addresses; a replica that does not
+        lead names it.
+        """
         core = self._core
         message = {"identity": core.identity, "address": core.transport.address}
-        for address in self._addresses:
-            if address == core.transport.address:
-                continue
+        addresses = [a for a in self._addresses if a != core.transport.address]
+        asked: set[str] = set()
+        while addresses:
+            address = addresses.pop(0)
+            asked.add(address)
             try:
                 answer = await core.transport.call(
                     address, JOIN_PATH, message, CALL_TIMEOUT_S
@@ -175,5 +184,7 @@
                 continue
             if answer.get("joined"):
                 events.emit(LEARNER_JOINED, **message)
-                break
-        await core.timer.sleep(JOIN_RETRY_S)
+                return
+            leader = answer.get("leader")
+            if leader and leader not in asked:
+                addresses.insert(0, leader)
