Read engines' reports at the leader and make fewer backups while requests wait

Change: the leader reads the reports of model engines: memory in use, requests held back, whether they leave. Backups go up to 75% of memory, or 50% while requests had to wait lately.

--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 
 from endivesill import errors, events
@@ -78,8 +80,13 @@
         self._timer = timer
         self._source = source
         self._failures = 0
+        self._leaving: Callable[[], frozenset[str]] = frozenset
         self.current: EngineList | None = None
 
+    def use_reports(self, leaving: Callable[[], frozenset[str]]) -> None:
+        """Take engines that report their end as leaving, before the list does."""
+        self._leaving = leaving
+
     async def read(self, term: int) -> bool:
         """Read the list once; return whether the engines in it have changed."""
         try:
@@ -92,7 +99,16 @@
         if self._failures:
             events.emit(LIST_REGAINED, failures=self._failures)
             self._failures = 0
-        return self._take({engine.boot: engine for engine in engines}, term)
+        leaving = self._leaving()
+        return self._take(
+            {
+                engine.boot: attrs.evolve(
+                    engine, is_draining=engine.is_draining or engine.boot in leaving
+                )
+                for engine in engines
+            },
+            term,
+        )
 
     def _take(self, engines: dict[str, EngineInfo], term: int) -> bool:
         current = self.current
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -10,6 +10,8 @@
     "LIST_ENTRY_SKIPPED",
     "LIST_LOST",
     "LIST_REGAINED",
+    "REPORTS_LOST",
+    "REPORTS_REGAINED",
     "STATE_IN_FORCE",
 ]
 
@@ -26,6 +28,12 @@
 ENGINE_LIST_CHANGED = events.define(
     4501, "engine-list-changed", "The list of engines in use has changed."
 )
+REPORTS_LOST = events.define(
+    4505, "engine-report-lost", "An engine does not answer when it is asked for load."
+)
+REPORTS_REGAINED = events.define(
+    4506, "engine-report-regained", "An engine answers again when asked for load."
+)
 LIST_LOST = events.define(
     4502, "engine-list-lost", "The platform's list cannot be read; the last one holds."
 )
--- a/endivesill/forwarding/home.py
+++ b/endivesill/forwarding/home.py
@@ -130,7 +130,8 @@
         """Count a place for the entry that has asked, with its backup."""
         need = request.need
         targets = self._table.candidates(request.service.name, ())
-        backup = choose_backup(targets, request.service, need, target)
+        is_busy = self._admission.is_busy(request.service.name)
+        backup = choose_backup(targets, request.service, need, target, is_busy=is_busy)
         loads = {
             target.info.boot: EngineLoad(1, need.memory_tokens, need.prompt_tokens)
         }
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -21,8 +21,10 @@
 # Share of an engine's memory that is given out; the rest takes up outputs that
 # are longer than expected.
 MEMORY_SHARE = 0.92
-# Share up to which backups are made; what is over it is for requests that wait.
-BACKUP_SHARE = 0.65
+# Share up to which backups are made while no request has to wait.
+BACKUP_SHARE = 0.75
+# The same while requests have had to wait lately.
+BUSY_BACKUP_SHARE = 0.5
 # Requests that a plain target may have besides those that it runs at once; its
 # own queue holds some, and more only wait there instead of here.
 PLAIN_QUEUE_SHARE = 1.0
@@ -39,7 +41,7 @@
     if service.memory is None:
         return target.all_requests < (1 + PLAIN_QUEUE_SHARE) * target.info.slots
     memory = service.memory
-    if target.all_requests >= memory.slots:
+    if target.all_requests >= memory.slots or target.is_full:
         return False
     limit = MEMORY_SHARE * memory.capacity_tokens
     if target.all_requests == 0 and target.all_reserved_tokens == 0:
@@ -86,26 +88,45 @@
 
 
 def choose_backup(
-    targets: Sequence[Target], service: Service, need: Need, holder: Target
+    targets: Sequence[Target],
+    service: Service,
+    need: Need,
+    holder: Target,
+    *,
+    is_busy: bool,
 ) -> Target | None:
     """Return the target for a copy of a run from its start on, or None.
 
     Answers the pattern of engines that are taken away on short notice or crash
-    while they generate. A backup takes the memory of a run, so that there is
-    none where that would keep requests waiting.
+    while they generate. The engines of a data centre may all leave at once, so
+    that another one is better. A backup takes the memory of a run, so that there
+    are fewer while requests wait for memory.
     """
     if service.memory is None or not service.memory.has_backups:
         return None
-    return _roomiest(targets, service, need, holder, BACKUP_SHARE)
+    share = BUSY_BACKUP_SHARE if is_busy else BACKUP_SHARE
+    here = holder.info.data_centre
+    elsewhere = [target for target in targets if target.info.data_centre != here]
+    return _roomiest(elsewhere, service, need, holder, share) or _roomiest(
+        targets, service, need, holder, share
+    )
 
 
 def choose_destination(
     targets: Sequence[Target], service: Service, need: Need, holder: Target
 ) -> Target | None:
-    """Return the target that gets a copy of a run without a backup, or None."""
+    """Return the target that gets a copy of a run without a backup, or None.
+
+    The engine is about to leave, and a copy within its data centre takes half
+    the time.
+    """
     if service.memory is None or not service.memory.has_moves:
         return None
-    return _roomiest(targets, service, need, holder, MEMORY_SHARE)
+    here = holder.info.data_centre
+    near = [target for target in targets if target.info.data_centre == here]
+    return _roomiest(near, service, need, holder, MEMORY_SHARE) or _roomiest(
+        targets, service, need, holder, MEMORY_SHARE
+    )
 
 
 def _roomiest(
@@ -115,10 +136,7 @@
     holder: Target,
     share: float,
 ) -> Target | None:
-    """Return the target with the most free memory, elsewhere if there is one.
-
-    The engines of a data centre may all leave at once.
-    """
+    """Return the target with the most free memory, or None without room."""
     assert service.memory is not None
     limit = share * service.memory.capacity_tokens - need.memory_tokens
     roomy = [
@@ -126,8 +144,4 @@
         for target in targets
         if target is not holder and target.all_reserved_tokens <= limit
     ]
-    here = holder.info.data_centre
-    elsewhere = [t for t in roomy if t.info.data_centre != here]
-    return min(
-        elsewhere or roomy, key=lambda target: target.all_reserved_tokens, default=None
-    )
+    return min(roomy, key=lambda target: target.all_reserved_tokens, default=None)
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -112,7 +112,10 @@
     def backup_for(self, call: Call, target: Target) -> Target | None:
         """Return a backup with a place taken for a run at a target, or None."""
         targets = self._table.candidates(call.service.name, ())
-        backup = choose_backup(targets, call.service, call.need, target)
+        is_busy = self._admission.is_busy(call.service.name)
+        backup = choose_backup(
+            targets, call.service, call.need, target, is_busy=is_busy
+        )
         if backup is not None:
             backup.take_copy(call.need)
         return backup
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -11,6 +11,7 @@
 from endivesill.fleet.follower import FleetView
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import EngineInfo
+from endivesill.fleet.reports import EngineReport
 from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
 from endivesill.forwarding.health import HealthRecord
 from endivesill.timer import TimerService
@@ -27,6 +28,9 @@
 COLD_WINDOW_S = 1.1
 
 
+# Requests that an engine may hold back for a moment while it reads prompts.
+ENGINE_QUEUE_REQUESTS = 2
+
 NO_LOAD = EngineLoad()
 
 
@@ -57,6 +61,7 @@
       cold_until_s: until when the list says that it is cold.
       rests_until_s: until when it gets nothing because of failures.
       health: outcomes of this entry's requests.
+      report: what the engine said last; None where nobody asks.
       sends_s: when this entry sent its last requests there.
     """
 
@@ -69,6 +74,7 @@
     cold_until_s: float = 0.0
     rests_until_s: float = 0.0
     listed: bool = True
+    report: EngineReport | None = None
     sends_s: collections.deque[float] = attrs.Factory(collections.deque)
 
     @property
@@ -78,8 +84,19 @@
 
     @property
     def all_reserved_tokens(self) -> int:
-        """Memory reserved by all entries."""
-        return self.reserved_tokens + self.others.reserved_tokens
+        """Memory reserved by all entries, or in use if that is more."""
+        reserved = self.reserved_tokens + self.others.reserved_tokens
+        if self.report is None:
+            return reserved
+        return max(reserved, self.report.used_tokens)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the engine itself holds more requests back than it will soon run."""
+        return (
+            self.report is not None
+            and self.report.queued_requests > ENGINE_QUEUE_REQUESTS
+        )
 
     @property
     def all_unread_tokens(self) -> int:
@@ -169,6 +186,11 @@
         for boot, target in self._targets.items():
             target.others = others.get(boot, NO_LOAD)
 
+    def update_reports(self, report_of: Callable[[str], EngineReport | None]) -> None:
+        """Take the engines' own reports, by boot."""
+        for boot, target in self._targets.items():
+            target.report = report_of(boot)
+
     def find_all(self, boots: Iterable[str]) -> list[Target]:
         """Return the targets of some boots; unknown ones are left out."""
         return [self._targets[boot] for boot in boots if boot in self._targets]
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -20,6 +20,9 @@
 
 # Waiting requests for each target, beyond which a new one is refused at once.
 WAITERS_PER_TARGET = 16
+# How long a service counts as busy after a request had to wait; about the time
+# in which half of the generations under way end.
+BUSY_FOR_S = 4.0
 # How long a request waits at most while its service has no target at all.
 NO_TARGET_WAIT_S = 0.25
 
@@ -88,6 +91,12 @@
         self._random = random_source
         self._queues: dict[str, list[tuple[int, float, int, _Waiter]]] = {}
         self._numbers = itertools.count()
+        self._waited_s: dict[str, float] = {}
+
+    def is_busy(self, service: str) -> bool:
+        """Tell whether requests to a service have had to wait lately."""
+        waited_s = self._waited_s.get(service, float("-inf"))
+        return self._timer.now_s() - waited_s < BUSY_FOR_S
 
     def waiting(self) -> int:
         """Return how many requests wait."""
@@ -127,6 +136,7 @@
         count = len(self._table.candidates(service, ()))
         if len(queue) >= WAITERS_PER_TARGET * max(1, count):
             raise NoRoomError("queue full")
+        self._waited_s[service] = self._timer.now_s()
         waiter = _Waiter(request, asyncio.get_running_loop().create_future())
         item = (request.priority, request.latest_s, next(self._numbers), waiter)
         heapq.heappush(queue, item)
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -67,7 +67,7 @@
     hub = FleetHub(
         timer, replica, transport, PlatformList(timer, settings.list_address)
     )
-    LeaderHome(settings, timer, replica, hub, transport)
+    home = LeaderHome(settings, timer, replica, hub, transport)
     operators = OperatorPort(timer, replica)
     listener = HttpListener(
         timer, settings.control_address, operators.handle, OPERATOR_LIMITS
@@ -77,7 +77,10 @@
     await transport.start()
     await listener.start()
     await metrics.start()
-    task = supervise(timer, "fleet-hub", hub.run)
+    tasks = [
+        supervise(timer, "fleet-hub", hub.run),
+        supervise(timer, "engine-reports", home.run),
+    ]
     events.emit(
         events.PROCESS_STARTED,
         vm=settings.vm,
@@ -89,7 +92,8 @@
     await replica.transfer_leadership()
     listener.closing = True
     await listener.stop()
-    task.cancel()
+    for task in tasks:
+        task.cancel()
     await replica.halt()
     await transport.close()
     events.emit(events.PROCESS_STOPPED, vm=settings.vm)
--- a/endivesill/platform/leader_home.py
+++ b/endivesill/platform/leader_home.py
@@ -5,12 +5,14 @@
 from endivesill.control import ControlReplica
 from endivesill.fleet.follower import FleetView
 from endivesill.fleet.hub import FleetHub
-from endivesill.fleet.model import Service
+from endivesill.fleet.model import EngineInfo, Service
+from endivesill.fleet.reports import EngineReports
 from endivesill.fleet.state import current_state, evacuations
 from endivesill.forwarding.home import PLACE_PATH, PlacementHome
 from endivesill.forwarding.targets import TargetTable
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.desired_state import decode_desired_state
+from endivesill.platform.reports import PlatformReports
 from endivesill.platform.settings import NodeSettings
 from endivesill.timer import TimerService
 
@@ -57,10 +59,25 @@
         transport.handle(PLACE_PATH, self._home.handle)
         transport.cancel_with_caller(PLACE_PATH)
         hub.on_change(self._update)
+        self._reports = EngineReports(
+            timer, PlatformReports(timer), self._model_engines
+        )
+        hub.reader.use_reports(self._reports.leaving)
         timer.call_every(SERVE_S, self._serve)
 
+    async def run(self) -> None:
+        """Read the engines' reports."""
+        await self._reports.run()
+
+    def _model_engines(self) -> list[EngineInfo]:
+        if not self._hub.leads():
+            return []
+        models = {name for name, s in self._services.items() if s.memory is not None}
+        return [e for e in self._view.engines.values() if e.service in models]
+
     def _serve(self) -> None:
         if self._hub.leads():
+            self._table.update_reports(self._reports.of)
             self._home.update()
 
     def _update(self) -> None:
