Do not take a new learner for a silent one

The leader had led for more than ten seconds when a VM with an empty disk joined, counted the learner's silence from the begin of its own term and dropped it at once, five times in a row.

Change: silence is counted from when the leader began to call the replica.

--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -32,14 +32,13 @@
 
     Attributes:
       term: the term in which it leads.
-      began_s: when it began to lead.
       progress: what is known of the other replicas, by identity.
       transferring: whether it is handing over and takes no proposals.
     """
 
     def __init__(self, core: ReplicaCore) -> None:
         self._core = core
-        self.began_s = core.timer.now_s()
+        self._began_s = core.timer.now_s()
         self._peers: dict[str, PeerReplication] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._lease_allowed = True
@@ -215,7 +214,7 @@
 
     def has_quorum(self) -> bool:
         """Tell whether a majority has answered within an election timeout."""
-        heard_s = max(self.began_s, self._majority_answered_s())
+        heard_s = max(self._began_s, self._majority_answered_s())
         elapsed_s = self._core.timer.now_s() - heard_s
         return elapsed_s < self._core.settings.election_timeout_s
 
--- a/endivesill/control/repair.py
+++ b/endivesill/control/repair.py
@@ -84,7 +84,7 @@
     def _silent_s(self, replica: ReplicaStatus) -> float:
         leadership = self._core.leadership
         progress = leadership.progress.get(replica.identity) if leadership else None
-        if leadership is None or progress is None:
+        if progress is None:
             return 0.0
-        heard_s = max(progress.answered_s, leadership.began_s)
+        heard_s = max(progress.answered_s, progress.since_s)
         return self._core.timer.now_s() - heard_s
--- a/endivesill/control/replication.py
+++ b/endivesill/control/replication.py
@@ -62,7 +62,7 @@
         self._sent_commit_index = 0
         self._notice_due = False
         self._woken = asyncio.Event()
-        self.progress = Progress()
+        self.progress = Progress(core.timer.now_s())
         self.task: asyncio.Task[None] | None = None
 
     def wake(self) -> None:
--- a/tests/test_control_repair.py
+++ b/tests/test_control_repair.py
@@ -113,6 +113,19 @@
         await cluster.timer.advance(CATCH_UP_S)
         await cluster.wait_for_voters(cluster.addresses, timeout_s=0.1)
 
+    async def test_a_new_learner_is_not_taken_for_a_silent_one(self):
+        """Seen in a score: it was dropped at once by a leader of long standing."""
+        cluster = await self.cluster()
+        await cluster.timer.advance(30.0)
+        # The first answer comes after the leader has looked for what to repair.
+        cluster.network.delay_s = 0.15
+        lost = cluster.followers()[0]
+        await cluster.crash(lost)
+        await cluster.timer.advance(1.0)
+        await cluster.boot(lost, MemoryDisk())
+        await cluster.timer.advance(CATCH_UP_S)
+        await cluster.wait_for_voters(cluster.addresses, timeout_s=0.1)
+
     async def test_two_lost_disks_after_a_repair_leave_what_was_committed(self):
         cluster = await self.cluster()
         await self.lead_with(cluster, cluster.addresses[4])
