--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -5,6 +5,7 @@
 __all__ = [
     "ANSWER_SKIPPED",
     "ATTEMPT_ENDED",
+    "FLEET_BUSY",
     "PLACE_REFUSED",
     "REQUEST_ENDED",
     "REQUEST_PLACED",
@@ -34,6 +35,9 @@
 PLACE_REFUSED = events.define(
     2108, "place-refused", "The leader has no place for an entry's request."
 )
+FLEET_BUSY = events.define(
+    2109, "fleet-busy", "Requests wait for places; the load of each engine."
+)
 ANSWER_SKIPPED = events.define(
     2106, "answer-skipped", "An answer to another request came on a connection."
 )
--- a/endivesill/forwarding/home.py
+++ b/endivesill/forwarding/home.py
@@ -16,7 +16,7 @@
 from endivesill import events
 from endivesill.fleet.load import EngineLoad, FleetLoads
 from endivesill.fleet.model import Service
-from endivesill.forwarding.events import PLACE_REFUSED
+from endivesill.forwarding.events import FLEET_BUSY, PLACE_REFUSED
 from endivesill.forwarding.placement import choose_backup, choose_destination
 from endivesill.forwarding.refusals import (
     PlaceRate,
@@ -83,6 +83,20 @@
         self._table.update_loads(self._loads.sums(self._timer.now_s()))
         self._admission.serve_waiters()
 
+    def log_load(self) -> None:
+        """Write the load of the engines of busy services to the log."""
+        for name in list(self._rates):
+            if not self._admission.is_busy(name):
+                continue
+            targets = self._table.candidates(name, ())
+            events.emit(
+                FLEET_BUSY,
+                service=name,
+                waiting=self._admission.waiting(),
+                places_per_s=round(self._rates[name].per_s(self._timer.now_s()), 2),
+                targets={t.info.identity: _load_row(t) for t in targets},
+            )
+
     async def handle(self, message: Message) -> Message:
         """Give an entry a place.
 
@@ -198,6 +212,16 @@
         return _granted(number, destination, None)
 
 
+def _load_row(target: Target) -> dict[str, int]:
+    return {
+        "requests": target.all_requests,
+        "reserved_tokens": target.others.reserved_tokens,
+        "used_tokens": target.report.used_tokens if target.report else -1,
+        "queued": target.report.queued_requests if target.report else -1,
+        "unread_tokens": target.all_unread_tokens,
+    }
+
+
 def _granted(number: int, target: Target, backup: Target | None) -> Message:
     return {
         "number": number,
--- a/endivesill/platform/leader_home.py
+++ b/endivesill/platform/leader_home.py
@@ -20,6 +20,8 @@
 
 # Waiting requests look for room at least this often.
 SERVE_S = 0.02
+# Period of the lines on the engines' load while requests wait.
+LOAD_LOG_S = 1.0
 
 
 class LeaderHome:
@@ -64,6 +66,7 @@
         )
         hub.reader.use_reports(self._reports.leaving)
         timer.call_every(SERVE_S, self._serve)
+        timer.call_every(LOAD_LOG_S, self._home.log_load)
 
     async def run(self) -> None:
         """Read the engines' reports."""
