Read an answer that stands behind another request's in one segment

Cause: test_an_answer_to_another_request_is_skipped: a late answer to another request and the right one came in one segment, and the client dropped the second as bytes after the answer; the request ended with 504.

Change: a connection keeps all answers that it has read, in order.

--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -57,6 +57,25 @@
         return header_value(self.headers, name)
 
 
+@attrs.define(eq=False)
+class _Answer:
+    """One answer that is being read.
+
+    Attributes:
+      headers: the headers so far.
+      head: the head, once it is complete.
+      pieces: parts of the body that nobody has read yet.
+      buffered_bytes: their length.
+      is_complete: whether the answer has ended as its framing says.
+    """
+
+    headers: Headers = attrs.Factory(list)
+    head: ResponseHead | None = None
+    pieces: collections.deque[bytes] = attrs.Factory(collections.deque)
+    buffered_bytes: int = 0
+    is_complete: bool = False
+
+
 class UpstreamConnection(asyncio.Protocol):
     """A connection to one peer.
 
@@ -85,11 +104,9 @@
 
     def _reset(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: Headers = []
-        self._head: ResponseHead | None = None
-        self._pieces: collections.deque[bytes] = collections.deque()
-        self._buffered = 0
-        self._complete = False
+        # The first is the one that is read now. A peer may send one that belongs
+        # to another request before the right one, or one more after it.
+        self._answers = collections.deque([_Answer()])
         self._failure: str | None = None
         self._changed = asyncio.Event()
         self._no_body = False
@@ -102,17 +119,16 @@
         set_options(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse a part of the answer; bytes that nobody asked for end it all."""
-        if not self._busy or self._complete:
-            self._spoil("bytes after the answer")
+        """Parse a part of the answer; an idle connection must not get any."""
+        if not self._busy:
+            self._spoil()
             return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            # Bytes after a complete answer do not take the answer back.
-            if not self._complete:
-                self._fail(f"no HTTP answer: {error!r}")
-            self._spoil(repr(error))
+            # What comes after a complete answer does not take the answer back.
+            self._fail(f"no HTTP answer: {error!r}")
+            self._spoil()
         self._changed.set()
 
     def eof_received(self) -> bool:
@@ -127,18 +143,16 @@
 
     def _note_end(self, *, clean: bool) -> None:
         self.reusable = False
-        if self._busy and not self._complete and self._failure is None:
-            if clean and self._head is not None and not self._head.framed:
-                self._complete = True
-            else:
-                self._fail("the connection ended")
-        self._changed.set()
+        newest = self._answers[-1]
+        if clean and newest.head is not None and not newest.head.framed:
+            newest.is_complete = True
+        self._fail("the connection ended")
 
     def _fail(self, reason: str) -> None:
         self._failure = self._failure or reason
         self._changed.set()
 
-    def _spoil(self, reason: str) -> None:
+    def _spoil(self) -> None:
         self.reusable = False
         if self.transport is not None:
             self.transport.abort()
@@ -146,56 +160,59 @@
     # httptools callbacks.
 
     def on_message_begin(self) -> None:
-        """Notice an answer after the answer."""
-        if self._complete:
+        """Begin an answer after the answer."""
+        if self._answers[-1].is_complete:
             self.reusable = False
+            self._answers.append(_Answer())
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header; trailer fields are dropped."""
-        if self._head is None:
-            self._headers.append((name, value))
+        answer = self._answers[-1]
+        if answer.head is None:
+            answer.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Take the head."""
-        if self._complete:
-            return
+        answer = self._answers[-1]
         status = self._parser.get_status_code()
         if status < 200:
-            self._headers = []
+            answer.headers = []
             return
-        lengths = header_values(self._headers, b"content-length")
-        codings = header_values(self._headers, b"transfer-encoding")
+        lengths = header_values(answer.headers, b"content-length")
+        codings = header_values(answer.headers, b"transfer-encoding")
         framed = bool(lengths or codings) or status in (204, 304)
-        self._head = ResponseHead(status, self._headers, framed)
+        answer.head = ResponseHead(status, answer.headers, framed)
         if not framed or len(lengths) > 1 or (lengths and codings):
             self.reusable = False
         if not self._parser.should_keep_alive():
             self.reusable = False
-        self._note_keep_alive()
+        self._note_keep_alive(answer.headers)
         if self._no_body:
-            self._complete = True
+            answer.is_complete = True
             self.reusable = False
         self._changed.set()
 
-    def _note_keep_alive(self) -> None:
-        for part in header_value(self._headers, b"keep-alive").split(b","):
+    def _note_keep_alive(self, headers: Headers) -> None:
+        for part in header_value(headers, b"keep-alive").split(b","):
             name, _, value = part.strip().partition(b"=")
             if name.lower() == b"timeout" and value.strip().isdigit():
                 self.idle_limit_s = max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
-        if self._complete:
+        answer = self._answers[-1]
+        if answer.is_complete:
             return
-        self._pieces.append(body)
-        self._buffered += len(body)
-        if self._buffered > BUFFER_BYTES:
+        answer.pieces.append(body)
+        answer.buffered_bytes += len(body)
+        if answer.buffered_bytes > BUFFER_BYTES:
             self.transport.pause_reading()
 
     def on_message_complete(self) -> None:
         """Note the end of the answer."""
-        if self._head is not None and self._head.framed:
-            self._complete = True
+        answer = self._answers[-1]
+        if answer.head is not None and answer.head.framed:
+            answer.is_complete = True
 
     # The exchange.
 
@@ -223,12 +240,10 @@
         Raises:
           UpstreamError: the connection broke first.
         """
-        while self._head is None:
-            if self._failure is not None:
-                raise UpstreamError(self._failure, sent=True)
-            self._changed.clear()
-            await self._changed.wait()
-        return self._head
+        answer = self._answers[0]
+        while answer.head is None:
+            await self._wait_for_more()
+        return answer.head
 
     async def read(self) -> bytes:
         """Return the next part of the body; empty bytes at its end.
@@ -236,20 +251,23 @@
         Raises:
           UpstreamError: the answer broke off.
         """
-        while True:
-            if self._pieces:
-                data = b"".join(self._pieces)
-                self._pieces.clear()
-                if self._buffered > BUFFER_BYTES and not self._lost:
-                    self.transport.resume_reading()
-                self._buffered = 0
-                return data
-            if self._complete:
+        answer = self._answers[0]
+        while not answer.pieces:
+            if answer.is_complete:
                 return b""
-            if self._failure is not None:
-                raise UpstreamError(self._failure, sent=True)
-            self._changed.clear()
-            await self._changed.wait()
+            await self._wait_for_more()
+        data = b"".join(answer.pieces)
+        answer.pieces.clear()
+        if answer.buffered_bytes > BUFFER_BYTES and not self._lost:
+            self.transport.resume_reading()
+        answer.buffered_bytes = 0
+        return data
+
+    async def _wait_for_more(self) -> None:
+        if self._failure is not None:
+            raise UpstreamError(self._failure, sent=True)
+        self._changed.clear()
+        await self._changed.wait()
 
     async def read_all(self) -> bytes:
         """Return the whole body."""
@@ -259,8 +277,10 @@
         return b"".join(parts)
 
     def skip_answer(self) -> None:
-        """Drop an answer that belongs to another request and wait for the next."""
-        self._reset()
+        """Drop a complete answer to another request; the next one is read then."""
+        self._answers.popleft()
+        if not self._answers:
+            self._answers.append(_Answer())
 
     def end(self) -> bool:
         """End the exchange; return whether the connection can be used again."""
@@ -270,7 +290,8 @@
         self.idle_since_s = self._timer.now_s()
         # A body that the peer answered before it had read it is still due.
         unread = self.transport.get_write_buffer_size() > 0
-        if self._lost or unread or not (self._complete and self.reusable):
+        is_clean = len(self._answers) == 1 and self._answers[0].is_complete
+        if self._lost or unread or not (is_clean and self.reusable):
             self.abort()
             return False
         return True
--- /dev/null
+++ b/tests/forwarding_case.py
@@ -0,0 +1,151 @@
+"""An entry with engines on loopback, without control VMs."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from endivesill import events
+from endivesill.fleet.follower import FleetFollower
+from endivesill.fleet.model import (
+    DesiredState,
+    EngineInfo,
+    Organisation,
+    RequestKind,
+)
+from endivesill.fleet.shares import Loan
+from endivesill.forwarding.forwarder import Forwarder
+from endivesill.forwarding.placer import Placer
+from endivesill.forwarding.retry_budget import RetryBudget
+from endivesill.forwarding.route_table import RouteTable
+from endivesill.forwarding.statistics import Statistics
+from endivesill.forwarding.targets import TargetTable
+from endivesill.forwarding.waiting import Admission
+from endivesill.http1 import (
+    ConnectionPool,
+    HttpListener,
+    UpstreamConnection,
+    encode_head,
+)
+from endivesill.peers import MemoryNetwork
+from endivesill.platform.engines import PlatformProtocol
+from endivesill.timer import SystemTimer
+from tests.forwarding_fakes import MODEL, PLAIN, route
+from tests.standin_platform import StandinEngine
+
+ROUTES = (
+    route(name="unsafe", path_prefix="/unsafe/"),
+    route(RequestKind.SAFE, name="safe", path_prefix="/safe/"),
+    route(RequestKind.STREAMING, name="stream", path_prefix="/stream/"),
+    route(name="keyed", path_prefix="/keyed/", is_public=False),
+    route(name="short", path_prefix="/short/", timeout_s=0.2),
+)
+STREAM_HEADERS = [
+    (b"X-Endivesill-Token-Counts", b"1000,80"),
+    (b"X-Endivesill-Prompt-Prefix", b"5c:800,91:200"),
+]
+HIGHEST_EVENTS = 60.0
+
+
+class ForwardingTestCase(unittest.IsolatedAsyncioTestCase):
+    """An entry in this process; engines are stand-ins on loopback."""
+
+    async def asyncSetUp(self):
+        self.lines = []
+        self.addCleanup(
+            events.listen(lambda kind, fields: self.lines.append((kind.name, fields)))
+        )
+        self.timer = SystemTimer()
+        network = MemoryNetwork(self.timer)
+        transport = network.transport("entry")
+        self.follower = FleetFollower(
+            self.timer, transport, ("nobody",), dict, lambda news: None
+        )
+        self.view = self.follower.view
+        self.view.loan = Loan(1.0, self.timer.now_s() + 1_000)
+        self.table = TargetTable(self.timer, self.view, "a")
+        source = random.Random(1)
+        admission = Admission(
+            self.timer,
+            self.table,
+            lambda service: 100.0,
+            lambda request, target: target.take(request.need),
+            source,
+        )
+        self.pool = ConnectionPool(self.timer, 0.5, 3.0)
+        placer = Placer(self.timer, self.table, admission, self.follower, transport)
+        budget = RetryBudget(self.timer, 0.2, 54, 10.0, lambda: 1.0)
+        self.forwarder = Forwarder(
+            self.timer,
+            self.table,
+            admission,
+            placer,
+            budget,
+            self.pool,
+            PlatformProtocol(),
+            Statistics(),
+            source,
+        )
+        organisation = Organisation("owners", ("k1",), None)
+        services = {"app": PLAIN, "llm": MODEL}
+        self.forwarder.routes = RouteTable(
+            DesiredState(
+                1, ROUTES, services, (organisation,), 16_384, 1_000_000, 3.0, 15.0
+            )
+        )
+        self.listener = HttpListener(self.timer, "127.0.0.1:0", self.forwarder.handle)
+        await self.listener.start()
+        self.engines: list[StandinEngine] = []
+        self.addAsyncCleanup(self._close)
+
+    async def _close(self):
+        await self.listener.stop()
+        self.pool.close()
+        for engine in self.engines:
+            await engine.stop()
+
+    async def add(self, service: str, *names: str) -> list[StandinEngine]:
+        """Start engines and put them into the list."""
+        added = []
+        for name in names:
+            engine = StandinEngine(name)
+            await engine.start()
+            self.engines.append(engine)
+            added.append(engine)
+            info = EngineInfo(
+                name, f"{name}@1", service, engine.address, "a", 24, False, 0.0
+            )
+            self.view.engines[info.boot] = info
+        self.table.update_engines()
+        return added
+
+    def target(self, name: str):
+        return self.table.find_all([f"{name}@1"])[0]
+
+    async def connect(self) -> UpstreamConnection:
+        pool = ConnectionPool(self.timer, 0.5, 10.0)
+        return await pool.acquire(self.listener.address)
+
+    async def ask(self, path: str, *headers, method="POST", body=b"hello", on=None):
+        """Send a request as a caller; return the head of the answer and its body."""
+        connection = on or await self.connect()
+        connection.send(request(path, *headers, method=method, body=body))
+        head = await connection.head()
+        return head, await connection.read_all()
+
+    def outcomes(self):
+        return [f["outcome"] for name, f in self.lines if name == "request-ended"]
+
+
+def request(path: str, *headers, method="POST", body=b"hello") -> bytes:
+    """Return the bytes of a request as a caller writes it."""
+    lines = [
+        (b"Host", b"x.example"),
+        (b"X-Endivesill-Request-Attempt-Id", b"a1"),
+        (b"X-Endivesill-Deadline-Remaining", b"4000"),
+        *headers,
+    ]
+    if body or method == "POST":
+        lines.append((b"Content-Length", b"%d" % len(body)))
+    start = f"{method} {path} HTTP/1.1".encode()
+    return encode_head(start, lines) + body
--- /dev/null
+++ b/tests/standin_platform.py
@@ -0,0 +1,117 @@
+"""A stand-in for the platform's engines, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from endivesill.http1 import Exchange, HttpListener
+from endivesill.timer import SystemTimer
+
+SEAL = (b"X-Endivesill-Response-Seal", b"1.2.3")
+
+
+class StandinEngine:
+    """One engine; its behaviour is set by attributes.
+
+    Attributes:
+      answers: statuses of the next plain answers; 200 after them.
+      streams: numbers of events of the next streams; None breaks off after
+        `break_after` events.
+      requests: what has come, as (method, target, headers by lower name, body).
+      copies: names of the copies that can be gone on from.
+    """
+
+    def __init__(self, identity: str) -> None:
+        self.identity = identity
+        self.answers: list[int] = []
+        self.events = 5
+        self.break_after: int | None = None
+        self.event_pause_s = 0.0
+        self.not_run = False
+        self.foreign_first = False
+        self.unframed = False
+        self.hangs = False
+        self.requests: list[tuple[str, bytes, dict[bytes, bytes], bytes]] = []
+        self.copies: set[str] = set()
+        self.copy_orders: list[dict] = []
+        self.left_early = 0
+        self._listener = HttpListener(SystemTimer(), "127.0.0.1:0", self._answer)
+
+    async def start(self) -> None:
+        await self._listener.start()
+
+    async def stop(self) -> None:
+        await self._listener.stop()
+
+    @property
+    def address(self) -> str:
+        return self._listener.address
+
+    async def _answer(self, exchange: Exchange) -> None:
+        headers = {name.lower(): value for name, value in exchange.headers}
+        if exchange.target == b"/kv-move":
+            self.copy_orders.append(json.loads(exchange.body))
+            exchange.respond(200, [], b'{"handle":"h1","made":1}')
+            return
+        if exchange.target.startswith(b"/kv-handle/"):
+            exchange.respond(200, [])
+            return
+        self.requests.append((exchange.method, exchange.target, headers, exchange.body))
+        attempt = (
+            b"X-Endivesill-Request-Attempt-Id",
+            headers.get(b"x-endivesill-request-attempt-id", b""),
+        )
+        expected = headers.get(b"x-endivesill-expected-instance")
+        if expected and expected != self.identity.encode():
+            exchange.respond(421, [attempt])
+        elif self.not_run:
+            exchange.respond(503, [attempt, (b"X-Endivesill-Not-Executed", b"1")])
+        elif self.hangs:
+            await exchange.gone.wait()
+            self.left_early += 1
+        elif b"x-endivesill-token-counts" in headers:
+            await self._stream(exchange, headers, attempt)
+        else:
+            self._plain(exchange, attempt)
+
+    def _plain(self, exchange: Exchange, attempt) -> None:
+        if self.foreign_first:
+            other = (b"X-Endivesill-Request-Attempt-Id", b"someone-else")
+            exchange.respond(200, [other, SEAL], b"not yours")
+            exchange.finished = False
+        status = self.answers.pop(0) if self.answers else 200
+        body = self.identity.encode()
+        if self.unframed:
+            exchange.answered = True
+            exchange.connection.transport.write(
+                b"HTTP/1.1 200 OK\r\n" + attempt[0] + b": " + attempt[1] + b"\r\n"
+                b"X-Endivesill-Response-Seal: 1.2.3\r\n\r\n" + body
+            )
+            exchange.close_after = exchange.finished = True
+            return
+        exchange.respond(status, [attempt, SEAL], body)
+
+    async def _stream(self, exchange: Exchange, headers, attempt) -> None:
+        first = 1
+        source = headers.get(b"kv-from", b"").decode()
+        if source:
+            if source.rpartition("/")[2] not in self.copies:
+                refused = (b"X-Endivesill-Not-Executed", b"1")
+                exchange.respond(503, [attempt, refused])
+                return
+            first = int(headers[b"last-event-id"]) + 1
+        exchange.start(200, [attempt, SEAL, (b"Content-Type", b"text/event-stream")])
+        for number in range(first, self.events + 1):
+            if self.break_after is not None and number > self.break_after:
+                exchange.send(b"id: %d\ndata: ha" % number)
+                await asyncio.sleep(0.01)
+                exchange.abort()
+                return
+            if exchange.gone.is_set():
+                self.left_early += 1
+                return
+            exchange.send(b"id: %d\ndata: t%d\n\n" % (number, number))
+            if self.event_pause_s:
+                await asyncio.sleep(self.event_pause_s)
+        exchange.finish()
--- /dev/null
+++ b/tests/test_fleet_engine_list.py
@@ -0,0 +1,71 @@
+"""Tests of the reader of the platform's list."""
+
+import unittest
+
+import attrs
+
+from endivesill import errors
+from endivesill.fleet.engine_list import (
+    EngineListReader,
+    ListSource,
+    list_to_message,
+)
+from endivesill.timer import ManualTimer
+from tests.forwarding_fakes import engine
+
+
+class FakeSource(ListSource):
+    def __init__(self):
+        self.engines = []
+        self.fails = False
+
+    async def read(self):
+        if self.fails:
+            raise errors.UnavailableError("as the test wants")
+        return self.engines
+
+
+class EngineListReaderTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.timer = ManualTimer()
+        self.source = FakeSource()
+        self.reader = EngineListReader(self.timer, self.source)
+
+    async def test_a_reading_is_numbered_when_engines_have_changed(self):
+        self.source.engines = [engine("e1", cold_s=2.0)]
+        self.assertTrue(await self.reader.read(3))
+        self.assertEqual([3, 1], self.reader.current.stamp)
+        self.source.engines = [engine("e1", cold_s=1.5)]
+        self.assertFalse(await self.reader.read(3))
+        self.source.engines = [engine("e1", cold_s=0.0)]
+        self.assertTrue(await self.reader.read(3))
+        self.assertEqual([3, 2], self.reader.current.stamp)
+
+    async def test_a_new_leaders_reading_is_newer(self):
+        await self.reader.read(3)
+        self.assertTrue(await self.reader.read(4))
+        self.assertGreater([4, 1], [3, 9])
+        self.assertEqual([4, 1], self.reader.current.stamp)
+
+    async def test_the_last_list_outlives_the_platforms(self):
+        self.source.engines = [engine("e1")]
+        await self.reader.read(1)
+        self.source.fails = True
+        self.assertFalse(await self.reader.read(1))
+        self.assertEqual(["e1@1"], list(self.reader.current.engines))
+
+    async def test_an_engine_that_reports_its_end_is_leaving_before_the_list(self):
+        self.reader.use_reports(lambda: frozenset({"e1@1"}))
+        self.source.engines = [engine("e1"), engine("e2")]
+        await self.reader.read(1)
+        leaving = [
+            e.identity for e in self.reader.current.engines.values() if e.is_draining
+        ]
+        self.assertEqual(["e1"], leaving)
+
+    async def test_coldness_is_told_as_of_now(self):
+        self.source.engines = [engine("e1", cold_s=2.0)]
+        await self.reader.read(1)
+        message = list_to_message(self.reader.current, self.timer.now_s() + 0.5)
+        self.assertEqual(1.5, message["engines"][0]["cold_s"])
+        self.assertEqual(attrs.asdict(engine("e1", cold_s=1.5)), message["engines"][0])
--- /dev/null
+++ b/tests/test_forwarding_events.py
@@ -0,0 +1,35 @@
+"""Tests of the splitting of streams into whole events."""
+
+import itertools
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from endivesill.forwarding.event_stream import EventSplitter
+
+STREAM = b"id: 1\ndata: a\n\nversions: 2\nid: 2\ndata: b\n\ndata: no id\n\nid: 3\n\n"
+
+
+class EventSplitterTest(unittest.TestCase):
+    def test_events_have_their_numbers(self):
+        found = EventSplitter().feed(STREAM)
+        self.assertEqual([1, 2, None, 3], [event.number for event in found])
+
+    def test_half_an_event_is_kept_back(self):
+        splitter = EventSplitter()
+        self.assertEqual(1, len(splitter.feed(b"id: 1\n\nid: 2\nda")))
+        self.assertEqual(b"id: 2\nda", splitter.rest)
+        self.assertEqual([2], [e.number for e in splitter.feed(b"ta: x\n\n")])
+        self.assertEqual(b"", splitter.rest)
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(st.lists(st.integers(0, len(STREAM))))
+    def test_no_byte_is_lost_however_it_is_cut(self, cuts):
+        places = [0, *sorted(cuts), len(STREAM)]
+        splitter = EventSplitter()
+        found = []
+        for start, end in itertools.pairwise(places):
+            found += splitter.feed(STREAM[start:end])
+        self.assertEqual(STREAM, b"".join(event.data for event in found))
+        self.assertEqual([1, 2, None, 3], [event.number for event in found])
--- /dev/null
+++ b/tests/test_forwarding_plain.py
@@ -0,0 +1,174 @@
+"""Tests of plain requests on their way to targets and back."""
+
+import asyncio
+
+from tests.forwarding_case import ForwardingTestCase, request
+
+
+class ForwardTest(ForwardingTestCase):
+    async def test_a_request_arrives_as_it_was_sent(self):
+        (engine,) = await self.add("app", "p1")
+        head, body = await self.ask(
+            "/unsafe/x?a=%20b", (b"X-Mine", b" v "), body=b"\x00\xff"
+        )
+        self.assertEqual((200, b"p1"), (head.status, body))
+        method, target, headers, sent = engine.requests[0]
+        self.assertEqual(
+            ("POST", b"/unsafe/x?a=%20b", b"\x00\xff"), (method, target, sent)
+        )
+        self.assertEqual(b"v ", headers[b"x-mine"])
+        self.assertEqual(b"a1", headers[b"x-endivesill-request-attempt-id"])
+        self.assertEqual(b"p1", headers[b"x-endivesill-expected-instance"])
+        left_ms = int(headers[b"x-endivesill-deadline-remaining"])
+        self.assertTrue(3_000 < left_ms <= 4_000)
+
+    async def test_the_engines_status_body_and_seal_come_back(self):
+        (engine,) = await self.add("app", "p1")
+        engine.answers = [418]
+        head, body = await self.ask("/unsafe/x")
+        self.assertEqual((418, b"p1"), (head.status, body))
+        self.assertEqual(b"1.2.3", head.header(b"x-endivesill-response-seal"))
+
+    async def test_what_only_the_system_may_set_is_not_passed_on(self):
+        (engine,) = await self.add("app", "p1")
+        own = [
+            (b"X-Endivesill-Hold", b"h"),
+            (b"X-Endivesill-Pin-Duration", b"9"),
+            (b"X-Endivesill-Kv-Backup", b"10.0.0.1:1"),
+            (b"Kv-From", b"10.0.0.1:1/x"),
+            (b"X-Endivesill-Tenant", b"forged"),
+            (b"Api-Key", b"secret"),
+        ]
+        await self.ask("/unsafe/x", *own)
+        headers = engine.requests[0][2]
+        for name, value in own:
+            self.assertNotEqual(value, headers.get(name.lower()), name)
+
+    async def test_a_key_becomes_its_organisation(self):
+        (engine,) = await self.add("app", "p1")
+        head, _ = await self.ask("/keyed/x", (b"Api-Key", b"k1"))
+        self.assertEqual(200, head.status)
+        headers = engine.requests[0][2]
+        self.assertEqual(b"owners", headers[b"x-endivesill-tenant"])
+        self.assertNotIn(b"api-key", headers)
+
+    async def test_an_unknown_key_is_refused_and_no_engine_hears_of_it(self):
+        (engine,) = await self.add("app", "p1")
+        for keys in ([], [(b"Api-Key", b"k9")], [(b"Api-Key", b"k1")] * 2):
+            head, _ = await self.ask("/keyed/x", *keys)
+            self.assertEqual(401, head.status)
+        self.assertEqual([], engine.requests)
+
+    async def test_no_route_is_a_404_and_no_state_a_503(self):
+        self.assertEqual(404, (await self.ask("/none/x"))[0].status)
+        self.forwarder.routes = None
+        head, _ = await self.ask("/unsafe/x")
+        self.assertEqual(503, head.status)
+        self.assertTrue(head.header(b"retry-after"))
+
+    async def test_an_answer_without_a_length_is_passed_on_whole(self):
+        (engine,) = await self.add("app", "p1")
+        engine.unframed = True
+        head, body = await self.ask("/unsafe/x")
+        self.assertEqual((200, b"p1"), (head.status, body))
+        self.assertEqual(b"2", head.header(b"content-length"))
+
+
+class RepeatTest(ForwardingTestCase):
+    async def test_a_safe_request_that_fails_is_sent_to_another_target(self):
+        engines = await self.add("app", "p1", "p2")
+        for engine in engines:
+            engine.answers = [500]
+        head, _ = await self.ask("/safe/x", method="GET", body=b"")
+        self.assertEqual(500, head.status)
+        self.assertEqual([1, 1], [len(e.requests) for e in engines])
+
+    async def test_a_safe_request_is_served_by_the_second_target(self):
+        one, two = await self.add("app", "p1", "p2")
+        one.hangs = two.hangs = False
+        one.answers = [500]
+        two.answers = []
+        heads = [
+            (await self.ask("/safe/x", method="GET", body=b""))[0].status
+            for _ in range(4)
+        ]
+        self.assertEqual([200] * 4, heads)
+
+    async def test_an_unsafe_request_that_may_have_run_is_not_repeated(self):
+        engines = await self.add("app", "p1", "p2")
+        for engine in engines:
+            engine.answers = [500]
+        head, _ = await self.ask("/unsafe/x")
+        self.assertEqual(500, head.status)
+        self.assertEqual(1, sum(len(e.requests) for e in engines))
+
+    async def test_an_unsafe_request_that_was_not_run_goes_to_another_target(self):
+        one, _ = await self.add("app", "p1", "p2")
+        one.not_run = True
+        for _ in range(4):
+            self.assertEqual(200, (await self.ask("/unsafe/x"))[0].status)
+
+    async def test_a_target_that_is_another_one_now_is_left_alone(self):
+        one, _ = await self.add("app", "p1", "p2")
+        one.identity = "someone-else"
+        for _ in range(4):
+            self.assertEqual(200, (await self.ask("/unsafe/x"))[0].status)
+        self.assertLessEqual(len(one.requests), 1)
+
+    async def test_a_request_that_no_target_ran_is_refused_as_not_run(self):
+        one, two = await self.add("app", "p1", "p2")
+        one.not_run = two.not_run = True
+        head, _ = await self.ask("/unsafe/x")
+        self.assertEqual(503, head.status)
+        self.assertTrue(head.header(b"retry-after"))
+
+    async def test_an_unsafe_request_that_breaks_off_is_not_called_not_run(self):
+        (engine,) = await self.add("app", "p1")
+        engine.hangs = True
+        head, _ = await self.ask("/short/x")
+        self.assertEqual(504, head.status)
+        self.assertEqual(["unknown"], self.outcomes())
+
+    async def test_an_answer_to_another_request_is_skipped(self):
+        (engine,) = await self.add("app", "p1")
+        engine.foreign_first = True
+        head, body = await self.ask("/unsafe/x")
+        self.assertEqual((200, b"p1"), (head.status, body))
+
+
+class LeavingTest(ForwardingTestCase):
+    async def test_a_target_that_leaves_while_the_connection_is_set_up(self):
+        one, two = await self.add("app", "p1", "p2")
+        acquire = self.pool.acquire
+
+        async def acquire_slowly(address, idle_s=None):
+            connection = await acquire(address, idle_s)
+            for info in list(self.view.engines.values()):
+                if info.address == address and address == one.address:
+                    del self.view.engines[info.boot]
+            self.table.update_engines()
+            return connection
+
+        self.pool.acquire = acquire_slowly
+        for _ in range(3):
+            self.assertEqual(200, (await self.ask("/unsafe/x"))[0].status)
+        self.assertEqual([], one.requests)
+        self.assertEqual(3, len(two.requests))
+
+    async def test_a_safe_callers_end_ends_the_work(self):
+        (engine,) = await self.add("app", "p1")
+        engine.hangs = True
+        connection = await self.connect()
+        connection.send(request("/safe/x", method="GET", body=b""))
+        await self.until(lambda: engine.requests)
+        connection.abort()
+        await self.until(lambda: engine.left_early)
+        self.assertEqual(["caller-gone"], self.outcomes())
+        self.assertEqual(0, self.target("p1").requests)
+
+    async def until(self, condition):
+        for _ in range(500):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("it did not come about")
--- /dev/null
+++ b/tests/test_forwarding_routes.py
@@ -0,0 +1,68 @@
+"""Tests of the look-up of routes and keys."""
+
+import random
+import unittest
+
+from endivesill.fleet.model import DesiredState, Organisation, ServiceShare
+from endivesill.forwarding.route_table import RouteTable, pick_service
+from tests.forwarding_fakes import MODEL, PLAIN, route
+
+
+def state(*routes, organisations=()):
+    return DesiredState(
+        1, routes, {"app": PLAIN, "llm": MODEL}, organisations, 1000, 1000, 3.0, 15.0
+    )
+
+
+class FindTest(unittest.TestCase):
+    def setUp(self):
+        self.table = RouteTable(
+            state(
+                route(name="short", path_prefix="/a/"),
+                route(name="long", path_prefix="/a/b/"),
+                route(name="other", host="y.example", path_prefix="/"),
+            )
+        )
+
+    def found(self, host, path):
+        found = self.table.find(host, path)
+        return found.name if found else None
+
+    def test_the_longest_prefix_wins(self):
+        self.assertEqual("long", self.found("x.example", "/a/b/c/d"))
+        self.assertEqual("short", self.found("x.example", "/a/bc"))
+
+    def test_a_path_without_its_slash_is_not_of_the_prefix(self):
+        self.assertIsNone(self.found("x.example", "/a"))
+        self.assertEqual("short", self.found("x.example", "/a/b"))
+
+    def test_hosts_are_apart(self):
+        self.assertEqual("other", self.found("y.example", "/a/b/c"))
+        self.assertIsNone(self.found("z.example", "/a/"))
+
+
+class KeyTest(unittest.TestCase):
+    def test_a_key_names_its_organisation(self):
+        organisation = Organisation("o", ("k1", "k2"), 0)
+        table = RouteTable(state(organisations=(organisation,)))
+        self.assertTrue(table.needs_keys)
+        self.assertEqual(organisation, table.holder("k2"))
+        self.assertIsNone(table.holder("k3"))
+        self.assertIsNone(table.holder(""))
+
+    def test_without_organisations_no_key_is_needed(self):
+        self.assertFalse(RouteTable(state()).needs_keys)
+
+
+class WeightTest(unittest.TestCase):
+    def test_services_share_by_their_weights(self):
+        shares = (ServiceShare("app", 90), ServiceShare("llm", 10))
+        source = random.Random(1)
+        picked = [pick_service(route(shares=shares), source) for _ in range(1_000)]
+        self.assertTrue(850 < picked.count("app") < 950)
+
+    def test_a_service_of_weight_zero_gets_nothing(self):
+        shares = (ServiceShare("app", 0), ServiceShare("llm", 10))
+        source = random.Random(1)
+        picked = {pick_service(route(shares=shares), source) for _ in range(200)}
+        self.assertEqual({"llm"}, picked)
--- /dev/null
+++ b/tests/test_forwarding_streams.py
@@ -0,0 +1,130 @@
+"""Tests of generations: events in order, copies, breaks."""
+
+import asyncio
+
+from endivesill.http1 import UpstreamError
+from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
+
+
+def numbers(body: bytes) -> list[int]:
+    """Return the event numbers of a body."""
+    return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
+
+
+class StreamTest(ForwardingTestCase):
+    async def stream(self):
+        return await self.ask("/stream/x", *STREAM_HEADERS)
+
+    async def test_events_come_once_and_in_order(self):
+        await self.add("llm", "e1")
+        head, body = await self.stream()
+        self.assertEqual(200, head.status)
+        self.assertEqual([1, 2, 3, 4, 5], numbers(body))
+        self.assertEqual(0, self.target("e1").requests)
+        self.assertEqual(0, self.target("e1").reserved_tokens)
+        self.assertEqual(0, self.target("e1").unread_tokens)
+
+    async def test_a_run_has_a_backup_elsewhere(self):
+        engines = await self.add("llm", "e1", "e2")
+        await self.stream()
+        (used,) = [e for e in engines if e.requests]
+        (other,) = [e for e in engines if not e.requests]
+        headers = used.requests[0][2]
+        self.assertEqual(other.address.encode(), headers[b"x-endivesill-kv-backup"])
+        self.assertEqual(0, self.target(other.identity).reserved_tokens)
+
+    async def test_a_run_goes_on_from_its_backup_when_its_engine_ends(self):
+        engines = await self.add("llm", "e1", "e2")
+        for engine in engines:
+            engine.copies = {"a1"}
+        engines[0].break_after = engines[1].break_after = 3
+
+        async def heal():
+            await self.until(lambda: any(e.requests for e in engines))
+            for engine in engines:
+                if not engine.requests:
+                    engine.break_after = None
+
+        healing = asyncio.ensure_future(heal())
+        _, body = await self.stream()
+        await healing
+        self.assertEqual([1, 2, 3, 4, 5], numbers(body))
+        self.assertNotIn(b"ha", body.replace(b"data: t", b""))
+        resumed = [r[2] for e in engines for r in e.requests if b"kv-from" in r[2]]
+        self.assertEqual(b"3", resumed[0][b"last-event-id"])
+        self.assertEqual(b"a1", resumed[0][b"kv-from"].rpartition(b"/")[2])
+
+    async def test_a_run_without_a_copy_breaks_visibly(self):
+        (engine,) = await self.add("llm", "e1")
+        engine.break_after = 3
+        connection = await self.connect()
+        connection.send(request("/stream/x", *STREAM_HEADERS))
+        await connection.head()
+        with self.assertRaises(UpstreamError):
+            await connection.read_all()
+        self.assertEqual(["broken"], self.outcomes())
+
+    async def test_a_copy_that_the_engine_does_not_have_is_no_second_run(self):
+        engines = await self.add("llm", "e1", "e2")
+        for engine in engines:
+            engine.break_after = 2
+        connection = await self.connect()
+        connection.send(request("/stream/x", *STREAM_HEADERS))
+        await connection.head()
+        with self.assertRaises(UpstreamError):
+            await connection.read_all()
+        plain = [r for e in engines for r in e.requests if b"kv-from" not in r[2]]
+        self.assertEqual(1, len(plain))
+
+    async def test_an_engine_that_leaves_gives_its_run_to_another(self):
+        (first,) = await self.add("llm", "e1")
+        first.events = 40
+        first.event_pause_s = 0.01
+        asking = asyncio.ensure_future(self.stream())
+        await self.until(lambda: first.requests)
+        (second,) = await self.add("llm", "e2")
+        second.copies = {"h1"}
+        second.events = 40
+        info = self.view.engines.pop("e1@1")
+        self.table.update_engines()
+        while not first.copy_orders:
+            self.table.notify()
+            await asyncio.sleep(0.01)
+        first.break_after = 0
+        _, body = await asking
+        self.assertEqual(list(range(1, 41)), numbers(body))
+        self.assertEqual(second.address, first.copy_orders[0]["target"])
+        self.assertEqual(info.address, first.address)
+
+    async def test_a_caller_who_leaves_ends_the_run(self):
+        (engine,) = await self.add("llm", "e1")
+        engine.events = 10_000
+        engine.event_pause_s = 0.01
+        connection = await self.connect()
+        connection.send(request("/stream/x", *STREAM_HEADERS))
+        await connection.head()
+        connection.abort()
+        await self.until(lambda: engine.left_early)
+        await self.until(lambda: not self.target("e1").requests)
+        self.assertEqual(["caller-gone"], self.outcomes())
+
+    async def test_a_failure_before_the_stream_is_passed_on(self):
+        (engine,) = await self.add("llm", "e1")
+        engine.not_run = True
+        head, _ = await self.stream()
+        self.assertEqual(503, head.status)
+        self.assertEqual(0, self.target("e1").requests)
+
+    async def test_a_process_that_stops_takes_no_new_runs(self):
+        (engine,) = await self.add("llm", "e1")
+        self.forwarder.refuse_streams = True
+        head, _ = await self.stream()
+        self.assertEqual(503, head.status)
+        self.assertEqual([], engine.requests)
+
+    async def until(self, condition):
+        for _ in range(500):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("it did not come about")
