--- a/endivesill/json_log.py
+++ b/endivesill/json_log.py
@@ -22,6 +22,7 @@
 # lines have the budget of their own kind, so that served ones do not use it up.
 KIND_BUDGET_PER_S = 200
 FLUSH_S = 0.1
+WRITE_LINES = 200
 
 LINES_DROPPED = events.define(
     1040, "log-lines-dropped", "Log lines were left out: over budget or no reader."
@@ -86,20 +87,18 @@
         return json.dumps(line, separators=(",", ":"), default=str).encode() + b"\n"
 
     def flush(self) -> None:
-        """Write what the output takes now."""
-        if not self._rest and not self._lines:
-            return
-        data = self._rest + b"".join(self._lines)
-        self._lines.clear()
-        try:
-            written = os.write(self._descriptor, data)
-        except BlockingIOError:
-            written = 0
-        except OSError:
-            # Nobody reads the output any more; there is nowhere to say so.
-            self._rest = b""
-            return
-        self._rest = data[written:]
-        if len(self._rest) > 256 * BUFFER_LINES:
-            self._dropped["unread"] += self._rest.count(b"\n")
-            self._rest = b""
+        """Write what the output takes now; the rest stays in the bounded buffer."""
+        while self._rest or self._lines:
+            if not self._rest:
+                count = min(len(self._lines), WRITE_LINES)
+                self._rest = b"".join(self._lines.popleft() for _ in range(count))
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the output any more; there is nowhere to say so.
+                self._rest = b""
+                self._lines.clear()
+                return
+            self._rest = self._rest[written:]
--- /dev/null
+++ b/tests/test_platform_engines.py
@@ -0,0 +1,137 @@
+"""Tests of the heads and pages that the adapter reads and writes."""
+
+import json
+import unittest
+
+from endivesill import errors, events
+from endivesill.forwarding.protocol import Dispatch
+from endivesill.http1 import ResponseHead
+from endivesill.platform.engines import PlatformProtocol, decode_list_page
+from endivesill.platform.reports import decode_report
+
+ENTRY = {
+    "id": "i-1",
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "slots": 24,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "born": 1700,
+}
+
+
+class ListTest(unittest.TestCase):
+    def page(self, *entries, **fields):
+        document = {"instances": list(entries), "next": None, **fields}
+        return decode_list_page(json.dumps(document).encode())
+
+    def test_an_entry_is_decoded(self):
+        (engine,), token = self.page(ENTRY, next="p-50")
+        self.assertEqual("i-1@1700", engine.boot)
+        self.assertEqual((1.5, False), (engine.cold_s, engine.is_draining))
+        self.assertEqual("p-50", token)
+
+    def test_the_same_name_with_another_start_is_another_boot(self):
+        engines, _ = self.page(ENTRY, {**ENTRY, "born": 1800})
+        self.assertEqual(2, len({engine.boot for engine in engines}))
+
+    def test_entries_of_another_writer_are_left_out_with_a_line(self):
+        lines = []
+        self.addCleanup(events.listen(lambda kind, fields: lines.append(kind.name)))
+        odd = [
+            7,
+            None,
+            {},
+            {**ENTRY, "state": "odd"},
+            {**ENTRY, "address": "nowhere"},
+            {**ENTRY, "slots": "24"},
+            {**ENTRY, "id": 1},
+        ]
+        engines, _ = self.page(*odd, ENTRY)
+        self.assertEqual(["i-1"], [engine.identity for engine in engines])
+        self.assertEqual(["list-entry-skipped"] * len(odd), lines)
+
+    def test_a_page_that_cannot_be_read(self):
+        for body in (b"", b"[", b"[]", b"7"):
+            with self.assertRaises(errors.DocumentError):
+                decode_list_page(body)
+
+
+class ReportTest(unittest.TestCase):
+    def test_a_report_is_decoded(self):
+        body = b'{"kv_used": 41000, "queued_requests": 1, "state": "draining"}'
+        report = decode_report(body, 5.0)
+        self.assertEqual(
+            (41_000, 1, True),
+            (report.used_tokens, report.queued_requests, report.is_leaving),
+        )
+
+    def test_a_report_that_cannot_be_read(self):
+        for body in (b"", b"{}", b"[]"):
+            with self.assertRaises(errors.DocumentError):
+                decode_report(body, 0.0)
+
+
+class RequestTest(unittest.TestCase):
+    def setUp(self):
+        self.protocol = PlatformProtocol()
+
+    def test_what_routing_needs_is_decoded(self):
+        info = self.protocol.decode_request(
+            [
+                (b"x-endivesill-request-attempt-id", b"a1"),
+                (b"X-Endivesill-Deadline-Remaining", b"1500"),
+                (b"X-Endivesill-Token-Counts", b"1460, 80"),
+                (b"X-Endivesill-Length-Hint", b"60"),
+                (b"X-Endivesill-Prompt-Prefix", b"5c:800, 91:410"),
+            ]
+        )
+        self.assertEqual(("a1", 1.5), (info.attempt_id, info.deadline_s))
+        self.assertEqual(
+            (1_460, 80, 60),
+            (
+                info.prompt_tokens,
+                info.maximum_output_tokens,
+                info.expected_output_tokens,
+            ),
+        )
+        self.assertEqual((("5c", 800), ("91", 410)), info.prefix)
+        self.assertEqual("91", info.session)
+
+    def test_values_that_cannot_be_read_count_as_absent(self):
+        info = self.protocol.decode_request(
+            [
+                (b"X-Endivesill-Deadline-Remaining", b"soon"),
+                (b"X-Endivesill-Token-Counts", b"-1,x"),
+                (b"X-Endivesill-Prompt-Prefix", b"5c:800,91"),
+            ]
+        )
+        self.assertIsNone(info.deadline_s)
+        self.assertEqual(0, info.prompt_tokens)
+        self.assertEqual((("5c", 800),), info.prefix)
+
+    def test_a_key_that_comes_twice_is_none(self):
+        info = self.protocol.decode_request([(b"Api-Key", b"a"), (b"Api-Key", b"b")])
+        self.assertEqual("", info.key)
+
+    def test_a_resumed_run_has_one_last_event(self):
+        dispatch = Dispatch("i-1", 1.0, resume_from="10.0.0.1:1/a1", last_event_id="3")
+        head = self.protocol.encode_request(
+            "POST", b"/x", [(b"Last-Event-Id", b"99")], dispatch
+        )
+        self.assertEqual(1, head.lower().count(b"last-event-id"))
+        self.assertIn(b"Last-Event-Id: 3\r\n", head)
+
+
+class AnswerTest(unittest.TestCase):
+    def answer(self, status, *headers):
+        head = ResponseHead(status, list(headers), True)
+        return PlatformProtocol().decode_answer(head)
+
+    def test_only_the_engine_says_that_a_request_was_not_run(self):
+        self.assertFalse(self.answer(503).not_run)
+        self.assertFalse(self.answer(500).not_run)
+        self.assertTrue(self.answer(421).not_run)
+        said = (b"X-Endivesill-Not-Executed", b"1")
+        self.assertTrue(self.answer(503, said).not_run)
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,77 @@
+"""Tests of the platform's settings file."""
+
+import pathlib
+import tempfile
+import unittest
+
+from endivesill import errors
+from endivesill.platform.settings import check_settings, read_settings
+
+CORE = """
+node_name = "core-1"
+role = "control"
+serves = ["control"]
+ip = "10.1.0.24"
+zone = "west-a"
+internal_port_range = [7200, 7215]
+seeds = ["10.1.0.24:8748", "10.2.0.22:8748"]
+bootstrap = true
+data_directory = "/data/control"
+something_new = [1, 2]
+[listen_addresses]
+control = "10.1.0.24:8748"
+[limits]
+memory_mb = 296
+[fault_tolerance]
+machines = 2
+[bounds]
+grace_s = 8
+drain_ms = 3000
+retry_budget_ratio = 0.2
+retry_budget_slack = 54
+[cloud]
+address = "10.200.0.63:8742"
+rate_per_s = 42.0
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = str(pathlib.Path(folder.name) / "local.toml")
+
+    def write(self, text):
+        pathlib.Path(self.path).write_text(text, encoding="utf-8")
+
+    def findings(self, text):
+        self.write(text)
+        return [finding.text for finding in check_settings(self.path)]
+
+    def test_a_control_vm_knows_its_peers_and_bounds(self):
+        self.write(CORE)
+        settings = read_settings(self.path)
+        self.assertEqual("10.1.0.24:7200", settings.peer_address)
+        self.assertEqual(("10.1.0.24:7200", "10.2.0.22:7200"), settings.seed_peers)
+        self.assertEqual(2, settings.tolerated_losses)
+        self.assertTrue(settings.is_first_start)
+        self.assertEqual(3.0, settings.bounds.drain_s)
+        self.assertEqual("", settings.front_address)
+
+    def test_all_faults_are_told_together(self):
+        text = CORE.replace('zone = "west-a"', "zone = 7").replace(
+            'address = "10.200.0.63:8742"', ""
+        )
+        findings = self.findings(text)
+        self.assertEqual(2, len(findings))
+        self.assertIn("zone", findings[0])
+        self.assertIn("address", findings[1])
+        with self.assertRaises(errors.FindingsError):
+            read_settings(self.path)
+
+    def test_a_file_that_is_no_toml_or_missing(self):
+        self.assertEqual(1, len(self.findings("a = [")))
+        self.assertEqual(1, len(check_settings(self.path + ".missing")))
+
+    def test_fields_that_are_not_known_are_passed_over(self):
+        self.assertEqual([], self.findings(CORE))
