Check the platform's files from the command line; test the fleet's sync

Cause: the adapter's files had no check before the platform reads them, and the leader's answers to entries had no tests.

Change: endivesill platform check; explain reads the new lines and says which lines were left out; tests of sync, shares and places over a memory network.

--- a/endivesill/cli_tools.py
+++ b/endivesill/cli_tools.py
@@ -1,4 +1,4 @@
-"""Commands that need no operator port: explain a request, send load."""
+"""Commands that need no operator port: explain, load, check of files."""
 
 from __future__ import annotations
 
@@ -60,7 +60,30 @@
         print(format_summary(summary))
 
 
+def platform_check(
+    settings: str | None = None, /, *, deploy: str | None = None
+) -> None:
+    """Check a process's settings file and the deploy file; tell all findings.
+
+    Parameters
+    ----------
+    settings
+        The settings file that the platform has written for a process.
+    deploy
+        The deploy file.
+    """
+    findings = porcelain.platform_check(settings, deploy)
+    for finding in findings:
+        print(finding)
+    if findings:
+        raise SystemExit(1)
+    print("no findings")
+
+
 def add_tools(app: cyclopts.App) -> None:
     """Add the commands to the command line."""
     app.command(explain)
     app.command(load)
+    platform = cyclopts.App(name="platform", help="The users' platform.")
+    platform.command(platform_check, name="check")
+    app.command(platform)
--- a/endivesill/explain.py
+++ b/endivesill/explain.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import json
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -20,7 +21,10 @@
 )
 REQUEST_FIELD = "request_id"
 GENERATION_FIELD = "generation_id"
-CHOSEN = "route-chosen"
+CHOSEN = ("route-chosen", "request-placed")
+DROPPED = "log-lines-dropped"
+# Dropped lines are told once a second, after the second in which they were.
+DROPPED_SPAN_S = 2.0
 RECEIVED = "request-received"
 ENDINGS = (
     "request-ended",
@@ -65,6 +69,7 @@
       rejected: for each choice, how many targets were passed over, by reason.
       ending: the name of the event that ended it, with its reason.
       steps: all lines, in order of time.
+      missing: lines that the processes left out at that time, by event name.
     """
 
     request_id: str
@@ -73,6 +78,7 @@
     rejected: tuple[dict[str, int], ...]
     ending: str
     steps: tuple[Step, ...]
+    missing: dict[str, int] = attrs.Factory(dict)
 
 
 def read_steps(lines: Iterable[str]) -> list[Step]:
@@ -109,7 +115,8 @@
     Returns:
       The story, or None if no line is about the request.
     """
-    steps = [step for step in read_steps(lines) if _may_concern(step)]
+    every = read_steps(lines)
+    steps = [step for step in every if _may_concern(step)]
     own = [step for step in steps if step.request_id == request_id]
     if not own:
         return None
@@ -122,7 +129,7 @@
     ]
     told.sort(key=lambda step: step.time_s)
     own.sort(key=lambda step: step.time_s)
-    choices = [step for step in own if step.name == CHOSEN]
+    choices = [step for step in own if step.name in CHOSEN]
     return Story(
         request_id=request_id,
         organisation=_organisation(own),
@@ -130,9 +137,20 @@
         rejected=tuple(_rejected(step.fields.get("rejected")) for step in choices),
         ending=_ending(own),
         steps=tuple(told),
+        missing=_missing(every, told[0].time_s, told[-1].time_s),
     )
 
 
+def _missing(steps: list[Step], begin_s: float, end_s: float) -> dict[str, int]:
+    """Return how many lines were left out while a story went on, by event name."""
+    counts: collections.Counter[str] = collections.Counter()
+    for step in steps:
+        told = begin_s <= step.time_s <= end_s + DROPPED_SPAN_S
+        if step.name == DROPPED and told:
+            counts.update(step.fields.get("counts", {}))
+    return dict(counts)
+
+
 def _may_concern(step: Step) -> bool:
     return REQUEST_FIELD in step.fields or GENERATION_FIELD in step.fields
 
@@ -148,7 +166,12 @@
     """Return the first ending: what follows a broken stream is its consequence."""
     for step in steps:
         if step.name in ENDINGS:
-            reason = step.fields.get("error") or step.fields.get("status")
+            reason = (
+                step.fields.get("error")
+                or step.fields.get("reason")
+                or step.fields.get("outcome")
+                or step.fields.get("status")
+            )
             return f"{step.name}: {reason}" if reason else step.name
     return OPEN_ENDING
 
@@ -177,6 +200,10 @@
             f"  passed over {count}: {reason}"
             for reason, count in sorted(rejected.items())
         ]
+    lines += [
+        f"left out     {count} lines of {name} in this time"
+        for name, count in sorted(story.missing.items())
+    ]
     lines.append("")
     begin_s = story.steps[0].time_s
     lines += [_line(step, begin_s, story.request_id) for step in story.steps]
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -167,7 +167,7 @@
                 # Late answers to others may stand before this one's.
                 events.emit(
                     ANSWER_SKIPPED,
-                    request=call.info.attempt_id,
+                    request_id=call.info.attempt_id,
                     target=target.info.identity,
                     answers=answer.attempt_id,
                 )
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -363,7 +363,7 @@
         self._statistics.refused(reason, status)
         events.emit(
             REQUEST_REFUSED,
-            request=info.attempt_id,
+            request_id=info.attempt_id,
             status=status,
             reason=reason,
             retry_after_s=after_s,
@@ -379,7 +379,7 @@
         target = place.target
         events.emit(
             REQUEST_PLACED,
-            request=call.info.attempt_id,
+            request_id=call.info.attempt_id,
             route=call.route.name,
             route_kind=call.route.kind.value,
             target=target.info.identity,
@@ -395,7 +395,7 @@
     def _log_attempt(self, call: Call, target: Target, reason: str) -> None:
         events.emit(
             ATTEMPT_ENDED,
-            request=call.info.attempt_id,
+            request_id=call.info.attempt_id,
             target=target.info.identity,
             reason=reason,
             sends=call.sends,
@@ -407,7 +407,7 @@
         self._statistics.ended(call.route.kind.value, outcome, elapsed_s)
         events.emit(
             REQUEST_ENDED,
-            request=call.info.attempt_id,
+            request_id=call.info.attempt_id,
             route=call.route.name,
             outcome=outcome,
             reason=reason,
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -154,7 +154,7 @@
             outcome = str(error)
         events.emit(
             RUN_COPIED,
-            request=self._call.info.attempt_id,
+            request_id=self._call.info.attempt_id,
             source=self._source.info.identity,
             destination=self.destination.info.identity,
             outcome=outcome,
@@ -167,7 +167,7 @@
             # The engines free it themselves some seconds later.
             events.emit(
                 RUN_COPIED,
-                request=self._call.info.attempt_id,
+                request_id=self._call.info.attempt_id,
                 source=self._source.info.identity,
                 destination=self.destination.info.identity,
                 outcome=f"not freed: {error}",
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -166,7 +166,7 @@
         call = self._call
         events.emit(
             ATTEMPT_ENDED,
-            request=call.info.attempt_id,
+            request_id=call.info.attempt_id,
             target=run.target.info.identity,
             reason=str(error),
             events=self.events,
@@ -182,7 +182,7 @@
         self.resumes += 1
         events.emit(
             STREAM_RESUMED,
-            request=call.info.attempt_id,
+            request_id=call.info.attempt_id,
             target=target.info.identity,
             after_event=self._last_number,
         )
--- a/endivesill/porcelain.py
+++ b/endivesill/porcelain.py
@@ -20,9 +20,11 @@
 from endivesill.configuration.folder import read_base_revision, write_base_revision
 from endivesill.explain import Story
 from endivesill.explain import explain as story_of
+from endivesill.findings import Finding
 from endivesill.load import LoadRunner, Summary, read_experiment, summarize
 from endivesill.operators.client import OperatorClient
 from endivesill.peers import Message
+from endivesill.platform.check import check_files
 from endivesill.timer import SystemTimer
 
 __all__ = [
@@ -41,6 +43,7 @@
     "explain",
     "fleet_status",
     "load",
+    "platform_check",
     "status",
     "vm_drain",
 ]
@@ -311,6 +314,21 @@
     return await client.post("/v1/drain", {})
 
 
+def platform_check(settings: str | None, deploy: str | None) -> list[Finding]:
+    """Return what is wrong with a settings file and a deploy file.
+
+    Args:
+      settings: the settings file of a process; None to leave it out.
+      deploy: the deploy file; None to leave it out.
+
+    Raises:
+      EndivesillError: neither file is named.
+    """
+    if settings is None and deploy is None:
+        raise errors.EndivesillError("name a settings file, or a deploy file")
+    return check_files(settings, deploy)
+
+
 def explain(log_files: Iterable[pathlib.Path], request_id: str) -> Story:
     """Tell from log files what happened to a request.
 
--- /dev/null
+++ b/tests/test_forwarding_home.py
@@ -0,0 +1,160 @@
+"""Tests of the leader that places generations for all entries."""
+
+import asyncio
+import unittest
+
+from endivesill.fleet.load import FleetLoads
+from endivesill.forwarding.home import COLD_SHARE, PlacementHome
+from endivesill.timer import ManualTimer
+from tests.forwarding_fakes import MEMORY, MODEL, PLAIN, engine, show, table_of
+from tests.http1_fakes import settle
+
+ENTRIES = tuple(f"entry-{number}" for number in range(7))
+
+
+class HomeTestCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.timer = ManualTimer()
+        self.table = table_of(self.timer, engine("e1"), engine("e2"))
+        self.loads = FleetLoads()
+        self.leads = True
+        self.home = PlacementHome(
+            self.timer,
+            self.table,
+            self.loads,
+            {"llm": MODEL, "app": PLAIN}.get,
+            (1.5, 5.0),
+            lambda: self.leads,
+        )
+        self.seen = dict.fromkeys(ENTRIES, 0)
+
+    def message(self, entry=ENTRIES[0], **changes):
+        return {
+            "entry": entry,
+            "grants_seen": self.seen[entry],
+            "loads": {},
+            "service": "llm",
+            "priority": 1,
+            "session": "s",
+            "prompt_tokens": 3_000,
+            "memory_tokens": 3_500,
+            "patience_s": 1.0,
+            "return_patience_s": 3.0,
+            "excluded": [],
+            "holder": "",
+            **changes,
+        }
+
+    async def ask(self, **changes):
+        return await self.home.handle(self.message(**changes))
+
+    async def fill(self):
+        """Ask until there is no room."""
+        placed = 0
+        while "target" in await self.ask(patience_s=0.0, session=f"f{placed}"):
+            placed += 1
+        return placed
+
+
+class PlaceTest(HomeTestCase):
+    async def test_a_place_names_the_engine_and_its_backup(self):
+        answer = await self.ask()
+        names = {answer["target"]["identity"], answer["backup"]["identity"]}
+        self.assertEqual({"e1", "e2"}, names)
+        self.assertEqual(1, answer["number"])
+
+    async def test_entries_that_ask_at_once_do_not_share_one_place(self):
+        """Replays seven entries that see a new engine in the same moment."""
+        answers = await asyncio.gather(
+            *(self.ask(entry=entry, patience_s=0.0) for entry in ENTRIES)
+        )
+        placed = [a["target"]["identity"] for a in answers if "target" in a]
+        for name in ("e1", "e2"):
+            target = self.table.find_all([f"{name}@1"])[0]
+            self.assertLessEqual(
+                target.all_reserved_tokens, MEMORY.capacity_tokens, name
+            )
+            self.assertLessEqual(placed.count(name), 3)
+        self.assertTrue(any("refused" in answer for answer in answers))
+
+    async def test_a_place_stays_taken_until_the_entry_reports_it(self):
+        before = await self.fill()
+        self.assertGreater(before, 0)
+        self.home.update()
+        self.assertIn("refused", await self.ask(session="one", patience_s=0.0))
+        await self.timer.advance(1.1)
+        self.home.update()
+        self.assertIn("target", await self.ask(session="two", patience_s=0.0))
+
+    async def test_who_does_not_lead_says_so(self):
+        self.leads = False
+        self.assertEqual({"leader": None}, await self.ask())
+
+    async def test_plain_services_are_not_placed_here(self):
+        self.assertEqual({"leader": None}, await self.ask(service="app"))
+
+    async def test_a_copy_of_a_run_gets_a_place_elsewhere(self):
+        answer = await self.ask(holder="e1@1")
+        self.assertEqual("e2", answer["target"]["identity"])
+        show(self.table, self.table._view, engine("e1"))
+        self.assertIn("refused", await self.ask(holder="e1@1"))
+
+    async def test_cold_engines_get_the_leaders_part_of_their_rate(self):
+        places = 0
+        for number in range(200):
+            answer = await self.ask(
+                session=f"c{number}",
+                patience_s=0.0,
+                prompt_tokens=1,
+                memory_tokens=1,
+            )
+            places += "target" in answer
+            self.loads.forget(ENTRIES[0])
+        allowance = COLD_SHARE * (1.5 * MODEL.cold_requests_per_s + 5.0)
+        self.assertLessEqual(places, 2 * allowance)
+        self.assertGreaterEqual(places, allowance)
+
+
+class RefusalTest(HomeTestCase):
+    async def test_what_would_wait_in_vain_is_refused_at_once(self):
+        """Replays a standing overload: each place is asked for many times over."""
+        await self.fill()
+        waiting = [
+            asyncio.ensure_future(self.ask(session=f"w{n}", patience_s=1.0))
+            for n in range(10)
+        ]
+        await settle()
+        refused = [task.result() for task in waiting if task.done()]
+        self.assertGreaterEqual(len(refused), 1)
+        for answer in refused:
+            self.assertGreaterEqual(answer["retry_after_s"], 1.0)
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+    async def test_who_comes_back_goes_before_those_who_come_first(self):
+        await self.fill()
+        self.assertIn("refused", await self.ask(session="back", patience_s=0.0))
+        order = []
+
+        async def wait(session, patience_s):
+            answer = await self.ask(session=session, patience_s=patience_s)
+            order.append((session, "target" in answer))
+
+        first = asyncio.ensure_future(wait("new", 1.5))
+        await settle()
+        back = asyncio.ensure_future(wait("back", 1.5))
+        await settle()
+        await self.timer.advance(1.05)
+        self.home.update()
+        await asyncio.gather(first, back)
+        self.assertEqual(("back", True), order[0])
+
+    async def test_a_caller_who_leaves_frees_the_way(self):
+        await self.fill()
+        task = asyncio.ensure_future(self.ask(session="w", patience_s=1.5))
+        await settle()
+        task.cancel()
+        await settle()
+        self.assertEqual(0, self.home._admission.waiting())
+        self.assertEqual({}, self.home._asking)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -48,7 +48,10 @@
     },
     "load": set(),
     "explain": set(),
-    **{name: {"configuration", "operators", "load", "explain"} | TOOL for name in TOOL},
+    **{
+        name: {"configuration", "operators", "load", "explain", "platform"} | TOOL
+        for name in TOOL
+    },
     **{name: set() for name in FOUNDATIONS},
 }
 UNBOUND = {"assembly", "daemon", "reference", "__main__", "__init__"}
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -31,7 +31,7 @@
         found = [
             str(path.relative_to(PACKAGE))
             for path in sorted(PACKAGE.rglob("*.py"))
-            if path.relative_to(PACKAGE).parts[0] not in ("platform", "cli_tools.py")
+            if path.relative_to(PACKAGE).parts[0] not in ("platform", "porcelain.py")
             and re.search(r"endivesill\.platform", path.read_text())
         ]
         self.assertEqual([], found)
