Ask the leader that a replica has heard before the one it used last

The leader froze; each of the other four control VMs spent its first call, 0.85 s, on the frozen one although it knew the new one.

Change: the hint goes before the remembered address; one attempt takes at most 40% of the call's time.

--- a/endivesill/control/remote.py
+++ b/endivesill/control/remote.py
@@ -20,6 +20,9 @@
 QUERY_PATH = "/control/query"
 
 ATTEMPT_TIMEOUT_S = 2.0
+# Share of the whole time that one attempt may take, so that a silent leader
+# leaves time for its successor.
+ATTEMPT_SHARE = 0.4
 BACKOFF_S = 0.05
 BACKOFF_LIMIT_S = 0.2
 LONGEST_PROPOSAL_S = 600.0
@@ -103,7 +106,7 @@
         path: str,
         message: Message,
         timeout_s: float,
-        attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
+        attempt_timeout_s: float | None = None,
     ) -> Message:
         """Call the leader, wherever it is, until it answers.
 
@@ -111,13 +114,16 @@
           path: the peer path.
           message: the message; each attempt adds its own `timeout_s`.
           timeout_s: the bound of all attempts together.
-          attempt_timeout_s: the bound of one attempt.
+          attempt_timeout_s: the bound of one attempt; None for a part of the
+            whole time.
 
         Raises:
           UnavailableError: no attempt has changed anything.
           OutcomeUnknownError: an attempt may have.
         """
         end_s = self._timer.now_s() + timeout_s
+        if attempt_timeout_s is None:
+            attempt_timeout_s = min(ATTEMPT_TIMEOUT_S, ATTEMPT_SHARE * timeout_s)
         backoff_s = BACKOFF_S
         unknown = False
         redirects = 0
@@ -152,7 +158,8 @@
         raise errors.UnavailableError(f"no leader within {timeout_s} s")
 
     def _next_address(self, last_address: str | None) -> str:
-        known = self._leader or self._hint()
+        # A replica hears of a new leader before its own calls fail.
+        known = self._hint() or self._leader
         if known is not None and known != last_address:
             return known
         self._position = (self._position + 1) % len(self._addresses)
--- a/tests/test_control_repair.py
+++ b/tests/test_control_repair.py
@@ -87,6 +87,32 @@
         await cluster.put(cluster.client(), "a", 1)
 
 
+class FrozenLeaderTest(ClusterTestCase):
+    async def test_each_replica_goes_to_the_new_leader_at_its_first_call(self):
+        """Seen in a score: each wasted its first call on the leader it had used."""
+        cluster = await self.start()
+        old = cluster.address_of(await cluster.leader())
+        for replica in cluster.replicas.values():
+            message = {"key": "a", "value": 1}
+            await cluster.run(replica.propose("test.put", message, 0.85))
+        cluster.network.isolate(old)
+        others = [a for a in cluster.addresses if a != old]
+        await cluster.leader(among=others)
+        await cluster.timer.advance(1.0)
+        for address in others:
+            message = {"key": address, "value": 2}
+            replica = cluster.replicas[address]
+            await cluster.run(replica.propose("test.put", message, 0.85))
+
+    async def test_a_call_to_a_leader_that_falls_silent_leaves_time_for_another(self):
+        cluster = await self.start()
+        client = cluster.client()
+        await cluster.put(client, "a", 1)
+        cluster.network.isolate(cluster.address_of(await cluster.leader()))
+        await cluster.timer.advance(10.0)
+        await cluster.put(client, "b", 2, timeout_s=0.85)
+
+
 class LostVoterTest(ClusterTestCase):
     async def cluster(self) -> RepairedCluster:
         cluster = RepairedCluster()
