Let a target rest whose answers are overdue

Change: two answers in a row that pass the route's target latency make a target rest; any answer takes that back.

--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -242,10 +242,15 @@
         left_s = call.end_s - self._timer.now_s()
         if call.is_idempotent and call.runs + 1 < call.route.max_attempts:
             left_s *= ATTEMPT_TIME_SHARE
+        overdue = self._timer.call_after(
+            call.route.target_latency_s, lambda: self._table.note_overdue(target)
+        )
         try:
             return await self._timer.wait_for(exchange(), left_s)
         except errors.DeadlineExceededError:
             raise AttemptError(Failure.BROKEN, "no answer in time") from None
+        finally:
+            overdue.cancel()
 
     def _may_run_again(self, call: Call) -> bool:
         """Tell whether a request that has run may run once more, elsewhere."""
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -263,6 +263,12 @@
             reason=reason,
         )
 
+    def note_overdue(self, target: Target) -> None:
+        """Count an answer that did not come in good time."""
+        rest_s = target.health.note_overdue()
+        if rest_s > 0:
+            self.rest(target, rest_s, "answers are overdue")
+
     def note_outcome(self, target: Target, *, good: bool) -> None:
         """Count an answer; a target that fails far more than its peers rests."""
         target.health.note(good=good)
--- a/tests/test_forwarding_targets.py
+++ b/tests/test_forwarding_targets.py
@@ -109,6 +109,21 @@
         self.play((0.0, 0.9, 0.9, 0.9))
         self.assertEqual(2, len(self.resting()))
 
+    def test_a_silent_target_rests_before_its_requests_time_is_over(self):
+        """Replays a target that takes requests and answers none."""
+        target = self.targets[0]
+        self.table.note_overdue(target)
+        self.assertEqual([], self.resting())
+        self.table.note_overdue(target)
+        self.assertEqual(["p1"], self.resting())
+
+    def test_an_answer_shows_that_a_target_is_only_slow(self):
+        target = self.targets[0]
+        for _ in range(10):
+            self.table.note_overdue(target)
+            self.table.note_outcome(target, good=True)
+        self.assertEqual([], self.resting())
+
     def test_the_rest_grows_with_each_finding(self):
         record, good = HealthRecord(), HealthRecord()
         good.answers = LEAST_ANSWERS
