Count places since an engine's last report on top of it

Where an engine reported more memory in use than was reserved, new places did not change the larger of the two, so that it got more until the next report.

Change: places given after the report was made are added to what it says. The refusal of a place names the request; placements and refusals name the version and the age of what the entry knows.

--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from endivesill import errors, events
 from endivesill.fleet.model import Organisation, RequestKind, Route, Service
@@ -71,6 +72,7 @@
       protocol: reads and writes heads.
       statistics: counts outcomes.
       random_source: picks among services and spreads returns.
+      knowledge_age_s: returns how old the desired state and the list may be.
 
     Attributes:
       routes: the desired state in force; None before there is one.
@@ -89,6 +91,7 @@
         protocol: EngineProtocol,
         statistics: Statistics,
         random_source: random.Random,
+        knowledge_age_s: Callable[[], float],
     ) -> None:
         self._timer = timer
         self._table = table
@@ -99,6 +102,7 @@
         self._protocol = protocol
         self._statistics = statistics
         self._random = random_source
+        self._knowledge_age_s = knowledge_age_s
         self._sender = Sender(timer, pool, table, protocol)
         self._copier = RunCopier(timer, pool, protocol)
         self.routes: RouteTable | None = None
@@ -373,6 +377,7 @@
             reason=reason,
             retry_after_s=after_s,
             version=self.routes.state.version if self.routes else None,
+            age_s=round(self._knowledge_age_s(), 3),
             route=call.route.name if call else None,
             waited_s=round(call.waited_s, 4) if call else 0.0,
             waiting=self._admission.waiting(),
@@ -387,6 +392,8 @@
             request_id=call.info.attempt_id,
             route=call.route.name,
             route_kind=call.route.kind.value,
+            version=self.routes.state.version if self.routes else None,
+            age_s=round(self._knowledge_age_s(), 3),
             target=target.info.identity,
             backup=place.backup.info.identity if place.backup else None,
             by_leader=place.by_leader,
--- a/endivesill/forwarding/home.py
+++ b/endivesill/forwarding/home.py
@@ -102,7 +102,7 @@
 
         Args:
           message: `{"entry", "loads", "grants_seen", "service", "priority",
-            "session", "prompt_tokens", "memory_tokens", "patience_s",
+            "request_id", "session", "prompt_tokens", "memory_tokens", "patience_s",
             "return_patience_s", "excluded", "holder"}`: who asks, its load, and
             what it needs a place for; with a `holder`, the place is for a copy
             of a run at that engine.
@@ -132,26 +132,26 @@
         )
         if message["holder"]:
             return self._place_copy(message, request)
-        return await self._place_run(message["entry"], message["session"], request)
+        return await self._place_run(message, request)
 
-    async def _place_run(
-        self, entry: str, session: str, request: PlaceRequest
-    ) -> Message:
-        self._asking[id(request)] = entry
+    async def _place_run(self, message: Message, request: PlaceRequest) -> Message:
+        self._asking[id(request)] = message["entry"]
         wait_s = self._expected_wait_s(request)
         try:
             target = await self._place_or_refuse(request, wait_s)
             number, backup = self._grants.pop(id(request))
         except NoRoomError as error:
-            self._returns.refuse(session, self._timer.now_s())
+            self._returns.refuse(message["session"], self._timer.now_s())
             events.emit(
                 PLACE_REFUSED,
-                entry=entry,
+                request_id=message["request_id"],
+                entry=message["entry"],
                 service=request.service.name,
                 reason=error.reason,
                 comes_back=request.comes_back,
                 waiting=self._admission.waiting(),
                 expected_wait_s=round(wait_s, 3),
+                patience_s=round(request.latest_s - self._timer.now_s(), 3),
             )
             after_s = retry_after_s(wait_s, self._random.random())
             return {"refused": error.reason, "retry_after_s": after_s}
@@ -192,6 +192,9 @@
         self._grants[id(request)] = (number, backup)
         self._rates[request.service.name].note(now_s)
         self._table.note_send(target)
+        self._table.note_placed(target, need.memory_tokens)
+        if backup is not None:
+            self._table.note_placed(backup, need.memory_tokens)
         self._table.update_loads(self._loads.sums(now_s))
 
     def _place_copy(self, message: Message, request: PlaceRequest) -> Message:
@@ -204,6 +207,7 @@
             )
         if destination is None:
             return {"refused": "no room for a copy", "retry_after_s": 0.0}
+        self._table.note_placed(destination, request.need.memory_tokens)
         load = EngineLoad(1, request.need.memory_tokens, 0)
         now_s = self._timer.now_s()
         boot = destination.info.boot
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -174,6 +174,7 @@
             "priority": call.priority,
             "prompt_tokens": call.need.prompt_tokens,
             "memory_tokens": call.need.memory_tokens,
+            "request_id": call.info.attempt_id,
             "session": call.info.session,
             "patience_s": patience_s,
             "return_patience_s": self._return_patience_s(call),
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -28,6 +28,11 @@
 COLD_WINDOW_S = 1.1
 
 
+# How old an engine's report is when it is read, at most.
+REPORT_LAG_S = 0.6
+# Places that are kept; more are not given between two reports.
+PLACED_LIMIT = 64
+
 NO_LOAD = EngineLoad()
 
 
@@ -60,6 +65,7 @@
       health: outcomes of this entry's requests.
       report: what the engine said last; None where nobody asks.
       sends_s: when this entry sent its last requests there.
+      placed: when places were given here, with the memory of each.
     """
 
     info: EngineInfo
@@ -73,6 +79,9 @@
     listed: bool = True
     report: EngineReport | None = None
     sends_s: collections.deque[float] = attrs.Factory(collections.deque)
+    placed: collections.deque[tuple[float, int]] = attrs.Factory(
+        lambda: collections.deque(maxlen=PLACED_LIMIT)
+    )
 
     @property
     def all_requests(self) -> int:
@@ -85,7 +94,10 @@
         reserved = self.reserved_tokens + self.others.reserved_tokens
         if self.report is None:
             return reserved
-        return max(reserved, self.report.used_tokens)
+        # The report does not hold the places that were given since.
+        as_of_s = self.report.read_s - REPORT_LAG_S
+        since = sum(tokens for time_s, tokens in self.placed if time_s > as_of_s)
+        return max(reserved, self.report.used_tokens + since)
 
     @property
     def all_unread_tokens(self) -> int:
@@ -245,6 +257,10 @@
         """Count a request that is sent now."""
         target.sends_s.append(self._timer.now_s())
 
+    def note_placed(self, target: Target, tokens: int) -> None:
+        """Count memory of a target that was given out now."""
+        target.placed.append((self._timer.now_s(), tokens))
+
     # Health.
 
     def rest(self, target: Target, duration_s: float, reason: str) -> None:
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -103,6 +103,7 @@
             PlatformProtocol(),
             self._statistics,
             random_source,
+            self._silence_s,
         )
         self._front = HttpListener(
             timer, settings.front_address, self._forwarder.handle
@@ -169,15 +170,18 @@
 
     # Readiness and stop.
 
+    def _silence_s(self) -> float:
+        """Return how long ago all that is known was the newest."""
+        return self._timer.now_s() - self._follower.view.confirmed_s
+
     def is_ready(self) -> bool:
         """Tell whether callers should be sent here."""
         view = self._follower.view
-        silent_s = self._timer.now_s() - view.confirmed_s
         return (
             not self._stopping
             and self._forwarder.routes is not None
             and bool(view.engines)
-            and silent_s < READY_SILENCE_S
+            and self._silence_s() < READY_SILENCE_S
         )
 
     async def _answer_ready(self, exchange: Exchange) -> None:
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -85,6 +85,7 @@
             PlatformProtocol(),
             Statistics(),
             source,
+            lambda: 0.0,
         )
         organisation = Organisation("owners", ("k1",), None)
         services = {"app": PLAIN, "llm": MODEL}
--- a/tests/test_forwarding_home.py
+++ b/tests/test_forwarding_home.py
@@ -35,6 +35,7 @@
             "loads": {},
             "service": "llm",
             "priority": 1,
+            "request_id": "a1",
             "session": "s",
             "prompt_tokens": 3_000,
             "memory_tokens": 3_500,
--- a/tests/test_forwarding_placement.py
+++ b/tests/test_forwarding_placement.py
@@ -58,6 +58,16 @@
         targets[0].report = EngineReport(33_000, 0, False, 0.0)
         self.assertIsNone(self.choose(targets))
 
+    def test_places_since_the_last_report_count_on_top_of_it(self):
+        """Replays an engine whose report is fuller than what was reserved."""
+        table = table_of(self.timer, engine("e1"))
+        target = table.find_all(["e1@1"])[0]
+        target.report = EngineReport(27_000, 0, False, self.timer.now_s())
+        self.assertTrue(fits(target, MODEL, NEED))
+        target.take(NEED)
+        table.note_placed(target, NEED.memory_tokens)
+        self.assertFalse(fits(target, MODEL, NEED))
+
     def test_a_surge_does_not_fill_one_new_engine_with_prompts(self):
         """Replays the load of an engine that comes while eleven requests wait."""
         targets = self.targets(engine("new"))
