Split the forwarder's log and the server's exchange; serve gauges

Cause: two modules had grown over 400 lines; settings that nothing used were read; the list's bound on calls was not kept for long lists.

Change: call_log.py, exchange.py and sockets.py; unused settings go; a list of many pages is read as often as the platform allows; gauges of readiness, queue, age, shares and disk on the metrics address.

--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -43,7 +43,14 @@
 
 
 class ListSource:
-    """Base of what reads the whole list of one platform."""
+    """Base of what reads the whole list of one platform.
+
+    Attributes:
+      shortest_period_s: time from one reading to the next that the platform's
+        bound on calls allows.
+    """
+
+    shortest_period_s = 0.0
 
     async def read(self) -> list[EngineInfo]:
         """Return all engines.
@@ -129,7 +136,8 @@
     async def pause(self) -> None:
         """Wait until the next reading is due."""
         factor = min(2**self._failures, FAILED_PERIOD_LIMIT_S / READ_PERIOD_S)
-        await self._timer.sleep(READ_PERIOD_S * factor)
+        period_s = max(READ_PERIOD_S * factor, self._source.shortest_period_s)
+        await self._timer.sleep(period_s)
 
 
 def _facts(engines: dict[str, EngineInfo]) -> dict[str, EngineInfo]:
--- /dev/null
+++ b/endivesill/forwarding/call_log.py
@@ -0,0 +1,122 @@
+"""Writes what is decided about a request to the log and the statistics."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+from endivesill import events
+from endivesill.forwarding.call import Call
+from endivesill.forwarding.events import (
+    ATTEMPT_ENDED,
+    REQUEST_ENDED,
+    REQUEST_PLACED,
+    REQUEST_REFUSED,
+)
+from endivesill.forwarding.placer import Place
+from endivesill.forwarding.protocol import RequestInfo
+from endivesill.forwarding.statistics import Statistics
+from endivesill.forwarding.targets import Target
+from endivesill.timer import TimerService
+
+__all__ = ["CallLog"]
+
+
+class CallLog:
+    """One line for each decision about a request.
+
+    Args:
+      timer: the timer service.
+      statistics: counts outcomes.
+      knowledge_age_s: returns how old the desired state and the list may be;
+        infinite before there are any.
+
+    Attributes:
+      version: version of the desired state that decides; None before there is
+        one.
+    """
+
+    def __init__(
+        self,
+        timer: TimerService,
+        statistics: Statistics,
+        knowledge_age_s: Callable[[], float],
+    ) -> None:
+        self._timer = timer
+        self._statistics = statistics
+        self._knowledge_age_s = knowledge_age_s
+        self.version: int | None = None
+
+    def _age_s(self) -> float | None:
+        age_s = self._knowledge_age_s()
+        return None if math.isinf(age_s) else round(age_s, 3)
+
+    def refused(
+        self,
+        info: RequestInfo,
+        status: int,
+        reason: str,
+        after_s: float | None,
+        waiting: int,
+        call: Call | None = None,
+    ) -> None:
+        """Note a request that was answered without being run."""
+        self._statistics.refused(reason, status)
+        events.emit(
+            REQUEST_REFUSED,
+            request_id=info.attempt_id,
+            status=status,
+            reason=reason,
+            retry_after_s=round(after_s, 3) if after_s is not None else None,
+            version=self.version,
+            age_s=self._age_s(),
+            route=call.route.name if call else None,
+            waited_s=round(call.waited_s, 4) if call else 0.0,
+            waiting=waiting,
+        )
+
+    def placed(self, call: Call, place: Place) -> None:
+        """Note the target that was chosen, with what decided."""
+        target = place.target
+        events.emit(
+            REQUEST_PLACED,
+            request_id=call.info.attempt_id,
+            route=call.route.name,
+            route_kind=call.route.kind.value,
+            version=self.version,
+            age_s=self._age_s(),
+            target=target.info.identity,
+            backup=place.backup.info.identity if place.backup else None,
+            by_leader=place.by_leader,
+            sends=call.sends,
+            waited_s=round(call.waited_s, 4),
+            requests=target.all_requests,
+            reserved_tokens=target.all_reserved_tokens,
+            unread_tokens=target.all_unread_tokens,
+        )
+
+    def attempt_failed(self, call: Call, target: Target, reason: str) -> None:
+        """Note a target that did not give a good answer."""
+        events.emit(
+            ATTEMPT_ENDED,
+            request_id=call.info.attempt_id,
+            target=target.info.identity,
+            reason=reason,
+            sends=call.sends,
+            runs=call.runs,
+        )
+
+    def ended(self, call: Call, outcome: str, reason: str, **fields: float) -> None:
+        """Note the end of a request that was placed, or whose caller has left."""
+        elapsed_s = self._timer.now_s() - call.received_s
+        self._statistics.ended(call.route.kind.value, outcome, elapsed_s)
+        events.emit(
+            REQUEST_ENDED,
+            request_id=call.info.attempt_id,
+            route=call.route.name,
+            outcome=outcome,
+            reason=reason,
+            elapsed_s=round(elapsed_s, 4),
+            sends=call.sends,
+            **fields,
+        )
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
-from endivesill import errors, events
+from endivesill import errors
 from endivesill.fleet.model import Organisation, RequestKind, Route, Service
 from endivesill.forwarding.attempt import (
     Attempt,
@@ -15,26 +14,19 @@
     Sender,
 )
 from endivesill.forwarding.call import Call
-from endivesill.forwarding.events import (
-    ATTEMPT_ENDED,
-    REQUEST_ENDED,
-    REQUEST_PLACED,
-    REQUEST_REFUSED,
-)
+from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.placer import Place, Placer
 from endivesill.forwarding.protocol import EngineProtocol, RequestInfo
 from endivesill.forwarding.refusals import retry_after_s
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable, pick_service
 from endivesill.forwarding.run_copy import RunCopier
-from endivesill.forwarding.statistics import Statistics
 from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
 from endivesill.forwarding.targets import CONNECT_REST_S, Need, Target, TargetTable
 from endivesill.forwarding.waiting import Admission, NoRoomError
 from endivesill.http1 import (
     ConnectionPool,
     Exchange,
-    Headers,
     UpstreamError,
     strip_hop_by_hop,
 )
@@ -70,12 +62,10 @@
       budget: the budget of repeats.
       pool: connections to targets.
       protocol: reads and writes heads.
-      statistics: counts outcomes.
+      log: notes each decision.
       random_source: picks among services and spreads returns.
-      knowledge_age_s: returns how old the desired state and the list may be.
 
     Attributes:
-      routes: the desired state in force; None before there is one.
       refuse_streams: whether new generations are refused because this process
         ends before they would.
     """
@@ -89,9 +79,8 @@
         budget: RetryBudget,
         pool: ConnectionPool,
         protocol: EngineProtocol,
-        statistics: Statistics,
+        log: CallLog,
         random_source: random.Random,
-        knowledge_age_s: Callable[[], float],
     ) -> None:
         self._timer = timer
         self._table = table
@@ -100,14 +89,23 @@
         self._budget = budget
         self._pool = pool
         self._protocol = protocol
-        self._statistics = statistics
+        self._log = log
         self._random = random_source
-        self._knowledge_age_s = knowledge_age_s
         self._sender = Sender(timer, pool, table, protocol)
         self._copier = RunCopier(timer, pool, protocol)
-        self.routes: RouteTable | None = None
+        self._routes: RouteTable | None = None
         self.refuse_streams = False
 
+    @property
+    def routes(self) -> RouteTable | None:
+        """The desired state in force; None before there is one."""
+        return self._routes
+
+    @routes.setter
+    def routes(self, routes: RouteTable | None) -> None:
+        self._routes = routes
+        self._log.version = routes.state.version if routes else None
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         info = self._protocol.decode_request(exchange.headers)
@@ -164,7 +162,7 @@
         task = asyncio.current_task()
         assert task is not None
         if exchange.gone.is_set():
-            self._log_end(call, "caller-gone", "before it was placed")
+            self._log.ended(call, "caller-gone", "before it was placed")
             exchange.abort()
             return
 
@@ -180,7 +178,7 @@
         except errors.DeadlineExceededError:
             self._give_up(call, 504, "timeout")
         except asyncio.CancelledError:
-            self._log_end(call, "caller-gone", "")
+            self._log.ended(call, "caller-gone", "")
             raise
         finally:
             exchange.on_gone = None
@@ -195,7 +193,7 @@
                 self._give_up(call, 502, error.reason, error.retry_after_s)
                 return
             target = place.target
-            self._log_placed(call, place)
+            self._log.placed(call, place)
             try:
                 if call.route.kind is RequestKind.STREAMING:
                     await self._stream(call, place)
@@ -222,7 +220,7 @@
         self._table.note_outcome(target, good=good)
         call.runs += 1
         if not good and self._may_run_again(call):
-            self._log_attempt(call, target, f"status {attempt.answer.status}")
+            self._log.attempt_failed(call, target, f"status {attempt.answer.status}")
             return False
         self._pass_on(call, attempt, body)
         return True
@@ -281,7 +279,7 @@
         status = attempt.answer.status
         headers = strip_hop_by_hop(attempt.head.headers)
         call.exchange.respond(status, headers, body)
-        self._log_end(call, "answered", "", status=status, size_bytes=len(body))
+        self._log.ended(call, "answered", "", status=status, size_bytes=len(body))
 
     # Streams.
 
@@ -304,7 +302,7 @@
             return
         if attempt is None:
             self._table.note_outcome(target, good=True)
-            self._log_end(
+            self._log.ended(
                 call,
                 "answered",
                 "",
@@ -334,7 +332,7 @@
             self._pool.forget(target.info.address)
         elif failure is not Failure.TARGET_LEFT:
             self._table.note_outcome(target, good=False)
-        self._log_attempt(call, target, str(error))
+        self._log.attempt_failed(call, target, str(error))
 
     def _give_up(
         self,
@@ -347,12 +345,12 @@
         """Give a request its final answer: not run, unknown, or a broken stream."""
         exchange = call.exchange
         if exchange.answered:
-            self._log_end(call, "broken", reason, **fields)
+            self._log.ended(call, "broken", reason, **fields)
             exchange.on_gone = None
             exchange.abort()
         elif call.may_have_run:
             exchange.respond(status, [])
-            self._log_end(call, "unknown", reason, status=status)
+            self._log.ended(call, "unknown", reason, status=status)
         else:
             if after_s is None:
                 after_s = retry_after_s(RETRY_AFTER_S, self._random.random())
@@ -367,66 +365,9 @@
         after_s: float | None,
         call: Call | None = None,
     ) -> None:
-        headers: Headers = self._protocol.refusal_headers(after_s)
-        exchange.respond(status, headers)
-        self._statistics.refused(reason, status)
-        events.emit(
-            REQUEST_REFUSED,
-            request_id=info.attempt_id,
-            status=status,
-            reason=reason,
-            retry_after_s=after_s,
-            version=self.routes.state.version if self.routes else None,
-            age_s=round(self._knowledge_age_s(), 3),
-            route=call.route.name if call else None,
-            waited_s=round(call.waited_s, 4) if call else 0.0,
-            waiting=self._admission.waiting(),
-        )
-
-    # Logs.
-
-    def _log_placed(self, call: Call, place: Place) -> None:
-        target = place.target
-        events.emit(
-            REQUEST_PLACED,
-            request_id=call.info.attempt_id,
-            route=call.route.name,
-            route_kind=call.route.kind.value,
-            version=self.routes.state.version if self.routes else None,
-            age_s=round(self._knowledge_age_s(), 3),
-            target=target.info.identity,
-            backup=place.backup.info.identity if place.backup else None,
-            by_leader=place.by_leader,
-            sends=call.sends,
-            waited_s=round(call.waited_s, 4),
-            requests=target.all_requests,
-            reserved_tokens=target.all_reserved_tokens,
-            unread_tokens=target.all_unread_tokens,
-        )
-
-    def _log_attempt(self, call: Call, target: Target, reason: str) -> None:
-        events.emit(
-            ATTEMPT_ENDED,
-            request_id=call.info.attempt_id,
-            target=target.info.identity,
-            reason=reason,
-            sends=call.sends,
-            runs=call.runs,
-        )
-
-    def _log_end(self, call: Call, outcome: str, reason: str, **fields: float) -> None:
-        elapsed_s = self._timer.now_s() - call.received_s
-        self._statistics.ended(call.route.kind.value, outcome, elapsed_s)
-        events.emit(
-            REQUEST_ENDED,
-            request_id=call.info.attempt_id,
-            route=call.route.name,
-            outcome=outcome,
-            reason=reason,
-            elapsed_s=round(elapsed_s, 4),
-            sends=call.sends,
-            **fields,
-        )
+        exchange.respond(status, self._protocol.refusal_headers(after_s))
+        waiting = self._admission.waiting()
+        self._log.refused(info, status, reason, after_s, waiting, call)
 
 
 def need_of(info: RequestInfo, service: Service) -> Need:
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -19,6 +19,8 @@
 # What one more running request costs the others and itself, in seconds of wait;
 # a step of decoding grows by about this much over an answer.
 RUNNING_COST_S = 0.01
+# The same for a plain target with all its slots in use.
+PLAIN_FULL_COST_S = 0.06
 # A target elsewhere must be this much better: bytes between data centres cost.
 DISTANCE_COST_S = 0.03
 # Share of an engine's memory that is given out; the rest takes up outputs that
@@ -57,7 +59,7 @@
 
 def cost_s(target: Target, service: Service, need: Need, data_centre: str) -> float:
     """Return the expected wait for the first answer, with what else it costs."""
-    cost = RUNNING_COST_S * target.all_requests / max(1, target.info.slots) * 6
+    cost = PLAIN_FULL_COST_S * target.all_requests / max(1, target.info.slots)
     if service.memory is not None:
         unread = target.all_unread_tokens + need.prompt_tokens
         cost = unread / READ_TOKENS_PER_S + RUNNING_COST_S * target.all_requests
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -59,7 +59,6 @@
       reserved_tokens: memory that they and their copies are expected to need.
       unread_tokens: prompt tokens of those without a first event.
       others: the same of the other entries, as last told.
-      connections: this entry's open connections with a request.
       cold_until_s: until when the list says that it is cold.
       rests_until_s: until when it gets nothing because of failures.
       health: outcomes of this entry's requests.
--- a/endivesill/http1/__init__.py
+++ b/endivesill/http1/__init__.py
@@ -6,13 +6,9 @@
     UpstreamConnection,
     UpstreamError,
 )
+from endivesill.http1.exchange import ConnectionLimits, Exchange
 from endivesill.http1.head import Headers, encode_head, header_value, strip_hop_by_hop
-from endivesill.http1.server import (
-    ConnectionLimits,
-    Exchange,
-    HttpListener,
-    ServerConnection,
-)
+from endivesill.http1.server import HttpListener, ServerConnection
 
 __all__ = [
     "ConnectionLimits",
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -15,7 +15,7 @@
 
 from endivesill import errors
 from endivesill.http1.head import Headers, header_value, header_values
-from endivesill.http1.server import set_options
+from endivesill.http1.sockets import set_options
 from endivesill.timer import TimerService
 
 __all__ = ["ConnectionPool", "ResponseHead", "UpstreamConnection", "UpstreamError"]
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -8,24 +8,18 @@
 
 import asyncio
 import collections
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import attrs
 import httptools
 
 from endivesill import errors, events
-from endivesill.http1.head import (
-    Headers,
-    encode_head,
-    header_value,
-    header_values,
-    status_line,
-)
+from endivesill.http1.exchange import ConnectionLimits, Exchange, check_framing
+from endivesill.http1.head import Headers, encode_head, header_value, status_line
+from endivesill.http1.sockets import set_options
 from endivesill.timer import TimerHandle, TimerService
 
-__all__ = ["ConnectionLimits", "Exchange", "HttpListener", "ServerConnection"]
+__all__ = ["HttpListener", "ServerConnection"]
 
 # Requests that a connection may have sent ahead before reading is paused.
 PIPELINE_LIMIT = 8
@@ -34,8 +28,6 @@
 # How long input is discarded after a close, so that a reset does not overtake
 # the last answer.
 LINGER_S = 1.0
-# Linux: a peer that acknowledges nothing for this long is gone.
-USER_TIMEOUT_MS = 4_000
 BACKLOG_CONNECTIONS = 512
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -44,112 +36,6 @@
 )
 
 
-@attrs.define
-class ConnectionLimits:
-    """What a caller may send.
-
-    Attributes:
-      header_bytes: size of a head.
-      body_bytes: size of a body.
-      header_timeout_s: time from the first byte of a head to its end.
-      idle_timeout_s: time without a request on an open connection.
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
-class Exchange:
-    """One request and the way to answer it.
-
-    Attributes:
-      method: the request's method.
-      target: the request target as it was sent.
-      headers: the request's headers as they were sent.
-      body: the whole body.
-      received_s: when the last byte of the request was read.
-      gone: set once the caller has closed the connection or it broke.
-      on_gone: called when that happens, if set.
-      answered: whether a head was written.
-      close_after: whether the connection ends with this answer.
-    """
-
-    def __init__(
-        self,
-        connection: ServerConnection,
-        method: str,
-        target: bytes,
-        headers: Headers,
-        body: bytes,
-        keep_alive: bool,
-    ) -> None:
-        self.connection = connection
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.received_s = connection.listener.timer.now_s()
-        self.gone = asyncio.Event()
-        self.on_gone: Callable[[], Any] | None = None
-        self.answered = False
-        self.finished = False
-        self.close_after = not keep_alive
-        self._chunked = False
-
-    def header(self, name: bytes) -> bytes:
-        """Return the first value of a request header, or empty bytes."""
-        return header_value(self.headers, name)
-
-    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
-        """Write a whole answer."""
-        length = (b"Content-Length", b"%d" % len(body))
-        head = self._head(status, [*headers, length])
-        self._write(head if self.method == "HEAD" else head + body)
-        self._end()
-
-    def start(self, status: int, headers: Headers) -> None:
-        """Write the head of an answer of unknown length."""
-        self._chunked = True
-        chunked = (b"Transfer-Encoding", b"chunked")
-        self._write(self._head(status, [*headers, chunked]))
-
-    def send(self, data: bytes) -> None:
-        """Write a part of the body."""
-        self._write(b"%x\r\n%b\r\n" % (len(data), data))
-
-    def finish(self) -> None:
-        """End the body of an answer of unknown length."""
-        self._write(b"0\r\n\r\n")
-        self._end()
-
-    def abort(self) -> None:
-        """Break the connection, so that no answer looks complete."""
-        self.finished = True
-        self.close_after = True
-        self.connection.abort()
-
-    async def drain(self) -> None:
-        """Wait until the caller has read most of what was written."""
-        await self.connection.writable.wait()
-
-    def _head(self, status: int, headers: Headers) -> bytes:
-        self.answered = True
-        if self.connection.listener.closing:
-            self.close_after = True
-        if self.close_after:
-            headers = [*headers, (b"Connection", b"close")]
-        return encode_head(status_line(status), headers)
-
-    def _write(self, data: bytes) -> None:
-        if not self.gone.is_set():
-            self.connection.transport.write(data)
-
-    def _end(self) -> None:
-        self.finished = True
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection of a caller.
 
@@ -376,37 +262,6 @@
         self.listener.timer.call_after(LINGER_S, transport.close)
 
 
-def check_framing(headers: Headers) -> str:
-    """Return why a head could be read in two ways, or the empty string."""
-    lengths = header_values(headers, b"content-length")
-    codings = header_values(headers, b"transfer-encoding")
-    if len(lengths) > 1 or (lengths and codings):
-        return "the length is given twice"
-    if lengths and not lengths[0].isdigit():
-        return "the length is no number"
-    if codings and (len(codings) > 1 or codings[0].lower() != b"chunked"):
-        return "a transfer coding other than chunked"
-    if len(header_values(headers, b"host")) != 1:
-        return "not exactly one Host"
-    return ""
-
-
-def set_options(transport: asyncio.BaseTransport) -> None:
-    """Set the socket options that show a silent peer."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
-    except OSError as error:
-        events.emit(events.TASK_FAILED, task="socket-options", error=repr(error))
-
-
 class HttpListener:
     """Accepts connections at one address.
 
--- a/endivesill/link_peers.py
+++ b/endivesill/link_peers.py
@@ -11,6 +11,7 @@
 
 from endivesill import errors, events
 from endivesill.http1 import (
+    ConnectionLimits,
     ConnectionPool,
     Exchange,
     HttpListener,
@@ -18,7 +19,6 @@
     UpstreamError,
     encode_head,
 )
-from endivesill.http1.server import ConnectionLimits
 from endivesill.peers import Message, PeerTransport
 from endivesill.timer import TimerService
 
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -31,7 +31,6 @@
 SEGMENT_BYTES = 1_048_576
 # Orders are small but for desired states of many routes.
 OPERATOR_LIMITS = ConnectionLimits(body_bytes=16_777_216)
-STOP_SHARE = 5 / 6
 
 
 def control_settings(settings: NodeSettings) -> ControlSettings:
@@ -66,14 +65,17 @@
         wanted_voters=2 * settings.tolerated_losses + 1,
     )
     hub = FleetHub(
-        timer, replica, transport, PlatformList(timer, settings.list_address)
+        timer,
+        replica,
+        transport,
+        PlatformList(timer, settings.list_address, settings.list_calls_per_s),
     )
     home = LeaderHome(settings, timer, replica, hub, transport)
     operators = OperatorPort(timer, replica)
     listener = HttpListener(
         timer, settings.control_address, operators.handle, OPERATOR_LIMITS
     )
-    metrics = MetricsPort(timer, settings, lambda: _lines(replica))
+    metrics = MetricsPort(timer, settings, lambda: _lines(replica, hub))
     await replica.start()
     await transport.start()
     await listener.start()
@@ -101,9 +103,10 @@
     await asyncio.sleep(0)
 
 
-def _lines(replica: ControlReplica) -> list[str]:
+def _lines(replica: ControlReplica, hub: FleetHub) -> list[str]:
     core = replica.core
     lag = core.commit_index - replica.applied_index
+    reading = hub.reader.current
     return [
         f"endivesill_control_term {core.term}",
         f"endivesill_control_leads {int(replica.is_leader)}",
@@ -111,4 +114,7 @@
         f"endivesill_control_commit_index {core.commit_index}",
         f"endivesill_control_apply_lag {lag}",
         f"endivesill_control_last_index {core.log.last_index}",
+        f"endivesill_control_synced_index {core.log.synced_index}",
+        f"endivesill_control_disk_failed {int(core.log.last_error is not None)}",
+        f"endivesill_list_number {reading.number if reading else 0}",
     ]
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
@@ -11,6 +12,7 @@
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import Service
 from endivesill.fleet.tasks import supervise
+from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.forwarder import Forwarder
 from endivesill.forwarding.home import COLD_SHARE
 from endivesill.forwarding.placer import Placer
@@ -101,15 +103,14 @@
             budget,
             self._pool,
             PlatformProtocol(),
-            self._statistics,
+            CallLog(timer, self._statistics, self._silence_s),
             random_source,
-            self._silence_s,
         )
         self._front = HttpListener(
             timer, settings.front_address, self._forwarder.handle
         )
         self._ready = HttpListener(timer, settings.ready_address, self._answer_ready)
-        self._metrics = MetricsPort(timer, settings, self._statistics.lines)
+        self._metrics = MetricsPort(timer, settings, self._metric_lines)
 
     async def run(self) -> None:
         """Serve until the process is told to stop."""
@@ -130,6 +131,24 @@
         await self._front.stop()
         events.emit(events.PROCESS_STOPPED, vm=self._settings.vm)
 
+    def _metric_lines(self) -> list[str]:
+        view = self._follower.view
+        now_s = self._timer.now_s()
+        age_s = self._silence_s()
+        gauges = {
+            "ready": int(self.is_ready()),
+            "active_requests": self._front.active,
+            "waiting_requests": self._admission.waiting(),
+            "caller_connections": len(self._front.connections),
+            "target_connects_total": self._pool.connects,
+            "state_version": view.version or 0,
+            "engines_listed": len(view.engines),
+            "allowance_share": round(view.loan.share_at(now_s), 4),
+            "knowledge_age_seconds": "+Inf" if math.isinf(age_s) else round(age_s, 3),
+        }
+        lines = [f"endivesill_{name} {value}" for name, value in gauges.items()]
+        return lines + self._statistics.lines()
+
     # What the fleet says.
 
     def _own_loads(self) -> dict[str, EngineLoad]:
--- a/endivesill/platform/provider.py
+++ b/endivesill/platform/provider.py
@@ -17,6 +17,9 @@
 CONNECT_TIMEOUT_S = 0.5
 PAGE_TIMEOUT_S = 1.0
 LONGEST_IDLE_S = 5.0
+# Share of the allowed calls that one reader uses; for a moment there may be two,
+# while a leader has not noticed yet that it was replaced.
+RATE_SHARE = 0.4
 
 
 class PlatformList(ListSource):
@@ -25,10 +28,12 @@
     Args:
       timer: the timer service.
       address: HOST:PORT of the list.
+      calls_per_s: calls that the platform accepts from all VMs together.
     """
 
-    def __init__(self, timer: TimerService, address: str) -> None:
+    def __init__(self, timer: TimerService, address: str, calls_per_s: float) -> None:
         self._timer = timer
+        self._calls_per_s = calls_per_s
         self._address = address
         self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, LONGEST_IDLE_S)
 
@@ -36,7 +41,9 @@
         """Read all pages; see the base class."""
         engines: list[EngineInfo] = []
         token = ""
+        calls = 0
         while True:
+            calls += 1
             try:
                 body = await self._timer.wait_for(self._page(token), PAGE_TIMEOUT_S)
                 page, token = decode_list_page(body)
@@ -48,6 +55,7 @@
                 raise errors.UnavailableError(f"list of engines: {error}") from None
             engines += page
             if not token:
+                self.shortest_period_s = calls / (RATE_SHARE * self._calls_per_s)
                 return engines
 
     async def _page(self, token: str) -> bytes:
--- a/endivesill/platform/settings.py
+++ b/endivesill/platform/settings.py
@@ -14,7 +14,6 @@
 
 __all__ = ["Bounds", "NodeSettings", "check_settings", "read_settings"]
 
-MS_PER_S = 1_000.0
 # Offset of the peer port in the range that the platform leaves free.
 PEER_PORT_OFFSET = 0
 
@@ -25,25 +24,19 @@
 
     Attributes:
       grace_s: time from SIGTERM to SIGKILL.
-      drain_s: time within which a leaving target gets its last request.
-      order_timeout_s: time within which an operator's order has its answer.
       retry_ratio: repeats allowed for each request to a service.
       retry_slack: repeats allowed besides, in a window.
       retry_window_s: the window in which repeats are counted.
       cold_factor: factor on the rate that a cold target bears.
       cold_slack: requests a second allowed besides.
-      address_reuse_s: how soon another target may have a target's address.
     """
 
     grace_s: float
-    drain_s: float
-    order_timeout_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
     cold_factor: float
     cold_slack: float
-    address_reuse_s: float
 
 
 @attrs.frozen
@@ -56,7 +49,6 @@
       ip: the VM's address.
       data_centre: where it is.
       peer_port: port of the system's own protocol, the same on all VMs.
-      control_port: port of the operators' calls, the same on all control VMs.
       seeds: HOST of some control VMs.
       is_first_start: whether the whole system starts with empty disks.
       tolerated_losses: how many control VMs may be lost at once.
@@ -64,7 +56,6 @@
       front_address: where callers connect; empty if it serves none.
       ready_address: where readiness is asked.
       control_address: where operators connect.
-      memory_mb: bound of the process's memory.
       list_address: HOST:PORT of the platform's list.
       list_calls_per_s: calls to the list allowed to all VMs together.
       bounds: the bounds of the rules.
@@ -75,7 +66,6 @@
     ip: str
     data_centre: str
     peer_port: int
-    control_port: int
     seeds: tuple[str, ...]
     is_first_start: bool
     tolerated_losses: int
@@ -83,7 +73,6 @@
     front_address: str
     ready_address: str
     control_address: str
-    memory_mb: int
     list_address: str
     list_calls_per_s: float
     bounds: Bounds
@@ -164,7 +153,6 @@
         ip=fields.take("text", "ip", ""),
         data_centre=fields.take("text", "zone", ""),
         peer_port=_first_port(fields),
-        control_port=_port(control_address or (seeds[0] if seeds else "")),
         seeds=tuple(seed.rpartition(":")[0] for seed in seeds),
         is_first_start=fields.take("flag", "bootstrap", False, False),
         tolerated_losses=fields.table("fault_tolerance").take(
@@ -174,7 +162,6 @@
         front_address=listen.take("text", "front", "", ""),
         ready_address=listen.take("text", "ready", "", ""),
         control_address=control_address,
-        memory_mb=fields.table("limits").take("integer", "memory_mb", 0, 0),
         list_address=cloud.take("text", "address", ""),
         list_calls_per_s=cloud.take("number", "rate_per_s", 1.0, 1.0),
         bounds=_bounds(fields.table("bounds")),
@@ -186,26 +173,15 @@
     return ports[0] + PEER_PORT_OFFSET
 
 
-def _port(address: str) -> int:
-    port = address.rpartition(":")[2]
-    return int(port) if port.isdigit() else 0
-
-
 def _bounds(fields: _Fields) -> Bounds:
-    def seconds(name: str, default_ms: float) -> float:
-        return fields.take("number", name, default_ms, default_ms) / MS_PER_S
-
     def number(name: str, default: float) -> float:
         return fields.take("number", name, default, default)
 
     return Bounds(
         grace_s=number("grace_s", 8.0),
-        drain_s=seconds("drain_ms", 3_000.0),
-        order_timeout_s=seconds("ack_timeout_ms", 4_000.0),
         retry_ratio=number("retry_budget_ratio", 0.2),
         retry_slack=number("retry_budget_slack", 10.0),
         retry_window_s=number("budget_window_s", 10.0),
         cold_factor=number("cold_factor", 1.0),
         cold_slack=number("cold_slack", 0.0),
-        address_reuse_s=number("address_reuse_s", 2.0),
     )
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -14,6 +14,7 @@
     RequestKind,
 )
 from endivesill.fleet.shares import Loan
+from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.forwarder import Forwarder
 from endivesill.forwarding.placer import Placer
 from endivesill.forwarding.retry_budget import RetryBudget
@@ -83,9 +84,8 @@
             budget,
             self.pool,
             PlatformProtocol(),
-            Statistics(),
+            CallLog(self.timer, Statistics(), lambda: 0.0),
             source,
-            lambda: 0.0,
         )
         organisation = Organisation("owners", ("k1",), None)
         services = {"app": PLAIN, "llm": MODEL}
--- a/tests/test_fleet_engine_list.py
+++ b/tests/test_fleet_engine_list.py
@@ -1,5 +1,6 @@
 """Tests of the reader of the platform's list."""
 
+import asyncio
 import unittest
 
 import attrs
@@ -63,6 +64,14 @@
         ]
         self.assertEqual(["e1"], leaving)
 
+    async def test_a_long_list_is_read_as_often_as_the_platform_allows(self):
+        self.source.shortest_period_s = 3.0
+        pausing = asyncio.ensure_future(self.reader.pause())
+        await self.timer.advance(2.9)
+        self.assertFalse(pausing.done())
+        await self.timer.advance(0.2)
+        self.assertTrue(pausing.done())
+
     async def test_coldness_is_told_as_of_now(self):
         self.source.engines = [engine("e1", cold_s=2.0)]
         await self.reader.read(1)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -55,7 +55,9 @@
         self.assertEqual(("10.1.0.24:7200", "10.2.0.22:7200"), settings.seed_peers)
         self.assertEqual(2, settings.tolerated_losses)
         self.assertTrue(settings.is_first_start)
-        self.assertEqual(3.0, settings.bounds.drain_s)
+        self.assertEqual(
+            (8.0, 54.0), (settings.bounds.grace_s, settings.bounds.retry_slack)
+        )
         self.assertEqual("", settings.front_address)
 
     def test_all_faults_are_told_together(self):
