Leave replaced and refusing targets alone; refuse by rate only once it is known

Change: a target whose address has another identity gets nothing more; refused connections make it rest up to 4 s; the leader gives no places at an engine that does not answer for its report; no rate is assumed in the first four seconds.

--- a/endivesill/fleet/reports.py
+++ b/endivesill/fleet/reports.py
@@ -78,6 +78,10 @@
             return None
         return report
 
+    def silent(self) -> frozenset[str]:
+        """Return the boots of the engines that did not answer the last question."""
+        return frozenset(self._silent)
+
     def leaving(self) -> frozenset[str]:
         """Return the boots of the engines that say that they leave."""
         return frozenset(b for b, r in self._reports.items() if r.is_leaving)
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -22,7 +22,7 @@
 from endivesill.forwarding.route_table import RouteTable, pick_service
 from endivesill.forwarding.run_copy import RunCopier
 from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
-from endivesill.forwarding.targets import CONNECT_REST_S, Need, Target, TargetTable
+from endivesill.forwarding.targets import Need, Target, TargetTable
 from endivesill.forwarding.waiting import Admission, NoRoomError
 from endivesill.http1 import (
     ConnectionPool,
@@ -327,8 +327,11 @@
 
     def _note_failure(self, call: Call, target: Target, error: AttemptError) -> None:
         failure = error.failure
-        if failure in (Failure.NO_CONNECTION, Failure.WRONG_TARGET):
-            self._table.rest(target, CONNECT_REST_S, str(error))
+        if failure is Failure.NO_CONNECTION:
+            self._table.note_no_connection(target, str(error))
+            self._pool.forget(target.info.address)
+        elif failure is Failure.WRONG_TARGET:
+            self._table.note_replaced(target)
             self._pool.forget(target.info.address)
         elif failure is not Failure.TARGET_LEFT:
             self._table.note_outcome(target, good=False)
--- a/endivesill/forwarding/home.py
+++ b/endivesill/forwarding/home.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 from collections.abc import Callable
 
@@ -93,10 +94,14 @@
                 FLEET_BUSY,
                 service=name,
                 waiting=self._admission.waiting(),
-                places_per_s=round(self._rates[name].per_s(self._timer.now_s()), 2),
+                places_per_s=self._places_per_s(name),
                 targets={t.info.identity: _load_row(t) for t in targets},
             )
 
+    def _places_per_s(self, service: str) -> float | None:
+        rate = self._rates[service].per_s(self._timer.now_s())
+        return None if math.isinf(rate) else round(rate, 2)
+
     async def handle(self, message: Message) -> Message:
         """Give an entry a place.
 
--- a/endivesill/forwarding/refusals.py
+++ b/endivesill/forwarding/refusals.py
@@ -26,13 +26,18 @@
 
     def __init__(self) -> None:
         self._times_s: collections.deque[float] = collections.deque()
+        self._began_s: float | None = None
 
     def note(self, now_s: float) -> None:
         """Count a place that is given."""
+        if self._began_s is None:
+            self._began_s = now_s
         self._times_s.append(now_s)
 
     def per_s(self, now_s: float) -> float:
-        """Return the places given in a second."""
+        """Return the places given in a second; infinite while too little was seen."""
+        if self._began_s is None or now_s - self._began_s < RATE_WINDOW_S:
+            return float("inf")
         while self._times_s and self._times_s[0] < now_s - RATE_WINDOW_S:
             self._times_s.popleft()
         return max(LEAST_RATE_PER_S, len(self._times_s) / RATE_WINDOW_S)
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 import attrs
 
@@ -16,11 +16,13 @@
 from endivesill.forwarding.health import HealthRecord
 from endivesill.timer import TimerService
 
-__all__ = ["CONNECT_REST_S", "Need", "Target", "TargetTable"]
+__all__ = ["Need", "Target", "TargetTable"]
 
 # A target that refuses connections or has lost its address is left alone for
 # this long, about two readings of the platform's list.
 CONNECT_REST_S = 0.5
+# The rest doubles with each further refused connection in a row, up to this.
+CONNECT_REST_LIMIT_S = 4.0
 # No more than this share of a service's targets rests because of failures.
 EJECTED_SHARE = 0.5
 # The rate of a cold target is bounded for each second on the target's clock;
@@ -63,6 +65,8 @@
       rests_until_s: until when it gets nothing because of failures.
       health: outcomes of this entry's requests.
       report: what the engine said last; None where nobody asks.
+      refused_connections: how often in a row no connection came about.
+      is_replaced: whether another target has its address.
       sends_s: when this entry sent its last requests there.
       placed: when places were given here, with the memory of each.
     """
@@ -77,6 +81,8 @@
     rests_until_s: float = 0.0
     listed: bool = True
     report: EngineReport | None = None
+    refused_connections: int = 0
+    is_replaced: bool = False
     sends_s: collections.deque[float] = attrs.Factory(collections.deque)
     placed: collections.deque[tuple[float, int]] = attrs.Factory(
         lambda: collections.deque(maxlen=PLACED_LIMIT)
@@ -170,6 +176,8 @@
             target.listed = False
         for boot, info in self._view.engines.items():
             target = self._targets.setdefault(boot, Target(info, HealthRecord()))
+            if info.address != target.info.address:
+                target.is_replaced = False
             target.info = info
             target.listed = True
             target.cold_until_s = now_s + info.cold_s
@@ -186,10 +194,22 @@
         for boot, target in self._targets.items():
             target.others = others.get(boot, NO_LOAD)
 
-    def update_reports(self, report_of: Callable[[str], EngineReport | None]) -> None:
-        """Take the engines' own reports, by boot."""
+    def update_reports(
+        self,
+        report_of: Callable[[str], EngineReport | None],
+        silent: Container[str],
+    ) -> None:
+        """Take the engines' own reports, by boot.
+
+        Args:
+          report_of: returns the report of a boot; None without one.
+          silent: boots that did not answer when they were asked.
+        """
+        now_s = self._timer.now_s()
         for boot, target in self._targets.items():
             target.report = report_of(boot)
+            if boot in silent:
+                target.rests_until_s = now_s + CONNECT_REST_S
 
     def learn(self, info: EngineInfo) -> Target:
         """Return the target of an engine; the list may not have it here yet."""
@@ -216,6 +236,7 @@
         info = target.info
         return (
             target.listed
+            and not target.is_replaced
             and not info.is_draining
             and info.data_centre not in self._view.evacuated
         )
@@ -278,6 +299,23 @@
             reason=reason,
         )
 
+    def note_replaced(self, target: Target) -> None:
+        """Leave a target alone for good whose address has another identity."""
+        target.is_replaced = True
+        events.emit(
+            TARGET_EJECTED,
+            target=target.info.identity,
+            service=target.info.service,
+            duration_s=None,
+            reason="another target has its address",
+        )
+
+    def note_no_connection(self, target: Target, reason: str) -> None:
+        """Leave a target alone for a time that cannot be connected to."""
+        rest_s = CONNECT_REST_S * 2**target.refused_connections
+        target.refused_connections += 1
+        self.rest(target, min(rest_s, CONNECT_REST_LIMIT_S), reason)
+
     def note_overdue(self, target: Target) -> None:
         """Count an answer that did not come in good time."""
         rest_s = target.health.note_overdue()
@@ -286,6 +324,7 @@
 
     def note_outcome(self, target: Target, *, good: bool) -> None:
         """Count an answer; a target that fails far more than its peers rests."""
+        target.refused_connections = 0
         target.health.note(good=good)
         peers = [
             t.health
--- a/endivesill/platform/leader_home.py
+++ b/endivesill/platform/leader_home.py
@@ -80,7 +80,7 @@
 
     def _serve(self) -> None:
         if self._hub.leads():
-            self._table.update_reports(self._reports.of)
+            self._table.update_reports(self._reports.of, self._reports.silent())
             self._home.update()
 
     def _update(self) -> None:
--- a/tests/test_forwarding_targets.py
+++ b/tests/test_forwarding_targets.py
@@ -124,6 +124,34 @@
             self.table.note_outcome(target, good=True)
         self.assertEqual([], self.resting())
 
+    def test_a_target_that_was_replaced_is_left_alone(self):
+        """Replays a list that still has an engine whose address another one has."""
+        target = self.targets[0]
+        self.table.note_replaced(target)
+        self.assertFalse(self.table.may_have_work(target))
+        self.table.update_engines()
+        self.assertFalse(self.table.may_have_work(target))
+        moved = engine("p1", "app", address="10.0.0.9:1")
+        show(self.table, self.table._view, moved)
+        self.assertTrue(self.table.may_have_work(target))
+
+    def test_refused_connections_rest_longer_each_time(self):
+        target = self.targets[0]
+        rests_s = []
+        for _ in range(5):
+            self.table.note_no_connection(target, "refused")
+            rests_s.append(target.rests_until_s - self.timer.now_s())
+        self.assertEqual([0.5, 1.0, 2.0, 4.0, 4.0], rests_s)
+        self.table.note_outcome(target, good=True)
+        self.table.note_no_connection(target, "refused")
+        self.assertEqual(0.5, target.rests_until_s - self.timer.now_s())
+
+    def test_an_engine_without_reports_gets_no_places(self):
+        self.table.update_reports(lambda boot: None, {"p1@1"})
+        self.assertEqual(["p1"], self.resting())
+        names = [t.info.identity for t in self.table.candidates("app", ())]
+        self.assertEqual(["p2", "p3", "p4"], names)
+
     def test_the_rest_grows_with_each_finding(self):
         record, good = HealthRecord(), HealthRecord()
         good.answers = LEAST_ANSWERS
--- a/tests/test_forwarding_waiting.py
+++ b/tests/test_forwarding_waiting.py
@@ -108,10 +108,17 @@
 class RefusalTest(unittest.TestCase):
     def test_the_wait_is_told_from_the_places_given_lately(self):
         rate = PlaceRate()
-        for number in range(8):
+        for number in range(9):
             rate.note(number / 2)
-        self.assertEqual(2.0, rate.per_s(4.0))
-        self.assertEqual(2.0, expected_wait_s(3, rate.per_s(4.0)))
+        self.assertEqual(2.25, rate.per_s(4.0))
+        self.assertEqual(2.0, rate.per_s(4.25))
+        self.assertEqual(2.0, expected_wait_s(3, 2.0))
+
+    def test_a_new_leader_refuses_nobody_for_want_of_a_rate(self):
+        rate = PlaceRate()
+        self.assertEqual(0.0, expected_wait_s(3, rate.per_s(0.0)))
+        rate.note(0.0)
+        self.assertEqual(0.0, expected_wait_s(3, rate.per_s(1.0)))
 
     def test_callers_do_not_return_together_nor_after_very_long(self):
         times = {retry_after_s(2.0, spread / 10) for spread in range(10)}
