Tell each unreadable entry of the list once; use the wire's names once

Cause: an entry of another writer gave four log lines a second, and the adapter wrote header names in two places.

--- a/endivesill/platform/decode.py
+++ b/endivesill/platform/decode.py
@@ -70,6 +70,10 @@
             raise errors.DocumentError(f"{self._place}.{name}: not whole numbers")
         return values
 
+    def items(self, name: str) -> list[Any]:
+        """Return a list of anything."""
+        return self._get(name, (list,), MISSING)
+
     def objects(self, name: str, default: Any = MISSING) -> list[Reader]:
         """Return a list of objects."""
         values = self._get(name, (list,), default)
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+
+import attrs
 
 from endivesill import errors, events
-from endivesill.fleet.events import LIST_ENTRY_SKIPPED
 from endivesill.fleet.model import EngineInfo
 from endivesill.forwarding.protocol import AnswerInfo, Dispatch, RequestInfo
 from endivesill.http1 import Headers, ResponseHead, header_value
@@ -14,32 +14,45 @@
 from endivesill.platform import wire
 from endivesill.platform.decode import Reader
 
-__all__ = ["PlatformProtocol", "decode_list_page"]
+__all__ = ["ListPage", "PlatformProtocol", "decode_list_page"]
 
 MS_PER_S = 1_000.0
 STATES = {"ready": False, "draining": True}
 
 
-def decode_list_page(body: bytes) -> tuple[list[EngineInfo], str]:
-    """Return the engines of a page and the token of the next one.
+@attrs.frozen
+class ListPage:
+    """A page of the platform's list.
+
+    Attributes:
+      engines: the engines that could be read.
+      skipped: why other entries could not be.
+      next_token: token of the next page; empty on the last.
+    """
+
+    engines: list[EngineInfo]
+    skipped: list[str]
+    next_token: str
+
 
-    Entries that cannot be read are left out with a log line; the others hold.
+def decode_list_page(body: bytes) -> ListPage:
+    """Return a page; entries that cannot be read leave the others as they are.
 
     Raises:
       DocumentError: the page as a whole cannot be read.
     """
     try:
-        document = json.loads(body)
+        reader = Reader(json.loads(body), "list")
     except ValueError as error:
         raise errors.DocumentError(f"list of engines: {error}") from None
-    reader = Reader(document, "list")
     engines = []
-    for position, entry in enumerate(document.get("instances") or []):
+    skipped = []
+    for position, entry in enumerate(reader.items("instances")):
         try:
             engines.append(_engine(Reader(entry, f"list[{position}]")))
         except errors.DocumentError as error:
-            events.emit(LIST_ENTRY_SKIPPED, reason=str(error))
-    return engines, reader.text("next", "")
+            skipped.append(str(error))
+    return ListPage(engines, skipped, reader.text("next", ""))
 
 
 def _engine(reader: Reader) -> EngineInfo:
@@ -145,7 +158,7 @@
         """Return the headers of an answer of the system's own."""
         if retry_after_s is None:
             return []
-        return [(b"Retry-After", b"%.2f" % retry_after_s)]
+        return [(wire.RETRY_AFTER.title(), b"%.2f" % retry_after_s)]
 
 
 def _prefix(value: bytes) -> tuple[tuple[str, int], ...]:
@@ -159,17 +172,18 @@
 
 
 def _dispatch_headers(dispatch: Dispatch) -> Headers:
-    lines: list[tuple[bytes, Any]] = [
-        (b"X-Endivesill-Deadline-Remaining", b"%d" % int(dispatch.left_s * MS_PER_S)),
-        (b"X-Endivesill-Expected-Instance", dispatch.identity.encode()),
+    lines: Headers = [
+        (wire.DEADLINE, b"%d" % int(dispatch.left_s * MS_PER_S)),
+        (wire.EXPECTED_INSTANCE, dispatch.identity.encode()),
     ]
     if dispatch.organisation:
-        lines.append((b"X-Endivesill-Tenant", dispatch.organisation.encode()))
+        lines.append((wire.ORGANISATION, dispatch.organisation.encode()))
     if dispatch.urgency is not None:
-        lines.append((b"X-Endivesill-Request-Urgency", b"%d" % dispatch.urgency))
+        lines.append((wire.URGENCY, b"%d" % dispatch.urgency))
     if dispatch.backup_address:
-        lines.append((b"X-Endivesill-Kv-Backup", dispatch.backup_address.encode()))
+        lines.append((wire.KV_BACKUP, dispatch.backup_address.encode()))
     if dispatch.resume_from:
-        lines.append((b"Kv-From", dispatch.resume_from.encode()))
-        lines.append((b"Last-Event-Id", dispatch.last_event_id.encode()))
-    return lines
+        lines.append((wire.KV_FROM, dispatch.resume_from.encode()))
+        lines.append((wire.LAST_EVENT_ID, dispatch.last_event_id.encode()))
+    # Names are written as the platform's pages write them.
+    return [(name.title(), value) for name, value in lines]
