--- a/endivesill/fleet/reports.py
+++ b/endivesill/fleet/reports.py
@@ -12,7 +12,7 @@
 from endivesill.fleet.model import EngineInfo
 from endivesill.timer import TimerService
 
-__all__ = ["EngineReport", "EngineReports", "ReportSource"]
+__all__ = ["REPORT_TIMEOUT_S", "EngineReport", "EngineReports", "ReportSource"]
 
 # Reports are half a second old as they come, so that more of them tell little.
 READ_PERIOD_S = 0.35
@@ -42,7 +42,7 @@
     """Base of what reads the report of one engine."""
 
     async def read(self, engine: EngineInfo) -> EngineReport:
-        """Return an engine's report.
+        """Return an engine's report within `REPORT_TIMEOUT_S`.
 
         Raises:
           UnavailableError: there is none.
@@ -98,10 +98,8 @@
 
     async def _read(self, engine: EngineInfo) -> None:
         try:
-            report = await self._timer.wait_for(
-                self._source.read(engine), REPORT_TIMEOUT_S
-            )
-        except (errors.UnavailableError, errors.DeadlineExceededError) as error:
+            report = await self._source.read(engine)
+        except errors.UnavailableError as error:
             if engine.boot not in self._silent:
                 self._silent.add(engine.boot)
                 events.emit(REPORTS_LOST, target=engine.identity, reason=str(error))
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -75,20 +75,12 @@
         self, source: Target, order: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
         try:
-            return await self.timer.wait_for(
-                self._send(source.info.address, order), timeout_s
+            head, body = await self.timer.wait_for(
+                self._pool.exchange(source.info.address, order), timeout_s
             )
         except (UpstreamError, errors.DeadlineExceededError) as error:
             raise CopyRefusedError(str(error)) from None
-
-    async def _send(self, address: str, order: bytes) -> tuple[int, bytes]:
-        connection = await self._pool.acquire(address)
-        try:
-            connection.send(order)
-            head = await connection.head()
-            return head.status, await connection.read_all()
-        finally:
-            self._pool.release(connection)
+        return head.status, body
 
 
 class RunCopy:
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -360,6 +360,23 @@
             raise UpstreamError(f"{address}: {error!r}", sent=False) from None
         return connection
 
+    async def exchange(self, address: str, data: bytes) -> tuple[ResponseHead, bytes]:
+        """Send one request and return the head and the body of its answer.
+
+        Args:
+          address: the peer's HOST:PORT.
+          data: the bytes of the request's head and body.
+
+        Raises:
+          UpstreamError: there is no whole answer.
+        """
+        connection = await self.acquire(address)
+        try:
+            connection.send(data)
+            return await connection.head(), await connection.read_all()
+        finally:
+            self.release(connection)
+
     def release(self, connection: UpstreamConnection) -> None:
         """End a connection's exchange and keep it if it is clean."""
         if connection.end():
--- a/endivesill/link_peers.py
+++ b/endivesill/link_peers.py
@@ -15,7 +15,6 @@
     ConnectionPool,
     Exchange,
     HttpListener,
-    UpstreamConnection,
     UpstreamError,
     encode_head,
 )
@@ -103,19 +102,12 @@
             raise errors.PeerUnreachableError(f"{address}{path}: timeout") from None
 
     async def _exchange(self, address: str, path: str, data: bytes) -> Message:
-        connection: UpstreamConnection | None = None
         try:
-            connection = await self._pool.acquire(address)
-            connection.send(data)
-            head = await connection.head()
-            body = await connection.read_all()
+            head, body = await self._pool.exchange(address, data)
         except UpstreamError as error:
             raise errors.PeerUnreachableError(
                 f"{address}{path}: {error}", sent=error.sent
             ) from None
-        finally:
-            if connection is not None:
-                self._pool.release(connection)
         if head.status != 200:
             raise errors.PeerUnreachableError(f"{address}{path}: {head.status}")
         try:
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -10,6 +10,7 @@
 from endivesill.fleet.tasks import supervise
 from endivesill.http1 import ConnectionLimits, HttpListener
 from endivesill.link_peers import LinkPeerTransport
+from endivesill.platform.client import PlatformClient
 from endivesill.platform.leader_home import LeaderHome
 from endivesill.platform.metrics_port import MetricsPort
 from endivesill.platform.operators import OperatorPort
@@ -64,13 +65,14 @@
         may_found=settings.is_first_start,
         wanted_voters=2 * settings.tolerated_losses + 1,
     )
+    client = PlatformClient(timer)
     hub = FleetHub(
         timer,
         replica,
         transport,
-        PlatformList(timer, settings.list_address, settings.list_calls_per_s),
+        PlatformList(client, settings.list_address, settings.list_calls_per_s),
     )
-    home = LeaderHome(settings, timer, replica, hub, transport)
+    home = LeaderHome(settings, timer, replica, hub, transport, client)
     operators = OperatorPort(timer, replica)
     listener = HttpListener(
         timer, settings.control_address, operators.handle, OPERATOR_LIMITS
--- a/endivesill/platform/leader_home.py
+++ b/endivesill/platform/leader_home.py
@@ -11,6 +11,7 @@
 from endivesill.forwarding.home import PLACE_PATH, PlacementHome
 from endivesill.forwarding.targets import TargetTable
 from endivesill.link_peers import LinkPeerTransport
+from endivesill.platform.client import PlatformClient
 from endivesill.platform.desired_state import decode_desired_state
 from endivesill.platform.reports import PlatformReports
 from endivesill.platform.settings import NodeSettings
@@ -33,6 +34,7 @@
       replica: this VM's control replica.
       hub: knows the engines and the loads.
       transport: the peer port.
+      client: asks engines for their reports.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         replica: ControlReplica,
         hub: FleetHub,
         transport: LinkPeerTransport,
+        client: PlatformClient,
     ) -> None:
         self._replica = replica
         self._hub = hub
@@ -62,7 +65,7 @@
         transport.cancel_with_caller(PLACE_PATH)
         hub.on_change(self._update)
         self._reports = EngineReports(
-            timer, PlatformReports(timer), self._model_engines
+            timer, PlatformReports(timer, client), self._model_engines
         )
         hub.reader.use_reports(self._reports.leaving)
         timer.call_every(SERVE_S, self._serve)
