--- a/endivesill/fleet/__init__.py
+++ b/endivesill/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The whole fleet as its VMs know it: desired state, engines, shared load."""
+"""The whole fleet as its VMs know it: configuration, engines, shared load."""
--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -28,7 +28,7 @@
       term: the leader's term in which it was read.
       number: counts the changed readings of a term.
       read_s: when it was read, on the reader's clock.
-      engines: the engines by boot.
+      engines: the engines by incarnation.
     """
 
     term: int
@@ -109,8 +109,9 @@
         leaving = self._leaving()
         return self._take(
             {
-                engine.boot: attrs.evolve(
-                    engine, is_draining=engine.is_draining or engine.boot in leaving
+                engine.incarnation: attrs.evolve(
+                    engine,
+                    is_draining=engine.is_draining or engine.incarnation in leaving,
                 )
                 for engine in engines
             },
@@ -143,6 +144,6 @@
 def _facts(engines: dict[str, EngineInfo]) -> dict[str, EngineInfo]:
     """Return the engines without what changes by the passing of time alone."""
     return {
-        boot: attrs.evolve(engine, cold_s=1.0 if engine.cold_s > 0 else 0.0)
-        for boot, engine in engines.items()
+        incarnation: attrs.evolve(engine, cold_s=1.0 if engine.cold_s > 0 else 0.0)
+        for incarnation, engine in engines.items()
     }
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -12,11 +12,11 @@
     "LIST_REGAINED",
     "REPORTS_LOST",
     "REPORTS_REGAINED",
-    "STATE_IN_FORCE",
+    "CONFIGURATION_IN_FORCE",
 ]
 
-STATE_IN_FORCE = events.define(
-    5101, "state-in-force", "This process uses a newer desired state."
+CONFIGURATION_IN_FORCE = events.define(
+    5101, "configuration-in-force", "This process uses a newer configuration."
 )
 CHANGE_ANSWERED = events.define(
     5102, "change-answered", "An operator's order was answered."
--- a/endivesill/fleet/follower.py
+++ b/endivesill/fleet/follower.py
@@ -39,13 +39,13 @@
     """What an entry knows of the fleet.
 
     Attributes:
-      version: version of the desired state; None before there is one.
-      document: the desired state as the operator sent it.
+      version: version of the configuration; None before there is one.
+      document: the configuration as the operator sent it.
       evacuation_index: log index of the last change of evacuations.
       evacuated: data centres whose targets get nothing.
       list_stamp: which reading of the platform's list this is.
-      engines: the engines by boot.
-      others: load of the other entries by boot of the engine.
+      engines: the engines by incarnation.
+      others: load of the other entries by incarnation of the engine.
       loan: this entry's share of the allowances.
       entries: how many entries hold a share.
       confirmed_s: as of when all of this was the newest.
@@ -70,7 +70,7 @@
       timer: the timer service.
       transport: calls the control VMs.
       seeds: peer addresses of some control VMs.
-      own_loads: returns this entry's load by boot of the engine.
+      own_loads: returns this entry's load by incarnation of the engine.
       changed: called after each answer with the names of what is new.
 
     Attributes:
@@ -141,8 +141,8 @@
             "entry": self.entry,
             "grants_seen": self._grants_seen,
             "loads": {
-                boot: [load.requests, load.reserved_tokens, load.unread_tokens]
-                for boot, load in self._own_loads().items()
+                incarnation: [load.requests, load.reserved_tokens, load.unread_tokens]
+                for incarnation, load in self._own_loads().items()
             },
         }
 
@@ -205,7 +205,7 @@
         if reading and reading["stamp"] > view.list_stamp:
             view.list_stamp = reading["stamp"]
             engines = [EngineInfo(**row) for row in reading["engines"]]
-            view.engines = {engine.boot: engine for engine in engines}
+            view.engines = {engine.incarnation: engine for engine in engines}
             news.add("engines")
         view.others = {b: EngineLoad(*row) for b, row in answer["loads"].items()}
         # Counted from the question, so that it ends here before it ends there.
--- a/endivesill/fleet/hub.py
+++ b/endivesill/fleet/hub.py
@@ -181,6 +181,6 @@
 
 def _rows(loads: dict[str, EngineLoad]) -> dict[str, list[int]]:
     return {
-        boot: [load.requests, load.reserved_tokens, load.unread_tokens]
-        for boot, load in loads.items()
+        incarnation: [load.requests, load.reserved_tokens, load.unread_tokens]
+        for incarnation, load in loads.items()
     }
--- a/endivesill/fleet/load.py
+++ b/endivesill/fleet/load.py
@@ -46,7 +46,7 @@
     """A place that was granted and is not reported yet."""
 
     number: int
-    boot: str
+    incarnation: str
     load: EngineLoad
     end_s: float
 
@@ -74,13 +74,15 @@
 
         Args:
           entry: names one start of an entry.
-          rows: `[requests, reserved tokens, unread tokens]` by boot of the engine.
+          rows: `[requests, reserved tokens, unread tokens]` by incarnation.
           grants_seen: number of the last grant that the entry has received.
           now_s: the time.
         """
         known = self._entries.setdefault(entry, _EntryLoads())
         known.reported_s = now_s
-        known.loads = {boot: EngineLoad(*row) for boot, row in rows.items()}
+        known.loads = {
+            incarnation: EngineLoad(*row) for incarnation, row in rows.items()
+        }
         known.grants = [g for g in known.grants if g.number > grants_seen]
         # After a change of the leader the numbers go on from the entry's.
         known.last_number = max(known.last_number, grants_seen)
@@ -90,23 +92,26 @@
         known = self._entries.setdefault(entry, _EntryLoads(now_s))
         known.last_number += 1
         end_s = now_s + GRANT_LIFE_S
-        for boot, load in loads.items():
-            known.grants.append(_Grant(known.last_number, boot, load, end_s))
+        for incarnation, load in loads.items():
+            known.grants.append(_Grant(known.last_number, incarnation, load, end_s))
         return known.last_number
 
     def sums(self, now_s: float, without: str = "") -> dict[str, EngineLoad]:
-        """Return the load of all entries, but one if named, by boot."""
-        by_boot: dict[str, list[EngineLoad]] = collections.defaultdict(list)
+        """Return the load of all entries, but one if named, by incarnation."""
+        by_incarnation: dict[str, list[EngineLoad]] = collections.defaultdict(list)
         for entry, known in list(self._entries.items()):
             if now_s - known.reported_s > REPORT_LIFE_S:
                 del self._entries[entry]
             elif entry != without:
-                for boot, load in known.loads.items():
-                    by_boot[boot].append(load)
+                for incarnation, load in known.loads.items():
+                    by_incarnation[incarnation].append(load)
                 for grant in known.grants:
                     if grant.end_s > now_s:
-                        by_boot[grant.boot].append(grant.load)
-        return {boot: add_loads(loads) for boot, loads in by_boot.items()}
+                        by_incarnation[grant.incarnation].append(grant.load)
+        return {
+            incarnation: add_loads(loads)
+            for incarnation, loads in by_incarnation.items()
+        }
 
     def forget(self, entry: str) -> None:
         """Drop an entry that stops."""
--- a/endivesill/fleet/model.py
+++ b/endivesill/fleet/model.py
@@ -7,7 +7,7 @@
 import attrs
 
 __all__ = [
-    "DesiredState",
+    "FleetConfiguration",
     "EngineInfo",
     "EngineMemory",
     "Organisation",
@@ -124,7 +124,7 @@
 
 
 @attrs.frozen
-class DesiredState:
+class FleetConfiguration:
     """One version of everything that operators have decided.
 
     Attributes:
@@ -154,7 +154,7 @@
 
     Attributes:
       identity: its name, which it checks on requests that expect it.
-      boot: names one start of it; an identity may be started again.
+      incarnation: names one start of it; an identity may be started again.
       service: the service it belongs to.
       address: its HOST:PORT; may belong to another target later.
       data_centre: where it runs.
@@ -164,7 +164,7 @@
     """
 
     identity: str
-    boot: str
+    incarnation: str
     service: str
     address: str
     data_centre: str
--- a/endivesill/fleet/reports.py
+++ b/endivesill/fleet/reports.py
@@ -71,19 +71,19 @@
         self._reports: dict[str, EngineReport] = {}
         self._silent: set[str] = set()
 
-    def of(self, boot: str) -> EngineReport | None:
+    def of(self, incarnation: str) -> EngineReport | None:
         """Return the report of one start of an engine, unless it is old."""
-        report = self._reports.get(boot)
+        report = self._reports.get(incarnation)
         if report is None or self._timer.now_s() - report.read_s > REPORT_LIFE_S:
             return None
         return report
 
     def silent(self) -> frozenset[str]:
-        """Return the boots of the engines that did not answer the last question."""
+        """Return the incarnations that did not answer the last question."""
         return frozenset(self._silent)
 
     def leaving(self) -> frozenset[str]:
-        """Return the boots of the engines that say that they leave."""
+        """Return the incarnations of the engines that say that they leave."""
         return frozenset(b for b, r in self._reports.items() if r.is_leaving)
 
     async def run(self) -> None:
@@ -91,20 +91,22 @@
         while True:
             engines = list(self._engines())
             await asyncio.gather(*(self._read(engine) for engine in engines))
-            boots = {engine.boot for engine in engines}
-            self._reports = {b: r for b, r in self._reports.items() if b in boots}
-            self._silent &= boots
+            incarnations = {engine.incarnation for engine in engines}
+            self._reports = {
+                b: r for b, r in self._reports.items() if b in incarnations
+            }
+            self._silent &= incarnations
             await self._timer.sleep(READ_PERIOD_S)
 
     async def _read(self, engine: EngineInfo) -> None:
         try:
             report = await self._source.read(engine)
         except errors.UnavailableError as error:
-            if engine.boot not in self._silent:
-                self._silent.add(engine.boot)
+            if engine.incarnation not in self._silent:
+                self._silent.add(engine.incarnation)
                 events.emit(REPORTS_LOST, target=engine.identity, reason=str(error))
             return
-        if engine.boot in self._silent:
-            self._silent.discard(engine.boot)
+        if engine.incarnation in self._silent:
+            self._silent.discard(engine.incarnation)
             events.emit(REPORTS_REGAINED, target=engine.identity)
-        self._reports[engine.boot] = report
+        self._reports[engine.incarnation] = report
--- a/endivesill/fleet/state.py
+++ b/endivesill/fleet/state.py
@@ -1,6 +1,6 @@
-"""The replicated state of the fleet: desired state and emptied data centres.
+"""The replicated state of the fleet: configuration and emptied data centres.
 
-The document of a desired state is kept as the operator sent it, so that it can
+The document of a configuration is kept as the operator sent it, so that it can
 be read back unchanged; this module looks only at its version and digest.
 """
 
@@ -24,16 +24,16 @@
     "evacuations",
 ]
 
-REPLACE = "desired_state.replace"
+REPLACE = "fleet.replace_configuration"
 SET_EVACUATION = "evacuation.set"
-CURRENT = "desired_state.current"
+CURRENT = "fleet.current_configuration"
 
-STATE_SECTION = "desired_state"
+STATE_SECTION = "fleet_configuration"
 EVACUATION_SECTION = "evacuations"
 
 
 class ReplaceOutcome(enum.Enum):
-    """What became of a desired state that an operator sent."""
+    """What became of a configuration that an operator sent."""
 
     IN_FORCE = "in-force"
     HELD_ALREADY = "held-already"
@@ -49,7 +49,7 @@
 
 @command(REPLACE)
 def replace_state(state: State, message: Message, context: CommandContext) -> Message:
-    """Take a desired state if its version is the highest.
+    """Take a configuration if its version is the highest.
 
     Args:
       state: the replicated state.
@@ -105,5 +105,5 @@
 
 @query(CURRENT)
 def query_current(state: State, message: Message) -> Message:
-    """Return the desired state in force; an empty object without one."""
+    """Return the configuration in force; an empty object without one."""
     return current_state(state) or {}
--- a/endivesill/forwarding/call_log.py
+++ b/endivesill/forwarding/call_log.py
@@ -28,11 +28,11 @@
     Args:
       timer: the timer service.
       statistics: counts outcomes.
-      knowledge_age_s: returns how old the desired state and the list may be;
+      knowledge_age_s: returns how old the configuration and the list may be;
         infinite before there are any.
 
     Attributes:
-      version: version of the desired state that decides; None before there is
+      version: version of the configuration that decides; None before there is
         one.
     """
 
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -98,7 +98,7 @@
 
     @property
     def routes(self) -> RouteTable | None:
-        """The desired state in force; None before there is one."""
+        """The configuration in force; None before there is one."""
         return self._routes
 
     @routes.setter
@@ -110,7 +110,7 @@
         """Answer one request."""
         info = self._protocol.decode_request(exchange.headers)
         if self.routes is None:
-            self._refuse(exchange, info, 503, "no desired state", NO_STATE_RETRY_S)
+            self._refuse(exchange, info, 503, "no configuration", NO_STATE_RETRY_S)
             return
         host = exchange.header(b"host").decode("latin-1").lower()
         path = exchange.target.partition(b"?")[0].decode("latin-1")
--- a/endivesill/forwarding/home.py
+++ b/endivesill/forwarding/home.py
@@ -46,7 +46,7 @@
       timer: the timer service.
       table: the targets, with no load of their own.
       loads: the loads of all entries.
-      services: returns a service of the desired state in force, or None.
+      services: returns a service of the configuration in force, or None.
       cold_bounds: factor and slack on the rate that a cold target bears.
       leads: tells whether this VM leads.
     """
@@ -188,10 +188,12 @@
         is_busy = self._admission.is_busy(request.service.name)
         backup = choose_backup(targets, request.service, need, target, is_busy=is_busy)
         loads = {
-            target.info.boot: EngineLoad(1, need.memory_tokens, need.prompt_tokens)
+            target.info.incarnation: EngineLoad(
+                1, need.memory_tokens, need.prompt_tokens
+            )
         }
         if backup is not None:
-            loads[backup.info.boot] = EngineLoad(0, need.memory_tokens, 0)
+            loads[backup.info.incarnation] = EngineLoad(0, need.memory_tokens, 0)
         now_s = self._timer.now_s()
         number = self._loads.grant(self._asking[id(request)], loads, now_s)
         self._grants[id(request)] = (number, backup)
@@ -215,8 +217,8 @@
         self._table.note_placed(destination, request.need.memory_tokens)
         load = EngineLoad(1, request.need.memory_tokens, 0)
         now_s = self._timer.now_s()
-        boot = destination.info.boot
-        number = self._loads.grant(message["entry"], {boot: load}, now_s)
+        incarnation = destination.info.incarnation
+        number = self._loads.grant(message["entry"], {incarnation: load}, now_s)
         self._table.update_loads(self._loads.sums(now_s))
         return _granted(number, destination, None)
 
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -150,7 +150,7 @@
 
     async def place_copy(self, call: Call, holder: Target) -> Target | None:
         """Return a target with a place taken for a copy of a run, or None."""
-        answer = await self._ask(call, 0.0, holder=holder.info.boot)
+        answer = await self._ask(call, 0.0, holder=holder.info.incarnation)
         if answer is None:
             targets = self._table.candidates(call.service.name, ())
             target = choose_destination(targets, call.service, call.need, holder)
@@ -178,7 +178,7 @@
             "session": call.info.session,
             "patience_s": patience_s,
             "return_patience_s": self._return_patience_s(call),
-            "excluded": [target.info.boot for target in call.excluded],
+            "excluded": [target.info.incarnation for target in call.excluded],
             "holder": holder,
         }
         longest_s = max(patience_s, message["return_patience_s"])
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -74,14 +74,14 @@
     Attributes:
       status: the HTTP status.
       attempt_id: the attempt that it answers; empty if it does not say.
-      is_sealed: whether the engine vouches for it.
+      is_signed: whether the engine vouches for it.
       not_run: whether the engine says that it did not run the request.
       wrong_target: whether another target has the address.
     """
 
     status: int
     attempt_id: str
-    is_sealed: bool
+    is_signed: bool
     not_run: bool
     wrong_target: bool
 
--- a/endivesill/forwarding/route_table.py
+++ b/endivesill/forwarding/route_table.py
@@ -4,19 +4,19 @@
 
 import random
 
-from endivesill.fleet.model import DesiredState, Organisation, Route
+from endivesill.fleet.model import FleetConfiguration, Organisation, Route
 
 __all__ = ["RouteTable"]
 
 
 class RouteTable:
-    """One desired state, prepared for look-ups.
+    """One configuration, prepared for look-ups.
 
     Args:
-      state: the desired state.
+      state: the configuration.
     """
 
-    def __init__(self, state: DesiredState) -> None:
+    def __init__(self, state: FleetConfiguration) -> None:
         self.state = state
         self._hosts: dict[str, dict[str, Route]] = {}
         for route in state.routes:
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -174,60 +174,64 @@
         now_s = self._timer.now_s()
         for target in self._targets.values():
             target.listed = False
-        for boot, info in self._view.engines.items():
-            target = self._targets.setdefault(boot, Target(info, HealthRecord()))
+        for incarnation, info in self._view.engines.items():
+            target = self._targets.setdefault(incarnation, Target(info, HealthRecord()))
             if info.address != target.info.address:
                 target.is_replaced = False
             target.info = info
             target.listed = True
             target.cold_until_s = now_s + info.cold_s
-        for boot in [b for b, t in self._targets.items() if not t.listed]:
-            if not self._targets[boot].requests:
-                del self._targets[boot]
+        for incarnation in [b for b, t in self._targets.items() if not t.listed]:
+            if not self._targets[incarnation].requests:
+                del self._targets[incarnation]
         self._by_service = {}
         for target in self._targets.values():
             if target.listed:
                 self._by_service.setdefault(target.info.service, []).append(target)
 
     def update_loads(self, others: dict[str, EngineLoad]) -> None:
-        """Take the loads of the other entries, by boot."""
-        for boot, target in self._targets.items():
-            target.others = others.get(boot, NO_LOAD)
+        """Take the loads of the other entries, by incarnation."""
+        for incarnation, target in self._targets.items():
+            target.others = others.get(incarnation, NO_LOAD)
 
     def update_reports(
         self,
         report_of: Callable[[str], EngineReport | None],
         silent: Container[str],
     ) -> None:
-        """Take the engines' own reports, by boot.
+        """Take the engines' own reports, by incarnation.
 
         Args:
-          report_of: returns the report of a boot; None without one.
-          silent: boots that did not answer when they were asked.
+          report_of: returns the report of a incarnation; None without one.
+          silent: incarnations that did not answer when they were asked.
         """
         now_s = self._timer.now_s()
-        for boot, target in self._targets.items():
-            target.report = report_of(boot)
-            if boot in silent:
+        for incarnation, target in self._targets.items():
+            target.report = report_of(incarnation)
+            if incarnation in silent:
                 target.rests_until_s = now_s + CONNECT_REST_S
 
     def learn(self, info: EngineInfo) -> Target:
         """Return the target of an engine; the list may not have it here yet."""
-        target = self._targets.get(info.boot)
+        target = self._targets.get(info.incarnation)
         if target is None:
-            target = self._targets[info.boot] = Target(info, HealthRecord())
+            target = self._targets[info.incarnation] = Target(info, HealthRecord())
             self._by_service.setdefault(info.service, []).append(target)
         return target
 
-    def find_all(self, boots: Iterable[str]) -> list[Target]:
-        """Return the targets of some boots; unknown ones are left out."""
-        return [self._targets[boot] for boot in boots if boot in self._targets]
+    def find_all(self, incarnations: Iterable[str]) -> list[Target]:
+        """Return the targets of some incarnations; unknown ones are left out."""
+        return [
+            self._targets[incarnation]
+            for incarnation in incarnations
+            if incarnation in self._targets
+        ]
 
     def own_loads(self) -> dict[str, EngineLoad]:
-        """Return this entry's load by boot of the engine."""
+        """Return this entry's load by incarnation of the engine."""
         return {
-            boot: target.load()
-            for boot, target in self._targets.items()
+            incarnation: target.load()
+            for incarnation, target in self._targets.items()
             if target.requests or target.reserved_tokens
         }
 
--- a/endivesill/platform/desired_state.py
+++ b/endivesill/platform/configuration.py
@@ -1,4 +1,4 @@
-"""Decodes the operators' desired state."""
+"""Decodes the operators' configuration."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 
 from endivesill import errors
 from endivesill.fleet.model import (
-    DesiredState,
     EngineMemory,
+    FleetConfiguration,
     Organisation,
     RequestKind,
     Route,
@@ -16,10 +16,10 @@
 )
 from endivesill.platform.decode import Reader
 
-__all__ = ["decode_desired_state"]
+__all__ = ["decode_configuration"]
 
 MS_PER_S = 1_000.0
-# In force where a desired state leaves a limit out.
+# In force where a configuration leaves a limit out.
 HEADER_BYTES = 16_384
 BODY_BYTES = 4_194_304
 HEADER_TIMEOUT_MS = 3_000.0
@@ -28,8 +28,8 @@
 ENGINE_SLOTS = 1
 
 
-def decode_desired_state(document: Any) -> DesiredState:
-    """Return the desired state of a document.
+def decode_configuration(document: Any) -> FleetConfiguration:
+    """Return the configuration of a document.
 
     Raises:
       DocumentError: it cannot be in force; the text names the place.
@@ -43,7 +43,7 @@
     organisations = tuple(map(_organisation, reader.objects("tenants", [])))
     _check_keys(organisations)
     limits = Reader(document.get("limits") or {}, "state.limits")
-    return DesiredState(
+    return FleetConfiguration(
         version=reader.integer("version"),
         routes=routes,
         services=services,
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -25,12 +25,12 @@
 # operators' orders time out.
 HEARTBEAT_S = 0.15
 ELECTION_TIMEOUT_S = 0.5
-# A desired state may be as large as a megabyte and the disk is small, so that
+# A configuration may be as large as a megabyte and the disk is small, so that
 # the log is cut often.
 SNAPSHOT_ENTRIES = 100
 TRAILING_ENTRIES = 20
 SEGMENT_BYTES = 1_048_576
-# Orders are small but for desired states of many routes.
+# Orders are small but for configurations of many routes.
 OPERATOR_LIMITS = ConnectionLimits(body_bytes=16_777_216)
 
 
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -67,7 +67,7 @@
     born = reader.integer("born", 0)
     return EngineInfo(
         identity=reader.text("id"),
-        boot=f"{reader.text('id')}@{born}",
+        incarnation=f"{reader.text('id')}@{born}",
         service=reader.text("service"),
         address=address,
         data_centre=reader.text("zone", ""),
@@ -122,7 +122,7 @@
         return AnswerInfo(
             status=status,
             attempt_id=head.header(wire.ATTEMPT_ID).decode("latin-1"),
-            is_sealed=bool(head.header(wire.RESPONSE_SEAL)),
+            is_signed=bool(head.header(wire.RESPONSE_SEAL)),
             not_run=status == 421 or bool(head.header(wire.NOT_EXECUTED)),
             wrong_target=status == 421,
         )
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from endivesill import errors, events
-from endivesill.fleet.events import STATE_IN_FORCE
+from endivesill.fleet.events import CONFIGURATION_IN_FORCE
 from endivesill.fleet.follower import FleetFollower
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import Service
@@ -23,7 +23,7 @@
 from endivesill.forwarding.waiting import Admission
 from endivesill.http1 import ConnectionLimits, ConnectionPool, Exchange, HttpListener
 from endivesill.link_peers import LinkPeerTransport
-from endivesill.platform.desired_state import decode_desired_state
+from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import PlatformProtocol
 from endivesill.platform.metrics_port import MetricsPort
 from endivesill.platform.process import SettingsWatch, StopSignal
@@ -163,7 +163,7 @@
     def _note_news(self, news: set[str]) -> None:
         view = self._follower.view
         if "state" in news:
-            self._use_state(view.document)
+            self._use_configuration(view.document)
         if "engines" in news:
             self._table.update_engines()
         self._table.update_loads(view.others)
@@ -171,12 +171,14 @@
             self._admission.serve_waiters()
             self._table.notify()
 
-    def _use_state(self, document: Any) -> None:
+    def _use_configuration(self, document: Any) -> None:
         try:
-            state = decode_desired_state(document)
+            state = decode_configuration(document)
         except errors.DocumentError as error:
             # The control VMs accept nothing that they cannot decode.
-            events.emit(events.TASK_FAILED, task="desired-state", error=str(error))
+            events.emit(
+                events.TASK_FAILED, task="fleet-configuration", error=str(error)
+            )
             return
         self._forwarder.routes = RouteTable(state)
         self._front.limits = ConnectionLimits(
@@ -185,7 +187,9 @@
             state.header_timeout_s,
             state.idle_timeout_s,
         )
-        events.emit(STATE_IN_FORCE, version=state.version, routes=len(state.routes))
+        events.emit(
+            CONFIGURATION_IN_FORCE, version=state.version, routes=len(state.routes)
+        )
 
     # Readiness and stop.
 
--- a/endivesill/platform/leader_home.py
+++ b/endivesill/platform/leader_home.py
@@ -12,7 +12,7 @@
 from endivesill.forwarding.targets import TargetTable
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.client import PlatformClient
-from endivesill.platform.desired_state import decode_desired_state
+from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.reports import PlatformReports
 from endivesill.platform.settings import NodeSettings
 from endivesill.timer import TimerService
@@ -92,7 +92,7 @@
         state = current_state(self._replica.state)
         if state is not None and state["version"] != self._view.version:
             self._view.version = state["version"]
-            self._services = decode_desired_state(state["document"]).services
+            self._services = decode_configuration(state["document"]).services
         index, data_centres = evacuations(self._replica.state)
         if index != self._view.evacuation_index:
             self._view.evacuation_index = index
--- a/endivesill/platform/operators.py
+++ b/endivesill/platform/operators.py
@@ -1,4 +1,4 @@
-"""Answers the operators' calls: desired state and evacuations."""
+"""Answers the operators' calls: configuration and evacuations."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 )
 from endivesill.http1 import Exchange
 from endivesill.platform import wire
-from endivesill.platform.desired_state import decode_desired_state
+from endivesill.platform.configuration import decode_configuration
 from endivesill.timer import TimerService
 
 __all__ = ["OperatorPort"]
@@ -77,7 +77,7 @@
             document = json.loads(body)
         except ValueError as error:
             raise errors.DocumentError(str(error)) from None
-        version = decode_desired_state(document).version
+        version = decode_configuration(document).version
         message = {
             "version": version,
             "digest": document_digest(document),
@@ -91,7 +91,7 @@
     async def _read(self) -> tuple[int, Any]:
         current = await self._replica.query(CURRENT, {}, ANSWER_WITHIN_S)
         if not current:
-            return 503, {"error": "no desired state yet"}
+            return 503, {"error": "no configuration yet"}
         return 200, current["document"]
 
     async def _evacuate(
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -8,8 +8,8 @@
 from endivesill import events
 from endivesill.fleet.follower import FleetFollower
 from endivesill.fleet.model import (
-    DesiredState,
     EngineInfo,
+    FleetConfiguration,
     Organisation,
     RequestKind,
 )
@@ -90,7 +90,7 @@
         organisation = Organisation("owners", ("k1",), None)
         services = {"app": PLAIN, "llm": MODEL}
         self.forwarder.routes = RouteTable(
-            DesiredState(
+            FleetConfiguration(
                 1, ROUTES, services, (organisation,), 16_384, 1_000_000, 3.0, 15.0
             )
         )
@@ -116,7 +116,7 @@
             info = EngineInfo(
                 name, f"{name}@1", service, engine.address, "a", 24, False, 0.0
             )
-            self.view.engines[info.boot] = info
+            self.view.engines[info.incarnation] = info
         self.table.update_engines()
         return added
 
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -30,7 +30,7 @@
     """Return an engine of data centre `a`."""
     info = EngineInfo(
         identity=name,
-        boot=f"{name}@1",
+        incarnation=f"{name}@1",
         service=service,
         address=f"10.0.0.1:{1000 + len(name)}",
         data_centre="a",
@@ -70,6 +70,6 @@
 
 def show(table: TargetTable, view: FleetView, *engines: EngineInfo) -> None:
     """Give a table another list."""
-    view.engines = {info.boot: info for info in engines}
+    view.engines = {info.incarnation: info for info in engines}
     table._view = view
     table.update_engines()
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -1,4 +1,4 @@
-"""Tests of the replicated desired state and of evacuations."""
+"""Tests of the replicated configuration and of evacuations."""
 
 import unittest
 
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -1,4 +1,4 @@
-"""Tests of how entries learn of the desired state, the list and each other."""
+"""Tests of how entries learn of the configuration, the list and each other."""
 
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.shares import LOAN_LIFE_S
--- a/tests/test_forwarding_home.py
+++ b/tests/test_forwarding_home.py
@@ -120,7 +120,7 @@
     async def test_what_would_wait_in_vain_is_refused_at_once(self):
         """Replays a standing overload: each place is asked for many times over."""
         await self.fill()
-        full = {boot: [5, 33_000, 0] for boot in ("e1@1", "e2@1")}
+        full = {incarnation: [5, 33_000, 0] for incarnation in ("e1@1", "e2@1")}
         await self.timer.advance(4.1)
         waiting = [
             asyncio.ensure_future(self.ask(session=f"w{n}", patience_s=1.0, loads=full))
--- a/tests/test_forwarding_placement.py
+++ b/tests/test_forwarding_placement.py
@@ -33,7 +33,7 @@
         table.update_loads(
             {f"{name}@1": EngineLoad(*row) for name, row in (loads or {}).items()}
         )
-        return table.find_all([info.boot for info in engines])
+        return table.find_all([info.incarnation for info in engines])
 
     def choose(self, targets, service=MODEL, need=NEED, seed=1):
         found = choose_target(targets, service, need, "a", random.Random(seed))
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -145,7 +145,7 @@
             connection = await acquire(address, idle_s)
             for info in list(self.view.engines.values()):
                 if info.address == address and address == one.address:
-                    del self.view.engines[info.boot]
+                    del self.view.engines[info.incarnation]
             self.table.update_engines()
             return connection
 
--- a/tests/test_forwarding_routes.py
+++ b/tests/test_forwarding_routes.py
@@ -3,13 +3,13 @@
 import random
 import unittest
 
-from endivesill.fleet.model import DesiredState, Organisation, ServiceShare
+from endivesill.fleet.model import FleetConfiguration, Organisation, ServiceShare
 from endivesill.forwarding.route_table import RouteTable, pick_service
 from tests.forwarding_fakes import MODEL, PLAIN, route
 
 
 def state(*routes, organisations=()):
-    return DesiredState(
+    return FleetConfiguration(
         1, routes, {"app": PLAIN, "llm": MODEL}, organisations, 1000, 1000, 3.0, 15.0
     )
 
--- a/tests/test_forwarding_targets.py
+++ b/tests/test_forwarding_targets.py
@@ -34,7 +34,7 @@
     def test_an_engine_that_starts_again_is_another_target(self):
         target = self.table.find_all(["e1@1"])[0]
         target.take(Need(10, 10))
-        show(self.table, self.table._view, engine("e1", boot="e1@2"))
+        show(self.table, self.table._view, engine("e1", incarnation="e1@2"))
         self.assertFalse(self.table.may_have_work(target))
         self.assertEqual(0, self.table.find_all(["e1@2"])[0].requests)
 
@@ -147,7 +147,7 @@
         self.assertEqual(0.5, target.rests_until_s - self.timer.now_s())
 
     def test_an_engine_without_reports_gets_no_places(self):
-        self.table.update_reports(lambda boot: None, {"p1@1"})
+        self.table.update_reports(lambda incarnation: None, {"p1@1"})
         self.assertEqual(["p1"], self.resting())
         names = [t.info.identity for t in self.table.candidates("app", ())]
         self.assertEqual(["p2", "p3", "p4"], names)
--- a/tests/test_platform_desired_state.py
+++ b/tests/test_platform_configuration.py
@@ -1,11 +1,11 @@
-"""Tests of the operators' desired state: what is refused, what is decoded."""
+"""Tests of the operators' configuration: what is refused, what is decoded."""
 
 import copy
 import unittest
 
 from endivesill import errors
 from endivesill.fleet.model import RequestKind
-from endivesill.platform.desired_state import decode_desired_state
+from endivesill.platform.configuration import decode_configuration
 
 DOCUMENT = {
     "version": 7,
@@ -50,7 +50,7 @@
 
 class DecodeTest(unittest.TestCase):
     def test_names_become_the_projects(self):
-        state = decode_desired_state(DOCUMENT)
+        state = decode_configuration(DOCUMENT)
         stream, split = state.routes
         self.assertEqual(RequestKind.STREAMING, stream.kind)
         self.assertEqual("x.example", stream.host)
@@ -70,7 +70,7 @@
         document = copy.deepcopy(DOCUMENT)
         change(document)
         with self.assertRaises(errors.DocumentError) as caught:
-            decode_desired_state(document)
+            decode_configuration(document)
         self.assertIn(text, str(caught.exception))
 
     def test_an_unknown_service(self):
@@ -108,4 +108,4 @@
     def test_what_is_no_object(self):
         for document in (None, [], 7, "x"):
             with self.assertRaises(errors.DocumentError):
-                decode_desired_state(document)
+                decode_configuration(document)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -29,13 +29,13 @@
     def test_an_entry_is_decoded(self):
         page = self.page(ENTRY, next="p-50")
         (engine,) = page.engines
-        self.assertEqual("i-1@1700", engine.boot)
+        self.assertEqual("i-1@1700", engine.incarnation)
         self.assertEqual((1.5, False), (engine.cold_s, engine.is_draining))
         self.assertEqual("p-50", page.next_token)
 
     def test_the_same_name_with_another_start_is_another_boot(self):
         page = self.page(ENTRY, {**ENTRY, "born": 1800})
-        self.assertEqual(2, len({engine.boot for engine in page.engines}))
+        self.assertEqual(2, len({engine.incarnation for engine in page.engines}))
 
     def test_entries_of_another_writer_leave_the_others_as_they_are(self):
         odd = [
