--- a/endivesill/fleet/follower.py
+++ b/endivesill/fleet/follower.py
@@ -13,6 +13,7 @@
 from endivesill.fleet.events import LEADER_LOST, LEADER_REACHED
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import EngineInfo
+from endivesill.fleet.packing import unpack_document
 from endivesill.fleet.shares import LOAN_LIFE_S, Loan
 from endivesill.peers import Message, PeerTransport
 from endivesill.signals import Signal
@@ -194,7 +195,8 @@
         state = answer.get("state")
         # The version never goes back: a higher one has replaced this one.
         if state and (view.version is None or state["version"] > view.version):
-            view.version, view.document = state["version"], state["document"]
+            view.document = unpack_document(state["packed"])
+            view.version = state["version"]
             news.add("state")
         evacuated = answer.get("evacuations")
         if evacuated and evacuated["index"] > view.evacuation_index:
--- a/endivesill/fleet/hub.py
+++ b/endivesill/fleet/hub.py
@@ -19,6 +19,7 @@
 )
 from endivesill.fleet.follower import SYNC_PATH
 from endivesill.fleet.load import EngineLoad, FleetLoads
+from endivesill.fleet.packing import pack_document
 from endivesill.fleet.shares import ShareLedger
 from endivesill.fleet.state import current_state, evacuations
 from endivesill.peers import Message, PeerTransport
@@ -57,6 +58,8 @@
         self._timer = timer
         self._replica = replica
         self._news = Signal()
+        self._packed_version: int | None = None
+        self._packed_text = ""
         self._on_change: Callable[[], None] = lambda: None
         self.reader = EngineListReader(timer, source)
         self.loads = FleetLoads()
@@ -156,7 +159,7 @@
         if state is not None and (held is None or state["version"] > held):
             news["state"] = {
                 "version": state["version"],
-                "document": state["document"],
+                "packed": self._packed(state),
             }
         index, data_centres = evacuations(self._replica.state)
         if index > message["evacuations"]:
@@ -166,6 +169,13 @@
             news["list"] = list_to_message(reading, self._timer.now_s())
         return news
 
+    def _packed(self, state: Message) -> str:
+        """Return the packed configuration; it is packed once for all entries."""
+        if self._packed_version != state["version"]:
+            self._packed_version = state["version"]
+            self._packed_text = pack_document(state["document"])
+        return self._packed_text
+
     def _answer(self, entry: str, message: Message) -> Message:
         now_s = self._timer.now_s()
         assert self._ledger is not None
