Let the configuration's last write end before its folder is removed

The copy is written in a thread; the test ended with its watcher running, and the folder was removed under the write.

Change: the test stops the watcher, which waits for the write, first.

--- a/tests/test_configuration_recovery.py
+++ b/tests/test_configuration_recovery.py
@@ -83,10 +83,15 @@
     async def begin(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        self.addAsyncCleanup(self.let_the_last_write_end)
         self.file = ConfigurationFile(folder.name)
         await self.fleet.start("v0", file=self.file)
         await self.timer.advance(1.0)
 
+    async def let_the_last_write_end(self):
+        """Stop the watcher, whose thread may still write, before the folder goes."""
+        await self.watcher("v0").stop()
+
     async def restart(self):
         await self.watcher("v0").stop()
         await self.fleet.kill("v0")
