Encode loads in one place and drop what nothing uses

Cause: a last read of the change. Hub and follower each wrote loads as rows and decoded them by themselves; two constants of the adapter and the placer, a target's cold time and a list of headers that moved along were used by nothing.

Change: loads_to_rows and loads_from_rows beside EngineLoad; the unused names go. No behaviour changes.

--- a/endivesill/fleet/follower.py
+++ b/endivesill/fleet/follower.py
@@ -11,7 +11,7 @@
 
 from endivesill import errors, events
 from endivesill.fleet.events import LEADER_LOST, LEADER_REACHED
-from endivesill.fleet.load import EngineLoad
+from endivesill.fleet.load import EngineLoad, loads_from_rows, loads_to_rows
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.packing import unpack_document
 from endivesill.fleet.shares import LOAN_LIFE_S, Loan
@@ -141,10 +141,7 @@
         return {
             "entry": self.entry,
             "grants_seen": self._grants_seen,
-            "loads": {
-                incarnation: [load.requests, load.reserved_tokens, load.unread_tokens]
-                for incarnation, load in self._own_loads().items()
-            },
+            "loads": loads_to_rows(self._own_loads()),
         }
 
     async def leave(self) -> None:
@@ -209,7 +206,7 @@
             engines = [EngineInfo(**row) for row in reading["engines"]]
             view.engines = {engine.incarnation: engine for engine in engines}
             news.add("engines")
-        view.others = {b: EngineLoad(*row) for b, row in answer["loads"].items()}
+        view.others = loads_from_rows(answer["loads"])
         # Counted from the question, so that it ends here before it ends there.
         view.loan = Loan(answer["share"], sent_s + LOAN_LIFE_S)
         view.entries = answer["entries"]
--- a/endivesill/fleet/hub.py
+++ b/endivesill/fleet/hub.py
@@ -18,7 +18,7 @@
     list_to_message,
 )
 from endivesill.fleet.follower import SYNC_PATH
-from endivesill.fleet.load import EngineLoad, FleetLoads
+from endivesill.fleet.load import FleetLoads, loads_to_rows
 from endivesill.fleet.packing import pack_document
 from endivesill.fleet.shares import ShareLedger
 from endivesill.fleet.state import current_state, evacuations
@@ -183,14 +183,7 @@
             **self._newer(message),
             "share": self._ledger.lend(entry, message["share"], now_s),
             "entries": len(self._ledger.entries(now_s)),
-            "loads": _rows(self.loads.sums(now_s, without=entry)),
+            "loads": loads_to_rows(self.loads.sums(now_s, without=entry)),
             "controls": sorted(self._replica.core.voter_set.members.values()),
             "term": self._term,
         }
-
-
-def _rows(loads: dict[str, EngineLoad]) -> dict[str, list[int]]:
-    return {
-        incarnation: [load.requests, load.reserved_tokens, load.unread_tokens]
-        for incarnation, load in loads.items()
-    }
--- a/endivesill/fleet/load.py
+++ b/endivesill/fleet/load.py
@@ -7,7 +7,13 @@
 
 import attrs
 
-__all__ = ["EngineLoad", "FleetLoads", "add_loads"]
+__all__ = [
+    "EngineLoad",
+    "FleetLoads",
+    "add_loads",
+    "loads_from_rows",
+    "loads_to_rows",
+]
 
 # An entry that has told nothing for this long is taken to have no load.
 REPORT_LIFE_S = 2.0
@@ -41,6 +47,19 @@
     return EngineLoad(requests, reserved, unread)
 
 
+def loads_to_rows(loads: dict[str, EngineLoad]) -> dict[str, list[int]]:
+    """Return loads as JSON: `[requests, reserved tokens, unread tokens]`."""
+    return {
+        incarnation: [load.requests, load.reserved_tokens, load.unread_tokens]
+        for incarnation, load in loads.items()
+    }
+
+
+def loads_from_rows(rows: dict[str, list[int]]) -> dict[str, EngineLoad]:
+    """Return the loads of what `loads_to_rows` gave."""
+    return {incarnation: EngineLoad(*row) for incarnation, row in rows.items()}
+
+
 @attrs.frozen
 class _Grant:
     """A place that was granted and is not reported yet."""
@@ -80,9 +99,7 @@
         """
         known = self._entries.setdefault(entry, _EntryLoads())
         known.reported_s = now_s
-        known.loads = {
-            incarnation: EngineLoad(*row) for incarnation, row in rows.items()
-        }
+        known.loads = loads_from_rows(rows)
         known.grants = [g for g in known.grants if g.number > grants_seen]
         # After a change of the leader the numbers go on from the entry's.
         known.last_number = max(known.last_number, grants_seen)
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -25,8 +25,6 @@
 
 # What an answer of the leader may take besides the wait for a place.
 HOME_MARGIN_S = 0.25
-# A copy is ordered while its run goes on, so that its place may take a moment.
-COPY_PLACE_TIMEOUT_S = 0.5
 # How long the request of a caller who comes back after a refusal waits: it is the
 # next to be placed, and a full fleet gives some places each second.
 RETURN_WAIT_S = 3.0
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -61,7 +61,6 @@
       reserved_tokens: memory that they and their copies are expected to need.
       unread_tokens: prompt tokens of those without a first event.
       others: the same of the other entries, as last told.
-      cold_until_s: until when the list says that it is cold.
       rests_until_s: until when it gets nothing because of failures.
       health: outcomes of this entry's requests.
       report: what the engine said last; None where nobody asks.
@@ -77,7 +76,6 @@
     reserved_tokens: int = 0
     unread_tokens: int = 0
     others: EngineLoad = NO_LOAD
-    cold_until_s: float = 0.0
     rests_until_s: float = 0.0
     listed: bool = True
     report: EngineReport | None = None
@@ -171,7 +169,6 @@
 
     def update_engines(self) -> None:
         """Take the engines of the view."""
-        now_s = self._timer.now_s()
         for target in self._targets.values():
             target.listed = False
         for incarnation, info in self._view.engines.items():
@@ -180,7 +177,6 @@
                 target.is_replaced = False
             target.info = info
             target.listed = True
-            target.cold_until_s = now_s + info.cold_s
         for incarnation in [b for b, t in self._targets.items() if not t.listed]:
             if not self._targets[incarnation].requests:
                 del self._targets[incarnation]
--- a/endivesill/http_peers.py
+++ b/endivesill/http_peers.py
@@ -22,7 +22,6 @@
 CONNECTIONS_PER_PEER = 64
 
 # Peers need none of these; they are most of a small message.
-SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 UNSENT_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 KEY_REFUSED = events.define(
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -50,7 +50,6 @@
 )
 
 # Calls to this system.
-READY_PATH = b"/readiness"
 REPLACE_PATH = b"/Configuration.Replace"
 READ_PATH = b"/Configuration.Get"
 EVACUATE_PREFIX = b"/Evacuation.Start/"
