Notice departures from health checks

Cause: an engine that is taken away has 1.5 to 2.1 s of notice.

Change: DepartureWatch at the leader checks each model engine every 0.2 s; an engine that was healthy and is not any more takes no work and its runs are copied. A departure counts between two readings of the list. The report's notice (an end at a known time) is decoded, for the next change.

--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -88,16 +88,29 @@
         self._source = source
         self._failures = 0
         self._leaving: Callable[[], frozenset[str]] = frozenset
+        self._noticed: Callable[[], frozenset[str]] = frozenset
+        self._listed: list[EngineInfo] = []
         self.current: EngineList | None = None
 
-    def use_reports(self, leaving: Callable[[], frozenset[str]]) -> None:
-        """Take engines that report their end as leaving, before the list does."""
+    def use_departures(
+        self,
+        leaving: Callable[[], frozenset[str]],
+        noticed: Callable[[], frozenset[str]],
+    ) -> None:
+        """Take what engines say of their end themselves.
+
+        Args:
+          leaving: returns the incarnations that no longer take work; the list
+            shows them later.
+          noticed: returns the incarnations that know when they will end.
+        """
         self._leaving = leaving
+        self._noticed = noticed
 
     async def read(self, term: int) -> bool:
         """Read the list once; return whether the engines in it have changed."""
         try:
-            engines = await self._source.read()
+            self._listed = await self._source.read()
         except errors.UnavailableError as error:
             self._failures += 1
             if self._failures == 1:
@@ -106,19 +119,28 @@
         if self._failures:
             events.emit(LIST_REGAINED, failures=self._failures)
             self._failures = 0
+        read_s = self._timer.now_s()
+        return self._take(self._merged(), term, read_s)
+
+    def note_departures(self) -> bool:
+        """Merge the departures into the last reading; return whether it changed."""
+        if self.current is None:
+            return False
+        return self._take(self._merged(), self.current.term, self.current.read_s)
+
+    def _merged(self) -> dict[str, EngineInfo]:
         leaving = self._leaving()
-        return self._take(
-            {
-                engine.incarnation: attrs.evolve(
-                    engine,
-                    is_draining=engine.is_draining or engine.incarnation in leaving,
-                )
-                for engine in engines
-            },
-            term,
-        )
-
-    def _take(self, engines: dict[str, EngineInfo], term: int) -> bool:
+        noticed = self._noticed()
+        return {
+            engine.incarnation: attrs.evolve(
+                engine,
+                is_draining=engine.is_draining or engine.incarnation in leaving,
+                has_notice=engine.incarnation in noticed,
+            )
+            for engine in self._listed
+        }
+
+    def _take(self, engines: dict[str, EngineInfo], term: int, read_s: float) -> bool:
         current = self.current
         same = current is not None and current.term == term
         number = current.number if current is not None and same else 0
@@ -131,7 +153,7 @@
                 ready=sum(not e.is_draining for e in engines.values()),
                 draining=[e.identity for e in engines.values() if e.is_draining],
             )
-        self.current = EngineList(term, number, self._timer.now_s(), engines)
+        self.current = EngineList(term, number, read_s, engines)
         return changed
 
     async def pause(self) -> None:
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -5,6 +5,8 @@
 __all__ = [
     "CHANGE_ANSWERED",
     "ENGINE_LIST_CHANGED",
+    "ENGINE_UNHEALTHY",
+    "HEALTH_UNKNOWN",
     "LEADER_LOST",
     "LEADER_REACHED",
     "LIST_ENTRY_SKIPPED",
@@ -34,6 +36,12 @@
 REPORTS_REGAINED = events.define(
     4506, "engine-report-regained", "An engine answers again when asked for load."
 )
+ENGINE_UNHEALTHY = events.define(
+    4507, "engine-unhealthy", "An engine that was healthy says that it no longer is."
+)
+HEALTH_UNKNOWN = events.define(
+    4508, "engine-health-unknown", "An engine does not answer its health check."
+)
 LIST_LOST = events.define(
     4502, "engine-list-lost", "The platform's list cannot be read; the last one holds."
 )
--- a/endivesill/fleet/hub.py
+++ b/endivesill/fleet/hub.py
@@ -72,6 +72,12 @@
         """Call a listener after each report, list and change of the state."""
         self._on_change = listener
 
+    def note_departures(self) -> None:
+        """Tell entries of engines that are about to leave."""
+        if self.reader.note_departures():
+            self._news.notify()
+            self._on_change()
+
     def leads(self) -> bool:
         """Tell whether this VM leads, as far as it knows."""
         return self._replica.core.leadership is not None
--- a/endivesill/fleet/model.py
+++ b/endivesill/fleet/model.py
@@ -95,6 +95,7 @@
 
     Attributes:
       name: its name.
+      health_path: where a target tells whether it takes work.
       max_connections: connections that one target accepts from all callers.
       cold_start_s: how long a target is cold after a start.
       cold_requests_per_s: what a cold target bears.
@@ -102,6 +103,7 @@
     """
 
     name: str
+    health_path: str
     max_connections: int
     cold_start_s: float
     cold_requests_per_s: float
@@ -161,6 +163,8 @@
       slots: requests that run at once.
       is_draining: whether it is about to leave.
       cold_s: how long it stays cold from when the list was read.
+      has_notice: whether it knows when it will end; one that drains without
+        notice goes on until its requests have ended.
     """
 
     identity: str
@@ -171,3 +175,4 @@
     slots: int
     is_draining: bool
     cold_s: float
+    has_notice: bool = False
--- a/endivesill/fleet/reports.py
+++ b/endivesill/fleet/reports.py
@@ -29,12 +29,14 @@
       used_tokens: memory that cannot be freed.
       queued_requests: requests that wait in the engine.
       is_leaving: whether it is about to leave.
+      has_notice: whether it knows when it will end.
       read_s: when it was read.
     """
 
     used_tokens: int
     queued_requests: int
     is_leaving: bool
+    has_notice: bool
     read_s: float
 
 
@@ -86,6 +88,10 @@
         """Return the incarnations of the engines that say that they leave."""
         return frozenset(b for b, r in self._reports.items() if r.is_leaving)
 
+    def noticed(self) -> frozenset[str]:
+        """Return the incarnations of the engines that know when they will end."""
+        return frozenset(b for b, r in self._reports.items() if r.has_notice)
+
     async def run(self) -> None:
         """Read reports until cancelled."""
         while True:
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -61,6 +61,7 @@
       reserved_tokens: memory that they and their copies are expected to need.
       unread_tokens: prompt tokens of those without a first event.
       others: the same of the other entries, as last told.
+      draining_since_s: when this VM learnt that it is draining; None before.
       rests_until_s: until when it gets nothing because of failures.
       health: outcomes of this entry's requests.
       report: what the engine said last; None where nobody asks.
@@ -76,6 +77,7 @@
     reserved_tokens: int = 0
     unread_tokens: int = 0
     others: EngineLoad = NO_LOAD
+    draining_since_s: float | None = None
     rests_until_s: float = 0.0
     listed: bool = True
     report: EngineReport | None = None
@@ -177,6 +179,10 @@
                 target.is_replaced = False
             target.info = info
             target.listed = True
+            if not info.is_draining:
+                target.draining_since_s = None
+            elif target.draining_since_s is None:
+                target.draining_since_s = self._timer.now_s()
         for incarnation in [b for b, t in self._targets.items() if not t.listed]:
             if not self._targets[incarnation].requests:
                 del self._targets[incarnation]
--- a/endivesill/platform/client.py
+++ b/endivesill/platform/client.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from endivesill import errors
-from endivesill.http1 import ConnectionPool, UpstreamError, encode_head
+from endivesill.http1 import (
+    ConnectionPool,
+    ResponseHead,
+    UpstreamError,
+    encode_head,
+)
 from endivesill.timer import TimerService
 
 __all__ = ["PlatformClient"]
@@ -26,17 +31,27 @@
     async def get(self, address: str, path: str, timeout_s: float) -> bytes:
         """Return the body of a path at HOST:PORT.
 
+        Raises:
+          UnavailableError: there is none in time.
+        """
+        head, body = await self.ask(address, path, timeout_s)
+        if head.status != 200:
+            raise errors.UnavailableError(f"{address}{path}: status {head.status}")
+        return body
+
+    async def ask(
+        self, address: str, path: str, timeout_s: float
+    ) -> tuple[ResponseHead, bytes]:
+        """Return the answer of a path at HOST:PORT, whatever its status.
+
         Raises:
           UnavailableError: there is none in time.
         """
         start = f"GET {path} HTTP/1.1".encode()
         request = encode_head(start, [(b"Host", address.encode())])
         try:
-            head, body = await self._timer.wait_for(
+            return await self._timer.wait_for(
                 self._pool.exchange(address, request), timeout_s
             )
         except (UpstreamError, errors.DeadlineExceededError) as error:
             raise errors.UnavailableError(f"{address}{path}: {error}") from None
-        if head.status != 200:
-            raise errors.UnavailableError(f"{address}{path}: status {head.status}")
-        return body
--- a/endivesill/platform/configuration.py
+++ b/endivesill/platform/configuration.py
@@ -26,6 +26,8 @@
 IDLE_TIMEOUT_MS = 15_000.0
 # Requests that an engine runs at once where its sheet does not say.
 ENGINE_SLOTS = 1
+# Used for a service that does not name its own.
+HEALTH_PATH = "/health"
 
 
 def decode_configuration(document: Any) -> FleetConfiguration:
@@ -59,6 +61,7 @@
 def _service(reader: Reader) -> Service:
     return Service(
         name=reader.text("name"),
+        health_path=reader.text("health_path", HEALTH_PATH),
         max_connections=reader.integer("max_connections", 0),
         cold_start_s=reader.number("cold_start_s", 0.0),
         cold_requests_per_s=reader.number("cold_per_s", 0.0),
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -84,7 +84,8 @@
     await metrics.start()
     tasks = [
         supervise(timer, "fleet-hub", hub.run),
-        supervise(timer, "engine-reports", home.run),
+        supervise(timer, "engine-reports", home.run_reports),
+        supervise(timer, "engine-checks", home.run_checks),
     ]
     events.emit(
         events.PROCESS_STARTED,
--- a/endivesill/platform/leader_home.py
+++ b/endivesill/platform/leader_home.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from endivesill.control import ControlReplica
+from endivesill.fleet.departures import DepartureWatch
 from endivesill.fleet.follower import FleetView
 from endivesill.fleet.hub import FleetHub
 from endivesill.fleet.model import EngineInfo, Service
@@ -13,6 +14,7 @@
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.configuration import decode_configuration
+from endivesill.platform.health import PlatformHealth
 from endivesill.platform.reports import PlatformReports
 from endivesill.platform.settings import NodeSettings
 from endivesill.timer import TimerService
@@ -34,7 +36,7 @@
       replica: this VM's control replica.
       hub: knows the engines and the loads.
       transport: the peer port.
-      client: asks engines for their reports.
+      client: asks engines for their reports and health.
     """
 
     def __init__(
@@ -67,14 +69,30 @@
         self._reports = EngineReports(
             timer, PlatformReports(timer, client), self._model_engines
         )
-        hub.reader.use_reports(self._reports.leaving)
+        self._departures = DepartureWatch(
+            timer,
+            PlatformHealth(client, self._health_path),
+            self._model_engines,
+            hub.note_departures,
+        )
+        hub.reader.use_departures(self._leaving, self._reports.noticed)
         timer.call_every(SERVE_S, self._serve)
         timer.call_every(LOAD_LOG_S, self._home.log_load)
 
-    async def run(self) -> None:
-        """Read the engines' reports."""
+    async def run_reports(self) -> None:
+        """Read the engines' reports until cancelled."""
         await self._reports.run()
 
+    async def run_checks(self) -> None:
+        """Check the engines' health until cancelled."""
+        await self._departures.run()
+
+    def _leaving(self) -> frozenset[str]:
+        return self._reports.leaving() | self._departures.leaving()
+
+    def _health_path(self, service: str) -> str:
+        return self._services[service].health_path
+
     def _model_engines(self) -> list[EngineInfo]:
         if not self._hub.leads():
             return []
--- a/endivesill/platform/reports.py
+++ b/endivesill/platform/reports.py
@@ -29,6 +29,7 @@
         used_tokens=reader.integer("kv_used"),
         queued_requests=reader.integer("queued_requests"),
         is_leaving=reader.text("state", "") == "draining",
+        has_notice=reader.has("leaves_ms"),
         read_s=read_s,
     )
 
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -32,6 +32,8 @@
 PIN_DURATION = b"x-endivesill-pin-duration"
 LAST_EVENT_ID = b"last-event-id"
 RETRY_AFTER = b"retry-after"
+# On the answer of a health check: the identity of the engine that answers.
+INSTANCE_ID = b"x-endivesill-instance-id"
 
 # What only this system may set on a request to an engine.
 SYSTEM_HEADERS = frozenset(
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -22,8 +22,8 @@
     has_backups=True,
     has_moves=True,
 )
-MODEL = Service("llm", 200, 1.0, 40.0, MEMORY)
-PLAIN = Service("app", 100, 0.0, 0.0, None)
+MODEL = Service("llm", "/health", 200, 1.0, 40.0, MEMORY)
+PLAIN = Service("app", "/health", 100, 0.0, 0.0, None)
 
 
 def engine(name: str, service: str = "llm", **changes) -> EngineInfo:
--- a/tests/test_fleet_engine_list.py
+++ b/tests/test_fleet_engine_list.py
@@ -56,7 +56,7 @@
         self.assertEqual(["e1@1"], list(self.reader.current.engines))
 
     async def test_an_engine_that_reports_its_end_is_leaving_before_the_list(self):
-        self.reader.use_reports(lambda: frozenset({"e1@1"}))
+        self.reader.use_departures(lambda: frozenset({"e1@1"}), frozenset)
         self.source.engines = [engine("e1"), engine("e2")]
         await self.reader.read(1)
         leaving = [
@@ -64,6 +64,24 @@
         ]
         self.assertEqual(["e1"], leaving)
 
+    async def test_a_departure_counts_between_two_readings(self):
+        leaving = set()
+        noticed = set()
+        self.reader.use_departures(
+            lambda: frozenset(leaving), lambda: frozenset(noticed)
+        )
+        self.assertFalse(self.reader.note_departures())
+        self.source.engines = [engine("e1"), engine("e2")]
+        await self.reader.read(1)
+        self.assertFalse(self.reader.note_departures())
+        leaving.add("e1@1")
+        self.assertTrue(self.reader.note_departures())
+        self.assertEqual([1, 2], self.reader.current.stamp)
+        self.assertTrue(self.reader.current.engines["e1@1"].is_draining)
+        noticed.add("e1@1")
+        self.assertTrue(self.reader.note_departures())
+        self.assertTrue(self.reader.current.engines["e1@1"].has_notice)
+
     async def test_a_long_list_is_read_as_often_as_the_platform_allows(self):
         self.source.shortest_period_s = 3.0
         pausing = asyncio.ensure_future(self.reader.pause())
--- a/tests/test_forwarding_placement.py
+++ b/tests/test_forwarding_placement.py
@@ -55,14 +55,14 @@
 
     def test_an_engine_that_uses_more_than_was_reserved_is_full(self):
         targets = self.targets(engine("e1"), loads={"e1": (5, 10_000, 0)})
-        targets[0].report = EngineReport(33_000, 0, False, 0.0)
+        targets[0].report = EngineReport(33_000, 0, False, False, 0.0)
         self.assertIsNone(self.choose(targets))
 
     def test_places_since_the_last_report_count_on_top_of_it(self):
         """Replays an engine whose report is fuller than what was reserved."""
         table = table_of(self.timer, engine("e1"))
         target = table.find_all(["e1@1"])[0]
-        target.report = EngineReport(27_000, 0, False, self.timer.now_s())
+        target.report = EngineReport(27_000, 0, False, False, self.timer.now_s())
         self.assertTrue(fits(target, MODEL, NEED))
         target.take(NEED)
         table.note_placed(target, NEED.memory_tokens)
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -62,10 +62,20 @@
         body = b'{"kv_used": 41000, "queued_requests": 1, "state": "draining"}'
         report = decode_report(body, 5.0)
         self.assertEqual(
-            (41_000, 1, True),
-            (report.used_tokens, report.queued_requests, report.is_leaving),
+            (41_000, 1, True, False),
+            (
+                report.used_tokens,
+                report.queued_requests,
+                report.is_leaving,
+                report.has_notice,
+            ),
         )
 
+    def test_notice_is_an_end_at_a_known_time(self):
+        body = b'{"kv_used": 1, "queued_requests": 0, "state": "draining"%s}'
+        self.assertFalse(decode_report(body % b"", 5.0).has_notice)
+        self.assertTrue(decode_report(body % b', "leaves_ms": 900', 5.0).has_notice)
+
     def test_a_report_that_cannot_be_read(self):
         for body in (b"", b"{}", b"[]"):
             with self.assertRaises(errors.DocumentError):
