Share engine time fairly between waiting requests

Change: waiting requests are ordered by self-clocked fair queueing of engine time, with a flow for each organisation's new and returning callers.

--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -17,7 +17,7 @@
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.placer import Place, Placer
 from endivesill.forwarding.protocol import EngineProtocol, RequestInfo
-from endivesill.forwarding.refusals import retry_after_s
+from endivesill.forwarding.refusals import spread_s, within_time_s
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable, pick_service
 from endivesill.forwarding.run_copy import RunCopier
@@ -356,7 +356,8 @@
             self._log.ended(call, "unknown", reason, status=status)
         else:
             if after_s is None:
-                after_s = retry_after_s(RETRY_AFTER_S, self._random.random())
+                after_s = spread_s(RETRY_AFTER_S, self._random.random())
+            after_s = within_time_s(after_s, call.end_s - self._timer.now_s())
             self._refuse(exchange, call.info, 503, reason, after_s, call)
 
     def _refuse(
--- a/endivesill/forwarding/home.py
+++ b/endivesill/forwarding/home.py
@@ -11,6 +11,7 @@
 import math
 import random
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -18,6 +19,7 @@
 from endivesill.fleet.load import EngineLoad, FleetLoads
 from endivesill.fleet.model import Service
 from endivesill.forwarding.events import FLEET_BUSY, PLACE_REFUSED
+from endivesill.forwarding.fair_queue import FairQueue
 from endivesill.forwarding.placement import choose_backup, choose_destination
 from endivesill.forwarding.refusals import (
     PlaceRate,
@@ -49,6 +51,8 @@
       services: returns a service of the configuration in force, or None.
       cold_bounds: factor and slack on the rate that a cold target bears.
       leads: tells whether this VM leads.
+      random_source: draws among equal engines and spreads returns.
+      new_queue: returns the queue of waiting requests of a service.
     """
 
     def __init__(
@@ -59,6 +63,8 @@
         services: Callable[[str], Service | None],
         cold_bounds: tuple[float, float],
         leads: Callable[[], bool],
+        random_source: random.Random,
+        new_queue: Callable[[], FairQueue[Any]] = FairQueue,
     ) -> None:
         self._timer = timer
         self._table = table
@@ -67,9 +73,14 @@
         self._cold_bounds = cold_bounds
         self._leads = leads
         self._admission = Admission(
-            timer, table, self._cold_allowance, self._note_placed, random.Random()
+            timer,
+            table,
+            self._cold_allowance,
+            self._note_placed,
+            random_source,
+            new_queue,
         )
-        self._random = random.Random()
+        self._random = random_source
         self._rates: dict[str, PlaceRate] = collections.defaultdict(PlaceRate)
         self._returns = ReturnList()
         self._asking: dict[int, str] = {}
@@ -84,6 +95,10 @@
         self._table.update_loads(self._loads.sums(self._timer.now_s()))
         self._admission.serve_waiters()
 
+    def waiting(self) -> int:
+        """Return how many requests wait for a place."""
+        return self._admission.waiting()
+
     def log_load(self) -> None:
         """Write the load of the engines of busy services to the log."""
         for name in list(self._rates):
@@ -107,8 +122,9 @@
 
         Args:
           message: `{"entry", "loads", "grants_seen", "service", "priority",
-            "request_id", "session", "prompt_tokens", "memory_tokens", "patience_s",
-            "return_patience_s", "excluded", "holder"}`: who asks, its load, and
+            "request_id", "session", "organisation", "prompt_tokens",
+            "memory_tokens", "patience_s", "return_patience_s", "excluded",
+            "holder"}`: who asks, its load, and
             what it needs a place for; with a `holder`, the place is for a copy
             of a run at that engine.
 
@@ -134,6 +150,7 @@
             latest_s=now_s + patience_s,
             excluded=self._table.find_all(message["excluded"]),
             comes_back=comes_back,
+            organisation=message["organisation"],
         )
         if message["holder"]:
             return self._place_copy(message, request)
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -8,7 +8,13 @@
 from endivesill.fleet.model import Service
 from endivesill.forwarding.targets import Need, Target
 
-__all__ = ["choose_backup", "choose_destination", "choose_target", "fits"]
+__all__ = [
+    "choose_backup",
+    "choose_destination",
+    "choose_target",
+    "engine_time_s",
+    "fits",
+]
 
 # Prompt tokens that an engine reads in a second beside the generations that run
 # there; half of what it reads alone.
@@ -16,6 +22,10 @@
 # Prompts that an engine is given ahead: the last of them has its first event
 # within the target latency of today's routes.
 READ_AHEAD_S = 1.3
+# Time between two tokens of a run at an engine with others.
+TOKEN_S = 0.01
+# Half of the expected output is reserved.
+OUTPUT_TOKENS_PER_RESERVED = 2
 # What one more running request costs the others and itself, in seconds of wait;
 # a step of decoding grows by about this much over an answer.
 RUNNING_COST_S = 0.01
@@ -37,6 +47,21 @@
 MEMORY_COST_S = 0.2
 
 
+def engine_time_s(service: Service, need: Need) -> float:
+    """Return the time for which a run takes a whole engine's memory.
+
+    Answers the pattern of an overload with short and long generations: memory is
+    what is scarce, and a long one holds it many times longer.
+    """
+    if service.memory is None:
+        return PLAIN_FULL_COST_S
+    output_tokens = OUTPUT_TOKENS_PER_RESERVED * (
+        need.memory_tokens - need.prompt_tokens
+    )
+    run_s = need.prompt_tokens / READ_TOKENS_PER_S + output_tokens * TOKEN_S
+    return run_s * need.memory_tokens / max(1, service.memory.capacity_tokens)
+
+
 def fits(target: Target, service: Service, need: Need) -> bool:
     """Tell whether a target has room for a request now.
 
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -107,7 +107,12 @@
 
     async def _place_here(self, call: Call) -> Place:
         request = PlaceRequest(
-            call.service, call.need, call.priority, latest_start_s(call), call.excluded
+            call.service,
+            call.need,
+            call.priority,
+            latest_start_s(call),
+            call.excluded,
+            organisation=call.organisation,
         )
         target = await self._admission.place(request)
         self._table.note_send(target)
@@ -174,6 +179,7 @@
             "memory_tokens": call.need.memory_tokens,
             "request_id": call.info.attempt_id,
             "session": call.info.session,
+            "organisation": call.organisation,
             "patience_s": patience_s,
             "return_patience_s": self._return_patience_s(call),
             "excluded": [target.info.incarnation for target in call.excluded],
--- a/endivesill/forwarding/refusals.py
+++ b/endivesill/forwarding/refusals.py
@@ -4,7 +4,14 @@
 
 import collections
 
-__all__ = ["PlaceRate", "ReturnList", "expected_wait_s", "retry_after_s"]
+__all__ = [
+    "PlaceRate",
+    "ReturnList",
+    "expected_wait_s",
+    "retry_after_s",
+    "spread_s",
+    "within_time_s",
+]
 
 # Span over which the rate of given places is taken.
 RATE_WINDOW_S = 4.0
@@ -13,10 +20,14 @@
 LEAST_RATE_PER_S = 0.5
 # How long a refused caller is known as one who comes back.
 RETURN_LIFE_S = 20.0
-# Bounds of Retry-After: a caller of a long generation waits some seconds, and
-# one that comes back too early is refused again.
-SHORTEST_RETRY_S = 1.0
-LONGEST_RETRY_S = 6.0
+# Bounds of Retry-After for a generation. By the shortest, about the length of a long
+# generation on today's sheets, the places of all that run now are given anew; who
+# comes back before meets the same full engines.
+SHORTEST_RETRY_S = 8.0
+LONGEST_RETRY_S = 12.0
+# Part of the time that a caller still has in which it should be back: it needs the
+# rest for its answer.
+RETURN_SHARE = 1 / 3
 # Spread of Retry-After, so that refused callers do not return together.
 RETRY_SPREAD = 0.5
 
@@ -80,11 +91,29 @@
 
 
 def retry_after_s(wait_s: float, spread: float) -> float:
-    """Return when a refused caller should come back.
+    """Return when the caller of a refused generation should come back.
+
+    Answers the pattern of an overload that lasts for some generations: callers who
+    come back at once are refused again, or take the places of those who would
+    still be served on time.
 
     Args:
       wait_s: how long it would have had to wait.
       spread: a number from 0 to 1, drawn anew for each caller.
     """
-    after_s = min(max(wait_s, SHORTEST_RETRY_S), LONGEST_RETRY_S)
+    return spread_s(min(max(wait_s, SHORTEST_RETRY_S), LONGEST_RETRY_S), spread)
+
+
+def spread_s(after_s: float, spread: float) -> float:
+    """Return a time to come back that differs from caller to caller."""
     return after_s * (1 + RETRY_SPREAD * spread)
+
+
+def within_time_s(after_s: float, left_s: float) -> float:
+    """Return a time to come back that leaves a caller time for its answer.
+
+    Args:
+      after_s: when there is likely to be room.
+      left_s: how long the caller still waits.
+    """
+    return min(after_s, max(0.0, left_s) * RETURN_SHARE)
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -262,6 +262,19 @@
         awake = [t for t in open_targets if t.rests_until_s <= now_s]
         return awake or open_targets
 
+    def state_counts(self) -> dict[str, int]:
+        """Return how many targets are in each state, for the metrics."""
+        counts = dict.fromkeys(("ready", "evacuated", "draining", "resting"), 0)
+        now_s = self._timer.now_s()
+        for target in self._targets.values():
+            if target.info.is_draining or not target.listed:
+                counts["draining"] += 1
+            elif not self.may_have_work(target):
+                counts["evacuated"] += 1
+            else:
+                counts["resting" if target.rests_until_s > now_s else "ready"] += 1
+        return counts
+
     def has_targets(self, service: str) -> bool:
         """Tell whether any target of a service may have work."""
         return any(map(self.may_have_work, self._by_service.get(service, [])))
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 import random
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
 from endivesill import errors
 from endivesill.fleet.model import Service
-from endivesill.forwarding.placement import Need, choose_target
+from endivesill.forwarding.fair_queue import FairQueue, Flow, Order
+from endivesill.forwarding.placement import Need, choose_target, engine_time_s
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.timer import TimerService
 
@@ -23,6 +23,9 @@
 # How long a service counts as busy after a request had to wait; about the time
 # in which half of the generations under way end.
 BUSY_FOR_S = 4.0
+# The longest generations count for no more than this, in seconds of one engine, so
+# that they are served about as often as others; a mean one takes 1 s.
+COST_LIMIT_S = 1.5
 # How long a request waits at most while its service has no target at all.
 NO_TARGET_WAIT_S = 0.25
 
@@ -52,6 +55,7 @@
       latest_s: until when it is worth to wait.
       excluded: targets that it does not go to.
       comes_back: whether its caller was refused before.
+      organisation: who sends it.
     """
 
     service: Service
@@ -60,11 +64,17 @@
     latest_s: float
     excluded: list[Target] = attrs.Factory(list)
     comes_back: bool = False
+    organisation: str = ""
 
     @property
-    def order(self) -> tuple[int, bool, float]:
-        """The more urgent first, then those who come back, then by lateness."""
-        return (self.priority, not self.comes_back, self.latest_s)
+    def flow(self) -> Flow:
+        """Whose share of the engine time it takes."""
+        return Flow(self.organisation, self.comes_back)
+
+    @property
+    def cost(self) -> float:
+        """The engine time that counts against its flow."""
+        return min(COST_LIMIT_S, engine_time_s(self.service, self.need))
 
 
 @attrs.define(eq=False)
@@ -73,9 +83,6 @@
     future: asyncio.Future[Target]
 
 
-_Item = tuple[tuple[int, bool, float], int, _Waiter]
-
-
 class Admission:
     """Gives each request a target, at once or after a wait.
 
@@ -86,6 +93,7 @@
         service may get from here.
       placed: called with the need and the target of each place that is given.
       random_source: draws among equal targets.
+      new_queue: returns the queue of a service.
     """
 
     def __init__(
@@ -95,14 +103,15 @@
         cold_allowance: Callable[[Service], float],
         placed: Callable[[PlaceRequest, Target], None],
         random_source: random.Random,
+        new_queue: Callable[[], FairQueue[Any]] = FairQueue,
     ) -> None:
+        self._new_queue = new_queue
         self._timer = timer
         self._table = table
         self._cold_allowance = cold_allowance
         self._placed = placed
         self._random = random_source
-        self._queues: dict[str, list[_Item]] = {}
-        self._numbers = itertools.count()
+        self._queues: dict[str, FairQueue[_Waiter]] = {}
         self._waited_s: dict[str, float] = {}
 
     def is_busy(self, service: str) -> bool:
@@ -112,8 +121,8 @@
 
     def ahead_of(self, request: PlaceRequest) -> int:
         """Return how many wait that go before a request."""
-        queue = self._queues.get(request.service.name, [])
-        return sum(item[0] <= request.order for item in queue)
+        queue = self._queues.get(request.service.name)
+        return queue.ahead_of(_order(queue, request)) if queue else 0
 
     def waiting(self) -> int:
         """Return how many requests wait."""
@@ -140,10 +149,14 @@
           NoRoomError: none will have room in time.
         """
         service = request.service.name
-        queue = self._queues.setdefault(service, [])
-        if not queue or request.order < queue[0][0]:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = self._new_queue()
+        order = _order(queue, request)
+        if not queue.ahead_of(order):
             target = self.try_place(request)
             if target is not None:
+                queue.note_served(order[1])
                 return target
         left_s = request.latest_s - self._timer.now_s()
         if not self._table.has_targets(service):
@@ -155,8 +168,7 @@
             raise NoRoomError("queue full")
         self._waited_s[service] = self._timer.now_s()
         waiter = _Waiter(request, asyncio.get_running_loop().create_future())
-        item = (request.order, next(self._numbers), waiter)
-        heapq.heappush(queue, item)
+        item = queue.push(request.priority, request.flow, request.cost, waiter)
         try:
             return await self._timer.wait_for(asyncio.shield(waiter.future), left_s)
         except errors.DeadlineExceededError:
@@ -166,18 +178,20 @@
         finally:
             if not waiter.future.done():
                 waiter.future.cancel()
-            if item in queue:
-                queue.remove(item)
-                heapq.heapify(queue)
+            queue.remove(item)
 
     def serve_waiters(self) -> None:
         """Give places to waiting requests, the most urgent first."""
         for queue in self._queues.values():
             while queue:
-                waiter = queue[0][2]
+                waiter = queue.first()
                 if not waiter.future.done():
                     target = self.try_place(waiter.request)
                     if target is None:
                         break
                     waiter.future.set_result(target)
-                heapq.heappop(queue)
+                queue.pop()
+
+
+def _order(queue: FairQueue[_Waiter], request: PlaceRequest) -> Order:
+    return queue.order_of(request.priority, request.flow, request.cost)
--- a/endivesill/platform/leader_home.py
+++ b/endivesill/platform/leader_home.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from endivesill.control import ControlReplica
 from endivesill.fleet.departures import DepartureWatch
 from endivesill.fleet.follower import FleetView
@@ -62,6 +64,7 @@
             lambda name: self._services.get(name),
             (bounds.cold_factor, bounds.cold_slack),
             hub.leads,
+            random.Random(),
         )
         transport.handle(PLACE_PATH, self._home.handle)
         transport.cancel_with_caller(PLACE_PATH)
@@ -87,6 +90,14 @@
         """Check the engines' health until cancelled."""
         await self._departures.run()
 
+    def metric_lines(self) -> list[str]:
+        """Return the metrics' lines on engines and waiting requests."""
+        lines = [
+            f'endivesill_engines{{state="{state}"}} {count}'
+            for state, count in self._table.state_counts().items()
+        ]
+        return [*lines, f"endivesill_waiting_requests {self._home.waiting()}"]
+
     def _leaving(self) -> frozenset[str]:
         return self._reports.leaving() | self._departures.leaving()
 
--- a/tests/test_forwarding_home.py
+++ b/tests/test_forwarding_home.py
@@ -1,6 +1,7 @@
 """Tests of the leader that places generations for all entries."""
 
 import asyncio
+import random
 import unittest
 
 from endivesill.fleet.load import FleetLoads
@@ -25,6 +26,7 @@
             {"llm": MODEL, "app": PLAIN}.get,
             (1.5, 5.0),
             lambda: self.leads,
+            random.Random(1),
         )
         self.seen = dict.fromkeys(ENTRIES, 0)
 
@@ -36,6 +38,7 @@
             "service": "llm",
             "priority": 1,
             "request_id": "a1",
+            "organisation": "o1",
             "session": "s",
             "prompt_tokens": 3_000,
             "memory_tokens": 3_500,
--- a/tests/test_forwarding_waiting.py
+++ b/tests/test_forwarding_waiting.py
@@ -7,10 +7,12 @@
 from endivesill.fleet.load import EngineLoad
 from endivesill.forwarding.refusals import (
     LONGEST_RETRY_S,
+    SHORTEST_RETRY_S,
     PlaceRate,
     ReturnList,
     expected_wait_s,
     retry_after_s,
+    within_time_s,
 )
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.targets import Need
@@ -125,6 +127,14 @@
         self.assertEqual(10, len(times))
         self.assertLessEqual(retry_after_s(60.0, 1.0), 1.5 * LONGEST_RETRY_S)
 
+    def test_callers_come_back_when_places_are_given_anew(self):
+        self.assertGreaterEqual(retry_after_s(0.1, 0.0), SHORTEST_RETRY_S)
+
+    def test_a_caller_with_little_time_comes_back_in_time(self):
+        self.assertEqual(2.0, within_time_s(8.0, 6.0))
+        self.assertEqual(8.0, within_time_s(8.0, 39.0))
+        self.assertEqual(0.0, within_time_s(8.0, -1.0))
+
     def test_a_session_comes_back_once(self):
         returns = ReturnList()
         returns.refuse("s", 0.0)
