--- a/endivesill/control/__init__.py
+++ b/endivesill/control/__init__.py
@@ -9,6 +9,7 @@
 from endivesill.control.remote import RemoteControlClient
 from endivesill.control.replica import NEWEST_PATH, ControlReplica
 from endivesill.control.settings import ControlSettings
+from endivesill.control.timed_disk import TimedDisk
 from endivesill.control.voters import ChangeResult, ClusterStatus, VoterOperations
 
 __all__ = [
@@ -27,6 +28,7 @@
     "MemoryDisk",
     "RemoteControlClient",
     "State",
+    "TimedDisk",
     "VoterOperations",
     "command",
     "query",
--- a/endivesill/forwarding/call_log.py
+++ b/endivesill/forwarding/call_log.py
@@ -78,6 +78,7 @@
     def placed(self, call: Call, place: Place) -> None:
         """Note the target that was chosen, with what decided."""
         target = place.target
+        self._statistics.placed(call.route.kind.value, call.waited_s)
         events.emit(
             REQUEST_PLACED,
             request_id=call.info.attempt_id,
@@ -97,6 +98,7 @@
 
     def attempt_failed(self, call: Call, target: Target, reason: str) -> None:
         """Note a target that did not give a good answer."""
+        self._statistics.attempt_failed(reason)
         events.emit(
             ATTEMPT_ENDED,
             request_id=call.info.attempt_id,
--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -1,5 +1,7 @@
 """Log events of forwarding."""
 
+from typing import Any
+
 from endivesill import events
 
 __all__ = [
@@ -14,6 +16,7 @@
     "STREAM_RESUMED",
     "TARGET_EJECTED",
     "TARGET_READMITTED",
+    "request_failed",
 ]
 
 REQUEST_PLACED = events.define(
@@ -47,3 +50,15 @@
 TARGET_READMITTED = events.define(
     4512, "target-readmitted", "An ejected target may have requests again."
 )
+
+FAILURES = {kind.number for kind in (REQUEST_REFUSED, ATTEMPT_ENDED, PLACE_REFUSED)}
+
+
+def request_failed(kind: events.EventKind, fields: dict[str, Any]) -> bool | None:
+    """Tell of an event whether its request has failed; None while that is open.
+
+    An attempt that has failed counts: what was decided before it explains it.
+    """
+    if kind is REQUEST_ENDED:
+        return fields["outcome"] != "answered"
+    return True if kind.number in FAILURES else None
--- a/endivesill/forwarding/statistics.py
+++ b/endivesill/forwarding/statistics.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import bisect
 import collections
 
+from endivesill.histogram import Histogram
+
 __all__ = ["Statistics"]
 
 # Upper bounds of the latency histogram's buckets.
@@ -21,8 +22,9 @@
     def __init__(self) -> None:
         self._ended: collections.Counter[tuple[str, str]] = collections.Counter()
         self._refused: collections.Counter[tuple[str, int]] = collections.Counter()
-        self._buckets: dict[str, list[int]] = {}
-        self._sums_s: dict[str, float] = collections.defaultdict(float)
+        self._durations: dict[str, Histogram] = collections.defaultdict(_histogram)
+        self._waits: dict[str, Histogram] = collections.defaultdict(_histogram)
+        self._failed: collections.Counter[str] = collections.Counter()
 
     def refused(self, reason: str, status: int) -> None:
         """Count a request that was answered without being run."""
@@ -31,9 +33,15 @@
     def ended(self, kind: str, outcome: str, elapsed_s: float) -> None:
         """Count a request that has ended."""
         self._ended[kind, outcome] += 1
-        buckets = self._buckets.setdefault(kind, [0] * (len(BOUNDS_S) + 1))
-        buckets[bisect.bisect_left(BOUNDS_S, elapsed_s)] += 1
-        self._sums_s[kind] += elapsed_s
+        self._durations[kind].record_s(elapsed_s)
+
+    def placed(self, kind: str, waited_s: float) -> None:
+        """Count a place that was found, with the wait for it."""
+        self._waits[kind].record_s(waited_s)
+
+    def attempt_failed(self, reason: str) -> None:
+        """Count a target that gave no good answer."""
+        self._failed[reason.partition(":")[0]] += 1
 
     def lines(self) -> list[str]:
         """Return the metrics as lines of Prometheus text."""
@@ -44,17 +52,17 @@
         for (reason, status), count in sorted(self._refused.items()):
             labels = f'reason="{reason}",status="{status}"'
             lines.append(f"endivesill_refused_total{{{labels}}} {count}")
-        for kind, buckets in sorted(self._buckets.items()):
-            lines += self._histogram(kind, buckets)
+        for reason, count in sorted(self._failed.items()):
+            labels = f'reason="{reason}"'
+            lines.append(f"endivesill_attempts_failed_total{{{labels}}} {count}")
+        for name, histograms in (
+            ("endivesill_request_duration_seconds", self._durations),
+            ("endivesill_place_wait_seconds", self._waits),
+        ):
+            for kind, histogram in sorted(histograms.items()):
+                lines += histogram.lines(name, f'kind="{kind}"')
         return lines
 
-    def _histogram(self, kind: str, buckets: list[int]) -> list[str]:
-        name = "endivesill_request_duration_seconds"
-        lines = []
-        total = 0
-        for bound, count in zip((*BOUNDS_S, "+Inf"), buckets, strict=True):
-            total += count
-            lines.append(f'{name}_bucket{{kind="{kind}",le="{bound}"}} {total}')
-        lines.append(f'{name}_count{{kind="{kind}"}} {total}')
-        lines.append(f'{name}_sum{{kind="{kind}"}} {self._sums_s[kind]:.3f}')
-        return lines
+
+def _histogram() -> Histogram:
+    return Histogram(BOUNDS_S)
--- a/endivesill/platform/__main__.py
+++ b/endivesill/platform/__main__.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from endivesill import errors
+from endivesill.forwarding.events import request_failed
 from endivesill.json_log import JsonLog
 from endivesill.platform.process import settings_path
 from endivesill.platform.settings import NodeSettings, read_settings
@@ -18,7 +19,7 @@
 async def run(role: str, settings: NodeSettings) -> None:
     """Run a process of a role until it stops."""
     timer = SystemTimer()
-    log = JsonLog(timer, settings.vm)
+    log = JsonLog(timer, settings.vm, failed=request_failed)
     log.start()
     try:
         # Each role loads only what it needs, for a fast start in little memory.
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from endivesill import events
-from endivesill.control import ControlReplica, ControlSettings, FileDisk
+from endivesill.control import ControlReplica, ControlSettings, TimedDisk
 from endivesill.fleet.hub import FleetHub
 from endivesill.fleet.tasks import supervise
 from endivesill.http1 import ConnectionLimits, HttpListener
@@ -56,10 +56,11 @@
     # The seeds matter only until the replica has a state; a change is logged.
     SettingsWatch(timer, lambda changed: None)
     transport = LinkPeerTransport(timer, settings.peer_address)
+    disk = TimedDisk(settings.data_folder, timer)
     replica = ControlReplica(
         timer,
         transport,
-        FileDisk(settings.data_folder),
+        disk,
         settings.seed_peers,
         control_settings(settings),
         may_found=settings.is_first_start,
@@ -77,7 +78,7 @@
     listener = HttpListener(
         timer, settings.control_address, operators.handle, OPERATOR_LIMITS
     )
-    metrics = MetricsPort(timer, settings, lambda: _lines(replica, hub))
+    metrics = MetricsPort(timer, settings, lambda: _lines(replica, hub, home, disk))
     await replica.start()
     await transport.start()
     await listener.start()
@@ -106,7 +107,9 @@
     await asyncio.sleep(0)
 
 
-def _lines(replica: ControlReplica, hub: FleetHub) -> list[str]:
+def _lines(
+    replica: ControlReplica, hub: FleetHub, home: LeaderHome, disk: TimedDisk
+) -> list[str]:
     core = replica.core
     lag = core.commit_index - replica.applied_index
     reading = hub.reader.current
@@ -120,4 +123,6 @@
         f"endivesill_control_synced_index {core.log.synced_index}",
         f"endivesill_control_disk_failed {int(core.log.last_error is not None)}",
         f"endivesill_list_number {reading.number if reading else 0}",
+        *home.metric_lines(),
+        *disk.sync_durations.lines("endivesill_control_sync_seconds"),
     ]
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -147,6 +147,8 @@
             "knowledge_age_seconds": "+Inf" if math.isinf(age_s) else round(age_s, 3),
         }
         lines = [f"endivesill_{name} {value}" for name, value in gauges.items()]
+        for state, count in self._table.state_counts().items():
+            lines.append(f'endivesill_engines{{state="{state}"}} {count}')
         return lines + self._statistics.lines()
 
     # What the fleet says.
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 
@@ -134,6 +135,14 @@
         head = await connection.head()
         return head, await connection.read_all()
 
+    async def until(self, condition):
+        """Wait for a condition; fail after some seconds."""
+        for _ in range(500):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("it did not come about")
+
     def outcomes(self):
         return [f["outcome"] for name, f in self.lines if name == "request-ended"]
 
--- /dev/null
+++ b/tests/test_forwarding_log.py
@@ -0,0 +1,72 @@
+"""Tests of the lines that a request leaves: one for each decision."""
+
+import asyncio
+
+from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase
+
+
+class RequestLinesTest(ForwardingTestCase):
+    def kinds(self):
+        """Return the kinds of the lines about the request, in order."""
+        return [name for name, fields in self.lines if fields.get("request_id") == "a1"]
+
+    def fields(self, kind):
+        (found,) = [f for name, f in self.lines if name == kind]
+        return found
+
+    async def test_a_request_that_is_served(self):
+        await self.add("app", "s1")
+        await self.ask("/safe/x")
+        self.assertEqual(["request-placed", "request-ended"], self.kinds())
+        placed = self.fields("request-placed")
+        self.assertEqual(
+            ("safe", 1, "s1", 0),
+            (placed["route"], placed["version"], placed["target"], placed["sends"]),
+        )
+        self.assertEqual(0.0, placed["age_s"])
+        ended = self.fields("request-ended")
+        self.assertEqual(
+            ("answered", 200, 1), (ended["outcome"], ended["status"], ended["sends"])
+        )
+
+    async def test_a_request_that_is_repeated(self):
+        engines = await self.add("app", "s1", "s2")
+        for engine in engines:
+            engine.answers = [500]
+        await self.ask("/safe/x")
+        self.assertEqual(
+            ["request-placed", "attempt-failed", "request-placed", "request-ended"],
+            self.kinds(),
+        )
+
+    async def test_a_request_that_is_refused(self):
+        await self.ask("/safe/x")
+        self.assertEqual(["request-refused"], self.kinds())
+        refused = self.fields("request-refused")
+        self.assertEqual(503, refused["status"])
+        self.assertIn("waited_s", refused)
+
+    async def test_a_generation_that_goes_on_elsewhere(self):
+        engines = await self.add("llm", "e1", "e2")
+        for engine in engines:
+            engine.copies = {"a1"}
+            engine.break_after = 3
+        asking = asyncio.ensure_future(self.ask("/stream/x", *STREAM_HEADERS))
+        await self.until(lambda: any(engine.requests for engine in engines))
+        for engine in engines:
+            if not engine.requests:
+                engine.break_after = None
+        await asking
+        self.assertEqual(
+            ["request-placed", "attempt-failed", "stream-resumed", "request-ended"],
+            self.kinds(),
+        )
+        self.assertEqual(1, self.fields("request-ended")["resumes"])
+
+    async def test_no_line_names_a_key(self):
+        await self.add("app", "s1")
+        await self.ask("/keyed/x", (b"Api-Key", b"k1"))
+        await self.ask("/keyed/x", (b"Api-Key", b"stolen"))
+        for _, fields in self.lines:
+            self.assertNotIn("k1", map(str, fields.values()))
+            self.assertNotIn("stolen", map(str, fields.values()))
--- a/tests/test_forwarding_streams.py
+++ b/tests/test_forwarding_streams.py
@@ -182,10 +182,3 @@
         head, _ = await self.stream()
         self.assertEqual(503, head.status)
         self.assertEqual([], engine.requests)
-
-    async def until(self, condition):
-        for _ in range(500):
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-        raise AssertionError("it did not come about")
--- a/tests/test_json_log.py
+++ b/tests/test_json_log.py
@@ -7,7 +7,13 @@
 import unittest
 
 from endivesill import events
-from endivesill.json_log import BUFFER_LINES, KIND_BUDGET_PER_S, JsonLog
+from endivesill.json_log import (
+    BUFFER_LINES,
+    HELD_LIFE_S,
+    HELD_LINES,
+    KIND_BUDGET_PER_S,
+    JsonLog,
+)
 from endivesill.timer import ManualTimer
 
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "endivesill"
@@ -71,6 +77,50 @@
         kept = sum(f["message_type"] == "test-line" for f in found)
         self.assertEqual(40 * KIND_BUDGET_PER_S, kept + told)
 
+    async def test_a_failed_request_has_all_its_lines(self):
+        self.log = JsonLog(
+            self.timer,
+            "vm-1",
+            self.log._descriptor,
+            lambda kind, _: kind is OTHER or None,
+        )
+        for number in range(KIND_BUDGET_PER_S + 50):
+            self.log.write(KIND, {"request_id": f"r{number}"})
+        late = f"r{KIND_BUDGET_PER_S + 10}"
+        self.assertNotIn(late, [line["request_id"] for line in self.lines()])
+        self.log.write(OTHER, {"request_id": late})
+        found = [(n["message_type"], n["request_id"]) for n in self.lines()]
+        self.assertEqual([("test-line", late), ("other-line", late)], found)
+
+    async def test_failures_have_a_budget_and_a_part_of_the_buffer_of_their_own(self):
+        self.log = JsonLog(
+            self.timer,
+            "vm-1",
+            self.log._descriptor,
+            lambda kind, fields: fields["failed"],
+        )
+        for _ in range(40):
+            await self.timer.advance(1.1)
+            for _ in range(KIND_BUDGET_PER_S):
+                self.log.write(KIND, {"request_id": "a", "failed": False})
+        self.log.write(KIND, {"request_id": "b", "failed": True})
+        last = [*self.log._lines][-1]
+        self.assertEqual("b", json.loads(last)["request_id"])
+
+    async def test_lines_that_are_held_too_long_are_counted_as_dropped(self):
+        for number in range(KIND_BUDGET_PER_S + 50):
+            self.log.write(KIND, {"request_id": f"r{number}"})
+        self.lines()
+        await self.timer.advance(HELD_LIFE_S + 1.0)
+        self.log.write(OTHER, {})
+        self.assertEqual({"test-line": 50}, self.lines()[0]["counts"])
+
+    async def test_held_lines_are_bounded(self):
+        for number in range(KIND_BUDGET_PER_S + HELD_LINES + 7):
+            self.log.write(KIND, {"request_id": f"r{number}"})
+        self.assertEqual(HELD_LINES, self.log._held_lines)
+        self.assertEqual({"test-line": 7}, dict(self.log._dropped))
+
     def drain(self):
         text = b""
         while piece := self.lines_raw():
