--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,6 +9,7 @@
     "errors",
     "events",
     "findings",
+    "histogram",
     "http1",
     "http_peers",
     "ini",
