--- a/endivesill/fleet/departures.py
+++ b/endivesill/fleet/departures.py
@@ -35,10 +35,11 @@
 
 
 class DepartureWatch:
-    """The engines that were healthy and say that they no longer are.
+    """The engines that say that they take no work.
 
-    An engine that has never passed a check is left to the list: its check may
-    mean something else.
+    A new engine may be taken away before its first check, so that a failed check
+    counts at once. It tells nothing in a service in which no engine has ever passed
+    one: there it may mean something else.
 
     Args:
       timer: the timer service.
@@ -58,7 +59,7 @@
         self._source = source
         self._engines = engines
         self._changed = changed
-        self._healthy: set[str] = set()
+        self._proven: set[str] = set()
         self._leaving: set[str] = set()
         self._silent: set[str] = set()
 
@@ -72,7 +73,9 @@
             before = self.leaving()
             checks = map(self._check, filter(self._is_in_doubt, self._engines()))
             await asyncio.gather(*checks)
-            self._forget_all_but({e.incarnation for e in self._engines()})
+            incarnations = {engine.incarnation for engine in self._engines()}
+            self._leaving &= incarnations
+            self._silent &= incarnations
             if self.leaving() != before:
                 self._changed()
             await self._timer.sleep(CHECK_PERIOD_S)
@@ -80,11 +83,6 @@
     def _is_in_doubt(self, engine: EngineInfo) -> bool:
         return not engine.is_draining or engine.incarnation in self._leaving
 
-    def _forget_all_but(self, incarnations: set[str]) -> None:
-        self._healthy &= incarnations
-        self._leaving &= incarnations
-        self._silent &= incarnations
-
     async def _check(self, engine: EngineInfo) -> None:
         try:
             is_healthy = await self._source.is_healthy(engine)
@@ -95,8 +93,8 @@
             return
         self._silent.discard(engine.incarnation)
         if is_healthy:
-            self._healthy.add(engine.incarnation)
+            self._proven.add(engine.service)
             self._leaving.discard(engine.incarnation)
-        elif engine.incarnation in self._healthy - self._leaving:
+        elif engine.service in self._proven and engine.incarnation not in self._leaving:
             self._leaving.add(engine.incarnation)
             events.emit(ENGINE_UNHEALTHY, target=engine.identity)
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -37,7 +37,9 @@
     4506, "engine-report-regained", "An engine answers again when asked for load."
 )
 ENGINE_UNHEALTHY = events.define(
-    4507, "engine-unhealthy", "An engine that was healthy says that it no longer is."
+    4507,
+    "engine-unhealthy",
+    "An engine says in its health check that it takes no work.",
 )
 HEALTH_UNKNOWN = events.define(
     4508, "engine-health-unknown", "An engine does not answer its health check."
