Send the requests of both interfaces through one core

Cause: the product's own interface reached targets through aiohttp sessions, with a connector and a private switch of its own against silent repeats, and the platform's through http1; what a failed sending says of the request was written twice.

Change: http1/sending.py sends one request and says of a failure whether it may have run; forwarding/attempt.py and targets/client.py both use it. A caller that needs a new connection leaves the idle ones in the pool. An answer with a control character in a header is no answer any more (502, outcome unknown) instead of a cut; the test of what cannot be passed on fails in another place now, and one more covers the header.

--- a/endivesill/assembly.py
+++ b/endivesill/assembly.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import aiohttp
-
 from endivesill.configuration.control_replica import ControlReplicaView
 from endivesill.configuration.model import Target
 from endivesill.configuration.named import NamedConfigurationSource
@@ -44,7 +42,7 @@
 from endivesill.peer_port import PeerPort
 from endivesill.routing import Backoff, Lender, PrefixIndex, Router, Wallet
 from endivesill.settings import Settings
-from endivesill.targets import EngineAdapter, LoadReport, open_session
+from endivesill.targets import EngineAdapter, LoadReport, TargetClient
 from endivesill.targets.monitor import TargetMonitor
 from endivesill.timer import TimerService
 from endivesill.tls import TlsSettings, client_context, server_options
@@ -102,17 +100,17 @@
         self._prefixes = prefixes
         self._configuration = configuration
         self._membership = membership
-        self._session: aiohttp.ClientSession | None = None
+        self._client: TargetClient | None = None
         self._monitor: TargetMonitor | None = None
 
     async def start(self) -> None:
         """Begin to poll."""
-        self._session = open_session()
         timer = self._kernel.timer
+        self._client = TargetClient(timer)
         self._monitor = TargetMonitor(
             timer,
             self._configuration.current,
-            EngineAdapter(self._session, timer),
+            EngineAdapter(self._client, timer),
             self._membership.is_home,
             MonitorSink(self._lender, self._membership.leaving_targets),
             self._prefixes,
@@ -123,8 +121,8 @@
         """Stop polling."""
         if self._monitor is not None:
             await self._monitor.stop()
-        if self._session is not None:
-            await self._session.close()
+        if self._client is not None:
+            await self._client.close()
 
 
 def build_kernel(settings: Settings, timer: TimerService) -> Kernel:
--- a/endivesill/entry/service.py
+++ b/endivesill/entry/service.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import aiohttp
-
 from endivesill.configuration.source import ConfigurationSource
 from endivesill.control import ControlClient
 from endivesill.entry.admission import Admission
@@ -27,8 +25,7 @@
 from endivesill.targets import (
     EngineAdapter,
     PlainAdapter,
-    open_fresh_session,
-    open_session,
+    TargetClient,
 )
 
 __all__ = ["EntryService"]
@@ -82,7 +79,7 @@
         self._is_gone = is_gone
         self._options = options
         self._background = Background()
-        self._sessions: list[aiohttp.ClientSession] = []
+        self._client = TargetClient(kernel.timer)
         self._server: HttpServer | None = None
         self.application: EntryApplication | None = None
 
@@ -103,14 +100,12 @@
 
     async def start(self) -> None:
         """Open the port."""
-        self._sessions = [open_session(), open_fresh_session()]
         self.application = EntryApplication(self._context())
         self._server = HttpServer(self._address, self.application, **self._options)
         await self._server.start()
 
     def _context(self) -> EntryContext:
         timer = self._kernel.timer
-        pooled, fresh = self._sessions
         claims = Claims(
             timer,
             self._kernel.find("control", ControlClient),
@@ -125,8 +120,8 @@
             source=self._source,
             index=IndexCache(self._source.current),
             router=self._kernel.find("router", Router),
-            engines=EngineAdapter(pooled, timer),
-            plain=PlainAdapter(pooled, timer, fresh),
+            engines=EngineAdapter(self._client, timer),
+            plain=PlainAdapter(self._client, timer),
             ids=GenerationIds(self._keys),
             claims=claims,
             budget=self._budget,
@@ -150,8 +145,7 @@
             self._server.abort()
         if self.application is not None:
             self.application.table.close()
-        for session in self._sessions:
-            await session.close()
+        await self._client.close()
         if self._server is not None:
             await self._server.kill()
         await self._close()
@@ -160,5 +154,4 @@
         if self.application is not None:
             self.application.table.close()
         await self._background.finish()
-        for session in self._sessions:
-            await session.close()
+        await self._client.close()
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -14,8 +14,10 @@
 from endivesill.http1 import (
     ConnectionPool,
     ResponseHead,
+    SendError,
+    SendFailure,
     UpstreamConnection,
-    UpstreamError,
+    send_request,
 )
 from endivesill.timer import TimerService
 
@@ -49,6 +51,14 @@
         return self not in (Failure.NO_CONNECTION, Failure.TARGET_LEFT)
 
 
+FAILURES = {
+    SendFailure.NO_CONNECTION: Failure.NO_CONNECTION,
+    SendFailure.NOT_STARTED: Failure.TARGET_LEFT,
+    SendFailure.BROKEN: Failure.BROKEN,
+    SendFailure.FOREIGN_ANSWER: Failure.FOREIGN_ANSWER,
+}
+
+
 class AttemptError(errors.EndivesillError):
     """An attempt without an answer to pass on."""
 
@@ -111,78 +121,66 @@
         Raises:
           AttemptError: there is no answer to pass on.
         """
-        idle_s = None if call.is_idempotent else UNREPEATABLE_IDLE_S
-        try:
-            connection = await self._pool.acquire(target.info.address, idle_s)
-        except UpstreamError as error:
-            raise AttemptError(Failure.NO_CONNECTION, str(error)) from None
         try:
-            # The list may have changed while the connection was set up.
-            if not self._table.may_have_work(target):
-                raise AttemptError(Failure.TARGET_LEFT, target.info.identity)
-            dispatch = Dispatch(
-                identity=target.info.identity,
-                left_s=max(0.0, call.caller_end_s - self._timer.now_s()),
-                organisation=call.organisation,
-                urgency=urgency(call),
-                backup_address=backup.info.address if backup else "",
-                resume_from=resume_from,
-                last_event_id=last_event_id,
-                body_bytes=len(call.exchange.body),
+            connection, head = await send_request(
+                self._pool,
+                target.info.address,
+                lambda: self._encode(call, target, backup, resume_from, last_event_id),
+                longest_idle_s=None if call.is_idempotent else UNREPEATABLE_IDLE_S,
+                # The list may have changed while the connection was set up.
+                may_start=lambda: self._table.may_have_work(target),
+                started=call.note_sent,
+                belongs=lambda head: self._belongs(call, target, head),
+                foreign_limit=SKIPPED_ANSWERS_LIMIT,
+                no_body=call.exchange.method == "HEAD",
             )
-            self._write(call, connection, dispatch, target)
-            return await self._matching_answer(call, connection, target)
-        except BaseException:
+        except SendError as error:
+            raise AttemptError(FAILURES[error.failure], str(error)) from None
+        answer = self._protocol.decode_answer(head)
+        if answer.wrong_target or answer.not_run:
             self._pool.release(connection)
-            raise
+            wrong = answer.wrong_target
+            failure = Failure.WRONG_TARGET if wrong else Failure.REJECTED
+            raise AttemptError(failure, str(answer.status))
+        return Attempt(target, connection, head, answer)
 
-    def _write(
+    def _encode(
         self,
         call: Call,
-        connection: UpstreamConnection,
-        dispatch: Dispatch,
         target: Target,
-    ) -> None:
+        backup: Target | None,
+        resume_from: str,
+        last_event_id: str,
+    ) -> bytes:
+        """Return the request's bytes for a target."""
+        dispatch = Dispatch(
+            identity=target.info.identity,
+            left_s=max(0.0, call.caller_end_s - self._timer.now_s()),
+            organisation=call.organisation,
+            urgency=urgency(call),
+            backup_address=backup.info.address if backup else "",
+            resume_from=resume_from,
+            last_event_id=last_event_id,
+            body_bytes=len(call.exchange.body),
+        )
         exchange = call.exchange
         head = self._protocol.encode_request(
             exchange.method, exchange.target, exchange.headers, dispatch
         )
-        try:
-            connection.send(head + exchange.body, no_body=exchange.method == "HEAD")
-        except UpstreamError as error:
-            raise AttemptError(Failure.NO_CONNECTION, str(error)) from None
-        call.sends += 1
-        call.may_have_run = True
-
-    async def _matching_answer(
-        self, call: Call, connection: UpstreamConnection, target: Target
-    ) -> Attempt:
-        skipped = 0
-        while True:
-            try:
-                head = await connection.head()
-                answer = self._protocol.decode_answer(head)
-                if answer.attempt_id in ("", call.info.attempt_id):
-                    break
-                # Late answers to others may stand before this one's.
-                events.emit(
-                    ANSWER_SKIPPED,
-                    request_id=call.info.attempt_id,
-                    target=target.info.identity,
-                    answers=answer.attempt_id,
-                )
-                await connection.read_all()
-            except UpstreamError as error:
-                raise AttemptError(Failure.BROKEN, str(error)) from None
-            skipped += 1
-            if skipped > SKIPPED_ANSWERS_LIMIT:
-                raise AttemptError(Failure.FOREIGN_ANSWER, answer.attempt_id)
-            connection.skip_answer()
-        if answer.wrong_target:
-            raise AttemptError(Failure.WRONG_TARGET, str(answer.status))
-        if answer.not_run:
-            raise AttemptError(Failure.REJECTED, str(answer.status))
-        return Attempt(target, connection, head, answer)
+        return head + exchange.body
+
+    def _belongs(self, call: Call, target: Target, head: ResponseHead) -> bool:
+        """Tell whether an answer is the call's; late ones to others may come first."""
+        answers = self._protocol.decode_answer(head).attempt_id
+        if answers in ("", call.info.attempt_id):
+            return True
+        events.emit(
+            ANSWER_SKIPPED,
+            request_id=call.info.attempt_id,
+            target=target.info.identity,
+            answers=answers,
+        )
+        return False
 
 
 def urgency(call: Call) -> int | None:
--- a/endivesill/forwarding/call.py
+++ b/endivesill/forwarding/call.py
@@ -50,6 +50,11 @@
     may_have_run: bool = False
     waited_s: float = 0.0
 
+    def note_sent(self) -> None:
+        """Note that it may have reached a target."""
+        self.sends += 1
+        self.may_have_run = True
+
     @property
     def is_idempotent(self) -> bool:
         """Whether it may run more than once."""
--- a/endivesill/http1/__init__.py
+++ b/endivesill/http1/__init__.py
@@ -8,6 +8,7 @@
 )
 from endivesill.http1.exchange import ConnectionLimits, Exchange
 from endivesill.http1.head import Headers, encode_head, header_value, strip_hop_by_hop
+from endivesill.http1.sending import SendError, SendFailure, send_request
 from endivesill.http1.server import HttpListener, ServerConnection
 
 __all__ = [
@@ -17,10 +18,13 @@
     "Headers",
     "HttpListener",
     "ResponseHead",
+    "SendError",
+    "SendFailure",
     "ServerConnection",
     "UpstreamConnection",
     "UpstreamError",
     "encode_head",
     "header_value",
+    "send_request",
     "strip_hop_by_hop",
 ]
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import ssl
 from typing import Any
 
 import attrs
@@ -22,6 +23,7 @@
 
 # Body bytes that may wait for the reader before the connection is paused.
 BUFFER_BYTES = 262_144
+TLS_PREFIX = "https://"
 # Kept back from the time that the peer says it keeps an idle connection.
 KEEP_ALIVE_MARGIN_S = 0.5
 
@@ -326,6 +328,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._longest_idle_s = longest_idle_s
         self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._tls: ssl.SSLContext | None = None
         self.connects = 0
 
     async def acquire(
@@ -333,24 +336,33 @@
     ) -> UpstreamConnection:
         """Return a connection to a peer, an idle one or a new one.
 
+        Args:
+          address: the peer's HOST:PORT, or `https://HOST:PORT` for TLS.
+          longest_idle_s: an idle connection older than this is left alone; 0 for a
+            new one, None for the pool's own limit.
+
         Raises:
           UpstreamError: no connection could be set up; nothing was sent.
         """
         limit_s = self._longest_idle_s if longest_idle_s is None else longest_idle_s
         idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(limit_s):
-                return connection
-            connection.abort()
+        # The one that was used last is the last one.
+        while idle and not idle[-1].is_usable(self._longest_idle_s):
+            idle.pop().abort()
+        if idle and idle[-1].is_usable(limit_s):
+            return idle.pop()
         return await self._connect(address)
 
     async def _connect(self, address: str) -> UpstreamConnection:
-        host, _, port = address.rpartition(":")
+        tls = self._tls_context() if address.startswith(TLS_PREFIX) else None
+        host, _, port = address.removeprefix(TLS_PREFIX).rpartition(":")
         self.connects += 1
         loop = asyncio.get_running_loop()
         connecting = loop.create_connection(
-            lambda: UpstreamConnection(self._timer, address), host, int(port)
+            lambda: UpstreamConnection(self._timer, address),
+            host.strip("[]"),
+            int(port),
+            ssl=tls,
         )
         try:
             _, connection = await self._timer.wait_for(
@@ -360,6 +372,11 @@
             raise UpstreamError(f"{address}: {error!r}", sent=False) from None
         return connection
 
+    def _tls_context(self) -> ssl.SSLContext:
+        if self._tls is None:
+            self._tls = ssl.create_default_context()
+        return self._tls
+
     async def exchange(self, address: str, data: bytes) -> tuple[ResponseHead, bytes]:
         """Send one request and return the head and the body of its answer.
 
--- a/endivesill/orders/service.py
+++ b/endivesill/orders/service.py
@@ -4,8 +4,6 @@
 
 import asyncio
 
-import aiohttp
-
 from endivesill import errors
 from endivesill.configuration.model import Target
 from endivesill.configuration.source import ConfigurationSource
@@ -17,7 +15,7 @@
 from endivesill.orders.orderer import EngineOrders, Orderer
 from endivesill.orders.settings import OrderSettings
 from endivesill.peers import Message, PeerTransport
-from endivesill.targets import EngineAdapter, open_session
+from endivesill.targets import EngineAdapter, TargetClient
 
 __all__ = ["ORDER_PATH", "OrderService"]
 
@@ -65,7 +63,7 @@
         self._configuration = configuration
         self._peers = peers
         self._engines = engines
-        self._session: aiohttp.ClientSession | None = None
+        self._client: TargetClient | None = None
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._leases: dict[str, OrdererLease] = {}
         self._orderers: dict[str, Orderer] = {}
@@ -75,8 +73,8 @@
     async def start(self) -> None:
         """Begin to compete."""
         if self._engines is None:
-            self._session = open_session()
-            self._engines = EngineAdapter(self._session, self._kernel.timer)
+            self._client = TargetClient(self._kernel.timer)
+            self._engines = EngineAdapter(self._client, self._kernel.timer)
         self._tasks["watch"] = self._kernel.supervise("orders", self._watch)
 
     async def stop(self) -> None:
@@ -87,8 +85,8 @@
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
         for orderer in self._orderers.values():
             await orderer.close()
-        if self._session is not None:
-            await self._session.close()
+        if self._client is not None:
+            await self._client.close()
 
     async def hand_over(self) -> None:
         """Give the leases back once no order is under way."""
--- a/endivesill/targets/__init__.py
+++ b/endivesill/targets/__init__.py
@@ -1,6 +1,7 @@
 """Targets: adapters by protocol, their messages and the token scan."""
 
 from endivesill.targets.adapter import ADAPTERS, TargetAdapter, adapter, make_adapter
+from endivesill.targets.client import TargetAnswer, TargetClient, TargetRequest
 from endivesill.targets.engine import EngineAdapter, EngineStream
 from endivesill.targets.messages import (
     CacheEvent,
@@ -10,7 +11,6 @@
     Order,
 )
 from endivesill.targets.plain import PlainAdapter, PlainAnswer, PlainCall
-from endivesill.targets.session import open_fresh_session, open_session
 from endivesill.targets.tokens import ScannedBlock, TokenScanner
 
 __all__ = [
@@ -27,9 +27,10 @@
     "PlainCall",
     "ScannedBlock",
     "TargetAdapter",
+    "TargetAnswer",
+    "TargetClient",
+    "TargetRequest",
     "TokenScanner",
     "adapter",
     "make_adapter",
-    "open_fresh_session",
-    "open_session",
 ]
--- a/endivesill/targets/adapter.py
+++ b/endivesill/targets/adapter.py
@@ -9,9 +9,8 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import aiohttp
-
 from endivesill import errors
+from endivesill.targets.client import TargetClient
 from endivesill.timer import TimerService
 
 __all__ = ["ADAPTERS", "TargetAdapter", "adapter", "make_adapter"]
@@ -20,19 +19,17 @@
 
 ADAPTERS: dict[str, type[TargetAdapter]] = {}
 
-CONNECT_TIMEOUT_S = 1.0
-
 
 class TargetAdapter:
     """Base of the adapters.
 
     Args:
-      session: the HTTP client session, shared by all targets.
+      client: sends requests, shared by all targets.
       timer: the timer service.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, timer: TimerService) -> None:
-        self.session = session
+    def __init__(self, client: TargetClient, timer: TimerService) -> None:
+        self.client = client
         self.timer = timer
 
 
@@ -47,7 +44,7 @@
 
 
 def make_adapter(
-    protocol: str, session: aiohttp.ClientSession, timer: TimerService
+    protocol: str, client: TargetClient, timer: TimerService
 ) -> TargetAdapter:
     """Build the adapter of a protocol.
 
@@ -57,4 +54,4 @@
     kind = ADAPTERS.get(protocol)
     if kind is None:
         raise errors.EndivesillError(f"no adapter for protocol {protocol!r}")
-    return kind(session, timer)
+    return kind(client, timer)
--- a/endivesill/targets/engine.py
+++ b/endivesill/targets/engine.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Sequence
 from typing import Any
 
-import aiohttp
 import attrs
 
 from endivesill import errors, events
 from endivesill.configuration.model import Target
-from endivesill.targets.adapter import CONNECT_TIMEOUT_S, TargetAdapter, adapter
+from endivesill.targets.adapter import TargetAdapter, adapter
+from endivesill.targets.client import TargetAnswer, TargetRequest
 from endivesill.targets.events import ANSWER_DROPPED, CANCEL_FAILED
 from endivesill.targets.messages import (
     CacheEvent,
@@ -19,7 +20,6 @@
     LoadReport,
     Order,
 )
-from endivesill.targets.session import start_check
 
 __all__ = ["EngineAdapter", "EngineStream", "parse_load_report"]
 
@@ -36,12 +36,11 @@
     """The bytes of a generation that an engine streams.
 
     Args:
-      response: the engine's answer, whose body has not been read.
+      answer: the engine's answer, whose body has not been read.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        self._response = response
-        self._content = response.content
+    def __init__(self, answer: TargetAnswer) -> None:
+        self._answer = answer
 
     async def read(self) -> bytes:
         """Return all bytes that have arrived, at least one; b"" at the end.
@@ -49,10 +48,7 @@
         Raises:
           TargetError: the connection broke or was closed.
         """
-        try:
-            return await self._content.readany()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise errors.TargetError(f"stream broke: {error!r}") from None
+        return await self._answer.read()
 
     def close(self) -> None:
         """Close the connection, unless the answer has been read to its end.
@@ -60,10 +56,7 @@
         A connection with an answer pending is never reused. A reader that waits
         is woken with a TargetError.
         """
-        if self._content.is_eof():
-            self._response.release()
-        else:
-            self._response.close()
+        self._answer.close()
 
 
 @adapter("engine")
@@ -94,10 +87,14 @@
             ATTEMPT_HEADER: request.attempt_id,
             "X-Priority": str(request.priority),
         }
-        with start_check(may_start):
-            return await self._open(
-                target, request.path, request.body, headers, request.attempt_id
-            )
+        return await self._open(
+            target,
+            request.path,
+            request.body,
+            headers,
+            request.attempt_id,
+            may_start,
+        )
 
     async def resume(
         self,
@@ -135,24 +132,18 @@
         body: bytes,
         headers: dict[str, str],
         attempt_id: str,
+        may_start: Callable[[], bool] | None = None,
     ) -> EngineStream:
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-        try:
-            response = await self.session.post(
-                target.url + path, data=body, headers=headers, timeout=timeout
-            )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise errors.TargetUnreachableError(f"no connection: {error}") from None
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise errors.TargetError(f"no answer: {error!r}") from None
-        if response.status == 200:
-            if response.headers.get(ATTEMPT_HEADER) == attempt_id:
-                return EngineStream(response)
-            response.close()
+        request = TargetRequest("POST", path, tuple(headers.items()), body)
+        answer = await self.client.open(target, request, may_start=may_start)
+        if answer.status == 200:
+            if answer.header(ATTEMPT_HEADER) == attempt_id:
+                return EngineStream(answer)
+            answer.close()
             events.emit(ANSWER_DROPPED, target=target.name, attempt_id=attempt_id)
             raise errors.TargetError("the answer belongs to another attempt")
-        response.close()
-        raise _refusal(response)
+        answer.close()
+        raise _refusal(answer)
 
     async def cancel(
         self, target: Target, generation_id: str, attempts: Sequence[str] = ()
@@ -235,27 +226,27 @@
         headers: dict[str, str] | None = None,
         timeout_s: float = CONTROL_TIMEOUT_S,
     ) -> dict[str, Any]:
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
-        try:
-            async with self.session.request(
-                method, target.url + path, json=body, headers=headers, timeout=timeout
-            ) as response:
-                if response.status == 409:
-                    raise errors.TargetRefusedError(await response.text())
-                if response.status != 200:
-                    raise errors.TargetStatusError(response.status)
-                return await response.json(content_type=None)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            raise errors.TargetError(f"no answer: {error!r}") from None
-
-
-def _refusal(response: aiohttp.ClientResponse) -> errors.TargetError:
-    detail = f"the engine answered {response.status}"
-    if response.status in (404, 410):
-        return errors.TargetGoneError(detail, response.headers.get(MOVED_HEADER, ""))
-    if response.status == 409:
+        sent = dict(headers or {})
+        data = b""
+        if body is not None:
+            data = json.dumps(body).encode()
+            sent["Content-Type"] = "application/json"
+        request = TargetRequest(method, path, tuple(sent.items()), data)
+        status, document = await self.client.json(target, request, timeout_s)
+        if status == 409:
+            raise errors.TargetRefusedError(str(document))
+        if status != 200:
+            raise errors.TargetStatusError(status)
+        return document
+
+
+def _refusal(answer: TargetAnswer) -> errors.TargetError:
+    detail = f"the engine answered {answer.status}"
+    if answer.status in (404, 410):
+        return errors.TargetGoneError(detail, answer.header(MOVED_HEADER))
+    if answer.status == 409:
         return errors.SupersededError(detail)
-    if response.headers.get(RUN_HEADER) == NOT_RUN:
+    if answer.header(RUN_HEADER) == NOT_RUN:
         return errors.TargetRefusedError(detail)
     return errors.TargetError(detail)
 
--- a/endivesill/targets/plain.py
+++ b/endivesill/targets/plain.py
@@ -4,16 +4,13 @@
 
 from collections.abc import Callable, Iterable
 
-import aiohttp
 import attrs
-import yarl
 
 from endivesill import errors
 from endivesill.configuration.model import Target
-from endivesill.targets.adapter import CONNECT_TIMEOUT_S, TargetAdapter, adapter
+from endivesill.targets.adapter import TargetAdapter, adapter
+from endivesill.targets.client import TargetAnswer, TargetRequest
 from endivesill.targets.engine import NOT_RUN, RUN_HEADER
-from endivesill.targets.session import start_check
-from endivesill.timer import TimerService
 
 __all__ = ["PlainAdapter", "PlainAnswer", "PlainCall", "end_to_end_headers"]
 
@@ -60,19 +57,17 @@
     """A plain service's answer, whose body is read in pieces.
 
     Args:
-      response: the answer, whose body has not been read.
+      answer: the answer, whose body has not been read.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        self._response = response
-        pairs = ((name, value) for name, value in response.headers.items())
-        self.status = response.status
-        self.headers = end_to_end_headers(pairs)
+    def __init__(self, answer: TargetAnswer) -> None:
+        self._answer = answer
+        self.status = answer.status
+        self.headers = end_to_end_headers(answer.headers)
 
     def says_not_run(self) -> bool:
         """Tell whether the target says itself that it did not run the call."""
-        run = self._response.headers.get(RUN_HEADER)
-        return self.status == 503 and run == NOT_RUN
+        return self.status == 503 and self._answer.header(RUN_HEADER) == NOT_RUN
 
     async def read(self) -> bytes:
         """Return bytes of the body that have arrived; b"" at its end.
@@ -80,17 +75,11 @@
         Raises:
           TargetError: the connection broke or was closed.
         """
-        try:
-            return await self._response.content.readany()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise errors.TargetError(f"no whole answer: {error!r}") from None
+        return await self._answer.read()
 
     def close(self) -> None:
         """Close the connection, unless the answer has been read to its end."""
-        if self._response.content.is_eof():
-            self._response.release()
-        else:
-            self._response.close()
+        self._answer.close()
 
 
 def end_to_end_headers(headers: Iterable[Header]) -> tuple[Header, ...]:
@@ -108,23 +97,7 @@
 
 @adapter("plain")
 class PlainAdapter(TargetAdapter):
-    """Passes calls to plain services.
-
-    Args:
-      session: the pooled session, for calls that may be repeated.
-      timer: the timer service.
-      fresh_session: opens a connection for each call, for the other calls: a
-        pooled connection may be closed by the target just when it is used.
-    """
-
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        timer: TimerService,
-        fresh_session: aiohttp.ClientSession | None = None,
-    ) -> None:
-        super().__init__(session, timer)
-        self.fresh_session = fresh_session or session
+    """Passes calls to plain services."""
 
     async def call(
         self,
@@ -146,43 +119,17 @@
             more, so it has not run; or the target says so itself.
           TargetError: it may have run.
         """
-        with start_check(may_start):
-            try:
-                response = await self.timer.wait_for(
-                    self._send(target, call, timeout_s), timeout_s
-                )
-            except (
-                aiohttp.ClientConnectorError,
-                aiohttp.ConnectionTimeoutError,
-            ) as error:
-                raise errors.TargetUnreachableError(f"no connection: {error}") from None
-            except (aiohttp.ClientError, OSError, TimeoutError) as error:
-                raise errors.TargetError(f"no answer: {error!r}") from None
-            except errors.DeadlineExceededError:
-                raise errors.TargetError(f"no answer within {timeout_s} s") from None
-        answer = PlainAnswer(response)
+        headers = (*call.headers, ("X-Attempt-Id", call.attempt_id))
+        request = TargetRequest(call.method, call.path, headers, call.body)
+        opening = self.client.open(
+            target, request, fresh=not call.repeatable, may_start=may_start
+        )
+        try:
+            opened = await self.timer.wait_for(opening, timeout_s)
+        except errors.DeadlineExceededError:
+            raise errors.TargetError(f"no answer within {timeout_s} s") from None
+        answer = PlainAnswer(opened)
         if answer.says_not_run():
             answer.close()
             raise errors.TargetRefusedError("the target says that it did not run it")
         return answer
-
-    async def _send(
-        self, target: Target, call: PlainCall, timeout_s: float
-    ) -> aiohttp.ClientResponse:
-        session = self.session if call.repeatable else self.fresh_session
-        return await session.request(
-            call.method,
-            yarl.URL(target.url + call.path, encoded=True),
-            data=call.body or None,
-            headers=[*call.headers, ("X-Attempt-Id", call.attempt_id)],
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=min(timeout_s, CONNECT_TIMEOUT_S)
-            ),
-            allow_redirects=False,
-            skip_auto_headers=(
-                "User-Agent",
-                "Accept",
-                "Accept-Encoding",
-                "Content-Type",
-            ),
-        )
