Doubt a failing health check that nothing confirms

Cause: on the grown deployments health answers may be false either way; an engine that serves and fails its checks would have had no work for as long as that lasts.

Change: a failed check counts by itself for 1.5 s, in which the list and the report of an engine that leaves show it. After that it counts again only once the engine has passed a check.

--- a/endivesill/fleet/departures.py
+++ b/endivesill/fleet/departures.py
@@ -11,7 +11,11 @@
 from collections.abc import Callable, Iterable
 
 from endivesill import errors, events
-from endivesill.fleet.events import ENGINE_UNHEALTHY, HEALTH_UNKNOWN
+from endivesill.fleet.events import (
+    ENGINE_UNHEALTHY,
+    HEALTH_DOUBTED,
+    HEALTH_UNKNOWN,
+)
 from endivesill.fleet.model import EngineInfo
 from endivesill.timer import TimerService
 
@@ -20,6 +24,9 @@
 # Period of the checks of one engine. Notices last 1.5 s and more, and a check is
 # priced as a probe.
 CHECK_PERIOD_S = 0.2
+# How long a failed check counts by itself. By then the list and the report of an
+# engine that leaves show it: they are 1.0 s and 0.7 s old, and read every 0.35 s.
+CONFIRMED_AFTER_S = 1.5
 
 
 class HealthSource:
@@ -39,7 +46,8 @@
 
     A new engine may be taken away before its first check, so that a failed check
     counts at once. It tells nothing in a service in which no engine has ever passed
-    one: there it may mean something else.
+    one: there it may mean something else. Nor does it for long if neither the list
+    nor the engine's report confirms it: a check may fail at an engine that serves.
 
     Args:
       timer: the timer service.
@@ -60,28 +68,38 @@
         self._engines = engines
         self._changed = changed
         self._proven: set[str] = set()
-        self._leaving: set[str] = set()
+        self._told: frozenset[str] = frozenset()
+        # When the check of an engine began to fail.
+        self._failed_s: dict[str, float] = {}
+        self._doubted: set[str] = set()
         self._silent: set[str] = set()
 
     def leaving(self) -> frozenset[str]:
         """Return the incarnations that no longer take work."""
-        return frozenset(self._leaving)
+        since_s = self._timer.now_s() - CONFIRMED_AFTER_S
+        return frozenset(b for b, at_s in self._failed_s.items() if at_s > since_s)
 
     async def run(self) -> None:
         """Check the engines until cancelled."""
         while True:
-            before = self.leaving()
             checks = map(self._check, filter(self._is_in_doubt, self._engines()))
             await asyncio.gather(*checks)
-            incarnations = {engine.incarnation for engine in self._engines()}
-            self._leaving &= incarnations
-            self._silent &= incarnations
-            if self.leaving() != before:
+            self._forget_all_but({engine.incarnation for engine in self._engines()})
+            leaving = self.leaving()
+            if leaving != self._told:
+                self._told = leaving
                 self._changed()
             await self._timer.sleep(CHECK_PERIOD_S)
 
+    def _forget_all_but(self, incarnations: set[str]) -> None:
+        for gone in self._failed_s.keys() - incarnations:
+            del self._failed_s[gone]
+        self._silent &= incarnations
+        self._doubted &= incarnations
+
     def _is_in_doubt(self, engine: EngineInfo) -> bool:
-        return not engine.is_draining or engine.incarnation in self._leaving
+        """Tell whether a check can tell more than the list does."""
+        return not engine.is_draining or engine.incarnation in self.leaving()
 
     async def _check(self, engine: EngineInfo) -> None:
         try:
@@ -94,7 +112,16 @@
         self._silent.discard(engine.incarnation)
         if is_healthy:
             self._proven.add(engine.service)
-            self._leaving.discard(engine.incarnation)
-        elif engine.service in self._proven and engine.incarnation not in self._leaving:
-            self._leaving.add(engine.incarnation)
+            self._failed_s.pop(engine.incarnation, None)
+            self._doubted.discard(engine.incarnation)
+        elif engine.service in self._proven:
+            self._note_failure(engine)
+
+    def _note_failure(self, engine: EngineInfo) -> None:
+        incarnation = engine.incarnation
+        if incarnation not in self._failed_s:
+            self._failed_s[incarnation] = self._timer.now_s()
             events.emit(ENGINE_UNHEALTHY, target=engine.identity)
+        elif incarnation not in self.leaving() | self._doubted:
+            self._doubted.add(incarnation)
+            events.emit(HEALTH_DOUBTED, target=engine.identity)
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -6,6 +6,7 @@
     "CHANGE_ANSWERED",
     "ENGINE_LIST_CHANGED",
     "ENGINE_UNHEALTHY",
+    "HEALTH_DOUBTED",
     "HEALTH_UNKNOWN",
     "LEADER_LOST",
     "LEADER_REACHED",
@@ -41,6 +42,11 @@
     "engine-unhealthy",
     "An engine says in its health check that it takes no work.",
 )
+HEALTH_DOUBTED = events.define(
+    4509,
+    "engine-health-doubted",
+    "An engine fails its health check, and neither list nor report confirms it.",
+)
 HEALTH_UNKNOWN = events.define(
     4508, "engine-health-unknown", "An engine does not answer its health check."
 )
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -4,7 +4,12 @@
 import unittest
 
 from endivesill import errors
-from endivesill.fleet.departures import CHECK_PERIOD_S, DepartureWatch, HealthSource
+from endivesill.fleet.departures import (
+    CHECK_PERIOD_S,
+    CONFIRMED_AFTER_S,
+    DepartureWatch,
+    HealthSource,
+)
 from endivesill.http1 import ResponseHead
 from endivesill.platform.health import decode_health
 from endivesill.timer import ManualTimer, settle
@@ -64,6 +69,19 @@
         await self.check(e1=False, e2=False, a1=True)
         self.assertEqual(frozenset(), self.watch.leaving())
 
+    async def test_a_failing_check_that_nothing_confirms_is_doubted(self):
+        await self.check(e1=True, e2=True)
+        await self.check(e1=False, e2=True)
+        self.assertEqual({"e1@1"}, self.watch.leaving())
+        for _ in range(int(CONFIRMED_AFTER_S / CHECK_PERIOD_S) + 1):
+            await self.check(e1=False, e2=True)
+        self.assertEqual(frozenset(), self.watch.leaving())
+        self.assertEqual(2, self.changes)
+        # Once it has passed a check, a failure counts again.
+        await self.check(e1=True, e2=True)
+        await self.check(e1=False, e2=True)
+        self.assertEqual({"e1@1"}, self.watch.leaving())
+
     async def test_no_answer_is_no_departure(self):
         await self.check(e1=True, e2=True)
         await self.check(e2=True)
