Soak the platform's programs under random faults from outside

Cause: the users ask for a soak of real processes: signals, links through a proxy, lost and failing disks, targets that crash and drain, in series that overlap.

--- /dev/null
+++ b/bench/platform_soak_callers.py
@@ -0,0 +1,207 @@
+"""Callers and operators of the soak, with what they saw."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import uuid
+from typing import Any
+
+import attrs
+
+from bench.fault_proxy import FaultProxy
+from bench.platform_soak_fleet import READY_PORT, SoakFleet
+from bench.platform_soak_targets import configuration, expected_body
+from endivesill import errors
+from endivesill.http1 import ConnectionPool, UpstreamError, encode_head
+from endivesill.timer import TimerService
+
+__all__ = ["CallRecord", "Callers", "Operator"]
+
+KINDS = ("unsafe", "safe", "streaming")
+CALLERS = 12
+PAUSE_S = 0.08
+CALL_TIMEOUT_S = 6.0
+CONNECT_TIMEOUT_S = 1.0
+READY_PERIOD_S = 0.5
+CHANGE_PERIOD_S = 1.2
+CHANGE_TRIES = 10
+OPERATOR_TIMEOUT_S = 1.0
+
+
+@attrs.define
+class CallRecord:
+    """One attempt of a caller.
+
+    Attributes:
+      attempt_id: its name.
+      kind: the kind of its route.
+      entry: where it was sent.
+      sent_s: when.
+      ended_s: when its answer was whole, or missing for good.
+      status: of the answer; 0 without a whole one.
+      is_right: whether the answer is the target's own, byte for byte.
+    """
+
+    attempt_id: str
+    kind: str
+    entry: str
+    sent_s: float
+    ended_s: float = 0.0
+    status: int = 0
+    is_right: bool = False
+
+
+class Callers:
+    """Callers that keep their connections, each with one request at a time.
+
+    Args:
+      timer: the timer service.
+      fleet: the entries.
+      seed: of the callers' draws.
+
+    Attributes:
+      records: what they saw.
+    """
+
+    def __init__(self, timer: TimerService, fleet: SoakFleet, seed: int) -> None:
+        self._timer = timer
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._ready = set(fleet.fronts)
+        self.records: list[CallRecord] = []
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        await asyncio.gather(
+            self._watch_readiness(), *(self._call_on() for _ in range(CALLERS))
+        )
+
+    async def _watch_readiness(self) -> None:
+        """Send new connections only to entries that say that they are ready."""
+        pool = ConnectionPool(self._timer, CONNECT_TIMEOUT_S, 0.0)
+        while True:
+            for process in self._fleet.of_role("entry"):
+                request = _encode("GET", "/readiness", [], b"")
+                exchange = pool.exchange(f"{process.ip}:{READY_PORT}", request)
+                try:
+                    head, _ = await self._timer.wait_for(exchange, READY_PERIOD_S)
+                    is_ready = head.status == 200
+                except (UpstreamError, errors.DeadlineExceededError):
+                    is_ready = False
+                (self._ready.add if is_ready else self._ready.discard)(process.name)
+            await self._timer.sleep(READY_PERIOD_S)
+
+    async def _call_on(self) -> None:
+        pool = ConnectionPool(self._timer, CONNECT_TIMEOUT_S, 10.0)
+        entry = self._random.choice(sorted(self._fleet.fronts))
+        while True:
+            if entry not in self._ready and self._ready:
+                entry = self._random.choice(sorted(self._ready))
+            record = CallRecord(
+                uuid.UUID(int=self._random.getrandbits(128)).hex,
+                self._random.choice(KINDS),
+                entry,
+                self._timer.now_s(),
+            )
+            self.records.append(record)
+            proxy = self._fleet.fronts[entry]
+            try:
+                await self._timer.wait_for(
+                    self._call(pool, proxy, record), CALL_TIMEOUT_S
+                )
+            except (UpstreamError, errors.DeadlineExceededError):
+                # No whole answer; the record says so with its status 0.
+                pool.forget(proxy.address)
+            record.ended_s = self._timer.now_s()
+            await self._timer.sleep(PAUSE_S)
+
+    async def _call(
+        self, pool: ConnectionPool, proxy: FaultProxy, record: CallRecord
+    ) -> None:
+        is_stream = record.kind == "streaming"
+        headers = [
+            ("X-Endivesill-Request-Attempt-Id", record.attempt_id),
+            ("X-Endivesill-Deadline-Remaining", "5000"),
+            ("Api-Key", "key-1"),
+        ]
+        if is_stream:
+            headers.append(("X-Endivesill-Token-Counts", "100,60"))
+            headers.append(("X-Endivesill-Prompt-Prefix", "5c:80,91:20"))
+        method = "GET" if record.kind == "safe" else "POST"
+        body = b"" if method == "GET" else b"order"
+        request = _encode(method, f"/{record.kind}/x", headers, body)
+        head, answer = await pool.exchange(proxy.address, request)
+        record.status = head.status
+        expected = expected_body(record.attempt_id, is_stream=is_stream)
+        is_sealed = bool(head.header(b"x-endivesill-response-seal"))
+        record.is_right = is_sealed and answer == expected
+
+
+class Operator:
+    """An operator who changes the configuration and sends again what got no answer.
+
+    Args:
+      timer: the timer service.
+      fleet: the control VMs.
+      seed: of the operator's draws.
+
+    Attributes:
+      sent: the documents, by version.
+      acknowledged: the highest version that was acknowledged.
+    """
+
+    def __init__(self, timer: TimerService, fleet: SoakFleet, seed: int) -> None:
+        self._timer = timer
+        self._fleet = fleet
+        self._random = random.Random(seed)
+        self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, 0.0)
+        self.sent: dict[int, dict[str, Any]] = {}
+        self.acknowledged = 0
+
+    async def run(self) -> None:
+        """Change the configuration until cancelled."""
+        version = 1
+        while True:
+            self.sent[version] = configuration(version)
+            if await self._send(version):
+                self.acknowledged = max(self.acknowledged, version)
+            version += self._random.randint(1, 3)
+            await self._timer.sleep(CHANGE_PERIOD_S)
+
+    async def _send(self, version: int) -> bool:
+        body = json.dumps(self.sent[version]).encode()
+        request = _encode("POST", "/Configuration.Replace", [], body)
+        for _ in range(CHANGE_TRIES):
+            answer = await self._ask(request)
+            if answer is not None and answer[0] == 200:
+                return True
+            await self._timer.sleep(0.2)
+        return False
+
+    async def read(self) -> dict[str, Any] | None:
+        """Return the configuration that a control VM is sure of, or None."""
+        answer = await self._ask(_encode("GET", "/Configuration.Get", [], b""))
+        if answer is None or answer[0] != 200:
+            return None
+        return json.loads(answer[1])
+
+    async def _ask(self, request: bytes) -> tuple[int, bytes] | None:
+        proxy = self._random.choice(list(self._fleet.operators.values()))
+        exchange = self._pool.exchange(proxy.address, request)
+        try:
+            head, body = await self._timer.wait_for(exchange, OPERATOR_TIMEOUT_S)
+        except (UpstreamError, errors.DeadlineExceededError):
+            return None
+        return head.status, body
+
+
+def _encode(
+    method: str, path: str, headers: list[tuple[str, str]], body: bytes
+) -> bytes:
+    lines = [("Host", "soak.example"), *headers]
+    if body:
+        lines.append(("Content-Length", str(len(body))))
+    pairs = [(name.encode(), value.encode()) for name, value in lines]
+    return encode_head(f"{method} {path} HTTP/1.1".encode(), pairs) + body
