--- a/bench/platform_soak_targets.py
+++ b/bench/platform_soak_targets.py
@@ -8,8 +8,6 @@
 import random
 from typing import Any
 
-import attrs
-
 from bench.fault_proxy import FaultProxy
 from endivesill.http1 import Exchange, HttpListener
 from endivesill.timer import TimerService
@@ -37,27 +35,48 @@
     return f"id: {number}\ndata: {attempt_id} {number}\n\n".encode()
 
 
-@attrs.define
-class _Run:
-    """What a target knows of a request that goes on elsewhere."""
+class _Standin:
+    """A listener behind a proxy of its own.
+
+    Args:
+      timer: the timer service.
+
+    Attributes:
+      proxy: the way to it, once it listens.
+    """
+
+    def __init__(self, timer: TimerService) -> None:
+        self._listener = HttpListener(timer, "127.0.0.1:0", self._answer)
+        self.proxy = FaultProxy("")
+
+    async def start(self) -> None:
+        """Listen, behind the proxy."""
+        await self._listener.start()
+        self.proxy = FaultProxy(self._listener.address)
+        await self.proxy.start()
+
+    async def stop(self) -> None:
+        """End at once, with all connections."""
+        await self.proxy.stop()
+        await self._listener.stop()
 
-    events: int = 0
+    async def _answer(self, exchange: Exchange) -> None:
+        raise NotImplementedError
 
 
-class SoakTarget:
-    """One target in this process, behind a proxy of its own.
+class SoakTarget(_Standin):
+    """One target in this process.
 
     Args:
       timer: the timer service.
       service: its service.
       data_centre: where it is.
       runs: counts the runs of each request, over all targets.
+      source: draws the requests that fail.
 
     Attributes:
       identity: its name.
-      proxy: the way to it.
       is_draining: whether it is about to leave.
-      arrivals: when requests came, with their data centre.
     """
 
     _count = 0
@@ -70,29 +89,14 @@
         runs: collections.Counter[str],
         source: random.Random,
     ) -> None:
+        super().__init__(timer)
         SoakTarget._count += 1
         self.identity = f"{service}-{SoakTarget._count}"
         self.service = service
         self.data_centre = data_centre
         self.is_draining = False
-        self.arrivals: list[float] = []
-        self._timer = timer
         self._runs = runs
         self._random = source
-        self._copies: dict[str, _Run] = {}
-        self._listener = HttpListener(timer, "127.0.0.1:0", self._answer)
-        self.proxy = FaultProxy("")
-
-    async def start(self) -> None:
-        """Listen, behind the proxy."""
-        await self._listener.start()
-        self.proxy = FaultProxy(self._listener.address)
-        await self.proxy.start()
-
-    async def stop(self) -> None:
-        """End at once, with all connections."""
-        await self.proxy.stop()
-        await self._listener.stop()
 
     def row(self) -> dict[str, Any]:
         """Return its entry in the platform's list."""
@@ -129,7 +133,6 @@
         if exchange.header(b"kv-from"):
             exchange.respond(503, [name, (b"X-Endivesill-Not-Executed", b"1")])
             return
-        self.arrivals.append(self._timer.now_s())
         self._runs[attempt] += 1
         if exchange.header(b"x-endivesill-token-counts"):
             await self._stream(exchange, attempt, name)
@@ -151,8 +154,8 @@
         exchange.finish()
 
 
-class PlatformList:
-    """The platform's list of targets, behind a proxy of its own.
+class PlatformList(_Standin):
+    """The platform's list of targets.
 
     Args:
       timer: the timer service.
@@ -160,20 +163,8 @@
     """
 
     def __init__(self, timer: TimerService, targets: list[SoakTarget]) -> None:
+        super().__init__(timer)
         self._targets = targets
-        self._listener = HttpListener(timer, "127.0.0.1:0", self._answer)
-        self.proxy = FaultProxy("")
-
-    async def start(self) -> None:
-        """Listen, behind the proxy."""
-        await self._listener.start()
-        self.proxy = FaultProxy(self._listener.address)
-        await self.proxy.start()
-
-    async def stop(self) -> None:
-        """Close the list."""
-        await self.proxy.stop()
-        await self._listener.stop()
 
     async def _answer(self, exchange: Exchange) -> None:
         rows = [target.row() for target in self._targets]
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -1,7 +1,5 @@
 """Tests of plain requests on their way to targets and back."""
 
-import asyncio
-
 from tests.forwarding_case import ForwardingTestCase, request
 
 
@@ -165,10 +163,3 @@
         await self.until(lambda: engine.left_early)
         self.assertEqual(["caller-gone"], self.outcomes())
         self.assertEqual(0, self.target("p1").requests)
-
-    async def until(self, condition):
-        for _ in range(500):
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-        raise AssertionError("it did not come about")
--- a/tests/test_forwarding_streams.py
+++ b/tests/test_forwarding_streams.py
@@ -80,27 +80,18 @@
         self.assertEqual(1, len(plain))
 
     async def test_an_engine_that_leaves_gives_its_run_to_another(self):
-        (first,) = await self.add("llm", "e1")
-        first.events = 40
-        first.event_pause_s = 0.01
-        asking = asyncio.ensure_future(self.stream())
-        await self.until(lambda: first.requests)
-        (second,) = await self.add("llm", "e2")
-        second.copies = {"h1"}
-        second.events = 40
+        first, second, asking = await self.run_under_way()
         info = self.view.engines.pop("e1@1")
         self.table.update_engines()
-        while not first.copy_orders:
-            self.table.notify()
-            await asyncio.sleep(0.01)
+        await self.review_until(lambda: first.copy_orders)
         first.break_after = 0
         _, body = await asking
         self.assertEqual(list(range(1, 41)), numbers(body))
         self.assertEqual(second.address, first.copy_orders[0]["target"])
         self.assertEqual(info.address, first.address)
 
-    async def run_at_an_engine_that_drains(self, *, has_notice: bool):
-        """Return two engines; a run of 40 events is under way at the first."""
+    async def run_under_way(self):
+        """Return two engines and a run of 40 events that is under way at the first."""
         (first,) = await self.add("llm", "e1")
         first.events = 40
         first.event_pause_s = 0.01
@@ -109,6 +100,20 @@
         (second,) = await self.add("llm", "e2")
         second.copies = {"h1"}
         second.events = 40
+        return first, second, asking
+
+    async def review_until(self, condition):
+        """Let the runs be looked after until a condition holds."""
+
+        def review_and_ask():
+            self.table.notify()
+            return condition()
+
+        await self.until(review_and_ask)
+
+    async def run_at_an_engine_that_drains(self, *, has_notice: bool):
+        """Return what `run_under_way` does; the first engine drains."""
+        first, second, asking = await self.run_under_way()
         info = self.view.engines["e1@1"]
         self.view.engines["e1@1"] = attrs.evolve(
             info, is_draining=True, has_notice=has_notice
@@ -118,9 +123,7 @@
 
     async def test_a_run_moves_while_its_engine_with_notice_still_runs(self):
         first, second, asking = await self.run_at_an_engine_that_drains(has_notice=True)
-        while not second.requests and not asking.done():
-            self.table.notify()
-            await asyncio.sleep(0.01)
+        await self.review_until(lambda: second.requests)
         _, body = await asking
         self.assertEqual(list(range(1, 41)), numbers(body))
         self.assertEqual(1, first.left_early)
@@ -133,9 +136,7 @@
             has_notice=False
         )
         self.target("e1").draining_since_s -= NOTICE_LAG_S
-        while not asking.done():
-            self.table.notify()
-            await asyncio.sleep(0.01)
+        await self.review_until(asking.done)
         _, body = await asking
         self.assertEqual(list(range(1, 41)), numbers(body))
         self.assertEqual([], first.copy_orders)
@@ -145,13 +146,9 @@
         first, second, asking = await self.run_at_an_engine_that_drains(
             has_notice=False
         )
-        while not first.copy_orders:
-            self.table.notify()
-            await asyncio.sleep(0.01)
+        await self.review_until(lambda: first.copy_orders)
         self.target("e1").draining_since_s -= NOTICE_LAG_S
-        while not asking.done():
-            self.table.notify()
-            await asyncio.sleep(0.01)
+        await self.review_until(asking.done)
         await asking
         self.assertEqual([b"/kv-handle/h1"], first.copy_releases)
         self.assertEqual([], second.requests)
