--- a/endivesill/fleet/departures.py
+++ b/endivesill/fleet/departures.py
@@ -21,8 +21,8 @@
 
 __all__ = ["DepartureWatch", "HealthSource"]
 
-# Period of the checks of one engine. Notices last 1.5 s and more, and a check is
-# priced as a probe.
+# Period of the checks of one engine. Notices last 1.5 s and more, and each check
+# takes a slot of the engine for a moment.
 CHECK_PERIOD_S = 0.2
 # How long a failed check counts by itself. By then the list and the report of an
 # engine that leaves show it: they are 1.0 s and 0.7 s old, and read every 0.35 s.
