Give each run of the soak loopback addresses of its own

Traced: both named fleet 251.

Change: a fleet's number comes from the seed, or from the process of the tests, and makes its addresses.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -40,6 +40,9 @@
 SETTLE_S = 7.0
 SERVED_SHARE = 0.75
 READ_LIMIT_S = 8.0
+# Numbers of the fleets of runs by hand; tests take those beyond.
+FIRST_NUMBER = 256
+SEED_NUMBERS = 20_000
 # What a run may take besides its faults, from the start to the last check.
 RUN_MARGIN_S = 90.0
 # A second control VM is not harmed for this long after one has lost its disk: the
@@ -58,7 +61,7 @@
       number: tells fleets on one machine apart.
     """
 
-    def __init__(self, seed: int, fault_s: float, number: int = 1) -> None:
+    def __init__(self, seed: int, fault_s: float, number: int = FIRST_NUMBER) -> None:
         self._seed = seed
         self._fault_s = fault_s
         self._timer = SystemTimer()
@@ -336,7 +339,7 @@
     found = 0
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
         jobs_of = [
-            pool.submit(run_seed, one, fault_s, 1 + one % 200)
+            pool.submit(run_seed, one, fault_s, FIRST_NUMBER + one % SEED_NUMBERS)
             for one in range(seed, seed + seeds)
         ]
         for job in jobs_of:
--- a/bench/platform_soak_fleet.py
+++ b/bench/platform_soak_fleet.py
@@ -109,7 +109,8 @@
 
     Args:
       folder: where settings, logs and disks go.
-      number: tells fleets on one machine apart, 1 to 200.
+      number: tells fleets on one machine apart, 256 to 65,535; their loopback
+        addresses come from it.
       list_address: HOST:PORT of the platform's list.
 
     Attributes:
@@ -126,11 +127,11 @@
         self.operators: dict[str, FaultProxy] = {}
         shutil.rmtree(folder, ignore_errors=True)
         for position, data_centre in enumerate(DATA_CENTRES, 1):
-            for role, part in (("control", 1), ("entry", 2)):
+            for role, part in (("control", 10), ("entry", 20)):
                 name = f"{role}-{data_centre}"
                 own = folder / name
                 own.mkdir(parents=True)
-                ip = f"127.{number}.{part}.{position}"
+                ip = f"127.{number // 256}.{number % 256}.{part + position}"
                 self.processes[name] = SoakProcess(name, role, ip, data_centre, own)
 
     def of_role(self, role: str) -> list[SoakProcess]:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -4,6 +4,7 @@
 seen, and nothing that depends on how fast this machine is.
 """
 
+import os
 import unittest
 
 from bench.platform_soak import Soak
@@ -11,8 +12,8 @@
 from bench.platform_soak_faults import make_faults
 
 SHORT_FAULT_S = 4.0
-# Under 200, and none that seeds run by hand use at the same time.
-FLEET_NUMBER = 251
+# Beyond those of runs by hand; two runs of the tests on one machine differ.
+FLEET_NUMBER = 30_000 + os.getpid() % 30_000
 
 
 class ScheduleTest(unittest.TestCase):
