--- a/bench/platform_soak_fleet.py
+++ b/bench/platform_soak_fleet.py
@@ -160,7 +160,12 @@
             process.kill()
 
     def launch(self, process: SoakProcess) -> None:
-        """Start a process; its disk is as it was left."""
+        """Start a process, unless it runs; its disk is as it was left.
+
+        Faults overlap: two of them may end with the start of the same process.
+        """
+        if process.process is not None and process.process.poll() is None:
+            return
         settings = process.folder / "settings.toml"
         settings.write_text(self._settings(process))
         with (process.folder / "output.log").open("ab") as output:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -5,11 +5,14 @@
 """
 
 import os
+import pathlib
+import tempfile
 import unittest
 
 from bench.platform_soak import Soak
 from bench.platform_soak_callers import CallRecord
 from bench.platform_soak_faults import make_faults
+from bench.platform_soak_fleet import SoakFleet
 
 SHORT_FAULT_S = 4.0
 # Beyond those of runs by hand; two runs of the tests on one machine differ.
@@ -63,6 +66,21 @@
         self.assertEqual(1, len(self.soak.findings))
 
 
+class FleetTest(unittest.TestCase):
+    def test_a_process_that_runs_is_not_started_again(self):
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = SoakFleet(
+                pathlib.Path(folder) / "soak", FLEET_NUMBER, "127.0.0.1:1"
+            )
+            process = fleet.processes["control-a"]
+            fleet.launch(process)
+            first = process.process
+            fleet.launch(process)
+            self.assertIs(first, process.process)
+            process.kill()
+            self.assertIsNotNone(first.poll())
+
+
 class ShortRunTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_short_run_keeps_the_promises(self):
         report = await Soak(3, SHORT_FAULT_S, FLEET_NUMBER).run()
