Keep one copy of what the platform's work wrote twice

Change, none of it in behaviour: * The loop that restarts a task stood in control/replica.py and in fleet/tasks.py; both use supervision.py. * An answer's head was decoded twice for each request on the data path; the attempt it is to is asked for by itself. Its signature was decoded for nobody. * The leader built what an entry lacks twice for each answer, once only to see that there is something. * What a generation takes, and the engine time that is derived from it, stand together in placement.py; the bench of worst load uses them, and the product's bound on when to come back, instead of its own. * A copy knows by itself whether it is used; lines of the engines' states are written in one place; the test cluster has a hook for its replicas. * Flags and counters that nothing read are gone.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -86,7 +86,6 @@
         fleet = self._fleet = SoakFleet(
             self._folder, self._number, self._list.proxy.address
         )
-        callers = Callers(self._timer, fleet, self._seed)
         operator = Operator(self._timer, fleet, self._seed)
         try:
             await fleet.start()
--- a/bench/worst_load.py
+++ b/bench/worst_load.py
@@ -49,6 +49,7 @@
     order_copy,
 )
 from endivesill import events
+from endivesill.forwarding.refusals import within_time_s
 from endivesill.timer import ManualTimer
 
 LOADS = (0.7, 1.0, 1.3, 2.0)
@@ -64,12 +65,12 @@
 # One engine leaves after the other; another comes some time after the notice.
 DEPARTURE_PERIOD_S = 6.0
 REPLACEMENT_S = 4.0
-# Callers come back once, when they are told to or after a third of their time.
-RETURN_SHARE = 1 / 3
 # The longest pause that is on time.
 PAUSE_S = 0.18
 # Least size of a session that can be told to starve.
 STARVED_REQUESTS = 4
+# Tokens that an engine makes between two parts of a backup.
+BACKUP_LACKS = 25
 
 
 @attrs.define
@@ -169,7 +170,8 @@
             outcome.refusals += 1
             if outcome.refusals > 1:
                 return
-            await self._timer.sleep(min(grant.retry_after_s, left_s * RETURN_SHARE))
+            # Callers come back once, after a part of their time at the latest.
+            await self._timer.sleep(within_time_s(grant.retry_after_s, left_s))
 
     async def _generate(self, outcome: Outcome, grant: Grant) -> None:
         done = asyncio.get_running_loop().create_future()
@@ -269,10 +271,6 @@
         done.set_result(whole)
 
 
-# Tokens that an engine makes between two parts of a backup.
-BACKUP_LACKS = 25
-
-
 def capacity_per_s() -> float:
     """Return the arrivals that all engines' memory can take, if none leaves."""
     taken = 0.0
--- a/bench/worst_load_policies.py
+++ b/bench/worst_load_policies.py
@@ -25,20 +25,22 @@
 from endivesill.fleet.reports import EngineReport
 from endivesill.forwarding.fair_queue import FairQueue, Flow, Order
 from endivesill.forwarding.home import PlacementHome
-from endivesill.forwarding.placement import READ_TOKENS_PER_S
+from endivesill.forwarding.placement import READ_TOKENS_PER_S, need_of
 from endivesill.forwarding.placer import (
     RESERVE_SHARE,
     RETURN_WAIT_S,
     RETURN_WAIT_SHARE,
 )
+from endivesill.forwarding.protocol import RequestInfo
 from endivesill.forwarding.targets import TargetTable
 from endivesill.timer import TimerService
 
 __all__ = ["POLICIES", "Fleet", "Grant", "Policy", "Refusal"]
 
-MEAN_FILL = 0.5
 # What the previous version told the callers of most refused requests.
 PREVIOUS_RETRY_S = (1.0, 3.0)
+# Notice that an engine has; the users' kinds of trouble say about two seconds.
+NOTICE_S = 1.8
 # How late the list, and a health check, show that an engine leaves.
 LIST_LAG_S = 1.0
 CHECK_LAG_S = 0.25
@@ -130,10 +132,6 @@
     return engine.ends_s is None or now_s < engine.ends_s - NOTICE_S + LIST_LAG_S
 
 
-# Notice that an engine has; the users' kinds of trouble say about two seconds.
-NOTICE_S = 1.8
-
-
 class HomePolicy(Policy):
     """The product's home of places."""
 
@@ -214,7 +212,7 @@
     ) -> Grant | Refusal:
         """Ask the home, as an entry does."""
         kind = class_named(arrival.kind)
-        reserved = arrival.prompt_tokens + int(MEAN_FILL * arrival.hint_tokens)
+        reserved = need_of(_info_of(arrival), SERVICE).memory_tokens
         read_s = arrival.prompt_tokens / READ_TOKENS_PER_S
         reserve_s = RESERVE_SHARE * kind.target_latency_s
         answer = await self._home.handle(
@@ -290,6 +288,19 @@
 }
 
 
+def _info_of(arrival: Arrival) -> RequestInfo:
+    """Return what a request's head says to the product."""
+    return RequestInfo(
+        attempt_id=arrival.session,
+        deadline_s=None,
+        key="",
+        prompt_tokens=arrival.prompt_tokens,
+        maximum_output_tokens=0,
+        expected_output_tokens=arrival.hint_tokens,
+        prefix=(),
+    )
+
+
 def _holders(run: SimRun) -> list[SimEngine]:
     """Return the engines that hold a copy of a run."""
     found = [run.backup] if run.backup is not None else []
--- a/endivesill/control/replica.py
+++ b/endivesill/control/replica.py
@@ -43,6 +43,7 @@
 from endivesill.control.voters import VoterOperations
 from endivesill.control.wire import error_to_message
 from endivesill.peers import Message, PeerTransport
+from endivesill.supervision import supervise
 from endivesill.timer import TimerService
 
 __all__ = ["NEWEST_PATH", "ControlReplica"]
@@ -101,8 +102,9 @@
         self._snapshotter = Snapshotter(self._core)
         self._bootstrap = Bootstrap(self._core, addresses, may_found=may_found)
         self._manager = VoterManager(self._core)
-        self._repair = Repair(self._core, self._manager, wanted_voters)
-        self._repairs = wanted_voters > 0
+        self._repair = (
+            Repair(self._core, self._manager, wanted_voters) if wanted_voters else None
+        )
         self._client = RemoteControlClient(
             timer, transport, addresses, self._core.leader_to_call
         )
@@ -129,7 +131,7 @@
             ("control-snapshots", self._snapshotter.run),
             *self._repair_tasks(),
         ):
-            self._tasks.append(asyncio.ensure_future(self._supervise(name, run)))
+            self._tasks.append(supervise(self._timer, name, run, RESTART_BACKOFF_S))
         events.emit(
             REPLICA_STARTED,
             identity=core.identity,
@@ -139,7 +141,7 @@
         )
 
     def _repair_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
-        if not self._repairs:
+        if self._repair is None:
             return []
         return [
             ("control-repair", self._repair.run),
@@ -162,15 +164,6 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._storage.close()
 
-    async def _supervise(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
-        while True:
-            try:
-                await run()
-                return
-            except Exception as error:
-                events.emit(events.TASK_FAILED, task=name, error=repr(error))
-            await self._timer.sleep(RESTART_BACKOFF_S)
-
     def _note_synced(self) -> None:
         if self._core.leadership is not None:
             self._core.leadership.note_synced()
--- a/endivesill/fleet/hub.py
+++ b/endivesill/fleet/hub.py
@@ -157,22 +157,25 @@
     def _has_news(self, message: Message) -> bool:
         return bool(self._newer(message)) or self._replica.core.leadership is None
 
-    def _newer(self, message: Message) -> dict[str, Any]:
-        """Return what the asker lacks."""
-        news: dict[str, Any] = {}
+    def _newer(self, message: Message) -> dict[str, Callable[[], Any]]:
+        """Return what the asker lacks, each with what builds it."""
+        news: dict[str, Callable[[], Any]] = {}
         state = current_state(self._replica.state)
         held = message["version"]
         if state is not None and (held is None or state["version"] > held):
-            news["state"] = {
+            news["state"] = lambda: {
                 "version": state["version"],
                 "packed": self._packed(state),
             }
         index, data_centres = evacuations(self._replica.state)
         if index > message["evacuations"]:
-            news["evacuations"] = {"index": index, "data_centres": data_centres}
+            news["evacuations"] = lambda: {
+                "index": index,
+                "data_centres": data_centres,
+            }
         reading = self.reader.current
         if reading is not None and reading.stamp > message["list"]:
-            news["list"] = list_to_message(reading, self._timer.now_s())
+            news["list"] = lambda: list_to_message(reading, self._timer.now_s())
         return news
 
     def _packed(self, state: Message) -> str:
@@ -186,7 +189,7 @@
         now_s = self._timer.now_s()
         assert self._ledger is not None
         return {
-            **self._newer(message),
+            **{name: build() for name, build in self._newer(message).items()},
             "share": self._ledger.lend(entry, message["share"], now_s),
             "entries": len(self._ledger.entries(now_s)),
             "loads": loads_to_rows(self.loads.sums(now_s, without=entry)),
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -171,7 +171,7 @@
 
     def _belongs(self, call: Call, target: Target, head: ResponseHead) -> bool:
         """Tell whether an answer is the call's; late ones to others may come first."""
-        answers = self._protocol.decode_answer(head).attempt_id
+        answers = self._protocol.answered_attempt(head)
         if answers in ("", call.info.attempt_id):
             return True
         events.emit(
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -6,7 +6,7 @@
 import random
 
 from endivesill import errors
-from endivesill.fleet.model import Organisation, RequestKind, Route, Service
+from endivesill.fleet.model import Organisation, RequestKind, Route
 from endivesill.forwarding.attempt import (
     Attempt,
     AttemptError,
@@ -15,6 +15,7 @@
 )
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.call_log import CallLog
+from endivesill.forwarding.placement import need_of
 from endivesill.forwarding.placer import Place, Placer
 from endivesill.forwarding.protocol import EngineProtocol, RequestInfo
 from endivesill.forwarding.refusals import spread_s, within_time_s
@@ -22,7 +23,7 @@
 from endivesill.forwarding.route_table import RouteTable, pick_service
 from endivesill.forwarding.run_copy import RunCopier
 from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
-from endivesill.forwarding.targets import Need, Target, TargetTable
+from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.forwarding.waiting import Admission, NoRoomError
 from endivesill.http1 import (
     ConnectionPool,
@@ -44,11 +45,6 @@
 RETRY_AFTER_S = 1.0
 # Retry-After of an entry that does not know the routes yet.
 NO_STATE_RETRY_S = 0.5
-# Share of its output that a generation holds in memory on the mean of its run;
-# the runs of an engine are at different points of theirs.
-MEAN_FILL = 0.5
-# Output expected of a generation without an estimate, as a share of its longest.
-OUTPUT_SHARE = 0.5
 
 
 class Forwarder:
@@ -372,14 +368,3 @@
         exchange.respond(status, self._protocol.refusal_headers(after_s))
         waiting = self._admission.waiting()
         self._log.refused(info, status, reason, after_s, waiting, call)
-
-
-def need_of(info: RequestInfo, service: Service) -> Need:
-    """Return what a request takes at a target of a service."""
-    if service.memory is None:
-        return Need()
-    longest = info.maximum_output_tokens
-    expected = info.expected_output_tokens or OUTPUT_SHARE * longest
-    output = min(expected, longest) if longest else expected
-    held = int(MEAN_FILL * output)
-    return Need(info.prompt_tokens, info.prompt_tokens + held)
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from endivesill.fleet.model import Service
+from endivesill.forwarding.protocol import RequestInfo
 from endivesill.forwarding.targets import Need, Target
 
 __all__ = [
@@ -14,6 +15,7 @@
     "choose_target",
     "engine_time_s",
     "fits",
+    "need_of",
 ]
 
 # Prompt tokens that an engine reads in a second beside the generations that run
@@ -24,8 +26,11 @@
 READ_AHEAD_S = 1.3
 # Time between two tokens of a run at an engine with others.
 TOKEN_S = 0.01
-# Half of the expected output is reserved.
-OUTPUT_TOKENS_PER_RESERVED = 2
+# Share of its output that a generation holds in memory on the mean of its run;
+# the runs of an engine are at different points of theirs.
+MEAN_FILL = 0.5
+# Output expected of a generation without an estimate, as a share of its longest.
+OUTPUT_SHARE = 0.5
 # What one more running request costs the others and itself, in seconds of wait;
 # a step of decoding grows by about this much over an answer.
 RUNNING_COST_S = 0.01
@@ -47,6 +52,17 @@
 MEMORY_COST_S = 0.2
 
 
+def need_of(info: RequestInfo, service: Service) -> Need:
+    """Return what a request takes at a target of a service."""
+    if service.memory is None:
+        return Need()
+    longest = info.maximum_output_tokens
+    expected = info.expected_output_tokens or OUTPUT_SHARE * longest
+    output = min(expected, longest) if longest else expected
+    held = int(MEAN_FILL * output)
+    return Need(info.prompt_tokens, info.prompt_tokens + held)
+
+
 def engine_time_s(service: Service, need: Need) -> float:
     """Return the time for which a run takes a whole engine's memory.
 
@@ -55,9 +71,7 @@
     """
     if service.memory is None:
         return PLAIN_FULL_COST_S
-    output_tokens = OUTPUT_TOKENS_PER_RESERVED * (
-        need.memory_tokens - need.prompt_tokens
-    )
+    output_tokens = (need.memory_tokens - need.prompt_tokens) / MEAN_FILL
     run_s = need.prompt_tokens / READ_TOKENS_PER_S + output_tokens * TOKEN_S
     return run_s * need.memory_tokens / max(1, service.memory.capacity_tokens)
 
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -73,15 +73,11 @@
 
     Attributes:
       status: the HTTP status.
-      attempt_id: the attempt that it answers; empty if it does not say.
-      is_signed: whether the engine vouches for it.
       not_run: whether the engine says that it did not run the request.
       wrong_target: whether another target has the address.
     """
 
     status: int
-    attempt_id: str
-    is_signed: bool
     not_run: bool
     wrong_target: bool
 
@@ -97,6 +93,9 @@
     ) -> bytes:
         """Return the head of the request to an engine."""
 
+    def answered_attempt(self, head: ResponseHead) -> str:
+        """Return the attempt that an answer is to; empty if it does not say."""
+
     def decode_answer(self, head: ResponseHead) -> AnswerInfo:
         """Return what routing needs of an engine's answer."""
 
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -114,6 +114,7 @@
         self._source = source
         self._task: asyncio.Task[None] | None = None
         self._handle = ""
+        self._used = False
         self.destination = destination
         self.has_failed = False
 
@@ -128,13 +129,18 @@
         """Make the copy in the background."""
         self._task = asyncio.ensure_future(self._run())
 
-    def close(self, *, used: bool) -> None:
-        """End the copy; one that was not used is freed."""
+    def use(self) -> str:
+        """Return the copy's name for the engine that goes on from it."""
+        self._used = True
+        return self.name
+
+    def close(self) -> None:
+        """End the copy; one that is not used is freed."""
         if self._task is not None:
             self._task.cancel()
             self.destination.give_back_copy(self._call.need)
             self._task = None
-        if self._handle and not used:
+        if self._handle and not self._used:
             asyncio.ensure_future(self._free())
 
     async def _run(self) -> None:
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -45,7 +45,6 @@
       read: whether the prompt was counted as read.
       copy: a copy that was ordered because the backup cannot be used.
       is_moving: whether it was ended to go on from its copy.
-      copy_used: whether it goes on from its copy.
     """
 
     target: Target
@@ -54,7 +53,6 @@
     read: bool = False
     copy: RunCopy | None = None
     is_moving: bool = False
-    copy_used: bool = False
 
 
 class StreamRelay:
@@ -160,7 +158,7 @@
         need = self._call.need
         run.target.give_back(need, read=run.read)
         if run.copy is not None:
-            run.copy.close(used=run.copy_used)
+            run.copy.close()
         if run.backup is not None:
             run.backup.give_back_copy(need)
         if run.attempt is not None and run.attempt.answer.status == 200:
@@ -206,8 +204,7 @@
             return None, ""
         if not self._table.may_have_work(copy.destination):
             return None, ""
-        run.copy_used = True
-        return copy.destination, copy.name
+        return copy.destination, copy.use()
 
     def _review(self) -> None:
         """Look after the run when targets have changed, and from time to time."""
@@ -224,7 +221,7 @@
         elif run.copy is not None and (
             run.copy.has_failed or not copied or not self._may_end_soon(run.target)
         ):
-            run.copy.close(used=False)
+            run.copy.close()
             run.copy = None
         if backed_up:
             return
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -262,8 +262,8 @@
         awake = [t for t in open_targets if t.rests_until_s <= now_s]
         return awake or open_targets
 
-    def state_counts(self) -> dict[str, int]:
-        """Return how many targets are in each state, for the metrics."""
+    def metric_lines(self) -> list[str]:
+        """Return the metrics' lines on how many targets are in each state."""
         counts = dict.fromkeys(("ready", "evacuated", "draining", "resting"), 0)
         now_s = self._timer.now_s()
         for target in self._targets.values():
@@ -273,7 +273,10 @@
                 counts["evacuated"] += 1
             else:
                 counts["resting" if target.rests_until_s > now_s else "ready"] += 1
-        return counts
+        return [
+            f'endivesill_engines{{state="{state}"}} {count}'
+            for state, count in counts.items()
+        ]
 
     def has_targets(self, service: str) -> bool:
         """Tell whether any target of a service may have work."""
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -89,7 +89,6 @@
       reusable: whether the last exchange left the connection clean.
       idle_since_s: when the last exchange ended.
       idle_limit_s: how long the peer keeps the idle connection, if it says so.
-      exchanges: how many requests were sent on it.
     """
 
     def __init__(self, timer: TimerService, address: str) -> None:
@@ -99,7 +98,6 @@
         self.reusable = True
         self.idle_since_s = timer.now_s()
         self.idle_limit_s = float("inf")
-        self.exchanges = 0
         self._lost = False
         self._busy = False
         self._reset()
@@ -233,7 +231,6 @@
         self._reset()
         self._no_body = no_body
         self._busy = True
-        self.exchanges += 1
         self.transport.write(data)
 
     async def head(self) -> ResponseHead:
--- a/endivesill/http1/exchange.py
+++ b/endivesill/http1/exchange.py
@@ -74,7 +74,6 @@
         self.answered = False
         self.finished = False
         self.close_after = not keep_alive
-        self._chunked = False
 
     def header(self, name: bytes) -> bytes:
         """Return the first value of a request header, or empty bytes."""
@@ -85,11 +84,10 @@
         length = (b"Content-Length", b"%d" % len(body))
         head = self._head(status, [*headers, length])
         self._write(head if self.method == "HEAD" else head + body)
-        self._end()
+        self.finished = True
 
     def start(self, status: int, headers: Headers) -> None:
         """Write the head of an answer of unknown length."""
-        self._chunked = True
         chunked = (b"Transfer-Encoding", b"chunked")
         self._write(self._head(status, [*headers, chunked]))
 
@@ -100,7 +98,7 @@
     def finish(self) -> None:
         """End the body of an answer of unknown length."""
         self._write(b"0\r\n\r\n")
-        self._end()
+        self.finished = True
 
     def abort(self) -> None:
         """Break the connection, so that no answer looks complete."""
@@ -124,9 +122,6 @@
         if not self.gone.is_set():
             self.connection.transport.write(data)
 
-    def _end(self) -> None:
-        self.finished = True
-
 
 def check_framing(headers: Headers) -> str:
     """Return why a head could be read in two ways, or the empty string."""
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -7,7 +7,6 @@
 from endivesill import events
 from endivesill.control import ControlReplica, ControlSettings, TimedDisk
 from endivesill.fleet.hub import FleetHub
-from endivesill.fleet.tasks import supervise
 from endivesill.http1 import ConnectionLimits, HttpListener
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.client import PlatformClient
@@ -17,6 +16,7 @@
 from endivesill.platform.process import SettingsWatch, StopSignal
 from endivesill.platform.provider import PlatformList
 from endivesill.platform.settings import NodeSettings
+from endivesill.supervision import supervise
 from endivesill.timer import TimerService
 
 __all__ = ["run_control"]
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -116,13 +116,15 @@
             lines.append((b"Content-Length", b"%d" % dispatch.body_bytes))
         return encode_head(method.encode() + b" " + target + b" HTTP/1.1", lines)
 
+    def answered_attempt(self, head: ResponseHead) -> str:
+        """Return the attempt that an answer is to; empty if it does not say."""
+        return head.header(wire.ATTEMPT_ID).decode("latin-1")
+
     def decode_answer(self, head: ResponseHead) -> AnswerInfo:
         """Return what the router needs of an engine's answer."""
         status = head.status
         return AnswerInfo(
             status=status,
-            attempt_id=head.header(wire.ATTEMPT_ID).decode("latin-1"),
-            is_signed=bool(head.header(wire.RESPONSE_SEAL)),
             not_run=status == 421 or bool(head.header(wire.NOT_EXECUTED)),
             wrong_target=status == 421,
         )
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -11,7 +11,6 @@
 from endivesill.fleet.follower import FleetFollower
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import Service
-from endivesill.fleet.tasks import supervise
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.forwarder import Forwarder
 from endivesill.forwarding.home import COLD_SHARE
@@ -28,6 +27,7 @@
 from endivesill.platform.metrics_port import MetricsPort
 from endivesill.platform.process import SettingsWatch, StopSignal
 from endivesill.platform.settings import NodeSettings
+from endivesill.supervision import supervise
 from endivesill.timer import TimerService
 
 __all__ = ["EntryProcess"]
@@ -147,9 +147,7 @@
             "knowledge_age_seconds": "+Inf" if math.isinf(age_s) else round(age_s, 3),
         }
         lines = [f"endivesill_{name} {value}" for name, value in gauges.items()]
-        for state, count in self._table.state_counts().items():
-            lines.append(f'endivesill_engines{{state="{state}"}} {count}')
-        return lines + self._statistics.lines()
+        return lines + self._table.metric_lines() + self._statistics.lines()
 
     # What the fleet says.
 
--- a/endivesill/platform/leader_home.py
+++ b/endivesill/platform/leader_home.py
@@ -92,11 +92,8 @@
 
     def metric_lines(self) -> list[str]:
         """Return the metrics' lines on engines and waiting requests."""
-        lines = [
-            f'endivesill_engines{{state="{state}"}} {count}'
-            for state, count in self._table.state_counts().items()
-        ]
-        return [*lines, f"endivesill_waiting_requests {self._home.waiting()}"]
+        waiting = f"endivesill_waiting_requests {self._home.waiting()}"
+        return [*self._table.metric_lines(), waiting]
 
     def _leaving(self) -> frozenset[str]:
         return self._reports.leaving() | self._departures.leaving()
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -12,8 +12,6 @@
 TOKEN_COUNTS = b"x-endivesill-token-counts"
 # The caller's estimate of the output tokens; right at the median only.
 LENGTH_HINT = b"x-endivesill-length-hint"
-# Receipt of an engine for its answer.
-RESPONSE_SEAL = b"x-endivesill-response-seal"
 # The engine did not run the request and will not.
 NOT_EXECUTED = b"x-endivesill-not-executed"
 # The identity that the engine must have to run the request.
--- a/endivesill/fleet/tasks.py
+++ b/endivesill/supervision.py
@@ -14,9 +14,19 @@
 
 
 def supervise(
-    timer: TimerService, name: str, run: Callable[[], Awaitable[None]]
+    timer: TimerService,
+    name: str,
+    run: Callable[[], Awaitable[None]],
+    pause_s: float = RESTART_PAUSE_S,
 ) -> asyncio.Task[None]:
-    """Run a coroutine function again and again; failures are logged."""
+    """Run a coroutine function until it returns; failures are logged.
+
+    Args:
+      timer: the timer service.
+      name: names the task in the log.
+      run: what is run, again after each failure.
+      pause_s: the time between a failure and the next run.
+    """
 
     async def loop() -> None:
         while True:
@@ -25,6 +35,6 @@
                 return
             except Exception as error:
                 events.emit(events.TASK_FAILED, task=name, error=repr(error))
-            await timer.sleep(RESTART_PAUSE_S)
+            await timer.sleep(pause_s)
 
     return asyncio.ensure_future(loop())
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -75,7 +75,14 @@
         """Start a replica, on its old disk if none is given."""
         disk = disk or self.disks[address]
         self.disks[address] = disk
-        replica = ControlReplica(
+        replica = self.new_replica(address, disk)
+        self.replicas[address] = replica
+        await replica.start()
+        return replica
+
+    def new_replica(self, address: str, disk: MemoryDisk) -> ControlReplica:
+        """Return a replica that is not started yet."""
+        return ControlReplica(
             self.timer,
             self.network.transport(address),
             disk,
@@ -83,9 +90,6 @@
             self.settings,
             next(self._seeds),
         )
-        self.replicas[address] = replica
-        await replica.start()
-        return replica
 
     async def crash(self, address: str, seed: int | None = None) -> None:
         """Kill a replica; its disk keeps what was synced, and more by seed."""
--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -7,7 +7,7 @@
 from endivesill.fleet.follower import FleetFollower
 from endivesill.fleet.hub import FleetHub
 from endivesill.fleet.model import EngineInfo
-from endivesill.fleet.tasks import supervise
+from endivesill.supervision import supervise
 from tests.control_cluster import Cluster
 
 
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -46,7 +46,6 @@
     (b"X-Endivesill-Token-Counts", b"1000,80"),
     (b"X-Endivesill-Prompt-Prefix", b"5c:800,91:200"),
 ]
-HIGHEST_EVENTS = 60.0
 
 
 class ForwardingTestCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_control_repair.py
+++ b/tests/test_control_repair.py
@@ -22,10 +22,8 @@
         self.first_start = True
         self._numbers = itertools.count(1)
 
-    async def boot(self, address: str, disk: MemoryDisk | None = None):
-        disk = disk or self.disks[address]
-        self.disks[address] = disk
-        replica = ControlReplica(
+    def new_replica(self, address: str, disk: MemoryDisk) -> ControlReplica:
+        return ControlReplica(
             self.timer,
             self.network.transport(address),
             disk,
@@ -35,9 +33,6 @@
             may_found=self.first_start,
             wanted_voters=WANTED_VOTERS,
         )
-        self.replicas[address] = replica
-        await replica.start()
-        return replica
 
     async def grow(self) -> None:
         await self.start()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -24,6 +24,7 @@
     "server",
     "settings",
     "signals",
+    "supervision",
     "timer",
     "tls",
 }
