Bound what a peer may send beside and in a response

Cause: a response head had no bound. Header lines sent without end made the process grow by hundreds of megabytes, where an entry has 128, so that one engine could end all its streams. The same held for interim responses, chunk extensions, trailers, responses that follow each other, and bodies that are read as a whole. Change: bounds on framing bytes between two parts of a body, header fields, responses of an exchange, whole bodies (2 MiB) and one event of a stream (256 KiB). Over a bound the connection is closed, the run counts as unknown, and the bound is counted. Callers' requests get the same bound on trailers and chunk extensions. Also: a body that stalls is answered 408, the time limit of a head holds for pipelined ones, a half-read head keeps a connection open at a stop, and empty data no longer ends a chunked response. The connection pool has a module of its own.

--- a/endivesill/forwarding/event_stream.py
+++ b/endivesill/forwarding/event_stream.py
@@ -4,9 +4,13 @@
 
 import attrs
 
-__all__ = ["EventSplitter", "StreamEvent"]
+from endivesill.http1 import UpstreamError
+
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "StreamEvent"]
 
 END = b"\n\n"
+# Longest event; engines send a few tokens with each.
+MAX_EVENT_BYTES = 262_144
 
 
 @attrs.frozen
@@ -33,8 +37,14 @@
         self.remainder = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raises:
+          UpstreamError: an event is longer than `MAX_EVENT_BYTES`.
+        """
         *complete, self.remainder = (self.remainder + data).split(END)
+        if len(self.remainder) > MAX_EVENT_BYTES:
+            raise UpstreamError("an event is too long", sent=True)
         return [StreamEvent(_event_id(block), block + END) for block in complete]
 
 
--- a/endivesill/http1/__init__.py
+++ b/endivesill/http1/__init__.py
@@ -1,13 +1,14 @@
 """HTTP/1.1 client and server connections on asyncio, with explicit control of reuse."""
 
 from endivesill.http1.client import (
-    ConnectionPool,
     ResponseHead,
     UpstreamConnection,
     UpstreamError,
+    bounds_exceeded,
 )
 from endivesill.http1.exchange import ConnectionLimits, Exchange
 from endivesill.http1.head import Headers, encode_head, header_value, strip_hop_by_hop
+from endivesill.http1.pool import ConnectionPool
 from endivesill.http1.sending import SendError, SendFailure, send_request
 from endivesill.http1.server import HttpListener, ServerConnection
 
@@ -23,6 +24,7 @@
     "ServerConnection",
     "UpstreamConnection",
     "UpstreamError",
+    "bounds_exceeded",
     "encode_head",
     "header_value",
     "send_request",
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import collections
-import ssl
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -19,16 +19,34 @@
 from endivesill.http1.sockets import set_socket_options
 from endivesill.timer import TimerService
 
-__all__ = ["ConnectionPool", "ResponseHead", "UpstreamConnection", "UpstreamError"]
+__all__ = [
+    "MAX_BODY_BYTES",
+    "ResponseHead",
+    "UpstreamConnection",
+    "UpstreamError",
+    "bounds_exceeded",
+]
 
 # Unread body bytes above which reading from the connection is paused.
 MAX_BUFFERED_BYTES = 262_144
-TLS_PREFIX = "https://"
+# Body of a response that is read as a whole.
+MAX_BODY_BYTES = 2_097_152
+# Bytes received between two parts of a body that are not body: heads, interim
+# responses, chunk sizes, chunk extensions and trailers.
+MAX_FRAMING_BYTES = 65_536
+# Header fields and trailer fields of one response.
+MAX_HEADER_FIELDS = 256
+# Responses received in one exchange, including those to other requests.
+MAX_RESPONSES = 4
 # Subtracted from the idle timeout that the peer announces, so that no request is
 # sent while the peer closes the connection.
 KEEP_ALIVE_MARGIN_S = 0.5
 
 
+# Connections closed because the peer exceeded a bound, by the name of the bound.
+bounds_exceeded: collections.Counter[str] = collections.Counter()
+
+
 class UpstreamError(errors.EndivesillError):
     """A request without a complete response.
 
@@ -41,6 +59,10 @@
         self.sent = sent
 
 
+def ignore_head(head: ResponseHead) -> None:
+    """Ignore the head of a response."""
+
+
 @attrs.frozen
 class ResponseHead:
     """The head of a response.
@@ -67,6 +89,7 @@
 
     Attributes:
       headers: the headers received so far.
+      field_count: number of header and trailer fields, interim responses included.
       head: the head; None until it is complete.
       body_parts: received parts of the body that have not been read.
       buffered_bytes: total length of the body parts.
@@ -74,6 +97,7 @@
     """
 
     headers: Headers = attrs.Factory(list)
+    field_count: int = 0
     head: ResponseHead | None = None
     body_parts: collections.deque[bytes] = attrs.Factory(collections.deque)
     buffered_bytes: int = 0
@@ -92,6 +116,7 @@
       idle_since_s: when the last exchange ended.
       peer_idle_timeout_s: idle timeout that the peer announced, less a margin;
         infinite without one.
+      on_head: called with the head of each response, also of one to another request.
     """
 
     def __init__(self, timer: TimerService, address: str) -> None:
@@ -101,6 +126,7 @@
         self.reusable = True
         self.idle_since_s = timer.now_s()
         self.peer_idle_timeout_s = float("inf")
+        self.on_head: Callable[[ResponseHead], None] = ignore_head
         self._lost = False
         self._in_exchange = False
         self._reset()
@@ -113,6 +139,8 @@
         self._failure: str | None = None
         self._updated = asyncio.Event()
         self._expects_no_body = False
+        self._framing_bytes = 0
+        self._body_bytes_fed = 0
 
     # asyncio.Protocol.
 
@@ -126,14 +154,33 @@
         if not self._in_exchange:
             self._invalidate()
             return
+        self._body_bytes_fed = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # Invalid bytes after a complete response do not invalidate the response.
             self._fail(f"no HTTP answer: {error!r}")
             self._invalidate()
+        if self._body_bytes_fed:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += len(data)
+            if self._framing_bytes > MAX_FRAMING_BYTES:
+                self._exceed("framing bytes")
         self._updated.set()
 
+    def _exceed(self, bound: str) -> UpstreamError:
+        """Close the connection because the peer sends more than a response may have.
+
+        Returns:
+          The error to raise, which also ends the parsing of the received data.
+        """
+        bounds_exceeded[bound] += 1
+        reason = f"the response exceeds the bound on {bound}"
+        self._fail(reason)
+        self._invalidate()
+        return UpstreamError(reason, sent=True)
+
     def eof_received(self) -> bool:
         """Handle the end of the stream; it completes a response without framing."""
         self._handle_disconnect(is_eof=True)
@@ -163,14 +210,28 @@
     # httptools callbacks.
 
     def on_message_begin(self) -> None:
-        """Start another response after a complete one; rules out reuse."""
-        if self._responses[-1].is_complete:
-            self.reusable = False
-            self._responses.append(_Response())
+        """Start another response after a complete one; rules out reuse.
+
+        Raises:
+          UpstreamError: too many responses; ends the parsing.
+        """
+        if not self._responses[-1].is_complete:
+            return
+        self.reusable = False
+        if len(self._responses) >= MAX_RESPONSES:
+            raise self._exceed("responses")
+        self._responses.append(_Response())
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; trailer fields are dropped."""
+        """Add a header; trailer fields are dropped.
+
+        Raises:
+          UpstreamError: too many fields; ends the parsing.
+        """
         response = self._responses[-1]
+        response.field_count += 1
+        if response.field_count > MAX_HEADER_FIELDS:
+            raise self._exceed("header fields")
         if response.head is None:
             response.headers.append((name, value))
 
@@ -193,6 +254,7 @@
         if self._expects_no_body:
             response.is_complete = True
             self.reusable = False
+        self.on_head(response.head)
         self._updated.set()
 
     def _parse_keep_alive(self, headers: Headers) -> None:
@@ -204,6 +266,7 @@
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body; pause reading above the limit."""
         response = self._responses[-1]
+        self._body_bytes_fed += len(body)
         if response.is_complete:
             return
         response.body_parts.append(body)
@@ -271,14 +334,19 @@
         self._updated.clear()
         await self._updated.wait()
 
-    async def read_all(self) -> bytes:
+    async def read_all(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the rest of the body.
 
         Raises:
-          UpstreamError: the connection failed before the response was complete.
+          UpstreamError: the connection failed before the response was complete, or
+            the body is longer than `max_bytes`.
         """
         parts = []
+        size_bytes = 0
         while part := await self.read():
+            size_bytes += len(part)
+            if size_bytes > max_bytes:
+                raise self._exceed("body bytes")
             parts.append(part)
         return b"".join(parts)
 
@@ -293,6 +361,7 @@
         if not self._in_exchange:
             return self.is_usable(float("inf"))
         self._in_exchange = False
+        self.on_head = ignore_head
         self.idle_since_s = self._timer.now_s()
         # The peer may respond early, before all bytes of the request are sent.
         has_unsent_bytes = self.transport.get_write_buffer_size() > 0
@@ -314,118 +383,3 @@
             return False
         idle_s = self._timer.now_s() - self.idle_since_s
         return idle_s < min(max_idle_s, self.peer_idle_timeout_s)
-
-
-class ConnectionPool:
-    """Pool of idle connections by address.
-
-    Args:
-      timer: the timer service.
-      connect_timeout_s: time limit for connecting, including the TLS handshake.
-      max_idle_s: idle time from which a connection is not reused.
-
-    Attributes:
-      connect_attempts: number of connection attempts so far.
-    """
-
-    def __init__(
-        self, timer: TimerService, connect_timeout_s: float, max_idle_s: float
-    ) -> None:
-        self._timer = timer
-        self._connect_timeout_s = connect_timeout_s
-        self._max_idle_s = max_idle_s
-        self._idle: dict[str, list[UpstreamConnection]] = {}
-        self._tls: ssl.SSLContext | None = None
-        self.connect_attempts = 0
-
-    async def acquire(
-        self, address: str, max_idle_s: float | None = None
-    ) -> UpstreamConnection:
-        """Return an idle or a new connection to a peer.
-
-        Args:
-          address: the peer's HOST:PORT, or `https://HOST:PORT` for TLS.
-          max_idle_s: a connection that has been idle for longer is not used, but
-            stays in the pool; 0 for a new connection, None for the pool's limit.
-
-        Raises:
-          UpstreamError: connecting failed or timed out; nothing was sent.
-        """
-        limit_s = self._max_idle_s if max_idle_s is None else max_idle_s
-        idle = self._idle.get(address, [])
-        # The most recently used connection is at the end.
-        while idle and not idle[-1].is_usable(self._max_idle_s):
-            idle.pop().abort()
-        if idle and idle[-1].is_usable(limit_s):
-            return idle.pop()
-        return await self._connect(address)
-
-    async def _connect(self, address: str) -> UpstreamConnection:
-        tls = self._tls_context() if address.startswith(TLS_PREFIX) else None
-        host, _, port = address.removeprefix(TLS_PREFIX).rpartition(":")
-        self.connect_attempts += 1
-        loop = asyncio.get_running_loop()
-        connecting = loop.create_connection(
-            lambda: UpstreamConnection(self._timer, address),
-            host.strip("[]"),
-            int(port),
-            ssl=tls,
-        )
-        try:
-            _, connection = await self._timer.wait_for(
-                connecting, self._connect_timeout_s
-            )
-        except (OSError, errors.DeadlineExceededError) as error:
-            raise UpstreamError(f"{address}: {error!r}", sent=False) from None
-        return connection
-
-    def _tls_context(self) -> ssl.SSLContext:
-        if self._tls is None:
-            self._tls = ssl.create_default_context()
-        return self._tls
-
-    async def exchange(self, address: str, data: bytes) -> tuple[ResponseHead, bytes]:
-        """Send one request and return the head and the body of the response.
-
-        Args:
-          address: the peer's HOST:PORT.
-          data: the encoded head and body of the request.
-
-        Raises:
-          UpstreamError: there is no complete response.
-        """
-        connection = await self.acquire(address)
-        try:
-            connection.send(data)
-            return await connection.head(), await connection.read_all()
-        finally:
-            self.release(connection)
-
-    def release(self, connection: UpstreamConnection) -> None:
-        """End the exchange of a connection and keep the connection if reusable."""
-        if connection.end_exchange():
-            self._idle.setdefault(connection.address, []).append(connection)
-
-    def close_idle(self, address: str) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, []):
-            connection.abort()
-
-    def prune(self) -> None:
-        """Close connections that have been idle for too long."""
-        for address in list(self._idle):
-            kept = []
-            for connection in self._idle[address]:
-                if connection.is_usable(self._max_idle_s):
-                    kept.append(connection)
-                else:
-                    connection.abort()
-            if kept:
-                self._idle[address] = kept
-            else:
-                del self._idle[address]
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for address in list(self._idle):
-            self.close_idle(address)
--- a/endivesill/http1/exchange.py
+++ b/endivesill/http1/exchange.py
@@ -93,8 +93,9 @@
         self._write(self._head(status, [*headers, chunked]))
 
     def send(self, data: bytes) -> None:
-        """Write one chunk of the body; `data` must not be empty."""
-        self._write(b"%x\r\n%b\r\n" % (len(data), data))
+        """Write one chunk of the body; empty data, which would end it, is ignored."""
+        if data:
+            self._write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def finish(self) -> None:
         """Write the last chunk of a chunked response."""
--- a/endivesill/http1/sending.py
+++ b/endivesill/http1/sending.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable
 
 from endivesill.http1.client import (
-    ConnectionPool,
     ResponseHead,
     UpstreamConnection,
     UpstreamError,
+    ignore_head,
 )
+from endivesill.http1.pool import ConnectionPool
 
 __all__ = ["SendError", "SendFailure", "send_request"]
 
@@ -55,6 +56,7 @@
     on_started: Callable[[], None] = lambda: None,
     is_own_response: Callable[[ResponseHead], bool] = lambda head: True,
     max_foreign_responses: int = 0,
+    on_head: Callable[[ResponseHead], None] = ignore_head,
     no_body: bool = False,
 ) -> tuple[UpstreamConnection, ResponseHead]:
     """Send a request and wait for the head of its response.
@@ -72,6 +74,7 @@
       is_own_response: returns whether a response belongs to this request.
       max_foreign_responses: number of complete responses to other requests that
         are skipped.
+      on_head: called with the head of each response, also of one to another request.
       no_body: whether the response has no body, regardless of its head (HEAD).
 
     Returns:
@@ -89,6 +92,7 @@
         if not may_start():
             raise SendError(SendFailure.NOT_STARTED, address)
         data = encode()
+        connection.on_head = on_head
         try:
             connection.send(data, no_body=no_body)
         except UpstreamError as error:
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -23,6 +23,8 @@
 
 # Queued requests of a connection above which reading is paused.
 MAX_PIPELINED_REQUESTS = 8
+# Bytes received between two parts of a body that are not body.
+MAX_FRAMING_BYTES = 65_536
 # Period of the timeout checks of all connections.
 SWEEP_PERIOD_S = 0.25
 # How long input is discarded after a close. Without it, unread input would cause a
@@ -65,6 +67,9 @@
         self._discarding = False
         self._lost = False
         self._error: tuple[int, str] | None = None
+        self._last_data_s = self.idle_since_s
+        self._body_bytes_fed = 0
+        self._framing_bytes = 0
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -89,10 +94,10 @@
         """Parse received bytes and enforce the limit on the head."""
         if self._discarding:
             return
-        if self.head_started_s is None and not self._in_body:
-            self.head_started_s = self.listener.timer.now_s()
         if not self._in_body:
             self._head_bytes += len(data)
+        self._last_data_s = self.listener.timer.now_s()
+        self._body_bytes_fed = 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -101,9 +106,21 @@
             self._fail(400, str(error) or type(error).__name__)
         if self._error is None and self._head_exceeds_limit():
             self._fail(431, "the head is too large")
+        self._limit_framing(len(data))
         if len(self._pending) > MAX_PIPELINED_REQUESTS and not self._lost:
             self.transport.pause_reading()
 
+    def _limit_framing(self, received_bytes: int) -> None:
+        """Bound chunk sizes, chunk extensions and trailers without body bytes."""
+        if not self._in_body or self._body_bytes_fed:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += received_bytes
+        limits = self.listener.limits
+        # The head may have come with the same data.
+        if self._framing_bytes > MAX_FRAMING_BYTES + limits.header_bytes:
+            self._fail(400, "too many framing bytes")
+
     def _head_exceeds_limit(self) -> bool:
         return (
             not self._in_body and self._head_bytes > self.listener.limits.header_bytes
@@ -139,6 +156,10 @@
 
     # httptools callbacks.
 
+    def on_message_begin(self) -> None:
+        """Start the time limit of a head, also of one that was pipelined."""
+        self.head_started_s = self.listener.timer.now_s()
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
         self._target += url
@@ -171,6 +192,7 @@
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body within the limit."""
         self._body_bytes += len(body)
+        self._body_bytes_fed += len(body)
         if self._body_bytes > self.listener.limits.body_bytes:
             self._fail(413, "the body is too large")
         else:
@@ -239,19 +261,23 @@
         self.transport.write(encode_head(status_line(status), headers))
 
     def check_timeouts(self, now_s: float) -> None:
-        """Close an idle connection, or reject a slow head, after its timeout."""
+        """Close an idle connection, or reject a slow request, after its timeout."""
         limits = self.listener.limits
         if self.current is not None or self._pending or self._discarding:
             return
         if self.head_started_s is not None:
             if now_s - self.head_started_s > limits.header_timeout_s:
                 self._fail(408, "the head did not come in time")
-        elif not self._in_body and now_s - self.idle_since_s > limits.idle_timeout_s:
+        elif self._in_body:
+            if now_s - self._last_data_s > limits.idle_timeout_s:
+                self._fail(408, "the body did not come in time")
+        elif now_s - self.idle_since_s > limits.idle_timeout_s:
             self._close()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a body is being read or a request is queued."""
-        if self.current is None and not self._pending and not self._in_body:
+        """Close the connection unless a request is being read, queued or handled."""
+        is_reading = self._in_body or self.head_started_s is not None
+        if self.current is None and not self._pending and not is_reading:
             self._close()
 
     def abort(self) -> None:
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -1,10 +1,17 @@
 """Tests of HTTP/1.1 client connections: complete responses and reuse."""
 
+import asyncio
+import tracemalloc
 import unittest
 
-from endivesill.http1 import UpstreamConnection, UpstreamError, strip_hop_by_hop
+from endivesill.http1 import (
+    UpstreamConnection,
+    UpstreamError,
+    bounds_exceeded,
+    strip_hop_by_hop,
+)
 from endivesill.timer import ManualTimer
-from tests.http1_fakes import FakeTransport
+from tests.http1_fakes import FakeTransport, settle
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -120,6 +127,96 @@
         self.assertEqual(201, (await self.connection.head()).status)
 
 
+class BoundsTest(ClientTestCase):
+    """Peers that send bytes without end."""
+
+    # Growth that one connection may cause before it is closed.
+    MAX_GROWTH_BYTES = 4_000_000
+    CHUNK_BYTES = 65_536
+
+    async def feed_until_closed(self, start: bytes, pattern: bytes, bound: str):
+        """Feed a pattern up to 64 MB; return the peak growth of memory in bytes."""
+        before = bounds_exceeded[bound]
+        block = pattern * (self.CHUNK_BYTES // len(pattern))
+        self.send_request()
+        tracemalloc.start()
+        try:
+            self.connection.data_received(start)
+            for _ in range(1_000):
+                if self.transport.aborted:
+                    break
+                self.connection.data_received(block)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertTrue(self.transport.aborted, "the connection is still open")
+        self.assertEqual(before + 1, bounds_exceeded[bound])
+        self.assertLess(peak_bytes, self.MAX_GROWTH_BYTES)
+
+    async def assert_broken(self):
+        with self.assertRaises(UpstreamError) as caught:
+            await self.connection.head()
+            await self.connection.read_all()
+        self.assertTrue(caught.exception.sent)
+
+    async def test_header_lines_without_end(self):
+        await self.feed_until_closed(
+            b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n", "header fields"
+        )
+        await self.assert_broken()
+
+    async def test_a_header_value_without_end(self):
+        await self.feed_until_closed(b"HTTP/1.1 200 OK\r\nX-A: ", b"a", "framing bytes")
+        await self.assert_broken()
+
+    async def test_interim_responses_without_end(self):
+        await self.feed_until_closed(
+            b"", b"HTTP/1.1 102 Processing\r\n\r\n", "framing bytes"
+        )
+        await self.assert_broken()
+
+    async def test_a_chunk_extension_without_end(self):
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x="
+        await self.feed_until_closed(start, b"a", "framing bytes")
+        await self.assert_broken()
+
+    async def test_trailers_without_end(self):
+        start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: "
+        await self.feed_until_closed(start, b"a", "framing bytes")
+        await self.assert_broken()
+
+    async def test_responses_without_end(self):
+        await self.feed_until_closed(RESPONSE, RESPONSE, "responses")
+        self.assertEqual(b"ok", await self.connection.read_all())
+        self.assertFalse(self.connection.end_exchange())
+
+    async def test_a_body_without_end_that_is_read_as_a_whole(self):
+        self.send_request()
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.connection.data_received(head)
+        reading = asyncio.ensure_future(self.connection.read_all())
+        tracemalloc.start()
+        try:
+            while not self.transport.aborted:
+                self.connection.data_received(b"8000\r\n" + b"a" * 0x8000 + b"\r\n")
+                await settle()
+            with self.assertRaises(UpstreamError):
+                await reading
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(peak_bytes, self.MAX_GROWTH_BYTES)
+
+    async def test_many_small_chunks_of_a_stream_are_within_the_bounds(self):
+        self.send_request()
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.connection.data_received(head)
+        for _ in range(20_000):
+            self.connection.data_received(b"4\r\nabcd\r\n")
+            await self.connection.read()
+        self.assertFalse(self.transport.aborted)
+
+
 class HopByHopHeaderTest(unittest.TestCase):
     def test_hop_by_hop_headers_are_removed(self):
         headers = [
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -136,6 +136,53 @@
         await settle()
         self.assertIn(b"408", transport.written)
 
+    async def test_a_body_that_stalls_times_out(self):
+        connection, transport = await self.send(HEAD + b"Content-Length: 9\r\n\r\nab")
+        await self.timer.advance(14)
+        connection.check_timeouts(self.timer.now_s())
+        self.assertEqual(b"", transport.written)
+        connection.data_received(b"c")
+        await self.timer.advance(14)
+        connection.check_timeouts(self.timer.now_s())
+        self.assertEqual(b"", transport.written)
+        await self.timer.advance(2)
+        connection.check_timeouts(self.timer.now_s())
+        await settle()
+        self.assertIn(b"408", transport.written)
+
+    async def test_a_pipelined_head_that_is_slow_times_out(self):
+        connection, transport = await self.send(
+            b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET"
+        )
+        await self.timer.advance(4)
+        connection.check_timeouts(self.timer.now_s())
+        await settle()
+        self.assertIn(b"408", transport.written)
+
+    async def test_a_half_read_head_keeps_the_connection_open(self):
+        connection, transport = await self.send(HEAD)
+        connection.close_if_idle()
+        self.assertFalse(transport.eof_written)
+
+    async def test_trailers_without_end_are_rejected(self):
+        start = HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\nX: "
+        connection, transport = await self.send(start)
+        for _ in range(8):
+            connection.data_received(b"a" * 16_384)
+        await settle()
+        self.assertIn(b"400", transport.written)
+
+    async def test_empty_data_does_not_end_a_chunked_response(self):
+        async def handle(exchange):
+            exchange.start(200, [])
+            exchange.send(b"")
+            exchange.send(b"ab")
+            exchange.finish()
+
+        self.listener.handler = handle
+        _, transport = await self.send(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertTrue(transport.written.endswith(b"\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+
     async def test_an_idle_connection_is_closed_after_the_idle_timeout(self):
         connection, transport = await self.send(HEAD + b"Content-Length: 0\r\n\r\n")
         connection.check_timeouts(self.timer.now_s() + 14.9)
