Make the leader's cost of a poll independent of the number of entries

Cause: each poll of an entry summed the loads of all entries twice, renewed its share by a sum over all leases and got a reply with all parts, five times a second from each entry. The poll's cost grew with the entries, so the leader's load with their square. Entries and leaders of earlier versions are understood. A cancelled leadership transfer no longer leaves the leader refusing proposals. The test of the cancelled transfer failed on the code before.

--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -228,6 +228,13 @@
         lease_end_s = self._quorum_contact_s() + lease_s
         return self._lease_enabled and self._core.timer.now_s() < lease_end_s
 
+    def has_committed_in_term(self) -> bool:
+        """Return whether an entry of this term is committed.
+
+        Before that, the leader does not know which earlier entries are committed.
+        """
+        return self._core.commit_index >= self._no_op_index
+
     async def read_index(self, timeout_s: float) -> int:
         """Return the read index: a linearizable read must wait until it is applied.
 
@@ -249,13 +256,7 @@
         return index
 
     async def _wait_for_term_commit(self, timeout_s: float) -> None:
-        """Wait until an entry of this term is committed.
-
-        Before that, the leader does not know which earlier entries are committed.
-        """
-        await self._wait_until(
-            lambda: self._core.commit_index >= self._no_op_index, timeout_s
-        )
+        await self._wait_until(self.has_committed_in_term, timeout_s)
 
     async def _wait_until(
         self, condition: Callable[[], bool], timeout_s: float
@@ -302,7 +303,9 @@
             )
         except errors.EndivesillError:
             pass
-        self.transferring = False
+        finally:
+            # Also when the caller is cancelled, since proposals are rejected meanwhile.
+            self.transferring = False
         return core.leadership is not self
 
     def _most_caught_up_voter(self) -> str | None:
--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -9,6 +9,7 @@
 from endivesill import errors, events
 from endivesill.fleet.events import ENGINE_LIST_CHANGED, LIST_LOST, LIST_REGAINED
 from endivesill.fleet.model import EngineInfo
+from endivesill.fleet.notices import EngineNotices
 from endivesill.peers import Message
 from endivesill.timer import TimerService
 
@@ -86,6 +87,7 @@
 
     Attributes:
       current: the newest snapshot; None before the first.
+      notices: departures that engines have announced to this VM or to the entries.
     """
 
     def __init__(self, timer: TimerService, source: EngineListSource) -> None:
@@ -96,6 +98,7 @@
         self._with_notice: Callable[[], frozenset[str]] = frozenset
         self._listed: list[EngineInfo] = []
         self.current: EngineListSnapshot | None = None
+        self.notices = EngineNotices(timer)
 
     def use_departure_sources(
         self,
@@ -124,6 +127,7 @@
             events.emit(LIST_REGAINED, failures=self._failures)
             self._failures = 0
         read_s = self._timer.now_s()
+        self.notices.retain(engine.incarnation for engine in self._listed)
         return self._apply(self._merged(), term, read_s)
 
     def apply_departures(self) -> bool:
@@ -133,7 +137,7 @@
         return self._apply(self._merged(), self.current.term, self.current.read_s)
 
     def _merged(self) -> dict[str, EngineInfo]:
-        leaving = self._leaving()
+        leaving = self._leaving() | self.notices.leaving()
         with_notice = self._with_notice()
         return {
             engine.incarnation: attrs.evolve(
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -4,7 +4,10 @@
 
 __all__ = [
     "CHANGE_ANSWERED",
+    "DEPARTURES_UNREPORTED",
+    "ENGINE_LEAVING",
     "ENGINE_LIST_CHANGED",
+    "ENGINE_PAUSED",
     "ENGINE_UNHEALTHY",
     "HEALTH_DOUBTED",
     "HEALTH_UNKNOWN",
@@ -56,6 +59,19 @@
 HEALTH_UNKNOWN = events.define(
     4508, "engine-health-unknown", "An engine does not answer its health check."
 )
+ENGINE_LEAVING = events.define(
+    4510, "engine-leaving", "An engine has said in a response that it leaves."
+)
+ENGINE_PAUSED = events.define(
+    4513,
+    "engine-paused",
+    "An engine has rejected a request and wants none from this process for a time.",
+)
+DEPARTURES_UNREPORTED = events.define(
+    5105,
+    "departures-unreported",
+    "The leader did not confirm the report of leaving engines; the next poll has it.",
+)
 LIST_LOST = events.define(
     4502,
     "engine-list-lost",
--- a/endivesill/fleet/shares.py
+++ b/endivesill/fleet/shares.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import attrs
 
 __all__ = ["LEASE_DURATION_S", "ShareLease", "ShareAllocator"]
@@ -43,7 +45,11 @@
 
     def __init__(self, now_s: float) -> None:
         self._previous_expired_s = now_s + LEASE_DURATION_S
-        self._leases: dict[str, ShareLease] = {}
+        # All leases last equally long, so the first one expires next.
+        self._leases: collections.OrderedDict[str, ShareLease] = (
+            collections.OrderedDict()
+        )
+        self._granted = 0.0
 
     def renew(self, entry_id: str, held_share: float, now_s: float) -> float:
         """Renew an entry's lease and return its share.
@@ -53,28 +59,33 @@
           held_share: the share of its current lease.
           now_s: the leader's time.
         """
-        self._leases = {
-            e: lease for e, lease in self._leases.items() if lease.expires_s > now_s
-        }
-        others = sum(
-            lease.share for holder, lease in self._leases.items() if holder != entry_id
-        )
+        self._expire(now_s)
+        self.release(entry_id)
         if now_s < self._previous_expired_s:
             share = held_share
         else:
-            count = len(self._leases.keys() | {entry_id})
-            share = max(0.0, min(1.0 / count, 1.0 - others))
+            share = max(0.0, min(1.0 / (len(self._leases) + 1), 1.0 - self._granted))
         self._leases[entry_id] = ShareLease(share, now_s + LEASE_DURATION_S)
+        self._granted += share
         return share
 
     def release(self, entry_id: str) -> None:
         """End the lease of an entry that stops."""
-        self._leases.pop(entry_id, None)
-
-    def entries(self, now_s: float) -> list[str]:
-        """Return the entries with a lease in force."""
-        return [
-            entry_id
-            for entry_id, lease in self._leases.items()
-            if lease.expires_s > now_s
-        ]
+        lease = self._leases.pop(entry_id, None)
+        if lease is not None:
+            self._granted -= lease.share
+        if not self._leases:
+            # Drops the rounding errors of the sum.
+            self._granted = 0.0
+
+    def entry_count(self, now_s: float) -> int:
+        """Return how many entries have a lease in force."""
+        self._expire(now_s)
+        return len(self._leases)
+
+    def _expire(self, now_s: float) -> None:
+        while self._leases:
+            entry_id, lease = next(iter(self._leases.items()))
+            if lease.expires_s > now_s:
+                return
+            self.release(entry_id)
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -10,22 +10,29 @@
 import attrs
 
 from endivesill import errors, events
-from endivesill.fleet.events import LEADER_LOST, LEADER_REACHED
-from endivesill.fleet.load import EngineLoad, loads_from_rows, loads_to_rows
+from endivesill.fleet.events import (
+    DEPARTURES_UNREPORTED,
+    LEADER_LOST,
+    LEADER_REACHED,
+)
+from endivesill.fleet.list_updates import apply_list_update
+from endivesill.fleet.load import EngineLoad, loads_to_rows, subtract_rows
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.packing import unpack_document
+from endivesill.fleet.polling import addresses_digest, long_poll_s
 from endivesill.fleet.shares import LEASE_DURATION_S, ShareLease
 from endivesill.peers import Message, PeerTransport
 from endivesill.signals import Signal
 from endivesill.timer import TimerService
 
-__all__ = ["SYNC_PATH", "FleetSyncClient", "FleetView"]
+__all__ = ["DEPARTURES_PATH", "SYNC_PATH", "FleetSyncClient", "FleetView"]
 
 SYNC_PATH = "/fleet/sync"
+DEPARTURES_PATH = "/fleet/departures"
 
-# The leader replies within `LONG_POLL_S`; a longer delay means that it hangs, is
-# partitioned or has stopped.
-SYNC_TIMEOUT_S = 0.45
+# Time beyond the wait for updates after which the leader hangs, is partitioned or has
+# stopped.
+SYNC_TIMEOUT_S = 0.25
 RETRY_S = 0.05
 MAX_RETRY_S = 0.2
 # Time without a reply after which the loss of the leader is logged.
@@ -33,6 +40,7 @@
 
 
 NO_LEASE = ShareLease(0.0, 0.0)
+NO_LOADS_STAMP = [0, -1]
 
 
 @attrs.define
@@ -47,6 +55,7 @@
       list_stamp: stamp of the engine list.
       engines: the engines by incarnation.
       remote_loads: load of the other entries, by incarnation.
+      loads_stamp: stamp of these loads.
       lease: this entry's share of the fleet-wide limits.
       entry_count: how many entries hold a lease.
       confirmed_at_s: when the view was last known to be current.
@@ -59,6 +68,7 @@
     list_stamp: list[int] = attrs.Factory(lambda: [0, 0])
     engines: dict[str, EngineInfo] = attrs.Factory(dict)
     remote_loads: dict[str, EngineLoad] = attrs.Factory(dict)
+    loads_stamp: list[int] = attrs.Factory(lambda: NO_LOADS_STAMP)
     lease: ShareLease = NO_LEASE
     entry_count: int = 1
     confirmed_at_s: float = float("-inf")
@@ -73,6 +83,8 @@
       seeds: peer addresses of some control VMs.
       own_loads: returns this entry's load by incarnation.
       on_update: called after each reply with the names of the updated parts.
+      departures: returns the incarnations that have announced their departure while
+        the list does not show it.
 
     Attributes:
       view: the view of the fleet.
@@ -88,6 +100,7 @@
         seeds: tuple[str, ...],
         own_loads: Callable[[], dict[str, EngineLoad]],
         on_update: Callable[[set[str]], None],
+        departures: Callable[[], list[str]] = list,
     ) -> None:
         self._timer = timer
         self._transport = transport
@@ -95,6 +108,7 @@
         self._control_addresses: list[str] = []
         self._own_loads = own_loads
         self._on_update = on_update
+        self._departures = departures
         self._grants_seen = 0
         self.entry_id = uuid.uuid4().hex[:12]
         self.leader: str | None = None
@@ -115,7 +129,7 @@
             sent_s = self._timer.now_s()
             try:
                 reply = await self._transport.call(
-                    address, SYNC_PATH, self._sync_request(), SYNC_TIMEOUT_S
+                    address, SYNC_PATH, self._sync_request(), self._sync_timeout_s()
                 )
             except errors.PeerUnreachableError as error:
                 self._note_unreachable(address, str(error))
@@ -144,6 +158,22 @@
             "loads": loads_to_rows(self._own_loads()),
         }
 
+    async def report_departures(self) -> None:
+        """Report leaving engines to the leader at once.
+
+        The running poll may last as long as the leader holds it. After a failure, the
+        next poll reports them.
+        """
+        if self.leader is None:
+            return
+        message = {"departures": self._departures()}
+        try:
+            await self._transport.call(
+                self.leader, DEPARTURES_PATH, message, SYNC_TIMEOUT_S
+            )
+        except errors.PeerUnreachableError as error:
+            events.emit(DEPARTURES_UNREPORTED, leader=self.leader, reason=str(error))
+
     async def deregister(self) -> None:
         """Notify the leader that this entry stops; a failure is logged."""
         if self.leader is None:
@@ -159,6 +189,9 @@
         addresses = list(dict.fromkeys([*self._control_addresses, *self._seeds]))
         return addresses[next(self._attempts) % len(addresses)]
 
+    def _sync_timeout_s(self) -> float:
+        return long_poll_s(self.view.entry_count) + SYNC_TIMEOUT_S
+
     def _sync_request(self) -> Message:
         view = self.view
         return {
@@ -166,6 +199,10 @@
             "version": view.version,
             "evacuations": view.evacuation_index,
             "list": view.list_stamp,
+            "departures": self._departures(),
+            "loads_stamp": view.loads_stamp,
+            "controls": addresses_digest(self._control_addresses),
+            "wait_s": long_poll_s(view.entry_count),
             "share": view.lease.share_at(self._timer.now_s()),
         }
 
@@ -202,16 +239,20 @@
             updated.add("evacuations")
         engine_list = reply.get("list")
         if engine_list and engine_list["stamp"] > view.list_stamp:
-            view.list_stamp = engine_list["stamp"]
-            engines = [EngineInfo(**row) for row in engine_list["engines"]]
-            view.engines = {engine.incarnation: engine for engine in engines}
-            updated.add("engines")
-        view.remote_loads = loads_from_rows(reply["loads"])
+            engines = apply_list_update(view.engines, view.list_stamp, engine_list)
+            if engines is not None:
+                view.engines = engines
+                view.list_stamp = engine_list["stamp"]
+                updated.add("engines")
+        if "loads" in reply:
+            view.loads_stamp = reply.get("loads_stamp", NO_LOADS_STAMP)
+            own_rows = reply.get("own_loads", {})
+            view.remote_loads = subtract_rows(reply["loads"], own_rows)
         # Counted from the request, so that the lease expires here before it does at
         # the leader.
         view.lease = ShareLease(reply["share"], sent_s + LEASE_DURATION_S)
         view.entry_count = reply["entries"]
         view.confirmed_at_s = sent_s
         self.leader = address
-        self._control_addresses = reply["controls"]
+        self._control_addresses = reply.get("controls", self._control_addresses)
         self._on_update(updated)
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -1,35 +1,37 @@
 """The leader's side of the fleet synchronisation.
 
 Entries long-poll the leader with the versions that they have. The reply comes at once
-if anything is newer, else after `LONG_POLL_S`. Leadership is confirmed by a quorum
-before each reply, so that a reply is never older than an acknowledged change.
+if anything is newer, else after the wait that the entry asks for. Leadership is
+confirmed by a quorum before each reply, so that a reply is never older than an
+acknowledged change.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
+import json
+from collections.abc import Callable, Iterable
 
 from endivesill import errors
 from endivesill.control import Applied, ControlReplica
-from endivesill.fleet.engine_list import (
-    EngineListReader,
-    EngineListSource,
-    list_to_message,
-)
+from endivesill.control.leadership import Leadership
+from endivesill.fleet.engine_list import EngineListReader, EngineListSource
+from endivesill.fleet.list_updates import ListUpdates
 from endivesill.fleet.load import FleetLoads, loads_to_rows
 from endivesill.fleet.packing import pack_document
+from endivesill.fleet.polling import (
+    MAX_LONG_POLL_S,
+    MIN_LONG_POLL_S,
+    addresses_digest,
+)
 from endivesill.fleet.shares import ShareAllocator
 from endivesill.fleet.state import current_configuration, evacuations
-from endivesill.fleet.sync_client import SYNC_PATH
-from endivesill.peers import Message, PeerTransport
+from endivesill.fleet.sync_client import DEPARTURES_PATH, SYNC_PATH
+from endivesill.peers import EncodedValue, Message, PeerTransport
 from endivesill.signals import Signal
 from endivesill.timer import TimerService
 
 __all__ = ["FleetSyncService"]
 
-# Longest wait for updates; also the maximum age of the loads that are passed on.
-LONG_POLL_S = 0.2
 CONFIRM_TIMEOUT_S = 0.4
 NOT_LEADING_PAUSE_S = 0.2
 
@@ -59,25 +61,43 @@
         self._replica = replica
         self._updated = Signal()
         self._packed_version: int | None = None
-        self._packed_text = ""
+        self._packed_state = EncodedValue("")
+        self._list_updates = ListUpdates()
+        self._loads_version = -1
+        self._encoded_loads = EncodedValue("{}")
         self._on_change: Callable[[], None] = lambda: None
+        self._on_loads: Callable[[], None] = lambda: None
         self.reader = EngineListReader(timer, source)
         self.loads = FleetLoads()
         self._allocator: ShareAllocator | None = None
         self._term = 0
-        transport.handle(SYNC_PATH, self._handle_sync)
+        transport.handle(SYNC_PATH, self.handle_sync)
+        transport.handle(DEPARTURES_PATH, self._handle_departures)
         replica.subscribe_applied(self._note_applied)
 
     def on_change(self, listener: Callable[[], None]) -> None:
-        """Set the function called after load reports, list changes and commands."""
+        """Set the function called after list changes and commands."""
         self._on_change = listener
 
+    def on_loads(self, listener: Callable[[], None]) -> None:
+        """Set the function called after each load report."""
+        self._on_loads = listener
+
     def apply_departures(self) -> None:
         """Publish engines that have begun to leave, or no longer do."""
         if self.reader.apply_departures():
             self._updated.notify()
             self._on_change()
 
+    def note_departures(self, incarnations: Iterable[str], source: str) -> None:
+        """Publish engines that have announced their departure."""
+        snapshot = self.reader.current
+        listed = snapshot.engines if snapshot is not None else {}
+        for incarnation in incarnations:
+            if incarnation in listed:
+                self.reader.notices.note_leaving(listed[incarnation], source)
+        self.apply_departures()
+
     def leads(self) -> bool:
         """Return whether this VM leads, without confirmation by a quorum."""
         return self._replica.core.leadership is not None
@@ -106,30 +126,43 @@
         leadership = self._replica.core.leadership
         if leadership is None:
             return None
-        try:
-            index = await leadership.read_index(CONFIRM_TIMEOUT_S)
-            await self._timer.wait_for(
-                self._replica.core.wait_applied(index), CONFIRM_TIMEOUT_S
-            )
-        except (errors.UnavailableError, errors.DeadlineExceededError):
-            return None
+        if not self._is_current(leadership):
+            try:
+                index = await leadership.read_index(CONFIRM_TIMEOUT_S)
+                await self._timer.wait_for(
+                    self._replica.core.wait_applied(index), CONFIRM_TIMEOUT_S
+                )
+            except (errors.UnavailableError, errors.DeadlineExceededError):
+                return None
         if leadership.term != self._term:
             self._term = leadership.term
             self._allocator = ShareAllocator(self._timer.now_s())
         return leadership.term
 
-    async def _handle_sync(self, message: Message) -> Message:
+    def _is_current(self, leadership: Leadership) -> bool:
+        """Return whether the applied state is known to be current without waiting."""
+        core = self._replica.core
+        return (
+            leadership.has_committed_in_term()
+            and leadership.holds_lease()
+            and core.machine.applied_index >= core.commit_index
+        )
+
+    async def handle_sync(self, message: Message) -> Message:
         """Reply to an entry's sync request.
 
         Args:
           message: `{"entry", "version", "evacuations", "list", "share", "loads",
-            "grants_seen", "leaving"}`: the entry, the versions and the share that it
-            has, its load by incarnation, and the last grant included in it.
+            "grants_seen", "departures", "loads_stamp", "controls", "wait_s",
+            "leaving"}`: the entry, the versions and the share that it has, its load by
+            incarnation, the last grant included in it, the engines that have told it
+            that they leave, and how long to wait for updates.
 
         Returns:
           `{"leader"}` from a VM that does not lead; `{}` to an entry that leaves; else
-          `{"share", "entries", "loads", "controls", "term"}` and, where newer,
-          `"state"`, `"evacuations"` and `"list"`.
+          `{"share", "entries", "term"}` and, where newer, `"state"`, `"evacuations"`,
+          `"list"`, `"controls"`, and `"loads"` with the part of the entry in
+          `"own_loads"`.
         """
         entry_id = message["entry"]
         if message.get("leaving"):
@@ -140,64 +173,98 @@
         self.loads.record_report(
             entry_id, message["loads"], message["grants_seen"], self._timer.now_s()
         )
-        self._on_change()
+        if message.get("departures"):
+            self.note_departures(message["departures"], "entry")
+        self._on_loads()
         if not self._has_updates(message):
             await self._wait_for_updates(message)
         if await self._confirmed_term() is None:
             return {"leader": self._replica.core.active_leader_address()}
         return self._build_reply(entry_id, message)
 
+    async def _handle_departures(self, message: Message) -> Message:
+        """Record `{"departures"}`, the incarnations that an entry knows as leaving."""
+        self.note_departures(message["departures"], "entry")
+        return {}
+
     async def _wait_for_updates(self, message: Message) -> None:
         async def wait() -> None:
             while not self._has_updates(message):
                 await self._updated.wait()
 
         try:
-            await self._timer.wait_for(wait(), LONG_POLL_S)
+            wait_s = min(MAX_LONG_POLL_S, message.get("wait_s", MIN_LONG_POLL_S))
+            await self._timer.wait_for(wait(), wait_s)
         except errors.DeadlineExceededError:
             return
 
     def _has_updates(self, message: Message) -> bool:
         return bool(self._updates_for(message)) or self._replica.core.leadership is None
 
-    def _updates_for(self, message: Message) -> dict[str, Callable[[], Any]]:
+    def _updates_for(self, message: Message) -> dict[str, Callable[[], EncodedValue]]:
         """Return a builder for each part of the state that the entry lacks."""
-        updates: dict[str, Callable[[], Any]] = {}
+        updates: dict[str, Callable[[], EncodedValue]] = {}
         state = current_configuration(self._replica.state)
         known_version = message["version"]
         if state is not None and (
             known_version is None or state["version"] > known_version
         ):
-            updates["state"] = lambda: {
-                "version": state["version"],
-                "packed": self._packed_document(state),
-            }
+            updates["state"] = lambda: self._encode_state(state)
         index, data_centres = evacuations(self._replica.state)
         if index > message["evacuations"]:
-            updates["evacuations"] = lambda: {
-                "index": index,
-                "data_centres": data_centres,
-            }
+            evacuated = {"index": index, "data_centres": data_centres}
+            updates["evacuations"] = lambda: EncodedValue(json.dumps(evacuated))
         snapshot = self.reader.current
         if snapshot is not None and snapshot.stamp > message["list"]:
-            updates["list"] = lambda: list_to_message(snapshot, self._timer.now_s())
+            updates["list"] = lambda: self._list_updates.update_for(
+                snapshot, message["list"], self._timer.now_s()
+            )
         return updates
 
-    def _packed_document(self, state: Message) -> str:
-        """Return the packed configuration, cached by version."""
+    def _encode_state(self, state: Message) -> EncodedValue:
+        """Return the packed configuration, encoded once a version."""
         if self._packed_version != state["version"]:
             self._packed_version = state["version"]
-            self._packed_text = pack_document(state["document"])
-        return self._packed_text
+            packed = pack_document(state["document"])
+            text = json.dumps({"version": state["version"], "packed": packed})
+            self._packed_state = EncodedValue(text)
+        return self._packed_state
+
+    def _encode_loads(self, now_s: float) -> EncodedValue:
+        """Return the totals of all entries, encoded once a change."""
+        rows = self.loads.rows(now_s)
+        if self._loads_version != self.loads.version:
+            self._loads_version = self.loads.version
+            self._encoded_loads = EncodedValue(json.dumps(rows, separators=(",", ":")))
+        return self._encoded_loads
 
     def _build_reply(self, entry_id: str, message: Message) -> Message:
         now_s = self._timer.now_s()
         assert self._allocator is not None
+        reply: Message = {
+            name: build() for name, build in self._updates_for(message).items()
+        }
+        reply["share"] = self._allocator.renew(entry_id, message["share"], now_s)
+        reply["entries"] = self._allocator.entry_count(now_s)
+        reply.update(self._loads_for(entry_id, message, now_s))
+        controls = sorted(self._replica.core.voter_set.members.values())
+        if addresses_digest(controls) != message.get("controls"):
+            reply["controls"] = controls
+        reply["term"] = self._term
+        return reply
+
+    def _loads_for(self, entry_id: str, message: Message, now_s: float) -> Message:
+        """Return the loads for a reply, if they have changed since the entry's last."""
+        if "loads_stamp" not in message:
+            # Entries of earlier versions expect the load of the other entries.
+            totals = self.loads.totals(now_s, excluding=entry_id)
+            return {"loads": loads_to_rows(totals)}
+        loads = self._encode_loads(now_s)
+        stamp = [self._term, self._loads_version]
+        if stamp == message["loads_stamp"]:
+            return {}
         return {
-            **{name: build() for name, build in self._updates_for(message).items()},
-            "share": self._allocator.renew(entry_id, message["share"], now_s),
-            "entries": len(self._allocator.entries(now_s)),
-            "loads": loads_to_rows(self.loads.totals(now_s, excluding=entry_id)),
-            "controls": sorted(self._replica.core.voter_set.members.values()),
-            "term": self._term,
+            "loads": loads,
+            "loads_stamp": stamp,
+            "own_loads": self.loads.own_rows(entry_id),
         }
--- a/endivesill/link_peers.py
+++ b/endivesill/link_peers.py
@@ -19,7 +19,7 @@
     UpstreamError,
     encode_head,
 )
-from endivesill.peers import Message, PeerTransport
+from endivesill.peers import Message, PeerTransport, encode_message
 from endivesill.timer import TimerService
 
 __all__ = ["LinkPeerTransport"]
@@ -89,7 +89,7 @@
             events.emit(events.TASK_FAILED, task=name, error=repr(error))
             exchange.respond(500, [])
             return
-        exchange.respond(200, [], json.dumps(response, separators=(",", ":")).encode())
+        exchange.respond(200, [], encode_message(response).encode())
 
     async def call(
         self, address: str, path: str, message: Message, timeout_s: float
@@ -110,7 +110,9 @@
 
     async def _exchange(self, address: str, path: str, data: bytes) -> Message:
         try:
-            head, body = await self._pool.exchange(address, data)
+            head, body = await self._pool.exchange(
+                address, data, max_body_bytes=MAX_BODY_BYTES
+            )
         except UpstreamError as error:
             raise errors.PeerUnreachableError(
                 f"{address}{path}: {error}", sent=error.sent
--- a/endivesill/peers.py
+++ b/endivesill/peers.py
@@ -13,20 +13,47 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
+
 from endivesill import errors
 from endivesill.timer import TimerService
 
 __all__ = [
+    "EncodedValue",
     "MemoryNetwork",
     "MemoryPeerTransport",
     "Message",
     "PeerTransport",
+    "encode_message",
 ]
 
 Message = dict[str, Any]
 Handler = Callable[[Message], Awaitable[Message]]
 
 
+@attrs.frozen
+class EncodedValue:
+    """JSON text of a top-level value of a message, encoded once for many messages."""
+
+    text: str
+
+
+def encode_message(message: Message) -> str:
+    """Return a message as JSON; top-level values may be `EncodedValue`s."""
+    encoded = {
+        name: value.text
+        for name, value in message.items()
+        if isinstance(value, EncodedValue)
+    }
+    if not encoded:
+        return json.dumps(message, separators=(",", ":"))
+    others = {name: v for name, v in message.items() if name not in encoded}
+    parts = [f"{json.dumps(name)}:{text}" for name, text in encoded.items()]
+    if others:
+        parts.append(json.dumps(others, separators=(",", ":"))[1:-1])
+    return "{" + ",".join(parts) + "}"
+
+
 class PeerTransport:
     """Base class of the peer transports.
 
@@ -166,7 +193,7 @@
             raise
         except Exception as error:
             raise errors.PeerUnreachableError(f"{address}{path}: {error!r}") from None
-        response_text = json.dumps(response, separators=(",", ":"))
+        response_text = encode_message(response)
         arrived = await network.deliver(address, self.address, len(response_text))
         if not arrived or network.find(address) is not peer:
             await asyncio.get_running_loop().create_future()
--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -30,6 +30,7 @@
         self.address = address
         self.updates: list[set[str]] = []
         self.loads: dict = {}
+        self.departures: list[str] = []
         self.transport = cluster.network.transport(address)
         self.sync_client = FleetSyncClient(
             cluster.timer,
@@ -37,6 +38,7 @@
             cluster.addresses[:1],
             lambda: self.loads,
             self.updates.append,
+            lambda: self.departures,
         )
         self.task = supervise(cluster.timer, address, self.sync_client.run)
 
--- a/tests/test_control_recovery.py
+++ b/tests/test_control_recovery.py
@@ -10,6 +10,7 @@
 from endivesill.control.snapshots import Snapshot
 from endivesill.control.voter_set import VoterSet
 from tests.control_cluster import SETTINGS, ClusterTestCase
+from tests.http1_fakes import settle
 
 
 class CatchUpTest(ClusterTestCase):
@@ -245,6 +246,19 @@
         self.assertLess(cluster.timer.now_s() - started_s, 0.5)
         self.assertFalse(leader.is_leader)
 
+    async def test_a_leader_accepts_changes_after_a_cancelled_transfer(self):
+        cluster = await self.start()
+        leader = await cluster.leader()
+        for address in cluster.addresses:
+            if address != cluster.address_of(leader):
+                cluster.network.cut(cluster.address_of(leader), address)
+        transfer = asyncio.ensure_future(leader.transfer_leadership())
+        await settle()
+        self.assertTrue(leader.core.leadership.transferring)
+        transfer.cancel()
+        await asyncio.gather(transfer, return_exceptions=True)
+        self.assertFalse(leader.core.leadership.transferring)
+
     async def test_a_leader_holds_no_lease_after_starting_a_transfer(self):
         cluster = await self.start()
         leader = await cluster.leader()
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -7,6 +7,7 @@
     SET_EVACUATION,
     document_digest,
 )
+from endivesill.fleet.sync_client import SYNC_PATH
 from tests.control_cluster import ClusterTestCase
 from tests.fleet_cluster import FleetCluster
 from tests.forwarding_fakes import engine
@@ -78,6 +79,71 @@
         self.assertNotIn("e1@1", one.view.remote_loads)
 
 
+class DepartureTest(SyncTestCase):
+    async def announce(self, cluster, entry):
+        entry.departures = ["e1@1"]
+        await cluster.run(entry.sync_client.report_departures())
+        await cluster.timer.advance(0.05)
+
+    async def test_a_departure_that_one_entry_saw_reaches_the_others_at_once(self):
+        cluster = await self.cluster(entries=3)
+        await self.announce(cluster, cluster.entries[0])
+        for entry in cluster.entries:
+            self.assertTrue(entry.view.engines["e1@1"].is_draining)
+
+    async def test_a_departure_holds_while_the_list_says_ready(self):
+        cluster = await self.cluster(entries=2)
+        await self.announce(cluster, cluster.entries[0])
+        cluster.list.engines = [engine("e1"), engine("e2")]
+        await cluster.timer.advance(3.0)
+        engines = cluster.entries[1].view.engines
+        self.assertTrue(engines["e1@1"].is_draining)
+        self.assertFalse(engines["e2@1"].is_draining)
+
+    async def test_a_new_leader_learns_of_departures_from_the_entries(self):
+        cluster = await self.cluster(entries=2)
+        await self.announce(cluster, cluster.entries[0])
+        await cluster.crash(cluster.address_of(await cluster.leader()))
+        await cluster.leader()
+        await cluster.timer.advance(APPLY_BOUND_S)
+        self.assertTrue(cluster.entries[1].view.engines["e1@1"].is_draining)
+
+
+class FleetSizeTest(SyncTestCase):
+    """Hundreds of entries at one leader."""
+
+    async def test_polls_and_bytes_of_entries_at_rest_are_bounded(self):
+        cluster = await self.cluster(entries=200)
+        await cluster.timer.advance(4.0)
+        messages, size_bytes = cluster.network.messages, cluster.network.bytes
+        await cluster.timer.advance(5.0)
+        exchanges_per_s = (cluster.network.messages - messages) / 2 / 5.0
+        self.assertLess(exchanges_per_s, 300)
+        self.assertLess((cluster.network.bytes - size_bytes) / 5.0, 100_000)
+
+    async def test_a_change_reaches_all_entries_at_once(self):
+        cluster = await self.cluster(entries=200)
+        await cluster.timer.advance(4.0)
+        await self.replace(cluster, 7)
+        cluster.list.engines = [engine("e1"), engine("e2")]
+        await cluster.timer.advance(0.5)
+        self.assertEqual({7}, {entry.view.version for entry in cluster.entries})
+        self.assertEqual({2}, {len(entry.view.engines) for entry in cluster.entries})
+
+    async def test_entries_of_an_earlier_version_get_the_load_of_the_others(self):
+        cluster = await self.cluster(entries=2)
+        cluster.entries[0].loads = {"e1@1": EngineLoad(2, 100, 50)}
+        await cluster.timer.advance(1.0)
+        leader = cluster.address_of(await cluster.leader())
+        message = cluster.entries[1].sync_client._sync_request()
+        for name in ("loads_stamp", "controls", "wait_s", "departures"):
+            del message[name]
+        transport = cluster.network.transport("old")
+        reply = await cluster.run(transport.call(leader, SYNC_PATH, message, 1.0))
+        self.assertEqual({"e1@1": [2, 100, 50]}, reply["loads"])
+        self.assertIn("controls", reply)
+
+
 class LeaderLossTest(SyncTestCase):
     async def test_entries_follow_a_new_leader_in_time(self):
         cluster = await self.cluster(entries=3)
