Leave engines alone that announce their departure or ask for a pause

Cause: an engine says in any response that it leaves, while list, reports and checks lag by up to a second; and it may reject a request with the time for which it wants none. Entries read neither, so they kept sending. Change: the adapter decodes both from each response, also from skipped ones, refusals, streams, orders, reports and checks. A departure holds for the incarnation's life at the entry that saw it, goes to the leader at once, and from there to all entries. A pause is held exactly by that VM for requests, resumes, copies and the leader's polls, and the leader is told not to choose the engine; when all engines of a service are paused for longer than a caller can wait, it is refused at once with the end of the first pause. A placement whose caller was cancelled is released, a shorter ejection no longer ends a longer one, overdue responses are counted anew after an ejection, and outcomes of a resumed stream go to the engine that had the run.

--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -144,6 +144,7 @@
                 on_started=call.note_sent,
                 is_own_response=lambda head: self._is_response_to(call, target, head),
                 max_foreign_responses=MAX_SKIPPED_RESPONSES,
+                on_head=lambda head: self._note_announcements(target, head),
                 no_body=call.exchange.method == "HEAD",
             )
         except SendError as error:
@@ -156,6 +157,14 @@
             raise AttemptError(failure, str(response.status))
         return Attempt(target, connection, head, response)
 
+    def _note_announcements(self, target: Target, head: ResponseHead) -> None:
+        """Record what a target announces in any response, also in a skipped one."""
+        response = self._protocol.decode_response(head)
+        if not response.wrong_target:
+            self._table.note_announcements(
+                target, is_leaving=response.is_leaving, pause_s=response.pause_s
+            )
+
     def _encode(
         self,
         call: Call,
--- a/endivesill/forwarding/health.py
+++ b/endivesill/forwarding/health.py
@@ -74,6 +74,7 @@
         ejection_s = min(MAX_EJECTION_S, BASE_EJECTION_S * 2**self._ejections)
         self._ejections += 1
         self.responses = 0
+        self.overdue = 0
         self._on_probation = True
         return ejection_s
 
--- a/endivesill/forwarding/placement_service.py
+++ b/endivesill/forwarding/placement_service.py
@@ -204,7 +204,7 @@
     def _record_placement(self, request: PlacementRequest, target: Target) -> None:
         """Record a grant and its backup in the load of the requesting entry."""
         demand = request.demand
-        targets = self._table.candidates(request.service.name, ())
+        targets = self._table.candidates(request.service.name, request.excluded)
         is_congested = self._admission.is_congested(request.service.name)
         backup = choose_backup(
             targets, request.service, demand, target, is_congested=is_congested
@@ -230,7 +230,7 @@
         source = self._table.find_all([message["holder"]])
         destination = None
         if source:
-            targets = self._table.candidates(request.service.name, ())
+            targets = self._table.candidates(request.service.name, request.excluded)
             destination = choose_destination(
                 targets, request.service, request.demand, source[0]
             )
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -96,7 +96,7 @@
         """
         started_s = self._timer.now_s()
         try:
-            if call.service.model_engine is not None:
+            if self._is_placed_by_leader(call):
                 placement = await self._request_placement(call)
                 if placement is not None:
                     return placement
@@ -104,6 +104,14 @@
         finally:
             call.waited_s += self._timer.now_s() - started_s
 
+    def _is_placed_by_leader(self, call: Call) -> bool:
+        """Return whether the leader may find a target; it knows no pauses."""
+        service = call.service
+        return (
+            service.model_engine is not None
+            and self._table.pause_end_s(service.name) is None
+        )
+
     async def _place_locally(self, call: Call) -> Placement:
         request = PlacementRequest(
             call.service,
@@ -188,7 +196,7 @@
             "organisation": call.organisation,
             "patience_s": max_wait_s,
             "return_patience_s": self._refused_max_wait_s(call),
-            "excluded": [target.info.incarnation for target in call.excluded],
+            "excluded": self._excluded(call),
             "holder": source,
         }
         longest_s = max(max_wait_s, message["return_patience_s"])
@@ -201,6 +209,11 @@
             self._sync_client.note_grant(reply["number"])
         return reply
 
+    def _excluded(self, call: Call) -> list[str]:
+        """Return the incarnations that the leader must not choose."""
+        tried = [target.info.incarnation for target in call.excluded]
+        return tried + self._table.withheld(call.service.name)
+
     async def _call_leader(
         self, leader: str, message: Message, timeout_s: float
     ) -> Message | None:
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -75,11 +75,16 @@
       status: the HTTP status.
       not_run: whether the engine states that it did not run the request.
       wrong_target: whether another target answered at the address.
+      is_leaving: whether the engine says that it is about to leave.
+      pause_s: how long the engine wants no requests from this VM; None for no pause,
+        NaN if it asks for one that cannot be read.
     """
 
     status: int
     not_run: bool
     wrong_target: bool
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class EngineProtocol(Protocol):
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -13,8 +13,8 @@
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.events import RUN_COPIED
 from endivesill.forwarding.protocol import EngineProtocol
-from endivesill.forwarding.targets import Target
-from endivesill.http1 import ConnectionPool, UpstreamError
+from endivesill.forwarding.targets import Target, TargetTable
+from endivesill.http1 import ConnectionPool, ResponseHead, UpstreamError
 from endivesill.timer import TimerService
 
 __all__ = ["CopyRefusedError", "RunCopy", "RunCopier"]
@@ -38,14 +38,20 @@
     Args:
       timer: the timer service.
       pool: connections to targets.
+      table: the targets; records what engines announce.
       protocol: encodes and decodes the orders.
     """
 
     def __init__(
-        self, timer: TimerService, pool: ConnectionPool, protocol: EngineProtocol
+        self,
+        timer: TimerService,
+        pool: ConnectionPool,
+        table: TargetTable,
+        protocol: EngineProtocol,
     ) -> None:
         self.timer = timer
         self._pool = pool
+        self._table = table
         self._protocol = protocol
 
     async def copy(self, call: Call, source: Target, destination: Target) -> str:
@@ -79,10 +85,20 @@
     async def _exchange(
         self, source: Target, order: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
-        try:
-            head, body = await self.timer.wait_for(
-                self._pool.exchange(source.info.address, order), timeout_s
+        if self._table.notices.is_paused(source.info):
+            raise CopyRefusedError("the engine wants no requests now")
+
+        def note_announcements(head: ResponseHead) -> None:
+            response = self._protocol.decode_response(head)
+            self._table.note_announcements(
+                source, is_leaving=response.is_leaving, pause_s=response.pause_s
             )
+
+        exchange = self._pool.exchange(
+            source.info.address, order, on_head=note_announcements
+        )
+        try:
+            head, body = await self.timer.wait_for(exchange, timeout_s)
         except (UpstreamError, errors.DeadlineExceededError) as error:
             raise CopyRefusedError(str(error)) from None
         return head.status, body
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -75,6 +75,7 @@
       first_event_s: when the first one was sent.
       longest_gap_s: longest time between two.
       resumes: how often the stream was resumed.
+      target: the engine of the newest run.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self.first_event_s = 0.0
         self.longest_gap_s = 0.0
         self.resumes = 0
+        self.target: Target | None = None
         self._last_event_s = 0.0
 
     async def run(self, placement: Placement) -> Attempt | None:
@@ -140,6 +142,7 @@
             self._run = run
 
     async def _send(self, run: _Run, resume_from: str) -> Attempt:
+        self.target = run.target
         last_event_id = str(self._last_event_id or 0) if resume_from else ""
         run.attempt = await self._sender.send(
             self._call,
@@ -197,6 +200,9 @@
         if target is None or not_run or self.resumes >= MAX_RESUMES:
             raise StreamBrokenError(str(error)) from None
         self.resumes += 1
+        if not run.is_moving and self._table.accepts_requests(run.target):
+            # An engine that leaves ends its runs; one that stays has failed.
+            self._table.note_outcome(run.target, succeeded=False)
         events.emit(
             STREAM_RESUMED,
             request_id=call.info.attempt_id,
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Callable, Container, Iterable
 
-import attrs
-
 from endivesill import events
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import EngineInfo
+from endivesill.fleet.notices import EngineNotices
 from endivesill.fleet.reports import EngineReport
 from endivesill.fleet.sync_client import FleetView
 from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
 from endivesill.forwarding.health import HealthRecord
+from endivesill.forwarding.target import NO_LOAD, ResourceDemand, Target
 from endivesill.timer import TimerService
 
 __all__ = ["ResourceDemand", "Target", "TargetTable"]
@@ -30,123 +29,6 @@
 COLD_WINDOW_S = 1.1
 
 
-# Largest age of an engine's report when it is read.
-REPORT_LAG_S = 0.6
-# Upper bound of the placements at a target between two reports.
-MAX_RECENT_PLACEMENTS = 64
-
-NO_LOAD = EngineLoad()
-
-
-@attrs.frozen
-class ResourceDemand:
-    """Resources that a request takes at a target.
-
-    Attributes:
-      prompt_tokens: prompt tokens to prefill; 0 for a plain request.
-      memory_tokens: KV cache for the prompt and the expected output.
-    """
-
-    prompt_tokens: int = 0
-    memory_tokens: int = 0
-
-
-@attrs.define(eq=False)
-class Target:
-    """One incarnation of an engine or plain service.
-
-    Attributes:
-      info: its entry in the platform's list.
-      health: outcomes of this entry's requests.
-      requests: this entry's requests in flight.
-      reserved_tokens: KV cache reserved for them and for copies of runs.
-      prefill_tokens: prompt tokens of those without a first event.
-      remote_load: load of the other entries, as last reported.
-      draining_since_s: when this process learnt that it drains; None before.
-      ejected_until_s: end of its ejection.
-      listed: whether the platform's list has it.
-      report: its last load report; None without one.
-      refused_connections: consecutive connection failures.
-      is_replaced: whether another target answers at its address.
-      send_times_s: when this process recently sent it requests.
-      recent_placements: time and reserved KV cache of its recent placements.
-    """
-
-    info: EngineInfo
-    health: HealthRecord
-    requests: int = 0
-    reserved_tokens: int = 0
-    prefill_tokens: int = 0
-    remote_load: EngineLoad = NO_LOAD
-    draining_since_s: float | None = None
-    ejected_until_s: float = 0.0
-    listed: bool = True
-    report: EngineReport | None = None
-    refused_connections: int = 0
-    is_replaced: bool = False
-    send_times_s: collections.deque[float] = attrs.Factory(collections.deque)
-    recent_placements: collections.deque[tuple[float, int]] = attrs.Factory(
-        lambda: collections.deque(maxlen=MAX_RECENT_PLACEMENTS)
-    )
-
-    @property
-    def total_requests(self) -> int:
-        """Requests in flight from all entries."""
-        return self.requests + self.remote_load.requests
-
-    @property
-    def total_reserved_tokens(self) -> int:
-        """KV cache reserved by all entries, or in use if that is more."""
-        reserved = self.reserved_tokens + self.remote_load.reserved_tokens
-        if self.report is None:
-            return reserved
-        # The report lacks the placements made since it was taken.
-        as_of_s = self.report.read_s - REPORT_LAG_S
-        since = sum(
-            tokens for time_s, tokens in self.recent_placements if time_s > as_of_s
-        )
-        return max(reserved, self.report.used_tokens + since)
-
-    @property
-    def total_prefill_tokens(self) -> int:
-        """Prompt tokens without a first event from all entries."""
-        return self.prefill_tokens + self.remote_load.prefill_tokens
-
-    def reserve(self, demand: ResourceDemand) -> None:
-        """Count a request as in flight."""
-        self.requests += 1
-        self.reserved_tokens += demand.memory_tokens
-        self.prefill_tokens += demand.prompt_tokens
-
-    def note_prefill_done(self, demand: ResourceDemand) -> None:
-        """Count the prompt of a request as prefilled."""
-        self.prefill_tokens -= demand.prompt_tokens
-
-    def release(self, demand: ResourceDemand, *, prefill_done: bool = False) -> None:
-        """Undo `reserve` when a request has ended.
-
-        Args:
-          demand: what was reserved.
-          prefill_done: whether `note_prefill_done` was called for it.
-        """
-        self.requests -= 1
-        self.reserved_tokens -= demand.memory_tokens
-        if not prefill_done:
-            self.prefill_tokens -= demand.prompt_tokens
-
-    def reserve_copy(self, demand: ResourceDemand) -> None:
-        """Reserve KV cache for a copy of a run."""
-        self.reserved_tokens += demand.memory_tokens
-
-    def release_copy(self, demand: ResourceDemand) -> None:
-        """Undo `reserve_copy`."""
-        self.reserved_tokens -= demand.memory_tokens
-
-    def load(self) -> EngineLoad:
-        """Return this entry's own load."""
-        return EngineLoad(self.requests, self.reserved_tokens, self.prefill_tokens)
-
-
 class TargetTable:
     """The targets of the platform's list.
 
@@ -157,6 +39,8 @@
 
     Attributes:
       watchers: called by `notify`.
+      notices: what the engines have announced to this process.
+      on_leaving: called with an engine whose notice of departure is news.
     """
 
     def __init__(self, timer: TimerService, view: FleetView, data_centre: str) -> None:
@@ -166,6 +50,8 @@
         self._targets: dict[str, Target] = {}
         self._by_service: dict[str, list[Target]] = {}
         self.watchers: set[Callable[[], None]] = set()
+        self.notices = EngineNotices(timer)
+        self.on_leaving: Callable[[EngineInfo], None] = lambda engine: None
 
     def notify(self) -> None:
         """Call the watchers; done after a change of the targets and periodically."""
@@ -182,13 +68,14 @@
                 target.is_replaced = False
             target.info = info
             target.listed = True
-            if not info.is_draining:
+            if not info.is_draining and not self.notices.is_leaving(incarnation):
                 target.draining_since_s = None
             elif target.draining_since_s is None:
                 target.draining_since_s = self._timer.now_s()
         for incarnation in [key for key, t in self._targets.items() if not t.listed]:
             if not self._targets[incarnation].requests:
                 del self._targets[incarnation]
+        self.notices.retain(self._targets)
         self._by_service = {}
         for target in self._targets.values():
             if target.listed:
@@ -215,7 +102,9 @@
         for incarnation, target in self._targets.items():
             target.report = report_of(incarnation)
             if incarnation in unresponsive:
-                target.ejected_until_s = now_s + CONNECT_EJECTION_S
+                target.unreachable_until_s = max(
+                    target.unreachable_until_s, now_s + CONNECT_EJECTION_S
+                )
 
     def get_or_add(self, info: EngineInfo) -> Target:
         """Return an engine's target, adding it if the local list lacks it."""
@@ -243,14 +132,59 @@
 
     def accepts_requests(self, target: Target) -> bool:
         """Return whether new requests may be sent to a target, ejected or not."""
+        return self._stays(target) and not self.notices.is_paused(target.info)
+
+    def _stays(self, target: Target) -> bool:
+        """Return whether a target accepts requests, now or after a pause."""
         info = target.info
         return (
             target.listed
             and not target.is_replaced
             and not info.is_draining
+            and not self.notices.is_leaving(info.incarnation)
             and info.data_centre not in self._view.evacuated
         )
 
+    def note_announcements(
+        self, target: Target, *, is_leaving: bool, pause_s: float | None
+    ) -> None:
+        """Record what a target has announced in a response."""
+        if is_leaving and self.notices.note_leaving(target.info, "response"):
+            if target.draining_since_s is None:
+                target.draining_since_s = self._timer.now_s()
+            self.on_leaving(target.info)
+            self.notify()
+        if pause_s is not None:
+            self.notices.note_pause(target.info, pause_s)
+
+    def unlisted_departures(self) -> list[str]:
+        """Return the leaving incarnations that the list does not show as leaving."""
+        return [
+            incarnation
+            for incarnation, info in self._view.engines.items()
+            if not info.is_draining and self.notices.is_leaving(incarnation)
+        ]
+
+    def withheld(self, service: str) -> list[str]:
+        """Return the incarnations of a service that this process may not use now."""
+        return [
+            target.info.incarnation
+            for target in self._by_service.get(service, [])
+            if self.notices.is_paused(target.info)
+            or self.notices.is_leaving(target.info.incarnation)
+        ]
+
+    def pause_end_s(self, service: str) -> float | None:
+        """Return when the first target of a service accepts requests again.
+
+        Returns:
+          None unless the service has targets and all of them are paused.
+        """
+        staying = [t for t in self._by_service.get(service, []) if self._stays(t)]
+        if not staying or not all(self.notices.is_paused(t.info) for t in staying):
+            return None
+        return min(self.notices.pause_end_s(t.info) for t in staying)
+
     def candidates(self, service: str, excluded: Iterable[Target]) -> list[Target]:
         """Return the targets of a service that a request may be placed at.
 
@@ -268,11 +202,16 @@
 
     def metric_lines(self) -> list[str]:
         """Return the number of targets in each state as metric lines."""
-        counts = dict.fromkeys(("ready", "evacuated", "draining", "resting"), 0)
+        states = ("ready", "evacuated", "draining", "resting", "paused")
+        counts = dict.fromkeys(states, 0)
         now_s = self._timer.now_s()
         for target in self._targets.values():
-            if target.info.is_draining or not target.listed:
+            incarnation = target.info.incarnation
+            is_leaving = target.info.is_draining or self.notices.is_leaving(incarnation)
+            if is_leaving or not target.listed:
                 counts["draining"] += 1
+            elif self.notices.is_paused(target.info):
+                counts["paused"] += 1
             elif not self.accepts_requests(target):
                 counts["evacuated"] += 1
             else:
@@ -283,8 +222,8 @@
         ]
 
     def has_targets(self, service: str) -> bool:
-        """Return whether any target of a service accepts requests."""
-        return any(map(self.accepts_requests, self._by_service.get(service, [])))
+        """Return whether a target of a service accepts requests, if after a pause."""
+        return any(map(self._stays, self._by_service.get(service, [])))
 
     # Rate limits.
 
@@ -315,13 +254,21 @@
     # Health.
 
     def eject(self, target: Target, duration_s: float, reason: str) -> None:
-        """Eject a target for a time, unless too many are ejected already."""
+        """Eject an outlier for a time, unless too many targets are ejected already."""
+        if self._may_eject(target):
+            until_s = self._timer.now_s() + duration_s
+            target.outlier_until_s = max(target.outlier_until_s, until_s)
+            self._log_ejection(target, duration_s, reason)
+
+    def _may_eject(self, target: Target) -> bool:
         now_s = self._timer.now_s()
         peers = self._by_service.get(target.info.service, [])
         ejected = sum(t.ejected_until_s > now_s for t in peers if t is not target)
-        if ejected + 1 > MAX_EJECTED_FRACTION * len(peers):
-            return
-        target.ejected_until_s = now_s + duration_s
+        return ejected + 1 <= MAX_EJECTED_FRACTION * len(peers)
+
+    def _log_ejection(
+        self, target: Target, duration_s: float | None, reason: str
+    ) -> None:
         events.emit(
             TARGET_EJECTED,
             target=target.info.identity,
@@ -333,19 +280,16 @@
     def note_replaced(self, target: Target) -> None:
         """Stop using a target whose address now belongs to another one."""
         target.is_replaced = True
-        events.emit(
-            TARGET_EJECTED,
-            target=target.info.identity,
-            service=target.info.service,
-            duration_s=None,
-            reason="another target has its address",
-        )
+        self._log_ejection(target, None, "another target has its address")
 
     def note_no_connection(self, target: Target, reason: str) -> None:
         """Eject a target that cannot be connected to."""
         ejection_s = CONNECT_EJECTION_S * 2**target.refused_connections
         target.refused_connections += 1
-        self.eject(target, min(ejection_s, MAX_CONNECT_EJECTION_S), reason)
+        if self._may_eject(target):
+            ejection_s = min(ejection_s, MAX_CONNECT_EJECTION_S)
+            target.unreachable_until_s = self._timer.now_s() + ejection_s
+            self._log_ejection(target, ejection_s, reason)
 
     def note_overdue(self, target: Target) -> None:
         """Count an overdue response; eject the target after several in a row."""
@@ -356,6 +300,7 @@
     def note_outcome(self, target: Target, *, succeeded: bool) -> None:
         """Count a response; eject the target if it is an outlier among its peers."""
         target.refused_connections = 0
+        target.unreachable_until_s = 0.0
         target.health.record_response(succeeded=succeeded)
         peers = [
             t.health
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -77,6 +77,10 @@
         return min(MAX_COST_S, engine_time_s(self.service, self.demand))
 
 
+def keep_placement(request: PlacementRequest, target: Target) -> None:
+    """Keep an abandoned placement; the default where its load expires by itself."""
+
+
 @attrs.define(eq=False)
 class _Waiter:
     request: PlacementRequest
@@ -94,6 +98,8 @@
       on_placed: called with the request and the target of each placement.
       random_source: breaks ties between targets.
       new_queue: creates the queue of a service.
+      on_abandoned: called with the request and the target of a placement whose caller
+        was cancelled before it got it.
     """
 
     def __init__(
@@ -104,8 +110,10 @@
         on_placed: Callable[[PlacementRequest, Target], None],
         random_source: random.Random,
         new_queue: Callable[[], FairQueue[Any]] = FairQueue,
+        on_abandoned: Callable[[PlacementRequest, Target], None] = keep_placement,
     ) -> None:
         self._new_queue = new_queue
+        self._on_abandoned = on_abandoned
         self._timer = timer
         self._table = table
         self._cold_allowance = cold_allowance
@@ -113,6 +121,8 @@
         self._random = random_source
         self._queues: dict[str, FairQueue[_Waiter]] = {}
         self._last_queued_s: dict[str, float] = {}
+        # Since when a service has had no target, by its name.
+        self._no_target_since_s: dict[str, float] = {}
 
     def is_congested(self, service: str) -> bool:
         """Return whether requests to a service were queued recently."""
@@ -158,9 +168,12 @@
             if target is not None:
                 queue.note_served(sort_key[1])
                 return target
+        self._refuse_if_paused(request)
         max_wait_s = request.wait_until_s - self._timer.now_s()
-        if not self._table.has_targets(service):
-            max_wait_s = min(max_wait_s, NO_TARGET_WAIT_S)
+        no_target_wait_s = self._no_target_wait_s(service)
+        if no_target_wait_s <= 0:
+            raise NoRoomError("no target")
+        max_wait_s = min(max_wait_s, no_target_wait_s)
         if max_wait_s <= 0:
             raise NoRoomError("no room in time")
         count = len(self._table.candidates(service, ()))
@@ -175,11 +188,35 @@
             if waiter.future.done():
                 return waiter.future.result()
             raise NoRoomError("waited in vain") from None
+        except asyncio.CancelledError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                self._on_abandoned(request, waiter.future.result())
+            raise
         finally:
             if not waiter.future.done():
                 waiter.future.cancel()
             queue.remove(item)
 
+    def _no_target_wait_s(self, service: str) -> float:
+        """Return how long to wait for the first target; infinite if there is one.
+
+        When all targets of a service have left or are evacuated, the first requests
+        wait for a change of the list that is on its way, and later ones are refused at
+        once.
+        """
+        if self._table.has_targets(service):
+            self._no_target_since_s.pop(service, None)
+            return float("inf")
+        now_s = self._timer.now_s()
+        since_s = self._no_target_since_s.setdefault(service, now_s)
+        return NO_TARGET_WAIT_S - (now_s - since_s)
+
+    def _refuse_if_paused(self, request: PlacementRequest) -> None:
+        """Refuse a request if all targets want none for longer than it can wait."""
+        pause_end_s = self._table.pause_end_s(request.service.name)
+        if pause_end_s is not None and pause_end_s > request.wait_until_s:
+            raise NoRoomError("all targets paused", pause_end_s - self._timer.now_s())
+
     def admit_waiting(self) -> None:
         """Place queued requests in order until no target has capacity."""
         for queue in self._queues.values():
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import math
+import re
 
 import attrs
 
@@ -14,9 +16,16 @@
 from endivesill.platform import wire
 from endivesill.platform.decode import Reader
 
-__all__ = ["ListPage", "PlatformProtocol", "decode_list_page"]
+__all__ = [
+    "ListPage",
+    "PlatformProtocol",
+    "decode_leaving",
+    "decode_list_page",
+    "decode_pause_s",
+]
 
 MS_PER_S = 1_000.0
+SECONDS_PATTERN = re.compile(rb"-?[0-9]{1,18}(\.[0-9]{0,18})?")
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -82,6 +91,24 @@
     return [int(part) for part in parts] if all(p.isdigit() for p in parts) else []
 
 
+def decode_leaving(head: ResponseHead) -> bool:
+    """Return whether a response says that its engine is about to leave."""
+    return head.header(wire.SERVER_LEAVING).strip() not in (b"", b"0")
+
+
+def decode_pause_s(head: ResponseHead) -> float | None:
+    """Return the pause that an engine asks for with a 503; None without one.
+
+    A value that is no number of seconds, such as a date, gives NaN.
+    """
+    value = head.header(wire.RETRY_AFTER).strip()
+    if head.status != 503 or not value:
+        return None
+    if not SECONDS_PATTERN.fullmatch(value):
+        return math.nan
+    return float(value)
+
+
 class PlatformProtocol:
     """Encodes and decodes the platform's request and response headers."""
 
@@ -127,6 +154,8 @@
             status=status,
             not_run=status == 421 or bool(head.header(wire.NOT_EXECUTED)),
             wrong_target=status == 421,
+            is_leaving=decode_leaving(head),
+            pause_s=decode_pause_s(head),
         )
 
     def encode_copy_order(
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import random
 from typing import Any
@@ -9,7 +10,7 @@
 from endivesill import errors, events
 from endivesill.fleet.events import CONFIGURATION_IN_FORCE
 from endivesill.fleet.load import EngineLoad
-from endivesill.fleet.model import Service
+from endivesill.fleet.model import EngineInfo, Service
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.forwarder import Forwarder
@@ -76,15 +77,18 @@
             settings.seed_peers,
             self._own_loads,
             self._apply_updates,
+            lambda: self._table.unlisted_departures(),
         )
         view = self._sync_client.view
         self._table = TargetTable(timer, view, settings.data_centre)
+        self._table.on_leaving = self._report_departure
         self._admission = AdmissionQueue(
             timer,
             self._table,
             self._cold_allowance,
             lambda request, target: target.reserve(request.demand),
             random_source,
+            on_abandoned=lambda request, target: target.release(request.demand),
         )
         placer = Placer(
             timer, self._table, self._admission, self._sync_client, transport
@@ -161,6 +165,9 @@
     def _own_loads(self) -> dict[str, EngineLoad]:
         return self._table.own_loads()
 
+    def _report_departure(self, engine: EngineInfo) -> None:
+        asyncio.ensure_future(self._sync_client.report_departures())
+
     def _cold_allowance(self, service: Service) -> float:
         bounds = self._settings.bounds
         share = self._sync_client.view.lease.share_at(self._timer.now_s())
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/platform/leader_placement.py
@@ -13,9 +13,11 @@
 from endivesill.fleet.sync_service import FleetSyncService
 from endivesill.forwarding.placement_service import PLACE_PATH, PlacementService
 from endivesill.forwarding.targets import TargetTable
+from endivesill.http1 import ResponseHead
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.configuration import decode_configuration
+from endivesill.platform.engines import decode_leaving, decode_pause_s
 from endivesill.platform.health import PlatformHealth
 from endivesill.platform.reports import PlatformReports
 from endivesill.platform.settings import NodeSettings
@@ -69,12 +71,15 @@
         transport.handle(PLACE_PATH, self._placement.handle)
         transport.cancel_on_disconnect(PLACE_PATH)
         sync_service.on_change(self._update)
+        sync_service.on_loads(self._admit_waiting)
         self._reports = EngineReports(
-            timer, PlatformReports(timer, client), self._model_engines
+            timer,
+            PlatformReports(timer, client, self._note_response),
+            self._model_engines,
         )
         self._departures = DepartureDetector(
             timer,
-            PlatformHealth(client, self._health_path),
+            PlatformHealth(client, self._health_path, self._note_response),
             self._model_engines,
             sync_service.apply_departures,
         )
@@ -100,6 +105,15 @@
     def _leaving(self) -> frozenset[str]:
         return self._reports.leaving() | self._departures.leaving()
 
+    def _note_response(self, engine: EngineInfo, head: ResponseHead) -> None:
+        """Record what an engine announces in its response to a poll."""
+        notices = self._sync_service.reader.notices
+        if decode_leaving(head) and not notices.is_leaving(engine.incarnation):
+            self._sync_service.note_departures([engine.incarnation], "poll")
+        pause_s = decode_pause_s(head)
+        if pause_s is not None:
+            notices.note_pause(engine, pause_s)
+
     def _health_path(self, service: str) -> str:
         return self._services[service].health_path
 
@@ -109,7 +123,12 @@
         model_services = {
             name for name, s in self._services.items() if s.model_engine is not None
         }
-        return [e for e in self._view.engines.values() if e.service in model_services]
+        is_paused = self._sync_service.reader.notices.is_paused
+        return [
+            engine
+            for engine in self._view.engines.values()
+            if engine.service in model_services and not is_paused(engine)
+        ]
 
     def _update_placement(self) -> None:
         if self._sync_service.leads():
@@ -118,6 +137,11 @@
             )
             self._placement.update()
 
+    def _admit_waiting(self) -> None:
+        """Place queued requests after a load report; without any, nothing is due."""
+        if self._placement.queue_length():
+            self._placement.update()
+
     def _update(self) -> None:
         if not self._sync_service.leads():
             return
--- a/endivesill/platform/metrics_port.py
+++ b/endivesill/platform/metrics_port.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from endivesill.http1 import Exchange, HttpListener
+from endivesill.http1 import Exchange, HttpListener, bounds_exceeded
 from endivesill.platform.settings import NodeSettings
 from endivesill.timer import TimerService
 
@@ -39,5 +39,14 @@
         await self._listener.start()
 
     async def _handle(self, exchange: Exchange) -> None:
-        body = ("\n".join(self._lines()) + "\n").encode()
+        lines = [*self._lines(), *_bound_lines()]
+        body = ("\n".join(lines) + "\n").encode()
         exchange.respond(200, [(b"Content-Type", b"text/plain")], body)
+
+
+def _bound_lines() -> list[str]:
+    """Return how many peers exceeded each bound on responses, as metric lines."""
+    return [
+        f'endivesill_response_bounds_exceeded_total{{bound="{bound}"}} {count}'
+        for bound, count in sorted(bounds_exceeded.items())
+    ]
--- a/endivesill/platform/reports.py
+++ b/endivesill/platform/reports.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 
 from endivesill import errors
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.reports import REPORT_TIMEOUT_S, EngineReport, ReportSource
+from endivesill.http1 import ResponseHead
 from endivesill.platform import wire
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.decode import Reader
@@ -40,17 +42,27 @@
     Args:
       timer: the timer service.
       client: sends the calls.
+      on_response: called with the engine and the head of each response.
     """
 
-    def __init__(self, timer: TimerService, client: PlatformClient) -> None:
+    def __init__(
+        self,
+        timer: TimerService,
+        client: PlatformClient,
+        on_response: Callable[[EngineInfo, ResponseHead], None],
+    ) -> None:
         self._timer = timer
         self._client = client
+        self._on_response = on_response
 
     async def read(self, engine: EngineInfo) -> EngineReport:
         """Read the report of one engine; an invalid one counts as unavailable."""
-        body = await self._client.get(
+        head, body = await self._client.get_response(
             engine.address, wire.REPORT_PATH, REPORT_TIMEOUT_S
         )
+        self._on_response(engine, head)
+        if head.status != 200:
+            raise errors.UnavailableError(f"{engine.address}: status {head.status}")
         try:
             return decode_report(body, self._timer.now_s())
         except errors.DocumentError as error:
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -29,7 +29,10 @@
 HOLD = b"x-endivesill-hold"
 PIN_DURATION = b"x-endivesill-pin-duration"
 LAST_EVENT_ID = b"last-event-id"
+# In a 503 of an engine: seconds for which it wants no request from this VM.
 RETRY_AFTER = b"retry-after"
+# In any response of an engine: present if it is about to leave.
+SERVER_LEAVING = b"server-leaving"
 # In the response to a health check: identity of the responding engine.
 INSTANCE_ID = b"x-endivesill-instance-id"
 
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -22,6 +22,7 @@
       rejects: whether requests are rejected as not run.
       sends_foreign_response: whether a response to another request comes first.
       omits_length: whether plain responses end with the connection.
+      response_headers: further headers of all responses to requests and copy orders.
       is_hanging: whether requests are never answered.
       requests: requests received, as (method, target, headers by lower-case name,
         body).
@@ -40,6 +41,7 @@
         self.rejects = False
         self.sends_foreign_response = False
         self.omits_length = False
+        self.response_headers: list[tuple[bytes, bytes]] = []
         self.is_hanging = False
         self.requests: list[tuple[str, bytes, dict[bytes, bytes], bytes]] = []
         self.copies: set[str] = set()
@@ -62,7 +64,7 @@
         headers = {name.lower(): value for name, value in exchange.headers}
         if exchange.target == b"/kv-move":
             self.copy_orders.append(json.loads(exchange.body))
-            exchange.respond(200, [], b'{"handle":"h1","made":1}')
+            exchange.respond(200, self.response_headers, b'{"handle":"h1","made":1}')
             return
         if exchange.target.startswith(b"/kv-handle/"):
             self.copy_releases.append(exchange.target)
@@ -77,7 +79,8 @@
         if expected and expected != self.identity.encode():
             exchange.respond(421, [attempt])
         elif self.rejects:
-            exchange.respond(503, [attempt, (b"X-Endivesill-Not-Executed", b"1")])
+            refused = (b"X-Endivesill-Not-Executed", b"1")
+            exchange.respond(503, [attempt, refused, *self.response_headers])
         elif self.is_hanging:
             await exchange.disconnected.wait()
             self.cancelled_requests += 1
@@ -101,7 +104,7 @@
             )
             exchange.closes_connection = exchange.finished = True
             return
-        exchange.respond(status, [attempt, SEAL], body)
+        exchange.respond(status, [attempt, SEAL, *self.response_headers], body)
 
     async def _respond_stream(self, exchange: Exchange, headers, attempt) -> None:
         first = 1
@@ -112,7 +115,8 @@
                 exchange.respond(503, [attempt, refused])
                 return
             first = int(headers[b"last-event-id"]) + 1
-        exchange.start(200, [attempt, SEAL, (b"Content-Type", b"text/event-stream")])
+        content_type = (b"Content-Type", b"text/event-stream")
+        exchange.start(200, [attempt, SEAL, content_type, *self.response_headers])
         for number in range(first, self.events + 1):
             if self.break_after is not None and number > self.break_after:
                 exchange.send(b"id: %d\ndata: ha" % number)
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -1,6 +1,10 @@
 """Tests of forwarding and retrying plain requests."""
 
-from tests.forwarding_case import ForwardingTestCase, request
+import asyncio
+
+from endivesill.forwarding.run_copy import CopyRefusedError, RunCopier
+from endivesill.platform.engines import PlatformProtocol
+from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 
 
 class ForwardTest(ForwardingTestCase):
@@ -64,6 +68,26 @@
         self.assertEqual(503, head.status)
         self.assertTrue(head.header(b"retry-after"))
 
+    async def test_requests_wait_for_the_first_configuration(self):
+        """All VMs have restarted; the first configuration follows an election."""
+        await self.add_engines("app", "p1")
+        routes, self.forwarder.routes = self.forwarder.routes, None
+        waiting = [
+            asyncio.ensure_future(self.send_request("/unsafe/x")) for _ in range(3)
+        ]
+        await asyncio.sleep(0.05)
+        self.assertFalse(any(task.done() for task in waiting))
+        self.forwarder.routes = routes
+        heads = [head.status for head, _ in await asyncio.gather(*waiting)]
+        self.assertEqual([200, 200, 200], heads)
+
+    async def test_a_request_without_a_configuration_is_refused_in_time(self):
+        self.forwarder.routes = None
+        deadline = (b"X-Endivesill-Deadline-Remaining", b"200")
+        head, _ = await self.send_request("/unsafe/x", deadline)
+        self.assertEqual(503, head.status)
+        self.assertTrue(head.header(b"retry-after"))
+
     async def test_a_response_without_a_length_is_forwarded_completely(self):
         (engine,) = await self.add_engines("app", "p1")
         engine.omits_length = True
@@ -134,6 +158,87 @@
         self.assertEqual((200, b"p1"), (head.status, body))
 
 
+class AnnouncementTest(ForwardingTestCase):
+    async def test_an_engine_that_says_it_leaves_gets_no_further_request(self):
+        leaving, _ = await self.add_engines("app", "p1", "p2")
+        reported = []
+        self.table.on_leaving = reported.append
+        leaving.response_headers = [(b"Server-Leaving", b"1")]
+        while not leaving.requests:
+            await self.send_request("/unsafe/x")
+        before = len(leaving.requests)
+        for _ in range(10):
+            head, _ = await self.send_request("/unsafe/x")
+            self.assertEqual(200, head.status)
+        self.assertEqual(before, len(leaving.requests))
+        self.assertEqual(["p1"], [engine.identity for engine in reported])
+        # The platform's list may still show it as ready.
+        self.table.update_engines()
+        await self.send_request("/unsafe/x")
+        self.assertEqual(before, len(leaving.requests))
+        self.assertEqual(["p1@1"], self.table.unlisted_departures())
+
+    async def test_a_refusal_and_a_skipped_response_announce_a_departure_too(self):
+        one, two = await self.add_engines("app", "p1", "p2")
+        one.rejects = two.sends_foreign_response = True
+        one.response_headers = [(b"Server-Leaving", b"1")]
+        two.response_headers = [(b"Server-Leaving", b"1")]
+        await self.send_request("/unsafe/x")
+        await self.send_request("/unsafe/x")
+        self.assertEqual(["p1@1", "p2@1"], sorted(self.table.notices.leaving()))
+
+    async def test_a_stream_announces_a_departure_and_continues(self):
+        (engine,) = await self.add_engines("llm", "m1")
+        engine.response_headers = [(b"Server-Leaving", b"1")]
+        head, body = await self.send_request("/stream/x", *STREAM_HEADERS)
+        self.assertEqual(200, head.status)
+        self.assertEqual(5, body.count(b"id: "))
+        head, _ = await self.send_request("/stream/x", *STREAM_HEADERS)
+        self.assertEqual((503, 1), (head.status, len(engine.requests)))
+
+    async def test_an_engine_that_asks_for_a_pause_gets_no_request_meanwhile(self):
+        paused, _ = await self.add_engines("app", "p1", "p2")
+        paused.rejects = True
+        paused.response_headers = [(b"Retry-After", b"0.4")]
+        while not paused.requests:
+            await self.send_request("/unsafe/x")
+        self.assertEqual(1, len(paused.requests))
+        paused.rejects = False
+        for _ in range(10):
+            head, _ = await self.send_request("/unsafe/x")
+            self.assertEqual(200, head.status)
+        self.assertEqual(1, len(paused.requests))
+        target = self.target("p1")
+        await self.wait_until(lambda: self.table.accepts_requests(target))
+        while len(paused.requests) == 1:
+            await self.send_request("/unsafe/x")
+
+    async def test_callers_are_refused_until_the_first_pause_ends(self):
+        engines = await self.add_engines("app", "p1", "p2")
+        for engine, pause in zip(engines, (b"60", b"9"), strict=True):
+            engine.rejects = True
+            engine.response_headers = [(b"Retry-After", pause)]
+        head, _ = await self.send_request(
+            "/unsafe/x", (b"X-Endivesill-Deadline-Remaining", b"60000")
+        )
+        self.assertEqual(503, head.status)
+        started_s = self.timer.now_s()
+        head, _ = await self.send_request("/unsafe/x")
+        self.assertEqual(503, head.status)
+        self.assertLess(self.timer.now_s() - started_s, 0.2)
+        # At most a third of the four seconds that the caller waits.
+        self.assertAlmostEqual(4 / 3, float(head.header(b"retry-after")), delta=0.1)
+        self.assertEqual([1, 1], [len(engine.requests) for engine in engines])
+
+    async def test_a_paused_engine_gets_no_orders_to_copy_runs(self):
+        (engine,) = await self.add_engines("llm", "m1")
+        self.table.note_announcements(self.target("m1"), is_leaving=False, pause_s=60.0)
+        copier = RunCopier(self.timer, self.pool, self.table, PlatformProtocol())
+        with self.assertRaises(CopyRefusedError):
+            await copier.release(self.target("m1"), "h1")
+        self.assertEqual([], engine.copy_releases)
+
+
 class LeavingTest(ForwardingTestCase):
     async def test_a_target_that_leaves_during_connection_setup_gets_no_request(self):
         one, two = await self.add_engines("app", "p1", "p2")
--- a/tests/test_forwarding_streams.py
+++ b/tests/test_forwarding_streams.py
@@ -57,6 +57,28 @@
         self.assertEqual(b"3", resumed[0][b"last-event-id"])
         self.assertEqual(b"a1", resumed[0][b"kv-from"].rpartition(b"/")[2])
 
+    async def test_outcomes_are_credited_to_the_engines_that_had_the_runs(self):
+        engines = await self.add_engines("llm", "e1", "e2")
+        for engine in engines:
+            engine.copies = {"a1"}
+            engine.break_after = 3
+
+        async def stop_breaking():
+            await self.wait_until(lambda: any(e.requests for e in engines))
+            for engine in engines:
+                if not engine.requests:
+                    engine.break_after = None
+
+        stop_breaking_task = asyncio.ensure_future(stop_breaking())
+        await self.stream()
+        await stop_breaking_task
+        failed = next(e for e in engines if e.break_after is not None)
+        rates = {
+            e.identity: self.target(e.identity).health.failure_rate for e in engines
+        }
+        self.assertGreater(rates.pop(failed.identity), 0.0)
+        self.assertEqual([0.0], list(rates.values()))
+
     async def test_a_stream_without_a_copy_is_aborted(self):
         (engine,) = await self.add_engines("llm", "e1")
         engine.break_after = 3
--- a/tests/test_forwarding_targets.py
+++ b/tests/test_forwarding_targets.py
@@ -124,6 +124,22 @@
         self.table.note_overdue(target)
         self.assertEqual(["p1"], self.ejected())
 
+    def test_an_ejection_starts_the_count_of_overdue_responses_anew(self):
+        target = self.targets[0]
+        for _ in range(2):
+            self.table.note_overdue(target)
+        until_s = target.ejected_until_s
+        self.table.note_overdue(target)
+        self.assertEqual(until_s, target.ejected_until_s)
+
+    def test_a_shorter_ejection_does_not_end_a_longer_one(self):
+        target = self.targets[0]
+        self.table.eject(target, 16.0, "fails")
+        until_s = target.ejected_until_s
+        self.table.note_no_connection(target, "refused")
+        self.table.update_reports(lambda incarnation: None, {"p1@1"})
+        self.assertEqual(until_s, target.ejected_until_s)
+
     def test_a_slow_target_that_responds_is_not_ejected(self):
         target = self.targets[0]
         for _ in range(10):
--- a/tests/test_forwarding_waiting.py
+++ b/tests/test_forwarding_waiting.py
@@ -16,9 +16,14 @@
 )
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.targets import ResourceDemand
-from endivesill.forwarding.waiting import AdmissionQueue, NoRoomError, PlacementRequest
+from endivesill.forwarding.waiting import (
+    NO_TARGET_WAIT_S,
+    AdmissionQueue,
+    NoRoomError,
+    PlacementRequest,
+)
 from endivesill.timer import ManualTimer
-from tests.forwarding_fakes import MODEL, engine, make_table
+from tests.forwarding_fakes import MODEL, engine, make_table, set_engines
 from tests.http1_fakes import settle
 
 FULL = {"e1@1": EngineLoad(5, 33_000, 0)}
@@ -50,6 +55,62 @@
         target = await self.admission.place(self.request())
         self.assertEqual(1, target.requests)
 
+    async def test_a_request_cancelled_while_it_is_admitted_holds_nothing(self):
+        """Its place was granted, and its task has not run since."""
+        self.admission = AdmissionQueue(
+            self.timer,
+            self.table,
+            lambda service: 100.0,
+            lambda request, target: target.reserve(request.demand),
+            random.Random(1),
+            on_abandoned=lambda request, target: target.release(request.demand),
+        )
+        self.table.update_loads(FULL)
+        task = self.start_placing()
+        await settle()
+        self.table.update_loads(FREE)
+        self.admission.admit_waiting()
+        (target,) = self.table.find_all(["e1@1"])
+        self.assertEqual(1, target.requests)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual((0, 0), (target.requests, target.reserved_tokens))
+
+    async def test_requests_are_refused_at_once_while_a_service_has_no_target(self):
+        """All targets left or are evacuated; waiting would not help the callers."""
+        set_engines(self.table, self.table._view, engine("e1", is_draining=True))
+        first = self.start_placing()
+        await settle()
+        self.assertFalse(first.done())
+        await self.timer.advance(NO_TARGET_WAIT_S + 0.01)
+        with self.assertRaises(NoRoomError):
+            await first
+        second = self.start_placing()
+        await settle()
+        self.assertTrue(second.done())
+        self.assertIsInstance(second.exception(), NoRoomError)
+        set_engines(self.table, self.table._view, engine("e1"))
+        target = await self.admission.place(self.request())
+        self.assertEqual("e1", target.info.identity)
+
+    async def test_requests_are_refused_at_once_while_all_targets_are_paused(self):
+        (target,) = self.table.find_all(["e1@1"])
+        self.table.note_announcements(target, is_leaving=False, pause_s=3.0)
+        with self.assertRaises(NoRoomError) as caught:
+            await self.admission.place(self.request(wait_s=1.0))
+        self.assertAlmostEqual(3.0, caught.exception.retry_after_s)
+
+    async def test_a_request_waits_for_the_end_of_a_short_pause(self):
+        (target,) = self.table.find_all(["e1@1"])
+        self.table.note_announcements(target, is_leaving=False, pause_s=0.5)
+        task = self.start_placing()
+        await self.timer.advance(0.4)
+        self.admission.admit_waiting()
+        self.assertFalse(task.done())
+        await self.timer.advance(0.2)
+        self.admission.admit_waiting()
+        self.assertIs(target, await task)
+
     async def test_a_queued_request_is_placed_when_capacity_is_released(self):
         self.table.update_loads(FULL)
         task = self.start_placing()
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -1,6 +1,7 @@
 """Tests of engine list pages, reports, and request and response heads."""
 
 import json
+import math
 import unittest
 
 from endivesill import errors
@@ -82,6 +83,31 @@
                 decode_report(body, 0.0)
 
 
+class AnnouncementTest(unittest.TestCase):
+    def decode(self, status, *headers):
+        return PlatformProtocol().decode_response(ResponseHead(status, headers, True))
+
+    def test_a_departure_is_decoded_from_any_response(self):
+        for status in (200, 404, 503):
+            self.assertTrue(
+                self.decode(status, (b"server-leaving", b"1")).is_leaving, status
+            )
+        self.assertFalse(self.decode(200, (b"Server-Leaving", b"0")).is_leaving)
+        self.assertFalse(self.decode(200).is_leaving)
+
+    def test_a_pause_is_decoded_from_a_503(self):
+        for value, pause_s in ((b"2", 2.0), (b"0.25", 0.25), (b"-1", -1.0)):
+            self.assertEqual(pause_s, self.decode(503, (b"Retry-After", value)).pause_s)
+        self.assertIsNone(self.decode(503).pause_s)
+        self.assertIsNone(self.decode(200, (b"Retry-After", b"2")).pause_s)
+
+    def test_a_pause_that_is_no_number_of_seconds_is_marked(self):
+        date = b"Fri, 04 Dec 2026 10:00:00 GMT"
+        for value in (date, b"soon", b"1e9", b"inf", b"9" * 400, b"\xff"):
+            pause_s = self.decode(503, (b"Retry-After", value)).pause_s
+            self.assertTrue(math.isnan(pause_s), value)
+
+
 class RequestTest(unittest.TestCase):
     def setUp(self):
         self.protocol = PlatformProtocol()
