Wait for the first list of engines as well as for the configuration

Cause: after a restart of all VMs the configuration reached the entries 25 to 50 ms before the list of engines, since a new leader looked only every 0.2 s whether it leads before it read the list. Change: the wait covers both, in a module of its own; a new leader reads the list within 0.05 s.

--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -25,7 +25,13 @@
 from endivesill.signals import Signal
 from endivesill.timer import TimerService
 
-__all__ = ["DEPARTURES_PATH", "SYNC_PATH", "FleetSyncClient", "FleetView"]
+__all__ = [
+    "DEPARTURES_PATH",
+    "NO_LIST_STAMP",
+    "SYNC_PATH",
+    "FleetSyncClient",
+    "FleetView",
+]
 
 SYNC_PATH = "/fleet/sync"
 DEPARTURES_PATH = "/fleet/departures"
@@ -40,6 +46,7 @@
 
 
 NO_LEASE = ShareLease(0.0, 0.0)
+NO_LIST_STAMP = [0, 0]
 NO_LOADS_STAMP = [0, -1]
 
 
@@ -65,7 +72,7 @@
     document: Any = None
     evacuation_index: int = -1
     evacuated: frozenset[str] = frozenset()
-    list_stamp: list[int] = attrs.Factory(lambda: [0, 0])
+    list_stamp: list[int] = attrs.Factory(lambda: NO_LIST_STAMP)
     engines: dict[str, EngineInfo] = attrs.Factory(dict)
     remote_loads: dict[str, EngineLoad] = attrs.Factory(dict)
     loads_stamp: list[int] = attrs.Factory(lambda: NO_LOADS_STAMP)
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -33,7 +33,8 @@
 __all__ = ["FleetSyncService"]
 
 CONFIRM_TIMEOUT_S = 0.4
-NOT_LEADING_PAUSE_S = 0.2
+# Entries wait for the list after an election, so a new leader reads it soon.
+NOT_LEADING_PAUSE_S = 0.05
 
 
 class FleetSyncService:
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 )
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.call_log import CallLog
+from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.placement import estimate_demand
 from endivesill.forwarding.placer import Placement, Placer
 from endivesill.forwarding.protocol import EngineProtocol, RequestInfo
@@ -31,7 +32,6 @@
     UpstreamError,
     strip_hop_by_hop,
 )
-from endivesill.signals import Signal
 from endivesill.timer import TimerService
 
 __all__ = ["Forwarder"]
@@ -45,13 +45,6 @@
 RETRY_AFTER_S = 1.0
 # Retry-After of an entry that has no configuration yet.
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
-# Longest wait for the first configuration. After a restart of all VMs it takes about an
-# election of the control VMs.
-CONFIGURATION_WAIT_S = 1.5
-# The same as a fraction of the caller's remaining time; the rest is for a retry.
-CONFIGURATION_WAIT_FRACTION = 0.5
-# Remaining time assumed for a caller that does not state it.
-DEFAULT_REMAINING_S = 1.0
 
 
 class Forwarder:
@@ -97,7 +90,7 @@
         self._sender = Sender(timer, pool, table, protocol)
         self._copier = RunCopier(timer, pool, table, protocol)
         self._routes: RouteTable | None = None
-        self._routes_changed = Signal()
+        self._initial_sync = InitialSync(timer, table)
         self.refuse_streams = False
 
     @property
@@ -108,14 +101,14 @@
     @routes.setter
     def routes(self, routes: RouteTable | None) -> None:
         self._routes = routes
-        self._routes_changed.notify()
+        if routes is not None:
+            self._initial_sync.note_configuration()
         self._log.version = routes.configuration.version if routes else None
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request until its response is complete."""
         info = self._protocol.decode_request(exchange.headers)
-        if self.routes is None:
-            await self._wait_for_routes(info)
+        await self._initial_sync.wait(info.remaining_s)
         if self.routes is None:
             self._refuse(
                 exchange, info, 503, "no configuration", NO_CONFIGURATION_RETRY_AFTER_S
@@ -138,22 +131,6 @@
             return
         await self._serve_with_deadline(self._call(exchange, info, route, organisation))
 
-    async def _wait_for_routes(self, info: RequestInfo) -> None:
-        """Wait for the first configuration while the caller can still be served.
-
-        When all VMs have restarted, entries accept connections before the control VMs
-        have elected a leader. Callers retry only once or twice, and would be refused on
-        each attempt.
-        """
-        remaining_s = info.remaining_s
-        if remaining_s is None:
-            remaining_s = DEFAULT_REMAINING_S
-        wait_s = min(CONFIGURATION_WAIT_S, CONFIGURATION_WAIT_FRACTION * remaining_s)
-        try:
-            await self._timer.wait_for(self._routes_changed.wait(), wait_s)
-        except errors.DeadlineExceededError:
-            return
-
     def _call(
         self,
         exchange: Exchange,
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -9,7 +9,7 @@
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.notices import EngineNotices
 from endivesill.fleet.reports import EngineReport
-from endivesill.fleet.sync_client import FleetView
+from endivesill.fleet.sync_client import NO_LIST_STAMP, FleetView
 from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
 from endivesill.forwarding.health import HealthRecord
 from endivesill.forwarding.target import NO_LOAD, ResourceDemand, Target
@@ -221,6 +221,10 @@
             for state, count in counts.items()
         ]
 
+    def has_list(self) -> bool:
+        """Return whether the list of engines was received since the start."""
+        return bool(self._view.engines) or self._view.list_stamp != NO_LIST_STAMP
+
     def has_targets(self, service: str) -> bool:
         """Return whether a target of a service accepts requests, if after a pause."""
         return any(map(self._stays, self._by_service.get(service, [])))
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.run_copy import CopyRefusedError, RunCopier
 from endivesill.platform.engines import PlatformProtocol
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
@@ -72,6 +73,7 @@
         """All VMs have restarted; the first configuration follows an election."""
         await self.add_engines("app", "p1")
         routes, self.forwarder.routes = self.forwarder.routes, None
+        self.forwarder._initial_sync = InitialSync(self.timer, self.table)
         waiting = [
             asyncio.ensure_future(self.send_request("/unsafe/x")) for _ in range(3)
         ]
@@ -81,7 +83,20 @@
         heads = [head.status for head, _ in await asyncio.gather(*waiting)]
         self.assertEqual([200, 200, 200], heads)
 
+    async def test_requests_wait_for_the_first_list_of_engines(self):
+        """The configuration may come before the new leader has read the list."""
+        waiting = [
+            asyncio.ensure_future(self.send_request("/unsafe/x")) for _ in range(3)
+        ]
+        await asyncio.sleep(0.3)
+        self.assertFalse(any(task.done() for task in waiting))
+        await self.add_engines("app", "p1")
+        self.table.notify()
+        heads = [head.status for head, _ in await asyncio.gather(*waiting)]
+        self.assertEqual([200, 200, 200], heads)
+
     async def test_a_request_without_a_configuration_is_refused_in_time(self):
+        self.forwarder._initial_sync = InitialSync(self.timer, self.table)
         self.forwarder.routes = None
         deadline = (b"X-Endivesill-Deadline-Remaining", b"200")
         head, _ = await self.send_request("/unsafe/x", deadline)
