Eject failing engines for the whole fleet

Cause: an entry of a large fleet sends each engine less than a request in two seconds, too few to see that it fails. Change: entries report the outcomes of their requests to the leader with their polls, and at once after a request that was broken off. Two of those within a second eject the engine at all entries for 1 s, longer if it does so again; outliers are found from the outcomes of all entries too. Attempts without an answer in time have a reason of their own.

--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -4,7 +4,7 @@
 
 __all__ = [
     "CHANGE_ANSWERED",
-    "DEPARTURES_UNREPORTED",
+    "ENGINES_UNREPORTED",
     "ENGINE_LEAVING",
     "ENGINE_LIST_CHANGED",
     "ENGINE_PAUSED",
@@ -67,10 +67,10 @@
     "engine-paused",
     "An engine has rejected a request and wants none from this process for a time.",
 )
-DEPARTURES_UNREPORTED = events.define(
+ENGINES_UNREPORTED = events.define(
     5105,
-    "departures-unreported",
-    "The leader did not confirm the report of leaving engines; the next poll has it.",
+    "engines-unreported",
+    "The leader did not confirm a report on engines; the next poll has it.",
 )
 LIST_LOST = events.define(
     4502,
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -11,13 +11,14 @@
 
 from endivesill import errors, events
 from endivesill.fleet.events import (
-    DEPARTURES_UNREPORTED,
+    ENGINES_UNREPORTED,
     LEADER_LOST,
     LEADER_REACHED,
 )
 from endivesill.fleet.list_updates import apply_list_update
 from endivesill.fleet.load import EngineLoad, loads_to_rows, subtract_rows
 from endivesill.fleet.model import EngineInfo
+from endivesill.fleet.outcomes import OutcomeCounts
 from endivesill.fleet.packing import unpack_document
 from endivesill.fleet.polling import addresses_digest, long_poll_s
 from endivesill.fleet.shares import LEASE_DURATION_S, ShareLease
@@ -26,7 +27,7 @@
 from endivesill.timer import TimerService
 
 __all__ = [
-    "DEPARTURES_PATH",
+    "ENGINES_PATH",
     "NO_LIST_STAMP",
     "SYNC_PATH",
     "FleetSyncClient",
@@ -34,7 +35,7 @@
 ]
 
 SYNC_PATH = "/fleet/sync"
-DEPARTURES_PATH = "/fleet/departures"
+ENGINES_PATH = "/fleet/engines"
 
 # Time beyond the wait for updates after which the leader hangs, is partitioned or has
 # stopped.
@@ -63,6 +64,8 @@
       engines: the engines by incarnation.
       remote_loads: load of the other entries, by incarnation.
       loads_stamp: stamp of these loads.
+      ejections_stamp: stamp of the newest ejections.
+      ejections: remaining seconds of these ejections, by incarnation, when they came.
       lease: this entry's share of the fleet-wide limits.
       entry_count: how many entries hold a lease.
       confirmed_at_s: when the view was last known to be current.
@@ -76,6 +79,8 @@
     engines: dict[str, EngineInfo] = attrs.Factory(dict)
     remote_loads: dict[str, EngineLoad] = attrs.Factory(dict)
     loads_stamp: list[int] = attrs.Factory(lambda: NO_LOADS_STAMP)
+    ejections_stamp: list[int] = attrs.Factory(lambda: NO_LIST_STAMP)
+    ejections: dict[str, float] = attrs.Factory(dict)
     lease: ShareLease = NO_LEASE
     entry_count: int = 1
     confirmed_at_s: float = float("-inf")
@@ -98,6 +103,7 @@
       entry_id: identifies this start of the entry.
       leader: peer address of the leader; None while unknown.
       leader_lost: notified when the leader does not reply.
+      outcomes: outcomes of requests for the next report.
     """
 
     def __init__(
@@ -122,6 +128,10 @@
         self._attempts = itertools.count()
         self._connected = False
         self.leader_lost = Signal()
+        self.outcomes = OutcomeCounts()
+        # Whether `report_engines` is running, and was called since its last report.
+        self._is_reporting = False
+        self._has_news = False
         self.view = FleetView()
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -134,11 +144,13 @@
         while True:
             address = self.leader or self._next_address()
             sent_s = self._timer.now_s()
+            request = self._sync_request()
             try:
                 reply = await self._transport.call(
-                    address, SYNC_PATH, self._sync_request(), self._sync_timeout_s()
+                    address, SYNC_PATH, request, self._sync_timeout_s()
                 )
             except errors.PeerUnreachableError as error:
+                self.outcomes.restore(request["outcomes"])
                 self._note_unreachable(address, str(error))
                 await self._timer.sleep(retry_s)
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
@@ -147,6 +159,7 @@
                 retry_s = RETRY_S
                 self._apply(address, reply, sent_s)
                 continue
+            self.outcomes.restore(request["outcomes"])
             leader = reply.get("leader")
             self.leader = leader if leader != address else None
             if self.leader is None:
@@ -165,21 +178,31 @@
             "loads": loads_to_rows(self._own_loads()),
         }
 
-    async def report_departures(self) -> None:
-        """Report leaving engines to the leader at once.
+    async def report_engines(self) -> None:
+        """Report leaving engines and outcomes to the leader at once.
 
         The running poll may last as long as the leader holds it. After a failure, the
         next poll reports them.
         """
-        if self.leader is None:
+        self._has_news = True
+        if self._is_reporting:
             return
-        message = {"departures": self._departures()}
+        self._is_reporting = True
         try:
-            await self._transport.call(
-                self.leader, DEPARTURES_PATH, message, SYNC_TIMEOUT_S
-            )
+            while self._has_news and self.leader is not None:
+                self._has_news = False
+                await self._send_report(self.leader)
+        finally:
+            self._is_reporting = False
+
+    async def _send_report(self, leader: str) -> None:
+        outcomes = self.outcomes.take()
+        message = {"departures": self._departures(), "outcomes": outcomes}
+        try:
+            await self._transport.call(leader, ENGINES_PATH, message, SYNC_TIMEOUT_S)
         except errors.PeerUnreachableError as error:
-            events.emit(DEPARTURES_UNREPORTED, leader=self.leader, reason=str(error))
+            self.outcomes.restore(outcomes)
+            events.emit(ENGINES_UNREPORTED, leader=leader, reason=str(error))
 
     async def deregister(self) -> None:
         """Notify the leader that this entry stops; a failure is logged."""
@@ -207,6 +230,8 @@
             "evacuations": view.evacuation_index,
             "list": view.list_stamp,
             "departures": self._departures(),
+            "outcomes": self.outcomes.take(),
+            "ejections": view.ejections_stamp,
             "loads_stamp": view.loads_stamp,
             "controls": addresses_digest(self._control_addresses),
             "wait_s": long_poll_s(view.entry_count),
@@ -251,6 +276,11 @@
                 view.engines = engines
                 view.list_stamp = engine_list["stamp"]
                 updated.add("engines")
+        ejections = reply.get("ejections")
+        if ejections and ejections["stamp"] > view.ejections_stamp:
+            view.ejections_stamp = ejections["stamp"]
+            view.ejections = ejections["remaining_s"]
+            updated.add("ejections")
         if "loads" in reply:
             view.loads_stamp = reply.get("loads_stamp", NO_LOADS_STAMP)
             own_rows = reply.get("own_loads", {})
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -17,6 +17,7 @@
 from endivesill.fleet.engine_list import EngineListReader, EngineListSource
 from endivesill.fleet.list_updates import ListUpdates
 from endivesill.fleet.load import FleetLoads, loads_to_rows
+from endivesill.fleet.outcomes import Ejections
 from endivesill.fleet.packing import pack_document
 from endivesill.fleet.polling import (
     MAX_LONG_POLL_S,
@@ -25,7 +26,7 @@
 )
 from endivesill.fleet.shares import ShareAllocator
 from endivesill.fleet.state import current_configuration, evacuations
-from endivesill.fleet.sync_client import DEPARTURES_PATH, SYNC_PATH
+from endivesill.fleet.sync_client import ENGINES_PATH, SYNC_PATH
 from endivesill.peers import EncodedValue, Message, PeerTransport
 from endivesill.signals import Signal
 from endivesill.timer import TimerService
@@ -68,12 +69,14 @@
         self._encoded_loads = EncodedValue("{}")
         self._on_change: Callable[[], None] = lambda: None
         self._on_loads: Callable[[], None] = lambda: None
+        self._on_outcomes: Callable[[dict[str, list[int]]], None] = lambda rows: None
+        self._ejections = Ejections(timer)
         self.reader = EngineListReader(timer, source)
         self.loads = FleetLoads()
         self._allocator: ShareAllocator | None = None
         self._term = 0
         transport.handle(SYNC_PATH, self.handle_sync)
-        transport.handle(DEPARTURES_PATH, self._handle_departures)
+        transport.handle(ENGINES_PATH, self._handle_engines)
         replica.subscribe_applied(self._note_applied)
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -84,6 +87,15 @@
         """Set the function called after each load report."""
         self._on_loads = listener
 
+    def on_outcomes(self, listener: Callable[[dict[str, list[int]]], None]) -> None:
+        """Set the function called with the rows of each report of outcomes."""
+        self._on_outcomes = listener
+
+    def publish_ejection(self, incarnation: str, duration_s: float) -> None:
+        """Make all entries eject a target for a time."""
+        self._ejections.add(incarnation, duration_s)
+        self._updated.notify()
+
     def apply_departures(self) -> None:
         """Publish engines that have begun to leave, or no longer do."""
         if self.reader.apply_departures():
@@ -154,16 +166,17 @@
 
         Args:
           message: `{"entry", "version", "evacuations", "list", "share", "loads",
-            "grants_seen", "departures", "loads_stamp", "controls", "wait_s",
-            "leaving"}`: the entry, the versions and the share that it has, its load by
-            incarnation, the last grant included in it, the engines that have told it
-            that they leave, and how long to wait for updates.
+            "grants_seen", "departures", "outcomes", "ejections", "loads_stamp",
+            "controls", "wait_s", "leaving"}`: the entry, the versions and the share
+            that it has, its load by incarnation, the last grant included in it, the
+            engines that have told it that they leave, the outcomes of its requests by
+            incarnation, and how long to wait for updates.
 
         Returns:
           `{"leader"}` from a VM that does not lead; `{}` to an entry that leaves; else
           `{"share", "entries", "term"}` and, where newer, `"state"`, `"evacuations"`,
-          `"list"`, `"controls"`, and `"loads"` with the part of the entry in
-          `"own_loads"`.
+          `"list"`, `"ejections"`, `"controls"`, and `"loads"` with the part of the
+          entry in `"own_loads"`.
         """
         entry_id = message["entry"]
         if message.get("leaving"):
@@ -174,8 +187,7 @@
         self.loads.record_report(
             entry_id, message["loads"], message["grants_seen"], self._timer.now_s()
         )
-        if message.get("departures"):
-            self.note_departures(message["departures"], "entry")
+        self._record_engines(message)
         self._on_loads()
         if not self._has_updates(message):
             await self._wait_for_updates(message)
@@ -183,11 +195,24 @@
             return {"leader": self._replica.core.active_leader_address()}
         return self._build_reply(entry_id, message)
 
-    async def _handle_departures(self, message: Message) -> Message:
-        """Record `{"departures"}`, the incarnations that an entry knows as leaving."""
-        self.note_departures(message["departures"], "entry")
+    async def _handle_engines(self, message: Message) -> Message:
+        """Record what an entry reports about engines.
+
+        Args:
+          message: `{"departures", "outcomes"}`: the incarnations that the entry knows
+            as leaving, and rows of `OutcomeCounts`.
+        """
+        self._record_engines(message)
         return {}
 
+    def _record_engines(self, message: Message) -> None:
+        if not self.leads():
+            return
+        if message.get("departures"):
+            self.note_departures(message["departures"], "entry")
+        if message.get("outcomes"):
+            self._on_outcomes(message["outcomes"])
+
     async def _wait_for_updates(self, message: Message) -> None:
         async def wait() -> None:
             while not self._has_updates(message):
@@ -220,6 +245,13 @@
             updates["list"] = lambda: self._list_updates.update_for(
                 snapshot, message["list"], self._timer.now_s()
             )
+        stamp = [self._term, self._ejections.number]
+        if self._ejections.number and stamp > message.get("ejections", stamp):
+            ejections = {
+                "stamp": stamp,
+                "remaining_s": self._ejections.remaining_s(),
+            }
+            updates["ejections"] = lambda: EncodedValue(json.dumps(ejections))
         return updates
 
     def _encode_state(self, state: Message) -> EncodedValue:
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -38,12 +38,17 @@
     REJECTED = "rejected"
     WRONG_TARGET = "wrong-target"
     BROKEN = "broken"
+    NO_ANSWER = "no-answer"
     FOREIGN_RESPONSE = "foreign-answer"
 
     @property
     def not_run(self) -> bool:
         """Whether the target certainly has not run the request and will not."""
-        return self not in (Failure.BROKEN, Failure.FOREIGN_RESPONSE)
+        return self not in (
+            Failure.BROKEN,
+            Failure.NO_ANSWER,
+            Failure.FOREIGN_RESPONSE,
+        )
 
     @property
     def reached_target(self) -> bool:
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -254,7 +254,7 @@
         try:
             return await self._timer.wait_for(exchange(), remaining_s)
         except errors.DeadlineExceededError:
-            raise AttemptError(Failure.BROKEN, "no answer in time") from None
+            raise AttemptError(Failure.NO_ANSWER, "no answer in time") from None
         finally:
             overdue.cancel()
 
@@ -347,6 +347,8 @@
             self._pool.close_idle(target.info.address)
         elif failure is not Failure.TARGET_LEFT:
             self._table.note_outcome(target, succeeded=False)
+            if failure is Failure.BROKEN:
+                self._table.note_broken(target)
         self._log.attempt_failed(call, target, str(error))
 
     def _finish_failed(
--- a/endivesill/forwarding/health.py
+++ b/endivesill/forwarding/health.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Sequence
 
-__all__ = ["HealthRecord"]
+__all__ = ["BrokenRequests", "HealthRecord"]
 
 # Weight of the newest response in the moving average of the failure rate.
 EWMA_WEIGHT = 0.1
@@ -20,6 +21,46 @@
 MAX_EJECTION_S = 16.0
 
 
+# Requests that a target breaks off within this time, before it is ejected; a single one
+# may be the request's own fault.
+BROKEN_WINDOW_S = 1.0
+MAX_BROKEN = 2
+# Ejection of a target that breaks off requests. It doubles if the target does so again
+# soon after it, up to `MAX_BROKEN_EJECTION_S`.
+BROKEN_EJECTION_S = 1.0
+MAX_BROKEN_EJECTION_S = 4.0
+BROKEN_MEMORY_S = 10.0
+
+
+class BrokenRequests:
+    """Requests of all entries that one target broke off without a response.
+
+    In a large fleet each entry sends a target too few requests to see that it fails,
+    and all of them would lose one when it goes down.
+    """
+
+    def __init__(self) -> None:
+        self._times_s: collections.deque[float] = collections.deque(maxlen=MAX_BROKEN)
+        self._ejected_at_s = float("-inf")
+        self._ejection_s = 0.0
+
+    def note(self, now_s: float) -> float:
+        """Count one request; return the ejection in seconds, 0 for none."""
+        self._times_s.append(now_s)
+        if len(self._times_s) < MAX_BROKEN:
+            return 0.0
+        if now_s - self._times_s[0] > BROKEN_WINDOW_S:
+            return 0.0
+        self._times_s.clear()
+        if now_s - self._ejected_at_s > BROKEN_MEMORY_S:
+            self._ejection_s = 0.0
+        self._ejected_at_s = now_s
+        self._ejection_s = min(
+            MAX_BROKEN_EJECTION_S, max(BROKEN_EJECTION_S, 2 * self._ejection_s)
+        )
+        return self._ejection_s
+
+
 class HealthRecord:
     """Failure rate and ejections of one target.
 
--- a/endivesill/forwarding/target.py
+++ b/endivesill/forwarding/target.py
@@ -9,7 +9,7 @@
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.reports import EngineReport
-from endivesill.forwarding.health import HealthRecord
+from endivesill.forwarding.health import BrokenRequests, HealthRecord
 
 __all__ = ["NO_LOAD", "ResourceDemand", "Target"]
 
@@ -53,6 +53,7 @@
       report: its last load report; None without one.
       refused_connections: consecutive connection failures.
       is_replaced: whether another target answers at its address.
+      broken: requests of all entries that it broke off; kept at the leader.
       send_times_s: when this process recently sent it requests.
       recent_placements: time and reserved KV cache of its recent placements.
     """
@@ -70,6 +71,7 @@
     report: EngineReport | None = None
     refused_connections: int = 0
     is_replaced: bool = False
+    broken: BrokenRequests = attrs.Factory(BrokenRequests)
     send_times_s: collections.deque[float] = attrs.Factory(collections.deque)
     recent_placements: collections.deque[tuple[float, int]] = attrs.Factory(
         lambda: collections.deque(maxlen=MAX_RECENT_PLACEMENTS)
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -8,6 +8,7 @@
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.notices import EngineNotices
+from endivesill.fleet.outcomes import OutcomeCounts
 from endivesill.fleet.reports import EngineReport
 from endivesill.fleet.sync_client import NO_LIST_STAMP, FleetView
 from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
@@ -41,6 +42,9 @@
       watchers: called by `notify`.
       notices: what the engines have announced to this process.
       on_leaving: called with an engine whose notice of departure is news.
+      on_ejected: called with a target and the duration of its ejection as an outlier.
+      outcomes: counts the outcomes of this entry's requests for the leader.
+      on_broken: called after a request that a target broke off.
     """
 
     def __init__(self, timer: TimerService, view: FleetView, data_centre: str) -> None:
@@ -52,6 +56,9 @@
         self.watchers: set[Callable[[], None]] = set()
         self.notices = EngineNotices(timer)
         self.on_leaving: Callable[[EngineInfo], None] = lambda engine: None
+        self.on_ejected: Callable[[Target, float], None] = lambda target, time_s: None
+        self.outcomes = OutcomeCounts()
+        self.on_broken: Callable[[], None] = lambda: None
 
     def notify(self) -> None:
         """Call the watchers; done after a change of the targets and periodically."""
@@ -263,6 +270,7 @@
             until_s = self._timer.now_s() + duration_s
             target.outlier_until_s = max(target.outlier_until_s, until_s)
             self._log_ejection(target, duration_s, reason)
+            self.on_ejected(target, duration_s)
 
     def _may_eject(self, target: Target) -> bool:
         now_s = self._timer.now_s()
@@ -295,6 +303,39 @@
             target.unreachable_until_s = self._timer.now_s() + ejection_s
             self._log_ejection(target, ejection_s, reason)
 
+    def note_broken(self, target: Target) -> None:
+        """Count a request whose connection ended without a response."""
+        self.outcomes.note_broken(target.info.incarnation)
+        self.on_broken()
+
+    def apply_outcomes(self, rows: dict[str, list[int]]) -> None:
+        """Count the outcomes that an entry reports; done at the leader.
+
+        Args:
+          rows: rows of `OutcomeCounts`; unknown incarnations are skipped.
+        """
+        for incarnation, (succeeded, failed, broken) in rows.items():
+            target = self._targets.get(incarnation)
+            if target is None:
+                continue
+            for _ in range(succeeded):
+                self._record_outcome(target, succeeded=True)
+            for _ in range(failed):
+                self._record_outcome(target, succeeded=False)
+            for _ in range(broken):
+                ejection_s = target.broken.note(self._timer.now_s())
+                if ejection_s > 0:
+                    self.eject(target, ejection_s, "breaks off requests")
+
+    def apply_ejections(self, remaining_s: dict[str, float]) -> None:
+        """Eject targets as the leader says, by incarnation."""
+        now_s = self._timer.now_s()
+        for incarnation, duration_s in remaining_s.items():
+            target = self._targets.get(incarnation)
+            if target is not None:
+                until_s = now_s + duration_s
+                target.outlier_until_s = max(target.outlier_until_s, until_s)
+
     def note_overdue(self, target: Target) -> None:
         """Count an overdue response; eject the target after several in a row."""
         ejection_s = target.health.note_overdue()
@@ -303,6 +344,13 @@
 
     def note_outcome(self, target: Target, *, succeeded: bool) -> None:
         """Count a response; eject the target if it is an outlier among its peers."""
+        if succeeded:
+            self.outcomes.note_succeeded(target.info.incarnation)
+        else:
+            self.outcomes.note_failed(target.info.incarnation)
+        self._record_outcome(target, succeeded=succeeded)
+
+    def _record_outcome(self, target: Target, *, succeeded: bool) -> None:
         target.refused_connections = 0
         target.unreachable_until_s = 0.0
         target.health.record_response(succeeded=succeeded)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -10,7 +10,7 @@
 from endivesill import errors, events
 from endivesill.fleet.events import CONFIGURATION_IN_FORCE
 from endivesill.fleet.load import EngineLoad
-from endivesill.fleet.model import EngineInfo, Service
+from endivesill.fleet.model import Service
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.forwarder import Forwarder
@@ -81,7 +81,9 @@
         )
         view = self._sync_client.view
         self._table = TargetTable(timer, view, settings.data_centre)
-        self._table.on_leaving = self._report_departure
+        self._table.outcomes = self._sync_client.outcomes
+        self._table.on_broken = self._report_engines
+        self._table.on_leaving = lambda engine: self._report_engines()
         self._admission = AdmissionQueue(
             timer,
             self._table,
@@ -165,8 +167,8 @@
     def _own_loads(self) -> dict[str, EngineLoad]:
         return self._table.own_loads()
 
-    def _report_departure(self, engine: EngineInfo) -> None:
-        asyncio.ensure_future(self._sync_client.report_departures())
+    def _report_engines(self) -> None:
+        asyncio.ensure_future(self._sync_client.report_engines())
 
     def _cold_allowance(self, service: Service) -> float:
         bounds = self._settings.bounds
@@ -180,6 +182,8 @@
             self._apply_configuration(view.document)
         if "engines" in updates:
             self._table.update_engines()
+        if "ejections" in updates:
+            self._table.apply_ejections(view.ejections)
         self._table.update_loads(view.remote_loads)
         if updates - {"loads"}:
             self._admission.admit_waiting()
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/platform/leader_placement.py
@@ -72,6 +72,10 @@
         transport.cancel_on_disconnect(PLACE_PATH)
         sync_service.on_change(self._update)
         sync_service.on_loads(self._admit_waiting)
+        sync_service.on_outcomes(self._table.apply_outcomes)
+        self._table.on_ejected = lambda target, duration_s: (
+            sync_service.publish_ejection(target.info.incarnation, duration_s)
+        )
         self._reports = EngineReports(
             timer,
             PlatformReports(timer, client, self._note_response),
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -82,7 +82,7 @@
 class DepartureTest(SyncTestCase):
     async def announce(self, cluster, entry):
         entry.departures = ["e1@1"]
-        await cluster.run(entry.sync_client.report_departures())
+        await cluster.run(entry.sync_client.report_engines())
         await cluster.timer.advance(0.05)
 
     async def test_a_departure_that_one_entry_saw_reaches_the_others_at_once(self):
@@ -109,6 +109,39 @@
         self.assertTrue(cluster.entries[1].view.engines["e1@1"].is_draining)
 
 
+class OutcomeTest(SyncTestCase):
+    async def test_an_ejection_by_the_leader_reaches_all_entries_at_once(self):
+        cluster = await self.cluster(entries=3)
+        service = cluster.sync_services[cluster.address_of(await cluster.leader())]
+        reported = []
+
+        def eject(rows):
+            reported.append(rows)
+            service.publish_ejection("e1@1", 2.0)
+
+        service.on_outcomes(eject)
+        entry = cluster.entries[0]
+        entry.sync_client.outcomes.note_broken("e1@1")
+        await cluster.run(entry.sync_client.report_engines())
+        await cluster.timer.advance(0.05)
+        self.assertEqual([{"e1@1": [0, 0, 1]}], reported)
+        for entry in cluster.entries:
+            self.assertAlmostEqual(2.0, entry.view.ejections["e1@1"], delta=0.1)
+
+    async def test_outcomes_that_did_not_arrive_are_reported_again(self):
+        cluster = await self.cluster()
+        leader = cluster.address_of(await cluster.leader())
+        entry = cluster.entries[0]
+        entry.sync_client.outcomes.note_failed("e1@1")
+        cluster.network.cut(entry.address, leader)
+        await cluster.timer.advance(1.0)
+        reported = []
+        cluster.sync_services[leader].on_outcomes(reported.append)
+        cluster.network.heal()
+        await cluster.timer.advance(2.0)
+        self.assertEqual([{"e1@1": [0, 1, 0]}], reported)
+
+
 class FleetSizeTest(SyncTestCase):
     """Hundreds of entries at one leader."""
 
--- a/tests/test_forwarding_targets.py
+++ b/tests/test_forwarding_targets.py
@@ -1,11 +1,13 @@
 """Tests of the target table: eligibility, rate limits and outlier detection."""
 
+import random
 import unittest
 
-from endivesill.forwarding.health import MIN_RESPONSES, HealthRecord
+from endivesill.forwarding.health import MIN_RESPONSES, BrokenRequests, HealthRecord
+from endivesill.forwarding.placement import choose_target
 from endivesill.forwarding.targets import COLD_WINDOW_S, ResourceDemand
 from endivesill.timer import ManualTimer
-from tests.forwarding_fakes import engine, make_table, set_engines
+from tests.forwarding_fakes import PLAIN, engine, make_table, set_engines
 
 
 class AcceptsRequestsTest(unittest.TestCase):
@@ -53,6 +55,60 @@
         self.assertEqual(["e1"], self.names(other))
 
 
+class BrokenRequestsTest(unittest.TestCase):
+    def test_the_ejection_doubles_while_the_target_goes_down_again(self):
+        broken = BrokenRequests()
+        ejections_s = [broken.note(now_s) for now_s in (0, 0.1, 2, 2.1, 5, 5.1, 30, 30)]
+        self.assertEqual([0, 1.0, 0, 2.0, 0, 4.0, 0, 1.0], ejections_s)
+
+    def test_single_requests_do_not_eject(self):
+        broken = BrokenRequests()
+        self.assertEqual([0.0] * 5, [broken.note(2.0 * n) for n in range(5)])
+
+
+class FlappingTargetTest(unittest.IsolatedAsyncioTestCase):
+    """One of three targets goes down and up by turns under a fleet of 40 entries."""
+
+    ENTRIES = 40
+    REQUESTS_PER_S = 60
+    SECONDS = 6
+
+    async def lost_requests(self, *, is_shared: bool) -> int:
+        timer = ManualTimer()
+        names = ("p1", "p2", "p3")
+        tables = [
+            make_table(timer, *(engine(n, "app") for n in names))
+            for _ in range(self.ENTRIES + 1)
+        ]
+        leader, *entries = tables
+        if is_shared:
+            leader.on_ejected = lambda target, duration_s: [
+                table.apply_ejections({target.info.incarnation: duration_s})
+                for table in entries
+            ]
+        source = random.Random(1)
+        lost = 0
+        for _ in range(self.SECONDS * self.REQUESTS_PER_S):
+            await timer.advance(1.0 / self.REQUESTS_PER_S)
+            entry = source.choice(entries)
+            target = choose_target(
+                entry.candidates("app", ()), PLAIN, ResourceDemand(), "a", source
+            )
+            is_down = target.info.identity == "p1" and int(timer.now_s()) % 2 == 0
+            entry.note_outcome(target, succeeded=not is_down)
+            if is_down:
+                lost += 1
+                entry.note_broken(target)
+            if is_down or source.random() < 0.05:
+                leader.apply_outcomes(entry.outcomes.take())
+        return lost
+
+    async def test_the_fleet_loses_few_requests_each_time_it_goes_down(self):
+        # It goes down three times, and two broken requests show it each time.
+        self.assertLessEqual(await self.lost_requests(is_shared=True), 6)
+        self.assertGreater(await self.lost_requests(is_shared=False), 40)
+
+
 class ColdRateTest(unittest.IsolatedAsyncioTestCase):
     async def test_the_limit_holds_in_every_second(self):
         timer = ManualTimer()
@@ -147,6 +203,25 @@
             self.table.note_outcome(target, succeeded=True)
         self.assertEqual([], self.ejected())
 
+    def test_two_requests_broken_off_soon_after_each_other_eject_a_target(self):
+        ejected = []
+        self.table.on_ejected = lambda target, duration_s: ejected.append(duration_s)
+        self.table.apply_outcomes({"p1@1": [0, 1, 1], "gone@1": [0, 0, 5]})
+        self.assertEqual([], ejected)
+        self.table.apply_outcomes({"p1@1": [0, 1, 1]})
+        self.assertEqual((["p1"], [1.0]), (self.ejected(), ejected))
+
+    def test_an_outlier_among_the_outcomes_of_all_entries_is_ejected(self):
+        """Each entry sends a target too few requests to see that it fails."""
+        for _ in range(10):
+            rows = {f"p{n}@1": [1, 0, 0] for n in (1, 2, 3)} | {"p4@1": [0, 1, 0]}
+            self.table.apply_outcomes(rows)
+        self.assertEqual(["p4"], self.ejected())
+
+    def test_ejections_of_the_leader_are_applied(self):
+        self.table.apply_ejections({"p2@1": 3.0, "gone@1": 3.0})
+        self.assertEqual(["p2"], self.ejected())
+
     def test_a_replaced_target_is_not_used_until_its_address_changes(self):
         """Guards against a list that still has an engine whose address was reused."""
         target = self.targets[0]
