Check a new engine before it gets work

Cause: an engine may be taken away before the list shows that it has come. Change: an engine that joins the list counts as draining until its first check, which starts at once. Engines of the first list of a leader, of plain services, and of services in which no check has passed need none.

--- a/endivesill/fleet/departures.py
+++ b/endivesill/fleet/departures.py
@@ -72,6 +72,50 @@
         self._failing_since_s: dict[str, float] = {}
         self._unconfirmed: set[str] = set()
         self._unresponsive: set[str] = set()
+        # Incarnations that need no first check; None while this VM does not lead.
+        self._verified: set[str] | None = None
+        self._first_checks: dict[str, asyncio.Task[None]] = {}
+
+    def is_verified(self, engine: EngineInfo) -> bool:
+        """Return whether an engine may get work as far as its first check goes.
+
+        An engine may be taken away before the list shows that it has come. Until then
+        it is the emptiest one, and all waiting requests would be placed there.
+        """
+        return (
+            self._verified is None
+            or engine.service not in self._services_passed
+            or engine.incarnation in self._verified
+        )
+
+    def note_listed(self, engines: Iterable[EngineInfo]) -> None:
+        """Start the first check of each engine that is new on the list.
+
+        Args:
+          engines: the engines that this VM checks; none while it does not lead.
+        """
+        listed = {engine.incarnation: engine for engine in engines}
+        if not listed:
+            self._verified = None
+            return
+        if self._verified is None:
+            self._verified = set(listed)
+        self._verified &= listed.keys()
+        for incarnation, engine in listed.items():
+            is_new = incarnation not in self._verified
+            if is_new and incarnation not in self._first_checks:
+                self._first_checks[incarnation] = asyncio.ensure_future(
+                    self._check_first(engine)
+                )
+
+    async def _check_first(self, engine: EngineInfo) -> None:
+        try:
+            await self._check(engine)
+        finally:
+            del self._first_checks[engine.incarnation]
+            if self._verified is not None:
+                self._verified.add(engine.incarnation)
+            self._on_change()
 
     def leaving(self) -> frozenset[str]:
         """Return the incarnations that count as leaving."""
--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -96,6 +96,7 @@
         self._failures = 0
         self._leaving: Callable[[], frozenset[str]] = frozenset
         self._with_notice: Callable[[], frozenset[str]] = frozenset
+        self._is_verified: Callable[[EngineInfo], bool] = lambda engine: True
         self._listed: list[EngineInfo] = []
         self.current: EngineListSnapshot | None = None
         self.notices = EngineNotices(timer)
@@ -104,13 +105,16 @@
         self,
         leaving: Callable[[], frozenset[str]],
         with_notice: Callable[[], frozenset[str]],
+        is_verified: Callable[[EngineInfo], bool] = lambda engine: True,
     ) -> None:
         """Set the sources of departures that the list does not show yet.
 
         Args:
           leaving: returns the incarnations that no longer accept work.
           with_notice: returns the incarnations whose shutdown time is set.
+          is_verified: returns whether an engine may get work already.
         """
+        self._is_verified = is_verified
         self._leaving = leaving
         self._with_notice = with_notice
 
@@ -142,7 +146,9 @@
         return {
             engine.incarnation: attrs.evolve(
                 engine,
-                is_draining=engine.is_draining or engine.incarnation in leaving,
+                is_draining=engine.is_draining
+                or engine.incarnation in leaving
+                or not self._is_verified(engine),
                 has_notice=engine.incarnation in with_notice,
             )
             for engine in self._listed
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/platform/leader_placement.py
@@ -79,16 +79,16 @@
         self._reports = EngineReports(
             timer,
             PlatformReports(timer, client, self._note_response),
-            self._model_engines,
+            self._polled_engines,
         )
         self._departures = DepartureDetector(
             timer,
             PlatformHealth(client, self._health_path, self._note_response),
-            self._model_engines,
+            self._polled_engines,
             sync_service.apply_departures,
         )
         sync_service.reader.use_departure_sources(
-            self._leaving, self._reports.with_notice
+            self._leaving, self._reports.with_notice, self._departures.is_verified
         )
         timer.call_every(ADMISSION_PERIOD_S, self._update_placement)
         timer.call_every(LOAD_LOG_PERIOD_S, self._placement.log_load)
@@ -121,18 +121,18 @@
     def _health_path(self, service: str) -> str:
         return self._services[service].health_path
 
+    def _polled_engines(self) -> list[EngineInfo]:
+        """Return the model engines that want requests from this VM."""
+        is_paused = self._sync_service.reader.notices.is_paused
+        return [engine for engine in self._model_engines() if not is_paused(engine)]
+
     def _model_engines(self) -> list[EngineInfo]:
         if not self._sync_service.leads():
             return []
         model_services = {
             name for name, s in self._services.items() if s.model_engine is not None
         }
-        is_paused = self._sync_service.reader.notices.is_paused
-        return [
-            engine
-            for engine in self._view.engines.values()
-            if engine.service in model_services and not is_paused(engine)
-        ]
+        return [e for e in self._view.engines.values() if e.service in model_services]
 
     def _update_placement(self) -> None:
         if self._sync_service.leads():
@@ -148,6 +148,7 @@
 
     def _update(self) -> None:
         if not self._sync_service.leads():
+            self._departures.note_listed(())
             return
         configuration = current_configuration(self._replica.state)
         if configuration is not None and configuration["version"] != self._view.version:
@@ -162,4 +163,5 @@
             self._view.list_stamp = engine_list.stamp
             self._view.engines = engine_list.engines
             self._table.update_engines()
+            self._departures.note_listed(self._model_engines())
         self._placement.update()
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -64,6 +64,26 @@
         await self.advance_check(e1=True, e2=True, e3=False)
         self.assertEqual({"e3@1"}, self.detector.leaving())
 
+    async def test_a_new_engine_gets_work_after_its_first_check(self):
+        """Guards against placements at an engine that leaves as it is listed."""
+        await self.advance_check(e1=True, e2=True)
+        self.detector.note_listed(self.engines)
+        self.assertTrue(self.detector.is_verified(self.engines[0]))
+        leaving, staying = engine("e3"), engine("e4")
+        self.source.healthy |= {"e3": False, "e4": True}
+        self.assertFalse(self.detector.is_verified(leaving))
+        self.detector.note_listed([*self.engines, leaving, staying])
+        await run_ready_tasks()
+        self.assertTrue(self.detector.is_verified(staying))
+        self.assertEqual({"e3@1"}, self.detector.leaving())
+
+    async def test_the_first_list_of_a_leader_needs_no_first_checks(self):
+        await self.advance_check(e1=True, e2=True)
+        self.detector.note_listed([*self.engines, engine("e3")])
+        self.assertTrue(self.detector.is_verified(engine("e3")))
+        self.detector.note_listed(())
+        self.assertTrue(self.detector.is_verified(engine("e4")))
+
     async def test_failures_are_ignored_until_an_engine_of_the_service_has_passed(self):
         self.engines.append(engine("a1", "app"))
         await self.advance_check(e1=False, e2=False, a1=True)
--- a/tests/test_fleet_engine_list.py
+++ b/tests/test_fleet_engine_list.py
@@ -64,6 +64,18 @@
         ]
         self.assertEqual(["e1"], leaving)
 
+    async def test_an_engine_that_is_not_verified_counts_as_draining(self):
+        verified = {"e1"}
+        self.reader.use_departure_sources(
+            frozenset, frozenset, lambda engine: engine.identity in verified
+        )
+        self.source.engines = [engine("e1"), engine("e2")]
+        await self.reader.read(1)
+        self.assertTrue(self.reader.current.engines["e2@1"].is_draining)
+        verified.add("e2")
+        self.assertTrue(self.reader.apply_departures())
+        self.assertFalse(self.reader.current.engines["e2@1"].is_draining)
+
     async def test_departures_are_merged_between_two_reads(self):
         leaving = set()
         with_notice = set()
