Send requests that cannot be retried on fresher connections

Cause: targets may forget a connection that was idle for some tenths of a second, and reset whatever is sent on it; a request that cannot be retried is lost then. Change: such requests use connections that were idle for 0.25 s at most (1 s before).

--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -25,9 +25,9 @@
 
 # Responses to other requests skipped on one connection.
 MAX_SKIPPED_RESPONSES = 2
-# A connection idle for longer may be half-open, and a request that cannot be retried
-# would be lost on it.
-NON_IDEMPOTENT_MAX_IDLE_S = 1.0
+# A connection idle for longer may be half-open or forgotten by the target, and a
+# request that cannot be retried would be lost on it.
+NON_IDEMPOTENT_MAX_IDLE_S = 0.25
 
 
 class Failure(enum.Enum):
