Mend faults of the command line, metrics, kernel and decoders

A response that is no JSON no longer ends the operators' client's round over the servers. The kernel stops what runs when a service fails to start. Counters are exported with all digits. Parameters nan and inf are refused. An update of an unknown kind is an error instead of a VM's. The exit code of platform check is that of findings everywhere else, 2.

--- a/endivesill/cli_tools.py
+++ b/endivesill/cli_tools.py
@@ -9,7 +9,7 @@
 import cyclopts
 from cyclopts import Parameter
 
-from endivesill import porcelain, presentation
+from endivesill import errors, porcelain, presentation
 from endivesill.explain import format_json, format_text
 from endivesill.load import format_summary
 
@@ -71,12 +71,15 @@
         The settings file that the platform wrote for a process.
     deploy
         The deploy file.
+
+    Raises
+    ------
+    FindingsError
+        If there are findings; the exit code is 2.
     """
     findings = porcelain.platform_check(settings, deploy)
-    for finding in findings:
-        print(finding)
     if findings:
-        raise SystemExit(1)
+        raise errors.FindingsError(findings)
     print("no findings")
 
 
--- a/endivesill/kernel.py
+++ b/endivesill/kernel.py
@@ -76,10 +76,17 @@
         return name in self._services
 
     async def start(self) -> None:
-        """Start all services in the order in which they were added."""
-        for name, service in list(self._services.items()):
-            await service.start()
-            self._running.append(name)
+        """Start all services in the order in which they were added.
+
+        If one fails to start, those that run already are stopped again.
+        """
+        try:
+            for name, service in list(self._services.items()):
+                await service.start()
+                self._running.append(name)
+        except BaseException:
+            await self.stop()
+            raise
 
     async def stop(self) -> None:
         """Stop the services in reverse order, then cancel the background tasks.
--- a/endivesill/membership/messages.py
+++ b/endivesill/membership/messages.py
@@ -235,6 +235,8 @@
             return TargetNotice(
                 str(row[1]), int(row[2]), str(row[3]), bool(row[4]), notice_s
             )
+        if row[0] != "v":
+            raise ValueError(f"no update of kind {row[0]!r}")
         health, phase = divmod(int(row[4]), len(_PHASES))
         address, data_centre, region, letters = row[5:9] or ("", "", "", "")
         return VmUpdate(
--- a/endivesill/metrics.py
+++ b/endivesill/metrics.py
@@ -93,10 +93,11 @@
 
 
 def _line(name: str, labels: Labels, value: float) -> str:
+    number = str(int(value)) if float(value).is_integer() else repr(float(value))
     if not labels:
-        return f"{name} {value:g}"
+        return f"{name} {number}"
     inner = ",".join(f'{key}="{_escape(text)}"' for key, text in labels)
-    return f"{name}{{{inner}}} {value:g}"
+    return f"{name}{{{inner}}} {number}"
 
 
 def _escape(text: str) -> str:
--- a/endivesill/operators/application.py
+++ b/endivesill/operators/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -292,9 +293,12 @@
 def _number_parameter(request: Request, name: str, default: float) -> float:
     text = request.query_params.get(name, str(default))
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
-        raise errors.RequestError(400, f"{name} is not a number", name) from None
+        number = math.nan
+    if not math.isfinite(number):
+        raise errors.RequestError(400, f"{name} is not a number", name)
+    return number
 
 
 async def _json_body(request: Request, fields: dict[str, type]) -> dict[str, Any]:
--- a/endivesill/operators/client.py
+++ b/endivesill/operators/client.py
@@ -21,6 +21,8 @@
 
 # Another server may succeed after one of these.
 RETRIED_STATUSES = (502, 503, 504)
+# A call without a usable response; a ValueError is a response that is no JSON.
+CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
 class OperatorClient:
@@ -99,7 +101,12 @@
                     status, response_body = await self._call_server(
                         method, server, path, parameters, body
                     )
-                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                except (
+                    aiohttp.ClientError,
+                    TimeoutError,
+                    OSError,
+                    ValueError,
+                ) as error:
                     not_connected = isinstance(error, aiohttp.ClientConnectorError)
                     may_have_run = may_have_run or not not_connected
                     problem = f"{server}: {error}"
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -31,6 +31,19 @@
             ["start a", "start b", "start c", "stop c", "stop b", "stop a"], calls
         )
 
+    async def test_a_failed_start_stops_the_services_that_run(self):
+        class FailingService(RecordingService):
+            async def start(self):
+                raise OSError("the address is in use")
+
+        calls = []
+        kernel = Kernel(ManualTimer())
+        kernel.add("a", RecordingService("a", calls))
+        kernel.add("b", FailingService("b", calls))
+        with self.assertRaises(OSError):
+            await kernel.start()
+        self.assertEqual(["start a", "stop a"], calls)
+
     async def test_a_service_is_found_by_name_and_class(self):
         kernel = Kernel(ManualTimer())
         service = RecordingService("a", [])
--- a/tests/test_membership_messages.py
+++ b/tests/test_membership_messages.py
@@ -68,7 +68,13 @@
             decode_datagram(data)
 
     def test_invalid_updates_are_errors(self):
-        for row in ('["v","a","b",1,9]', '["v","a","b",1,1,"h"]', '["t","x"]', "3"):
+        for row in (
+            '["v","a","b",1,9]',
+            '["v","a","b",1,1,"h"]',
+            '["t","x"]',
+            "3",
+            '["x","a","b",1,1]',
+        ):
             text = f'["g",0,"w","",0,{row}]'
             with self.assertRaises(errors.PeerMessageError, msg=row):
                 decode_datagram(text.encode())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,8 +9,10 @@
 
 from endivesill import errors, events
 from endivesill.configuration.lease import LEASE_S
+from endivesill.http1 import HttpListener
 from endivesill.keys import KeyRing
 from endivesill.operators.client import OperatorClient
+from endivesill.timer import SystemTimer
 from endivesill.tls import TlsSettings, client_context, server_options
 from tests.configuration_fleet import apply_message, change_message
 from tests.operator_server import KEY, OperatorServer
@@ -63,6 +65,11 @@
         self.server.keys.replace(KeyRing([new_key]))
         self.assertEqual(401, self.request("/v1/status", key=KEY)[0])
 
+    def test_parameters_that_are_no_numbers_are_refused(self):
+        for value in ("nan", "inf", "x"):
+            path = f"/v1/configuration/progress?revision={value}"
+            self.assertEqual(400, self.request(path)[0], value)
+
     def test_metrics_are_prometheus_text(self):
         status, _ = self.request("/metrics")
         self.assertEqual(200, status)
@@ -172,6 +179,18 @@
             with self.assertRaises(errors.OutcomeUnknownError):
                 await self.send(client, "1")
 
+    async def test_a_server_that_sends_no_json_is_passed_over(self):
+        async def respond(exchange):
+            exchange.respond(200, [(b"Content-Type", b"application/json")], b"{no")
+
+        listener = HttpListener(SystemTimer(), "127.0.0.1:0", respond)
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        servers = [listener.address, self.server.address]
+        async with OperatorClient(servers, KeyRing([KEY])) as client:
+            answer = await self.send(client, "1")
+        self.assertEqual(("accepted", 1), (answer["outcome"], answer["revision"]))
+
     async def test_without_a_connection_nothing_was_changed(self):
         keys = KeyRing([KEY])
         async with OperatorClient(["127.0.0.1:1"], keys, timeout_s=0.0) as client:
--- a/tests/test_platform_check.py
+++ b/tests/test_platform_check.py
@@ -1,10 +1,13 @@
 """Tests of the validation of settings and deploy files."""
 
+import contextlib
+import io
 import pathlib
 import tempfile
 import unittest
+import unittest.mock
 
-from endivesill import errors, porcelain
+from endivesill import cli, errors, porcelain
 from endivesill.platform.check import check_deploy
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -50,3 +53,17 @@
         with self.assertRaises(errors.EndivesillError):
             porcelain.platform_check(None, None)
         self.assertEqual([], porcelain.platform_check(None, str(DEPLOY)))
+
+    def test_the_exit_code_of_findings_is_that_of_the_command_line(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "system.toml"
+            path.write_text("roles = 7\n", encoding="utf-8")
+            arguments = ["platform", "check", "--deploy", str(path)]
+            with (
+                unittest.mock.patch("sys.argv", ["endivesill", *arguments]),
+                contextlib.redirect_stderr(io.StringIO()) as output,
+                self.assertRaises(SystemExit) as caught,
+            ):
+                cli.main()
+        self.assertEqual(cli.EXIT_FINDINGS, caught.exception.code)
+        self.assertEqual(2, len(output.getvalue().splitlines()))
