Stop accepting connections before a stopping entry closes

An entry without connections accepted further ones while it deregistered. Change: it stops listening after two thirds of the grace, or before it ends early.

--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -359,11 +359,15 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def stop_accepting(self) -> None:
+        """Stop listening; the open connections stay."""
+        if self._server is not None:
+            self._server.close()
+
     async def stop(self) -> None:
         """Stop listening and reset the open connections."""
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
-        if self._server is not None:
-            self._server.close()
+        self.stop_accepting()
         for connection in list(self.connections):
             connection.abort()
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -49,9 +49,11 @@
 # With an older view of the fleet the entry reports that it is not ready, so
 # that callers are sent to other entries.
 MAX_READY_VIEW_AGE_S = 6.0
-# After the stop signal: how long the load balancer may still open connections,
-# and the fraction of the grace period during which requests are served.
+# After the stop signal: how long the load balancer may still open connections, and the
+# fractions of the grace period during which connections are accepted and requests are
+# served. The time between them is for the requests of the last connections.
 BALANCER_LAG_S = 2.5
+ACCEPTING_FRACTION = 2 / 3
 SERVING_FRACTION = 5 / 6
 STOP_POLL_PERIOD_S = 0.05
 
@@ -231,7 +233,11 @@
         exchange.respond(200 if self.is_ready() else 503, [])
 
     async def _drain(self, stop_received_s: float) -> None:
-        """Serve running and new requests until all connections close or time is up."""
+        """Serve running and new requests until all connections close or time is up.
+
+        Connections are accepted until shortly before the end, since callers may have no
+        other entry. After that, none is read whose request could not be finished.
+        """
         self._stopping = True
         self._front.closing = True
         grace_s = self._settings.bounds.grace_s
@@ -241,11 +247,16 @@
             active=self._front.active_exchanges,
         )
         balancer_lag_end_s = stop_received_s + BALANCER_LAG_S
+        accepting_end_s = stop_received_s + ACCEPTING_FRACTION * grace_s
         serving_end_s = stop_received_s + SERVING_FRACTION * grace_s
+        is_accepting = True
         while (now_s := self._timer.now_s()) < serving_end_s:
             if now_s > balancer_lag_end_s:
                 self._forwarder.refuse_streams = True
                 self._front.close_idle()
-                if not self._front.connections:
+                if not is_accepting and not self._front.connections:
                     return
+                if now_s > accepting_end_s or not self._front.connections:
+                    self._front.stop_accepting()
+                    is_accepting = False
             await self._timer.sleep(STOP_POLL_PERIOD_S)
