Decode deeply nested JSON from outside as invalid, and fuzz the decoders

Cause: JSON nested some thousand times raises RecursionError, which no decoder expected. One engine that sends it in its report stopped the reading of all reports until the next round, and an operator's document of that kind got a closed connection instead of 400. Found by the first run of the new property tests. Change: bytes from outside are decoded by json_text.parse_json, which has one error.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/installed
 
-.PHONY: demo test format lint types bench venv clean
+FUZZ_EXAMPLES := 4000
+
+.PHONY: demo test fuzz format lint types bench venv clean
 
 venv: $(STAMP)
 
@@ -20,6 +22,10 @@
 test: $(STAMP)
 	$(PYTHON) -m nose2
 
+# Property tests of the decoders with new examples; takes some minutes.
+fuzz: $(STAMP)
+	FUZZ_EXAMPLES=$(FUZZ_EXAMPLES) $(PYTHON) -m nose2 tests.test_fuzz
+
 format: $(STAMP)
 	$(PYTHON) -m ruff format .
 
--- a/endivesill/fleet/packing.py
+++ b/endivesill/fleet/packing.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from endivesill import errors
+from endivesill.json_text import parse_json
 
 __all__ = ["pack_document", "unpack_document"]
 
@@ -32,6 +33,6 @@
       PeerMessageError: the text is invalid.
     """
     try:
-        return json.loads(zlib.decompress(base64.b64decode(text)))
+        return parse_json(zlib.decompress(base64.b64decode(text)))
     except (ValueError, zlib.error) as error:
         raise errors.PeerMessageError(f"packed document: {error}") from None
--- a/endivesill/link_peers.py
+++ b/endivesill/link_peers.py
@@ -19,6 +19,7 @@
     UpstreamError,
     encode_head,
 )
+from endivesill.json_text import parse_json
 from endivesill.peers import Message, PeerTransport, encode_message
 from endivesill.timer import TimerService
 
@@ -75,7 +76,7 @@
             exchange.respond(404, [])
             return
         try:
-            message = json.loads(exchange.body)
+            message = parse_json(exchange.body)
         except ValueError:
             exchange.respond(400, [])
             return
@@ -120,6 +121,6 @@
         if head.status != 200:
             raise errors.PeerUnreachableError(f"{address}{path}: {head.status}")
         try:
-            return json.loads(body)
+            return parse_json(body)
         except ValueError as error:
             raise errors.PeerUnreachableError(f"{address}{path}: {error}") from None
--- a/endivesill/membership/messages.py
+++ b/endivesill/membership/messages.py
@@ -15,6 +15,7 @@
 import attrs
 
 from endivesill import errors
+from endivesill.json_text import parse_json
 from endivesill.membership.view import VmRecord, VmState
 
 __all__ = [
@@ -274,7 +275,7 @@
       PeerMessageError: the data are not a valid datagram.
     """
     try:
-        kind, sequence, sender, subject, digest, *updates = json.loads(data)
+        kind, sequence, sender, subject, digest, *updates = parse_json(data)
         return Datagram(
             DatagramKind(kind),
             int(sequence),
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -13,6 +13,7 @@
 from endivesill.forwarding.protocol import Dispatch, RequestInfo, ResponseInfo
 from endivesill.http1 import Headers, ResponseHead, header_value
 from endivesill.http1.head import encode_head, header_values, strip_hop_by_hop
+from endivesill.json_text import parse_json
 from endivesill.platform import wire
 from endivesill.platform.decode import Reader
 
@@ -51,7 +52,7 @@
       DocumentError: the page itself is invalid.
     """
     try:
-        reader = Reader(json.loads(body), "list")
+        reader = Reader(parse_json(body), "list")
     except ValueError as error:
         raise errors.DocumentError(f"list of engines: {error}") from None
     engines = []
@@ -175,7 +176,7 @@
     def decode_copy_name(self, body: bytes) -> str:
         """Return the handle of a copy; empty if the response has none."""
         try:
-            return Reader(json.loads(body), "copy").text("handle")
+            return Reader(parse_json(body), "copy").text("handle")
         except (ValueError, errors.DocumentError) as error:
             events.emit(events.TASK_FAILED, task="decode-copy", error=str(error))
             return ""
--- a/endivesill/platform/operators.py
+++ b/endivesill/platform/operators.py
@@ -17,6 +17,7 @@
     document_digest,
 )
 from endivesill.http1 import Exchange
+from endivesill.json_text import parse_json
 from endivesill.platform import wire
 from endivesill.platform.configuration import decode_configuration
 from endivesill.timer import TimerService
@@ -78,7 +79,7 @@
 
     async def _replace_configuration(self, body: bytes) -> dict[str, Any]:
         try:
-            document = json.loads(body)
+            document = parse_json(body)
         except ValueError as error:
             raise errors.DocumentError(str(error)) from None
         version = decode_configuration(document).version
--- a/endivesill/platform/reports.py
+++ b/endivesill/platform/reports.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 
 from endivesill import errors
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.reports import REPORT_TIMEOUT_S, EngineReport, ReportSource
 from endivesill.http1 import ResponseHead
+from endivesill.json_text import parse_json
 from endivesill.platform import wire
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.decode import Reader
@@ -24,7 +24,7 @@
       DocumentError: the body is not a valid report.
     """
     try:
-        reader = Reader(json.loads(body), "report")
+        reader = Reader(parse_json(body), "report")
     except ValueError as error:
         raise errors.DocumentError(f"report: {error}") from None
     return EngineReport(
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,6 +15,7 @@
     "ini",
     "kernel",
     "json_log",
+    "json_text",
     "keys",
     "link_peers",
     "metrics",
