Mend faults of orders, prefixes, reconnects and settings

Each test failed on the code before. A data centre named watch gets its orderer. An order that a remote orderer rejects is rejected, not unavailable. The prefix index of a new boot is no longer stale. Engines that each say that the other has a generation are followed four times, not without end. A settings file that is missing is logged once, not each second.

--- a/endivesill/entry/reconnect.py
+++ b/endivesill/entry/reconnect.py
@@ -18,6 +18,8 @@
 
 __all__ = ["reconnect"]
 
+# How often a generation is followed to the engine that it is said to have moved to.
+MAX_MOVES = 4
 MAX_PROBED_TARGETS = 8
 RETRY_AFTER_S = 1.0
 GONE_STATUS = 410
@@ -62,13 +64,17 @@
             )
         raise generation_gone_error()
 
-    async def _try_target(self, target: Target) -> tuple[Target, EngineStream] | None:
+    async def _try_target(
+        self, target: Target, moves_left: int = MAX_MOVES
+    ) -> tuple[Target, EngineStream] | None:
         try:
             return target, await self._resume(target)
         except errors.TargetGoneError as error:
             index = self._context.index.current()
             moved = index.target_by_url(target.service, error.moved_to)
-            return await self._try_target(moved) if moved and moved != target else None
+            if not moved or moved == target or not moves_left:
+                return None
+            return await self._try_target(moved, moves_left - 1)
         except (errors.TargetError, errors.DeadlineExceededError):
             self._was_unreachable = True
             return None
--- a/endivesill/orders/service.py
+++ b/endivesill/orders/service.py
@@ -64,6 +64,8 @@
         self._peers = peers
         self._engines = engines
         self._client: TargetClient | None = None
+        self._watch_task: asyncio.Task[None] | None = None
+        # The tasks of orderers by data centre.
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._leases: dict[str, OrdererLease] = {}
         self._orderers: dict[str, Orderer] = {}
@@ -75,14 +77,17 @@
         if self._engines is None:
             self._client = TargetClient(self._kernel.timer)
             self._engines = EngineAdapter(self._client, self._kernel.timer)
-        self._tasks["watch"] = self._kernel.supervise("orders", self._watch)
+        self._watch_task = self._kernel.supervise("orders", self._watch)
 
     async def stop(self) -> None:
         """Stop without releasing the leases; see `hand_over`."""
         self._stopping = True
-        for task in self._tasks.values():
+        tasks = list(self._tasks.values())
+        if self._watch_task is not None:
+            tasks.append(self._watch_task)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for orderer in self._orderers.values():
             await orderer.close()
         if self._client is not None:
@@ -108,8 +113,8 @@
         """Issue an order, here or through the VM that is the orderer.
 
         Raises:
-          OrderError: there is no such engine.
-          UnavailableError: there is no orderer, or the orderer returned an error.
+          OrderError: there is no such engine, or the orderer rejected the order.
+          UnavailableError: there is no orderer, or it no longer is one.
           OutcomeUnknownError: the orderer did not reply; retry with the same id to
             learn the outcome.
         """
@@ -128,6 +133,8 @@
         except errors.PeerUnreachableError as error:
             raise errors.OutcomeUnknownError(str(error)) from None
         if "error" in response:
+            if response.get("is_rejected"):
+                raise errors.OrderError(response["error"])
             raise errors.UnavailableError(response["error"])
         return OrderRecord.from_message(response)
 
@@ -149,7 +156,9 @@
             return {"error": "this VM does not give the orders"}
         try:
             return (await orderer.issue(request)).to_message()
-        except (errors.UnavailableError, errors.OrderError) as error:
+        except errors.OrderError as error:
+            return {"error": str(error), "is_rejected": True}
+        except errors.UnavailableError as error:
             return {"error": str(error)}
 
     async def _watch(self) -> None:
--- a/endivesill/platform/process.py
+++ b/endivesill/platform/process.py
@@ -73,6 +73,8 @@
     ) -> None:
         self._on_change = on_change
         self._path = settings_path()
+        # Why the file could not be read, to log each reason once.
+        self._problem = ""
         self._file_stamp = self._read_file_stamp()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -82,13 +84,19 @@
         try:
             status = os.stat(self._path)
         except OSError as error:
-            events.emit(SETTINGS_REFUSED, reason=str(error))
+            if str(error) != self._problem:
+                self._problem = str(error)
+                events.emit(SETTINGS_REFUSED, reason=self._problem)
             return (0, 0)
+        self._problem = ""
         return (status.st_mtime_ns, status.st_size)
 
     def _poll(self) -> None:
-        if self._read_file_stamp() != self._file_stamp:
-            self._reload()
+        file_stamp = self._read_file_stamp()
+        if file_stamp != self._file_stamp:
+            self._file_stamp = file_stamp
+            if not self._problem:
+                self._reload()
 
     def _reload(self) -> None:
         self._file_stamp = self._read_file_stamp()
--- a/endivesill/routing/prefixes.py
+++ b/endivesill/routing/prefixes.py
@@ -104,6 +104,7 @@
         if events.boot_id != prefixes.boot_id:
             self.clear(target_name)
             prefixes.boot_id = events.boot_id
+            prefixes.is_stale = False
             prefixes.sequence = 0
             if events.first_sequence > 1:
                 prefixes.sequence = events.first_sequence - 1
--- a/tests/test_orders_placement.py
+++ b/tests/test_orders_placement.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bench.order_engines import OrderEngines, orders_configuration
-from endivesill import events
+from endivesill import errors, events
 from endivesill.configuration.source import FixedConfiguration
 from endivesill.control import LocalControl
 from endivesill.kernel import Kernel
@@ -224,6 +224,22 @@
         self.assertIsNotNone(self.services["v1"].orderer("a"))
         self.assertIsNone(self.services["v2"].orderer("a"))
 
+    async def test_a_rejected_order_is_rejected_at_any_vm(self):
+        for name in ("v1", "v2"):
+            await self.issue(name, "o-1")
+            request = OrderRequest("o-1", "plain-0", OrderKind.CHANGE_ROLE, "prefill")
+            task = asyncio.ensure_future(self.services[name].issue(request))
+            await self.timer.advance(5.0)
+            self.assertIsInstance(task.exception(), errors.OrderError, name)
+
+    async def test_a_data_centre_may_have_any_name(self):
+        centre = attrs.evolve(self.configuration.data_centres["a"], name="watch")
+        configuration = attrs.evolve(self.configuration, data_centres={"watch": centre})
+        self.services["v1"]._configuration = FixedConfiguration(configuration)
+        self.views["v1"].replace(self.vms, {"orderer/watch": "v1"})
+        await self.timer.advance(3.0)
+        self.assertIsNotNone(self.services["v1"].orderer("watch"))
+
     async def test_hand_over_releases_the_lease_to_the_next_orderer(self):
         for view in self.views.values():
             view.replace(self.vms, {"orderer/a": "v2"})
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -3,9 +3,13 @@
 import pathlib
 import tempfile
 import unittest
+import unittest.mock
 
-from endivesill import errors
+from endivesill import errors, events
+from endivesill.platform.process import POLL_PERIOD_S, SettingsWatcher
 from endivesill.platform.settings import check_settings, read_settings
+from endivesill.platform.wire import SETTINGS_VARIABLE
+from endivesill.timer import ManualTimer
 
 CONTROL_VM = """
 node_name = "core-1"
@@ -77,3 +81,23 @@
 
     def test_unknown_fields_are_ignored(self):
         self.assertEqual([], self.findings(CONTROL_VM))
+
+
+class SettingsWatcherTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_missing_file_is_logged_once(self):
+        lines = []
+        self.addCleanup(events.listen(lambda kind, fields: lines.append(kind.name)))
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "local.toml"
+            path.write_text(CONTROL_VM, encoding="utf-8")
+            read = []
+            with unittest.mock.patch.dict("os.environ", {SETTINGS_VARIABLE: str(path)}):
+                timer = ManualTimer()
+                SettingsWatcher(timer, read.append)
+                path.unlink()
+                await timer.advance(5 * POLL_PERIOD_S)
+                self.assertEqual(["settings-refused"], lines)
+                path.write_text(CONTROL_VM, encoding="utf-8")
+                await timer.advance(2 * POLL_PERIOD_S)
+        self.assertEqual(1, len(read))
+        self.assertEqual(["settings-refused", "settings-reloaded"], lines)
--- a/tests/test_routing_prefixes.py
+++ b/tests/test_routing_prefixes.py
@@ -56,6 +56,14 @@
         self.assertFalse(self.index.needs_resync("e0"))
         self.assertEqual(0, self.index.cached_tokens("e0", ("a",)))
 
+    def test_a_new_boot_has_missed_nothing(self):
+        self.index.apply("e0", events((1, "stored", "a")))
+        self.index.apply("e0", events((3, "stored", "c")))
+        self.assertTrue(self.index.needs_resync("e0"))
+        complete = self.index.apply("e0", events((1, "stored", "b"), boot_id="next"))
+        self.assertTrue(complete)
+        self.assertFalse(self.index.needs_resync("e0"))
+
     def test_repeated_events_change_nothing(self):
         self.index.apply("e0", events((1, "stored", "a"), (2, "evicted", "a")))
         self.assertTrue(self.index.apply("e0", events((1, "stored", "a"))))
