Judge the outcomes of all entries by a longer average

Cause: the leader judged the outcomes of the whole fleet by the average of a single entry, about ten responses. Change: records at the leader average over more responses and need 20 of them.

--- a/endivesill/forwarding/health.py
+++ b/endivesill/forwarding/health.py
@@ -5,12 +5,16 @@
 import collections
 from collections.abc import Sequence
 
-__all__ = ["BrokenRequests", "HealthRecord"]
+__all__ = ["BrokenRequests", "HealthRecord", "new_fleet_record"]
 
 # Weight of the newest response in the moving average of the failure rate.
 EWMA_WEIGHT = 0.1
 # Responses needed before the failure rate is used.
 MIN_RESPONSES = 5
+# The same for the outcomes of all entries at the leader. They are many, so a short
+# average would cross the threshold by chance every few seconds.
+FLEET_EWMA_WEIGHT = 0.03
+FLEET_MIN_RESPONSES = 20
 # A target is an outlier if its failure rate exceeds that of its best peer by this much;
 # some requests fail at any target.
 OUTLIER_EXCESS_FAILURE_RATE = 0.25
@@ -64,13 +68,23 @@
 class HealthRecord:
     """Failure rate and ejections of one target.
 
+    Args:
+      weight: weight of the newest response in the moving average.
+      min_responses: responses needed before the failure rate is used.
+
     Attributes:
+      min_responses: see `min_responses` above.
       failure_rate: moving average, from 0 to 1.
-      responses: responses counted since the last ejection, up to `MIN_RESPONSES`.
+      responses: responses counted since the last ejection, up to
+        `min_responses`.
       overdue: overdue responses since the last response.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, weight: float = EWMA_WEIGHT, min_responses: int = MIN_RESPONSES
+    ) -> None:
+        self._weight = weight
+        self.min_responses = min_responses
         self.failure_rate = 0.0
         self.responses = 0
         self.overdue = 0
@@ -89,9 +103,9 @@
     def record_response(self, *, succeeded: bool) -> None:
         """Count one response."""
         self.overdue = 0
-        self.responses = min(MIN_RESPONSES, self.responses + 1)
+        self.responses = min(self.min_responses, self.responses + 1)
         sample = 0.0 if succeeded else 1.0
-        self.failure_rate += EWMA_WEIGHT * (sample - self.failure_rate)
+        self.failure_rate += self._weight * (sample - self.failure_rate)
 
     def ejection_s(self, peers: Sequence[HealthRecord]) -> float:
         """Return the ejection in seconds; 0 unless the target is an outlier.
@@ -102,9 +116,9 @@
         Args:
           peers: the records of the other targets of its service.
         """
-        if self.responses < MIN_RESPONSES:
+        if self.responses < self.min_responses:
             return 0.0
-        seen = [p.failure_rate for p in peers if p.responses >= MIN_RESPONSES]
+        seen = [p.failure_rate for p in peers if p.responses >= p.min_responses]
         baseline = min(seen, default=0.0)
         if self.failure_rate - baseline < OUTLIER_EXCESS_FAILURE_RATE:
             return 0.0
@@ -121,8 +135,13 @@
 
     def check_readmission(self) -> bool:
         """Return whether probation ends now; true once after each ejection."""
-        if not self._on_probation or self.responses < MIN_RESPONSES:
+        if not self._on_probation or self.responses < self.min_responses:
             return False
         self._on_probation = False
         self._ejections = 0
         return True
+
+
+def new_fleet_record() -> HealthRecord:
+    """Return a record for the outcomes of all entries, which the leader keeps."""
+    return HealthRecord(FLEET_EWMA_WEIGHT, FLEET_MIN_RESPONSES)
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -37,6 +37,7 @@
       timer: the timer service.
       view: the entry's view of the fleet.
       data_centre: where the entry runs.
+      new_record: creates the health record of a target.
 
     Attributes:
       watchers: called by `notify`.
@@ -47,7 +48,14 @@
       on_broken: called after a request that a target broke off.
     """
 
-    def __init__(self, timer: TimerService, view: FleetView, data_centre: str) -> None:
+    def __init__(
+        self,
+        timer: TimerService,
+        view: FleetView,
+        data_centre: str,
+        new_record: Callable[[], HealthRecord] = HealthRecord,
+    ) -> None:
+        self._new_record = new_record
         self._timer = timer
         self._view = view
         self.data_centre = data_centre
@@ -70,7 +78,9 @@
         for target in self._targets.values():
             target.listed = False
         for incarnation, info in self._view.engines.items():
-            target = self._targets.setdefault(incarnation, Target(info, HealthRecord()))
+            if incarnation not in self._targets:
+                self._targets[incarnation] = Target(info, self._new_record())
+            target = self._targets[incarnation]
             if info.address != target.info.address:
                 target.is_replaced = False
             target.info = info
@@ -117,7 +127,8 @@
         """Return an engine's target, adding it if the local list lacks it."""
         target = self._targets.get(info.incarnation)
         if target is None:
-            target = self._targets[info.incarnation] = Target(info, HealthRecord())
+            target = Target(info, self._new_record())
+            self._targets[info.incarnation] = target
             self._by_service.setdefault(info.service, []).append(target)
         return target
 
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/platform/leader_placement.py
@@ -11,6 +11,7 @@
 from endivesill.fleet.state import current_configuration, evacuations
 from endivesill.fleet.sync_client import FleetView
 from endivesill.fleet.sync_service import FleetSyncService
+from endivesill.forwarding.health import new_fleet_record
 from endivesill.forwarding.placement_service import PLACE_PATH, PlacementService
 from endivesill.forwarding.targets import TargetTable
 from endivesill.http1 import ResponseHead
@@ -57,7 +58,7 @@
         self._view = FleetView()
         self._services: dict[str, Service] = {}
         # The entries are in all data centres, so none of them counts as local.
-        self._table = TargetTable(timer, self._view, data_centre="")
+        self._table = TargetTable(timer, self._view, "", new_fleet_record)
         bounds = settings.bounds
         self._placement = PlacementService(
             timer,
