Let the test of empty data in a chunked response fail

Cause: it only looked at the end of the response, which is the same with the fault. Change: it counts the last chunks. Result: red on the code before, green now; the module alone was run.

--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -181,6 +181,7 @@
 
         self.listener.handler = handle
         _, transport = await self.send(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertEqual(1, transport.written.count(b"0\r\n\r\n"))
         self.assertTrue(transport.written.endswith(b"\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
 
     async def test_an_idle_connection_is_closed_after_the_idle_timeout(self):
