Log the age of a caller's connection, and what a stop cuts

Cause: the lines of a request that a stopping entry gave up did not tell whether its connection was accepted late or its request was read late on an old one, and the stop did not say that anything was cut. Change: request-ended has connection_age_s, process-stopped has cut. Result: tests.test_forwarding_log passes; it failed without the field.

--- a/endivesill/forwarding/call.py
+++ b/endivesill/forwarding/call.py
@@ -55,6 +55,11 @@
         self.sends += 1
         self.may_have_run = True
 
+    @property
+    def connection_age_s(self) -> float:
+        """Time from the start of the caller's connection to the whole request."""
+        return self.received_s - self.exchange.connection.opened_s
+
     @property
     def is_idempotent(self) -> bool:
         """Whether it may run more than once."""
--- a/endivesill/forwarding/call_log.py
+++ b/endivesill/forwarding/call_log.py
@@ -121,5 +121,6 @@
             reason=reason,
             elapsed_s=round(elapsed_s, 4),
             sends=call.sends,
+            connection_age_s=round(call.connection_age_s, 3),
             **fields,
         )
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -45,6 +45,7 @@
       listener: the listener that accepted the connection.
 
     Attributes:
+      opened_s: when the connection was accepted.
       writable: set unless the transport has paused writing.
       current: the exchange that is being handled; None between requests.
       idle_since_s: when the last exchange ended, or the connection started.
@@ -58,7 +59,7 @@
         self.writable = asyncio.Event()
         self.writable.set()
         self.current: Exchange | None = None
-        self.idle_since_s = listener.timer.now_s()
+        self.opened_s = self.idle_since_s = listener.timer.now_s()
         self.head_started_s: float | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._pending: collections.deque[Exchange] = collections.deque()
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -143,8 +143,9 @@
         await self._drain(stop.received_s)
         await self._sync_client.deregister()
         task.cancel()
+        cut = self._front.active_exchanges
         await self._front.stop()
-        events.emit(events.PROCESS_STOPPED, vm=self._settings.vm)
+        events.emit(events.PROCESS_STOPPED, vm=self._settings.vm, cut=cut)
 
     def _metric_lines(self) -> list[str]:
         view = self._sync_client.view
--- a/tests/test_forwarding_log.py
+++ b/tests/test_forwarding_log.py
@@ -25,6 +25,7 @@
         )
         self.assertEqual(0.0, placed["age_s"])
         ended = self.fields("request-ended")
+        self.assertGreaterEqual(ended["connection_age_s"], 0.0)
         self.assertEqual(
             ("answered", 200, 1), (ended["outcome"], ended["status"], ended["sends"])
         )
