Answer pipelined requests before a stopping listener closes their connection

Callers saw: a request that was read behind another one on the same connection got no response when the entry was told to stop. Cause: the response to the first request announced the close of the connection, and what was queued behind it was dropped. Change: only a response with nothing queued behind it announces the close.

--- a/endivesill/http1/exchange.py
+++ b/endivesill/http1/exchange.py
@@ -114,7 +114,8 @@
 
     def _head(self, status: int, headers: Headers) -> bytes:
         self.head_sent = True
-        if self.connection.listener.closing:
+        connection = self.connection
+        if connection.listener.closing and not connection.has_queued_requests:
             self.closes_connection = True
         if self.closes_connection:
             headers = [*headers, (b"Connection", b"close")]
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -261,6 +261,11 @@
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         self.transport.write(encode_head(status_line(status), headers))
 
+    @property
+    def has_queued_requests(self) -> bool:
+        """Whether further requests were read while one is being handled."""
+        return bool(self._pending)
+
     def check_timeouts(self, now_s: float) -> None:
         """Close an idle connection, or reject a slow request, after its timeout."""
         limits = self.listener.limits
