Send complete responses before a stopping entry resets its connections

Callers saw: a connection that was reset in the middle of a response at the end of a stop. Cause: the listener aborts its transports, which drops what is in their buffers. Change: before that, connections without a running request are closed after their last byte, for up to a sixteenth of the grace period.

--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -31,6 +31,8 @@
 # TCP reset that may discard the last response before the caller reads it.
 LINGER_S = 1.0
 BACKLOG_CONNECTIONS = 512
+# Period of the checks whether the connections of a stopping listener have closed.
+CLOSE_POLL_PERIOD_S = 0.02
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 BAD_REQUEST = events.define(
@@ -67,6 +69,7 @@
         self._task: asyncio.Task[None] | None = None
         self._discarding = False
         self._lost = False
+        self._is_closing = False
         self._error: tuple[int, str] | None = None
         self._last_data_s = self.idle_since_s
         self._body_bytes_fed = 0
@@ -297,8 +300,9 @@
         self._lost = True
         self._discarding = True
         self._wakeup.set()
-        if self.transport is None or self.transport.is_closing():
+        if self._is_closing or self.transport is None or self.transport.is_closing():
             return
+        self._is_closing = True
         if self.transport.can_write_eof():
             self.transport.write_eof()
         transport = self.transport
@@ -370,6 +374,20 @@
         if self._server is not None:
             self._server.close()
 
+    async def finish_responses(self, timeout_s: float) -> None:
+        """Stop listening and send the responses that are complete.
+
+        Returns after the callers have closed all connections, or after a time.
+
+        Args:
+          timeout_s: the longest time to wait.
+        """
+        self.stop_accepting()
+        end_s = self.timer.now_s() + timeout_s
+        while self.connections and self.timer.now_s() < end_s:
+            self.close_idle()
+            await self.timer.sleep(CLOSE_POLL_PERIOD_S)
+
     async def stop(self) -> None:
         """Stop listening and reset the open connections."""
         if self._sweep_timer is not None:
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -56,6 +56,8 @@
 ACCEPTING_FRACTION = 2 / 3
 SERVING_FRACTION = 5 / 6
 STOP_POLL_PERIOD_S = 0.05
+# Fraction of the grace period for sending the last responses.
+FLUSH_FRACTION = 1 / 16
 
 
 class EntryProcess:
@@ -261,3 +263,4 @@
                     self._front.stop_accepting()
                     is_accepting = False
             await self._timer.sleep(STOP_POLL_PERIOD_S)
+        await self._front.finish_responses(FLUSH_FRACTION * grace_s)
