--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -167,6 +167,10 @@
         await self.settle(lambda: len(self.front.connections) > count)
         return connection
 
+    async def head_of(self, connection):
+        """Return the head of a response; fail after 5 s."""
+        return await asyncio.wait_for(connection.head(), 5)
+
     def end_request(self, connection):
         """Send the last byte of a request that was begun."""
         connection.transport.write(request("/")[-1:])
@@ -206,7 +210,7 @@
         await self.settle(lambda: self.app.requests, 2)
         self.assertTrue(self.app.requests)
         await self.advance((SERVING_FRACTION - ACCEPTING_FRACTION) * GRACE_S + 0.1)
-        self.assertIn((await connection.head()).status, (502, 504))
+        self.assertIn((await self.head_of(connection)).status, (502, 504))
         await self.advance(0.5)
         await asyncio.wait_for(stop, 5)
 
@@ -216,7 +220,7 @@
         connection = await self.begin_request("/unsafe/x")
         await self.advance(SERVING_FRACTION * GRACE_S - 0.1)
         self.end_request(connection)
-        head = await asyncio.wait_for(connection.head(), 5)
+        head = await self.head_of(connection)
         self.assertEqual(503, head.status)
         self.assertEqual([], self.app.requests)
         await self.advance(0.5)
@@ -234,7 +238,7 @@
         await self.advance(0.75)
         target.requests = 0
         self.entry._admission.admit_waiting()
-        self.assertEqual(503, (await connection.head()).status)
+        self.assertEqual(503, (await self.head_of(connection)).status)
         self.assertEqual([], self.app.requests)
         await self.advance(0.5)
         await asyncio.wait_for(stop, 5)
@@ -254,18 +258,18 @@
         await self.advance(2.2)
         await asyncio.wait_for(stop, 5)
         self.assertEqual(1, sum(len(engine.requests) for engine in engines))
-        self.assertIn((await connection.head()).status, (502, 504))
+        self.assertIn((await self.head_of(connection)).status, (502, 504))
 
     async def test_a_generation_that_cannot_end_in_time_is_refused_at_once(self):
         """It would be cut, while other entries have time for all of it."""
         stop = await self.begin_stop()
         counts = [(b"X-Endivesill-Token-Counts", b"1000,2000"), STREAM_HEADERS[1]]
         connection = await self.send("/stream/x", *counts)
-        head = await asyncio.wait_for(connection.head(), 5)
+        head = await self.head_of(connection)
         self.assertEqual(503, head.status)
         self.assertEqual([], self.llm.requests)
         short = await self.send("/stream/x", *STREAM_HEADERS)
-        self.assertEqual(200, (await asyncio.wait_for(short.head(), 5)).status)
+        self.assertEqual(200, (await self.head_of(short)).status)
         await self.advance(GRACE_S)
         await asyncio.wait_for(stop, 5)
 
@@ -294,6 +298,8 @@
         await self.settle(seconds=0.1)
         await self.timer.advance(0.15)
         connection.transport.resume_reading()
-        self.assertEqual(body, await connection.read_all(len(body)))
+        self.assertEqual(
+            body, await asyncio.wait_for(connection.read_all(len(body)), 5)
+        )
         await self.advance(0.5)
         await asyncio.wait_for(stop, 5)
