Respond to the requests that still run at the end of a stop

Callers saw: a connection that ended without a response, when the target took longer than the stopping entry had. Cause: the entry reset the connections of the requests that ran when its time was over.

--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable, pick_service
 from endivesill.forwarding.run_copy import RunCopier
+from endivesill.forwarding.running_calls import CallEndedError, RunningCalls
 from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.forwarding.waiting import AdmissionQueue, NoRoomError
@@ -43,6 +44,8 @@
 ATTEMPT_TIME_FRACTION = 0.4
 # Default Retry-After; engines release capacity each second as generations end.
 RETRY_AFTER_S = 1.0
+# Reason of a refusal by a process that stops; other entries can serve at once.
+STOPPING = "stopping"
 # Retry-After of an entry that has no configuration yet.
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
@@ -92,6 +95,7 @@
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
         self.refuse_streams = False
+        self._running = RunningCalls(timer)
 
     @property
     def routes(self) -> RouteTable | None:
@@ -127,7 +131,7 @@
                 self._refuse(exchange, info, 401, "unknown key", None)
                 return
         if self.refuse_streams and route.kind is RequestKind.STREAMING:
-            self._refuse(exchange, info, 503, "stopping", 0.0)
+            self._refuse(exchange, info, 503, STOPPING, 0.0)
             return
         await self._serve_with_deadline(self._call(exchange, info, route, organisation))
 
@@ -160,32 +164,25 @@
             caller_deadline_s=received_s + caller_remaining_s,
         )
 
+    def end_all(self) -> None:
+        """Respond to all requests that are running, because this process stops."""
+        self._running.end(STOPPING, lambda call: True)
+
     async def _serve_with_deadline(self, call: Call) -> None:
         """Serve a request until its deadline or until its caller disconnects."""
-        exchange = call.exchange
-        task = asyncio.current_task()
-        assert task is not None
-        if exchange.disconnected.is_set():
+        if call.exchange.disconnected.is_set():
             self._log.ended(call, "caller-gone", "before it was placed")
-            exchange.abort()
+            call.exchange.abort()
             return
-
-        def cancel_call() -> None:
-            # A non-idempotent call that may have reached a target runs to its end.
-            if call.route.kind is not RequestKind.UNSAFE or not call.may_have_run:
-                task.cancel()
-
-        exchange.on_disconnect = cancel_call
         try:
-            remaining_s = call.deadline_s - self._timer.now_s()
-            await self._timer.wait_for(self._serve(call), remaining_s)
+            await self._running.serve(call, self._serve(call))
         except errors.DeadlineExceededError:
             self._finish_failed(call, 504, "timeout")
+        except CallEndedError as error:
+            self._finish_failed(call, 502, error.reason, 0.0)
         except asyncio.CancelledError:
             self._log.ended(call, "caller-gone", "")
             raise
-        finally:
-            exchange.on_disconnect = None
 
     async def _serve(self, call: Call) -> None:
         self._budget.note_request(call.service.name)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -239,7 +239,7 @@
         """Serve running and new requests until all connections close or time is up.
 
         Connections are accepted until shortly before the end, since callers may have no
-        other entry. After that, none is read whose request could not be finished.
+        other entry. All requests that still run at the end get a response.
         """
         self._stopping = True
         self._front.closing = True
@@ -263,4 +263,5 @@
                     self._front.stop_accepting()
                     is_accepting = False
             await self._timer.sleep(STOP_POLL_PERIOD_S)
+        self._forwarder.end_all()
         await self._front.finish_responses(FLUSH_FRACTION * grace_s)
