Log the prompt parts of runs that break off at their start

Cause: the lines of a failed attempt did not tell whether the run had begun to write, nor what its prompt had in common with other runs that ended with their engines. Change: attempt-failed of a generation has run_events, head_age_s and prompt_parts, at most 16 parts and without the caller's own part. Result: RequestLogTest.test_lines_of_a_run_that_breaks_off_at_its_start fails without the fields and passes with them.

--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -36,6 +36,11 @@
     expected_output_tokens: int
     prefix: tuple[tuple[str, int], ...]
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share: all but the last."""
+        return tuple(identity for identity, _ in self.prefix[:-1])
+
     @property
     def session(self) -> str:
         """Id of the caller's session: the last part of the prompt is its own."""
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -31,6 +31,8 @@
 # the stream is resumed elsewhere if there is a copy; preempted generations resume
 # sooner.
 STALL_TIMEOUT_S = 1.5
+# Parts of a prompt in one log line.
+MAX_LOGGED_PARTS = 16
 
 
 class StreamBrokenError(errors.EndivesillError):
@@ -45,6 +47,8 @@
       target: the engine.
       backup: receives a live copy of the run's KV cache.
       attempt: the response, once it has begun.
+      head_s: when its head came; None before.
+      events: events that came from this run.
       prefill_done: whether the prompt was counted as prefilled.
       copy: a copy on demand, made because the backup cannot be used.
       is_moving: whether it was stopped in order to resume from its copy.
@@ -53,6 +57,8 @@
     target: Target
     backup: Target | None
     attempt: Attempt | None = None
+    head_s: float | None = None
+    events: int = 0
     prefill_done: bool = False
     copy: RunCopy | None = None
     is_moving: bool = False
@@ -151,6 +157,7 @@
             resume_from=resume_from,
             last_event_id=last_event_id,
         )
+        run.head_s = self._timer.now_s()
         return run.attempt
 
     def _non_stream_response(self, attempt: Attempt) -> Attempt:
@@ -190,6 +197,9 @@
             target=run.target.info.identity,
             reason="moved" if run.is_moving else str(error),
             events=self.events,
+            run_events=run.events,
+            head_age_s=self._head_age_s(run),
+            prompt_parts=call.info.shared_parts[:MAX_LOGGED_PARTS],
             backup=run.backup.info.identity if run.backup else None,
             copy=run.copy.name if run.copy else None,
         )
@@ -212,6 +222,12 @@
         target.reserve(call.demand)
         return _Run(target, self._placer.reserve_backup(call, target)), copy
 
+    def _head_age_s(self, run: _Run) -> float | None:
+        """Return the time since the head of a run's response; None without one."""
+        if run.head_s is None:
+            return None
+        return round(self._timer.now_s() - run.head_s, 4)
+
     def _find_copy(self, run: _Run) -> tuple[Target | None, str]:
         """Return the target that has a copy of an ended run, and the copy's name."""
         if run.backup is not None and self._table.accepts_requests(run.backup):
@@ -307,6 +323,7 @@
             if not run.prefill_done:
                 run.prefill_done = True
                 run.target.note_prefill_done(self._call.demand)
+            run.events += len(new_events)
             self._note_events(len(new_events))
             exchange.send(b"".join(event.data for event in new_events))
             await exchange.drain()
--- a/tests/test_forwarding_log.py
+++ b/tests/test_forwarding_log.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase
+from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 
 
 class RequestLogTest(ForwardingTestCase):
@@ -66,6 +66,18 @@
         )
         self.assertEqual(1, self.fields("request-ended")["resumes"])
 
+    async def test_lines_of_a_run_that_breaks_off_at_its_start(self):
+        """The parts of the prompt tell which runs that engines end have in common."""
+        (engine,) = await self.add_engines("llm", "e1")
+        engine.break_after = 0
+        connection = await self.connect()
+        connection.send(request("/stream/x", *STREAM_HEADERS))
+        await connection.head()
+        await self.wait_until(lambda: "request-ended" in self.kinds())
+        failed = self.fields("attempt-failed")
+        self.assertEqual((0, ("5c",)), (failed["run_events"], failed["prompt_parts"]))
+        self.assertLess(failed["head_age_s"], 1.0)
+
     async def test_keys_are_not_logged(self):
         await self.add_engines("app", "s1")
         await self.send_request("/keyed/x", (b"Api-Key", b"k1"))
