--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -24,6 +24,9 @@
       omits_length: whether plain responses end with the connection.
       response_headers: further headers of all responses to requests and copy orders.
       is_hanging: whether requests are never answered.
+      crashing_part: part of prompts, but for their last part, whose runs crash the
+        engine as they begin to write; None for no part.
+      has_crashed: whether it has crashed; its port then refuses connections.
       requests: requests received, as (method, target, headers by lower-case name,
         body).
       copies: names of the copies that can be resumed from.
@@ -43,6 +46,8 @@
         self.omits_length = False
         self.response_headers: list[tuple[bytes, bytes]] = []
         self.is_hanging = False
+        self.crashing_part: bytes | None = None
+        self.has_crashed = False
         self.requests: list[tuple[str, bytes, dict[bytes, bytes], bytes]] = []
         self.copies: set[str] = set()
         self.copy_orders: list[dict] = []
@@ -60,6 +65,10 @@
     def address(self) -> str:
         return self._listener.address
 
+    def _crashes_on(self, headers: dict[bytes, bytes]) -> bool:
+        parts = headers.get(b"x-endivesill-prompt-prefix", b"").split(b",")[:-1]
+        return any(part.partition(b":")[0] == self.crashing_part for part in parts)
+
     async def _respond(self, exchange: Exchange) -> None:
         headers = {name.lower(): value for name, value in exchange.headers}
         if exchange.target == b"/kv-move":
@@ -117,6 +126,11 @@
             first = int(headers[b"last-event-id"]) + 1
         content_type = (b"Content-Type", b"text/event-stream")
         exchange.start(200, [attempt, SEAL, content_type, *self.response_headers])
+        if self.crashing_part is not None and self._crashes_on(headers):
+            await asyncio.sleep(0.01)
+            self.has_crashed = True
+            await self.stop()
+            return
         for number in range(first, self.events + 1):
             if self.break_after is not None and number > self.break_after:
                 exchange.send(b"id: %d\ndata: ha" % number)
--- /dev/null
+++ b/tests/test_forwarding_crashes.py
@@ -0,0 +1,51 @@
+"""Tests of prompts that crash the engines that run them."""
+
+import asyncio
+
+from endivesill.http1 import UpstreamError
+from tests.forwarding_case import ForwardingTestCase
+
+ENGINES = [f"e{number}" for number in range(1, 9)]
+# Crashes by one part until no entry may send it any more.
+MAX_CRASHES = 5
+COUNTS = (b"X-Endivesill-Token-Counts", b"1000,80")
+
+
+class CrashingPartTest(ForwardingTestCase):
+    """Prompts `5c,<part>,<own part>` at an entry that sees no leader."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for engine in await self.add_engines("llm", *ENGINES):
+            engine.crashing_part = b"bad"
+        self._own_parts = iter(range(1_000))
+
+    async def stream(self, *parts):
+        """Send a generation; return the status, None if it is broken off."""
+        own = b"%x" % next(self._own_parts)
+        prefix = b",".join(part + b":100" for part in (*parts, own))
+        header = (b"X-Endivesill-Prompt-Prefix", prefix)
+        try:
+            head, _ = await asyncio.wait_for(
+                self.send_request("/stream/x", COUNTS, header), 5
+            )
+        except UpstreamError:
+            return None
+        return head.status
+
+    def crashes(self):
+        return sum(engine.has_crashed for engine in self.engines)
+
+    async def test_a_part_that_crashes_engines_is_no_longer_sent(self):
+        """No two prompts are alike but for that part."""
+        statuses = [
+            await self.stream(b"5c", b"bad", b"%x" % number) for number in range(12)
+        ]
+        self.assertLessEqual(self.crashes(), MAX_CRASHES)
+        self.assertEqual([503] * 4, statuses[-4:])
+
+    async def test_sound_prompts_that_share_other_parts_are_served(self):
+        for number in range(12):
+            await self.stream(b"5c", b"bad", b"%x" % number)
+        statuses = [await self.stream(b"5c", b"%x" % n) for n in range(12)]
+        self.assertEqual([200] * 12, statuses)
