Find the parts of prompts that crash engines

Nothing connected one crash of an engine with the next. Reports of crashes name the parts of the prompts of the runs that had just begun; runs that go on clear their parts. A part that is left in three crashes (five if runs with it went on before), and explains crashes that no other part explains, is blocked; parts that cannot be told apart are blocked only together. One request is let through after 30 s, then ever more rarely. Reports merge by union, so that VMs with the same reports agree. Not used yet.

--- /dev/null
+++ b/endivesill/fleet/crash_evidence.py
@@ -0,0 +1,299 @@
+"""Finds parts of prompts that crash engines.
+
+A part that crashes each engine that begins to write on it is in a run that had just
+begun at each of these crashes, and in no run that went on. Other parts of the same
+prompts are also in runs that survive. What is left after removing those explains the
+crashes; as in a set cover by a greedy algorithm, the part in most crashes explains its
+crashes first, and only crashes without an explanation count for other parts.
+
+Reports of crashes are merged by union in any order, so that all VMs which have the same
+reports reach the same verdict without a leader.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+
+from endivesill.timer import TimerService
+
+__all__ = ["Block", "CrashEvidence", "CrashReport"]
+
+# `[name, age in seconds, parts, sound, cleared]` of a report.
+Row = list[Any]
+
+# Crashes that a part must explain before it is blocked; the second number is for a part
+# that was in a run that went on. Popular parts are in runs at most engines, also at those
+# that crash for other reasons.
+BLOCK_CRASHES = 3
+SOUND_BLOCK_CRASHES = 5
+# After this long without a crash, one request with a blocked part is let through; each
+# further trial comes after a time longer by the factor.
+FIRST_TRIAL_S = 30.0
+TRIAL_FACTOR = 4
+MAX_TRIAL_S = 1_920.0
+# Reports that are kept, and for how long; longer than the longest wait for a trial.
+MAX_REPORTS = 64
+REPORT_TTL_S = 7_200.0
+# Parts of one report, and the length of one part's id.
+MAX_PARTS = 256
+MAX_PART_LENGTH = 64
+# How long a part counts as sound after a run with it has gone on, and how many of these
+# parts are remembered.
+SOUND_TTL_S = 60.0
+MAX_SOUND_PARTS = 4_096
+# Start of the name of a report that stands for a trial.
+TRIAL_PREFIX = "trial:"
+
+
+@attrs.define
+class CrashReport:
+    """The crash of one engine, or one trial of a blocked part.
+
+    Attributes:
+      name: incarnation of the engine, or the name of the trial.
+      at_s: when it was reported, by this VM's clock.
+      parts: parts of the prompts of the runs that had just begun.
+      sound: those that were in another run that went on before.
+      cleared: those that were in a run that began later and went on.
+    """
+
+    name: str
+    at_s: float
+    parts: set[str] = attrs.Factory(set)
+    sound: set[str] = attrs.Factory(set)
+    cleared: set[str] = attrs.Factory(set)
+
+    @property
+    def suspects(self) -> set[str]:
+        """Parts that may have caused the crash."""
+        return self.parts - self.cleared
+
+    @property
+    def is_trial(self) -> bool:
+        """Whether it stands for a trial."""
+        return self.name.startswith(TRIAL_PREFIX)
+
+
+@attrs.frozen
+class Block:
+    """Parts of which one crashes engines; a prompt with all of them is blocked.
+
+    Attributes:
+      parts: the parts that cannot be told apart.
+      crashes: number of crashes that they explain.
+      trials: number of trials since.
+      newest_s: when the newest of these crashes and trials was reported.
+    """
+
+    parts: frozenset[str]
+    crashes: int
+    trials: int
+    newest_s: float
+
+    @property
+    def trial_at_s(self) -> float:
+        """When one request may be let through."""
+        wait_s = FIRST_TRIAL_S * TRIAL_FACTOR**self.trials
+        return self.newest_s + min(wait_s, MAX_TRIAL_S)
+
+
+class CrashEvidence:
+    """Reports of crashes, and the parts of prompts that they block.
+
+    Args:
+      timer: the timer service.
+
+    Attributes:
+      number: counts the changes of the reports.
+      blocks: the blocks in force.
+      on_change: called after each change of the reports.
+      on_blocks: called with the blocks that are new and those that are gone.
+    """
+
+    def __init__(self, timer: TimerService) -> None:
+        self._timer = timer
+        self._reports: dict[str, CrashReport] = {}
+        self._sound_at_s: dict[str, float] = {}
+        self._evaluated_number = 0
+        self.number = 0
+        self.blocks: list[Block] = []
+        self.on_change: Callable[[], None] = lambda: None
+        self.on_blocks: Callable[[list[Block], list[Block]], None] = lambda new, gone: (
+            None
+        )
+
+    # What this VM observes.
+
+    def note_crash(self, incarnation: str, parts: Iterable[str]) -> None:
+        """Record the crash of an engine under runs that had just begun.
+
+        Args:
+          incarnation: the engine.
+          parts: parts of one of their prompts, without its last part.
+        """
+        self._merge_report(incarnation, self._timer.now_s(), set(parts), set(), set())
+        self._finish_change()
+
+    def note_sound(self, parts: Iterable[str]) -> None:
+        """Record that a run has gone on; clears the parts of its prompt."""
+        now_s = self._timer.now_s()
+        parts = set(parts)
+        for part in parts:
+            self._sound_at_s.pop(part, None)
+            self._sound_at_s[part] = now_s
+        while len(self._sound_at_s) > MAX_SOUND_PARTS:
+            del self._sound_at_s[next(iter(self._sound_at_s))]
+        for report in self._reports.values():
+            if cleared := parts & report.suspects:
+                self._merge_report(report.name, report.at_s, set(), set(), cleared)
+        self._finish_change()
+
+    # Verdicts.
+
+    def find_block(self, parts: Iterable[str]) -> Block | None:
+        """Return the block that a prompt with these parts meets; None without one."""
+        if not self.blocks:
+            return None
+        prompt = set(parts)
+        return next((block for block in self.blocks if block.parts <= prompt), None)
+
+    def is_suspect(self, parts: Iterable[str]) -> bool:
+        """Return whether a part of a prompt may have crashed an engine before."""
+        prompt = set(parts)
+        return any(prompt & (r.suspects - r.sound) for r in self._reports.values())
+
+    def try_trial(self, block: Block) -> bool:
+        """Take the trial of a block if it is due; one VM decides about trials."""
+        if block not in self.blocks or self._timer.now_s() < block.trial_at_s:
+            return False
+        name = f"{TRIAL_PREFIX}{min(block.parts)}:{block.trials + 1}"
+        self._merge_report(name, self._timer.now_s(), set(block.parts), set(), set())
+        self._finish_change()
+        return True
+
+    # Exchange with other VMs.
+
+    def rows(self) -> list[Row]:
+        """Return the reports for another VM, with their age in seconds."""
+        now_s = self._timer.now_s()
+        return [
+            [
+                report.name,
+                round(now_s - report.at_s, 3),
+                sorted(report.parts),
+                sorted(report.sound),
+                sorted(report.cleared),
+            ]
+            for report in self._reports.values()
+        ]
+
+    def merge(self, rows: Iterable[Row]) -> None:
+        """Merge the reports of another VM."""
+        now_s = self._timer.now_s()
+        for name, age_s, parts, sound, cleared in rows:
+            at_s = now_s - max(0.0, age_s)
+            if now_s - at_s <= REPORT_TTL_S:
+                self._merge_report(name, at_s, set(parts), set(sound), set(cleared))
+        self._finish_change()
+
+    def _merge_report(
+        self,
+        name: str,
+        at_s: float,
+        parts: set[str],
+        sound: set[str],
+        cleared: set[str],
+    ) -> None:
+        report = self._reports.get(name)
+        if report is None:
+            if not parts:
+                return
+            report = self._reports[name] = CrashReport(name, at_s)
+            self.number += 1
+            self._remove_excess()
+        before = (len(report.parts), len(report.sound), len(report.cleared))
+        valid = sorted(p for p in parts - report.parts if len(p) <= MAX_PART_LENGTH)
+        report.parts.update(valid[: MAX_PARTS - len(report.parts)])
+        report.sound |= (sound | self._sound_since(report, -SOUND_TTL_S)) & report.parts
+        report.cleared |= (cleared | self._sound_since(report, 0.0)) & report.parts
+        if before != (len(report.parts), len(report.sound), len(report.cleared)):
+            self.number += 1
+
+    def _sound_since(self, report: CrashReport, after_s: float) -> set[str]:
+        """Return the parts of runs that went on since a time after the report."""
+        start_s = report.at_s + after_s
+        known = self._sound_at_s
+        return {p for p in report.parts if p in known and known[p] > start_s}
+
+    def _remove_excess(self) -> None:
+        if len(self._reports) > MAX_REPORTS:
+            oldest = min(self._reports.values(), key=lambda report: report.at_s)
+            del self._reports[oldest.name]
+
+    def expire(self) -> None:
+        """Drop old reports; to be called periodically."""
+        oldest_s = self._timer.now_s() - REPORT_TTL_S
+        for name in [n for n, r in self._reports.items() if r.at_s < oldest_s]:
+            del self._reports[name]
+            self.number += 1
+        self._finish_change()
+
+    def _finish_change(self) -> None:
+        """Find the blocks anew if the reports have changed."""
+        if self.number == self._evaluated_number:
+            return
+        self._evaluated_number = self.number
+        old = {block.parts: block for block in self.blocks}
+        self.blocks = self._find_blocks()
+        new = {block.parts: block for block in self.blocks}
+        self.on_change()
+        if old.keys() != new.keys():
+            self.on_blocks(
+                [block for parts, block in new.items() if parts not in old],
+                [block for parts, block in old.items() if parts not in new],
+            )
+
+    def _find_blocks(self) -> list[Block]:
+        crashes = [r for r in self._reports.values() if not r.is_trial]
+        sound = set().union(*(report.sound for report in crashes))
+        blocks: list[Block] = []
+        while True:
+            names_by_part = _blockable_parts(crashes, sound)
+            if not names_by_part:
+                return blocks
+            best = max(
+                sorted(names_by_part),
+                key=lambda part: (len(names_by_part[part]), part not in sound),
+            )
+            names = names_by_part[best]
+            tied = {part for part in names_by_part if names_by_part[part] == names}
+            blocks.append(self._make_block(frozenset(tied - sound or tied), names))
+            crashes = [report for report in crashes if report.name not in names]
+
+    def _make_block(self, parts: frozenset[str], names: set[str]) -> Block:
+        trials = [
+            report
+            for report in self._reports.values()
+            if report.is_trial and report.suspects & parts
+        ]
+        times_s = [self._reports[name].at_s for name in names]
+        newest_s = max(times_s + [report.at_s for report in trials])
+        return Block(parts, len(names), len(trials), newest_s)
+
+
+def _blockable_parts(
+    crashes: Iterable[CrashReport], sound: set[str]
+) -> dict[str, set[str]]:
+    """Return the names of the crashes of each part that is in enough of them."""
+    names_by_part: dict[str, set[str]] = {}
+    for report in crashes:
+        for part in report.suspects:
+            names_by_part.setdefault(part, set()).add(report.name)
+    return {
+        part: names
+        for part, names in names_by_part.items()
+        if len(names) >= (SOUND_BLOCK_CRASHES if part in sound else BLOCK_CRASHES)
+    }
--- /dev/null
+++ b/tests/test_fleet_crash_evidence.py
@@ -0,0 +1,265 @@
+"""Tests of finding the parts of prompts that crash engines."""
+
+import random
+import unittest
+
+from endivesill.fleet.crash_evidence import (
+    BLOCK_CRASHES,
+    FIRST_TRIAL_S,
+    MAX_PART_LENGTH,
+    MAX_PARTS,
+    MAX_REPORTS,
+    MAX_TRIAL_S,
+    REPORT_TTL_S,
+    SOUND_BLOCK_CRASHES,
+    SOUND_TTL_S,
+    TRIAL_FACTOR,
+    CrashEvidence,
+)
+from endivesill.timer import ManualTimer
+
+
+class EvidenceTestCase(unittest.TestCase):
+    def setUp(self):
+        self.timer = ManualTimer()
+        self.evidence = CrashEvidence(self.timer)
+        self.crashes = 0
+
+    def crash(self, *parts):
+        self.crashes += 1
+        self.timer.jump(0.1)
+        self.evidence.note_crash(f"e{self.crashes}@1", parts)
+
+    def sound(self, *parts):
+        self.timer.jump(0.1)
+        self.evidence.note_sound(parts)
+
+    def blocks(self):
+        return [set(block.parts) for block in self.evidence.blocks]
+
+    def is_blocked(self, *parts):
+        return self.evidence.find_block(parts) is not None
+
+
+class BlockTest(EvidenceTestCase):
+    def test_a_part_is_blocked_after_enough_crashes(self):
+        for number in range(BLOCK_CRASHES):
+            self.assertFalse(self.is_blocked("bad"))
+            self.crash("first", "bad", f"other{number}")
+            self.sound("first")
+        self.assertEqual([{"bad"}], self.blocks())
+        self.assertTrue(self.is_blocked("else", "bad"))
+        self.assertFalse(self.is_blocked("first", "other1"))
+
+    def test_crashes_below_the_number_block_nothing(self):
+        for _ in range(BLOCK_CRASHES - 1):
+            self.crash("bad")
+        self.assertEqual([], self.blocks())
+
+    def test_runs_of_one_crashed_engine_count_once(self):
+        for _ in range(10):
+            self.evidence.note_crash("e1@1", ["bad"])
+        self.assertEqual([], self.blocks())
+
+    def test_a_part_whose_runs_went_on_before_is_not_blocked_beside_a_new_one(self):
+        """All crashes had both parts, and none has gone on since."""
+        self.sound("first")
+        for _ in range(BLOCK_CRASHES):
+            self.crash("first", "bad")
+        self.assertEqual([{"bad"}], self.blocks())
+
+    def test_parts_that_cannot_be_told_apart_are_blocked_only_together(self):
+        for _ in range(BLOCK_CRASHES):
+            self.crash("first", "bad")
+        self.assertEqual([{"first", "bad"}], self.blocks())
+        self.assertFalse(self.is_blocked("first", "sound"))
+        self.crash("second", "bad")
+        self.assertEqual([{"bad"}], self.blocks())
+
+    def test_a_part_that_another_one_explains_is_not_blocked(self):
+        """A popular part happens to run at most of the engines that crash."""
+        for number in range(6):
+            self.crash("bad", *(["popular"] if number else []))
+        self.assertEqual([{"bad"}], self.blocks())
+
+    def test_two_parts_are_blocked_at_the_same_time(self):
+        for _ in range(BLOCK_CRASHES):
+            self.crash("bad1")
+            self.crash("bad2", "popular")
+            self.sound("popular")
+        self.assertEqual([{"bad1"}, {"bad2"}], sorted(self.blocks(), key=min))
+
+    def test_a_run_that_goes_on_clears_its_parts(self):
+        for _ in range(BLOCK_CRASHES):
+            self.crash("first")
+        self.assertTrue(self.is_blocked("first"))
+        self.sound("first")
+        self.assertFalse(self.is_blocked("first"))
+
+    def test_a_part_that_was_sound_is_blocked_after_more_crashes(self):
+        self.sound("turned")
+        for _ in range(SOUND_BLOCK_CRASHES):
+            self.assertFalse(self.is_blocked("turned"))
+            self.crash("turned")
+        self.assertTrue(self.is_blocked("turned"))
+
+    def test_parts_that_were_sound_long_ago_count_as_unknown(self):
+        self.sound("turned")
+        self.timer.jump(SOUND_TTL_S + 1)
+        for _ in range(BLOCK_CRASHES):
+            self.crash("turned", "new")
+        self.assertEqual([{"turned", "new"}], self.blocks())
+
+    def test_crashes_of_engines_for_other_reasons_block_no_popular_part(self):
+        """Engines crash at random while many sound runs begin."""
+        for seed in range(50):
+            source = random.Random(seed)
+            self.evidence = CrashEvidence(self.timer)
+            parts = [f"p{number}" for number in range(8)]
+            for step in range(400):
+                if source.random() < 0.05:
+                    self.crash(*source.sample(parts, source.randint(0, 3)))
+                else:
+                    self.sound(source.choice(parts))
+                self.assertEqual([], self.blocks(), (seed, step))
+
+    def test_a_bad_part_among_sound_runs_is_the_only_one_blocked(self):
+        for seed in range(50):
+            source = random.Random(seed)
+            self.evidence = CrashEvidence(self.timer)
+            parts = [f"p{number}" for number in range(8)]
+            self.sound(*parts)
+            crashes = 0
+            while not self.is_blocked("bad"):
+                if source.random() < 0.3:
+                    crashes += 1
+                    self.crash("bad", *source.sample(parts, source.randint(1, 3)))
+                else:
+                    self.sound(source.choice(parts))
+            self.assertEqual(BLOCK_CRASHES, crashes)
+            self.assertEqual([{"bad"}], self.blocks(), seed)
+
+
+class TrialTest(EvidenceTestCase):
+    def setUp(self):
+        super().setUp()
+        for _ in range(BLOCK_CRASHES):
+            self.crash("bad")
+
+    def try_trial(self):
+        return self.evidence.try_trial(self.evidence.blocks[0])
+
+    def test_a_trial_is_granted_once_when_it_is_due(self):
+        self.assertFalse(self.try_trial())
+        self.timer.jump(FIRST_TRIAL_S)
+        self.assertTrue(self.try_trial())
+        self.assertFalse(self.try_trial())
+
+    def test_trials_become_rarer(self):
+        wait_s = FIRST_TRIAL_S
+        for _ in range(3):
+            self.timer.jump(wait_s - 0.1)
+            self.assertFalse(self.try_trial())
+            self.timer.jump(0.2)
+            self.assertTrue(self.try_trial())
+            wait_s *= TRIAL_FACTOR
+        self.timer.jump(MAX_TRIAL_S)
+        self.assertTrue(self.try_trial())
+
+    def test_a_trial_that_goes_on_ends_the_block(self):
+        self.timer.jump(FIRST_TRIAL_S)
+        self.assertTrue(self.try_trial())
+        self.sound("bad")
+        self.assertEqual([], self.blocks())
+
+    def test_a_trial_that_crashes_keeps_the_block(self):
+        self.timer.jump(FIRST_TRIAL_S)
+        self.try_trial()
+        self.crash("bad")
+        self.timer.jump(FIRST_TRIAL_S)
+        self.assertFalse(self.try_trial())
+        self.assertTrue(self.is_blocked("bad"))
+
+
+class MergeTest(EvidenceTestCase):
+    def merged(self, *sources):
+        evidence = CrashEvidence(self.timer)
+        for source in sources:
+            evidence.merge(source.rows())
+        return evidence
+
+    def test_reports_give_the_same_verdict_in_any_order(self):
+        """Each VM has seen other crashes, and other runs that went on."""
+        for seed in range(30):
+            source = random.Random(seed)
+            vms = [CrashEvidence(self.timer) for _ in range(4)]
+            for number in range(8):
+                self.timer.jump(0.1)
+                parts = ["bad", *source.sample(["a", "b", "c"], 2)]
+                source.choice(vms).note_crash(f"e{number}@1", parts)
+                source.choice(vms).note_sound([source.choice("abc")])
+            verdicts = []
+            for _ in range(3):
+                source.shuffle(vms)
+                merged = self.merged(*vms, *vms)
+                verdicts.append([block.parts for block in merged.blocks])
+            self.assertEqual(verdicts[:1] * 3, verdicts)
+            self.assertEqual(1, len(verdicts[0]))
+            self.assertIn("bad", verdicts[0][0])
+
+    def test_merging_again_changes_nothing(self):
+        self.crash("bad")
+        other = self.merged(self.evidence)
+        number = other.number
+        other.merge(self.evidence.rows())
+        self.assertEqual(number, other.number)
+
+    def test_a_part_that_another_vm_knows_as_sound_is_cleared_there(self):
+        self.crash("first", "bad")
+        other = CrashEvidence(self.timer)
+        other.merge(self.evidence.rows())
+        self.timer.jump(0.1)
+        other.note_sound(["first"])
+        self.evidence.merge(other.rows())
+        for _ in range(BLOCK_CRASHES - 1):
+            self.crash("first", "bad")
+        self.assertEqual([{"bad"}], self.blocks())
+
+    def test_the_age_of_a_report_is_kept(self):
+        self.crash("bad")
+        self.timer.jump(REPORT_TTL_S - 10)
+        other = self.merged(self.evidence)
+        self.timer.jump(11)
+        other.expire()
+        self.assertEqual([], other.rows())
+
+    def test_listeners_learn_of_blocks_that_come_and_go(self):
+        seen = []
+        self.evidence.on_blocks = lambda new, gone: seen.append(
+            ([set(b.parts) for b in new], [set(b.parts) for b in gone])
+        )
+        for _ in range(BLOCK_CRASHES + 1):
+            self.crash("bad")
+        self.sound("bad")
+        self.assertEqual([([{"bad"}], []), ([], [{"bad"}])], seen)
+
+
+class BoundsTest(EvidenceTestCase):
+    def test_the_number_of_reports_is_bounded(self):
+        for number in range(3 * MAX_REPORTS):
+            self.crash(f"p{number}")
+        rows = self.evidence.rows()
+        self.assertEqual(MAX_REPORTS, len(rows))
+        self.assertEqual(f"e{self.crashes}@1", rows[-1][0])
+
+    def test_the_parts_of_a_report_are_bounded(self):
+        self.crash("x" * (MAX_PART_LENGTH + 1), *map(str, range(2 * MAX_PARTS)))
+        self.assertEqual(MAX_PARTS, len(self.evidence.rows()[0][2]))
+
+    def test_old_reports_expire(self):
+        for _ in range(BLOCK_CRASHES):
+            self.crash("bad")
+        self.timer.jump(REPORT_TTL_S + 1)
+        self.evidence.expire()
+        self.assertEqual([], self.evidence.rows())
+        self.assertEqual([], self.blocks())
