Share reports of crashes between entries and control VMs

An entry sends a new report to all control VMs at once; sync requests and their replies carry what the other side lacks, also at control VMs that do not lead, so that a part is blocked in the whole fleet without a leader. Control VMs that restart get the reports from the entries. Trials are granted by the leader alone.

--- /dev/null
+++ b/endivesill/fleet/crash_exchange.py
@@ -0,0 +1,170 @@
+"""Exchange of crash reports between entries and control VMs.
+
+An entry sends a new report to all control VMs at once. Beside that, each sync request
+and its reply carry what the other side has not seen, also if the control VM does not
+lead. No VM decides for the others: each finds the blocked parts from the reports.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+from endivesill import errors, events
+from endivesill.fleet.crash_evidence import Block, CrashEvidence
+from endivesill.fleet.events import CRASHES_UNREPORTED
+from endivesill.peers import Message, PeerTransport
+from endivesill.timer import TimerService
+
+__all__ = ["CRASHES_PATH", "CrashExchange", "CrashService"]
+
+CRASHES_PATH = "/fleet/crashes"
+REPORT_TIMEOUT_S = 0.5
+EXPIRY_PERIOD_S = 60.0
+
+
+class CrashService:
+    """A control VM's side of the exchange.
+
+    Args:
+      timer: the timer service.
+      transport: the peer port.
+      leads: returns whether this VM leads.
+
+    Attributes:
+      evidence: the reports.
+    """
+
+    def __init__(
+        self, timer: TimerService, transport: PeerTransport, leads: Callable[[], bool]
+    ) -> None:
+        self._leads = leads
+        # The number of the evidence starts anew with the process.
+        self._start_id = uuid.uuid4().hex[:12]
+        self.evidence = CrashEvidence(timer)
+        timer.call_every(EXPIRY_PERIOD_S, self.evidence.expire)
+        transport.handle(CRASHES_PATH, self._handle)
+
+    def record(self, message: Message) -> None:
+        """Merge the reports in an entry's message."""
+        if message.get("crashes"):
+            self.evidence.merge(message["crashes"])
+
+    def has_updates(self, message: Message) -> bool:
+        """Return whether the sender of a sync request lacks a report."""
+        return self.evidence.number > 0 and self._is_behind(message)
+
+    def _is_behind(self, message: Message) -> bool:
+        """Return whether the sender's stamp is old.
+
+        Entries of earlier versions send no stamp and get no reports.
+        """
+        stamp = self._stamp()
+        return message.get("crashes_stamp", stamp) != stamp
+
+    def reply_fields(self, message: Message) -> Message:
+        """Return the part of a reply to a sync request."""
+        if not self._is_behind(message):
+            return {}
+        return {"crashes": self.evidence.rows(), "crashes_stamp": self._stamp()}
+
+    def _stamp(self) -> list[Any]:
+        return [self._start_id, self.evidence.number]
+
+    async def _handle(self, message: Message) -> Message:
+        """Merge reports, or decide about a trial.
+
+        Args:
+          message: `{"crashes"}` with rows of `CrashEvidence`, and for a trial
+            `"trial"` with the parts of the block.
+
+        Returns:
+          `{"granted"}`: whether the trial may take place.
+        """
+        self.record(message)
+        parts = frozenset(message.get("trial", ()))
+        block = next((b for b in self.evidence.blocks if b.parts == parts), None)
+        is_granted = (
+            block is not None and self._leads() and self.evidence.try_trial(block)
+        )
+        return {"granted": is_granted}
+
+
+class CrashExchange:
+    """An entry's side of the exchange.
+
+    Args:
+      timer: the timer service.
+      transport: calls the control VMs.
+      control_addresses: returns the peer addresses of the control VMs.
+
+    Attributes:
+      evidence: the reports.
+    """
+
+    def __init__(
+        self,
+        timer: TimerService,
+        transport: PeerTransport,
+        control_addresses: Callable[[], list[str]],
+    ) -> None:
+        self._transport = transport
+        self._control_addresses = control_addresses
+        # By address: the last stamp, and the number of the evidence last sent.
+        self._stamps: dict[str, list[Any]] = {}
+        self._sent_numbers: dict[str, int] = {}
+        self.evidence = CrashEvidence(timer)
+        timer.call_every(EXPIRY_PERIOD_S, self.evidence.expire)
+
+    def request_fields(self, address: str) -> Message:
+        """Return the part of a sync request to a control VM."""
+        fields: Message = {"crashes_stamp": self._stamps.get(address)}
+        if self._sent_numbers.get(address, 0) != self.evidence.number:
+            fields["crashes"] = self.evidence.rows()
+            fields["crashes_number"] = self.evidence.number
+        return fields
+
+    def apply_reply(self, address: str, request: Message, reply: Message) -> None:
+        """Apply a control VM's reply to a sync request."""
+        if "crashes_number" in request:
+            self._sent_numbers[address] = request["crashes_number"]
+        stamp = reply.get("crashes_stamp")
+        if stamp is None:
+            return
+        known = self._stamps.get(address)
+        if known is None or known[0] != stamp[0]:
+            # The control VM has restarted, and may lack earlier reports.
+            self._sent_numbers.pop(address, None)
+        self._stamps[address] = stamp
+        self.evidence.merge(reply["crashes"])
+
+    def forget(self, address: str) -> None:
+        """Expect nothing of a control VM that did not reply."""
+        self._stamps.pop(address, None)
+        self._sent_numbers.pop(address, None)
+
+    async def report(self) -> None:
+        """Send the reports to all control VMs at once."""
+        message = {"crashes": self.evidence.rows()}
+        addresses = self._control_addresses()
+        await asyncio.gather(*(self._send(address, message) for address in addresses))
+
+    async def _send(self, address: str, message: Message) -> Message:
+        try:
+            return await self._transport.call(
+                address, CRASHES_PATH, message, REPORT_TIMEOUT_S
+            )
+        except errors.PeerUnreachableError as error:
+            # The next sync request to that VM has the reports.
+            events.emit(CRASHES_UNREPORTED, address=address, reason=str(error))
+            return {}
+
+    async def request_trial(self, leader: str | None, block: Block) -> bool:
+        """Return whether one request that meets a block may be sent."""
+        if leader is None:
+            return False
+        message = {"crashes": self.evidence.rows(), "trial": sorted(block.parts)}
+        reply = await self._send(leader, message)
+        return bool(reply.get("granted"))
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -4,7 +4,9 @@
 
 __all__ = [
     "CHANGE_ANSWERED",
+    "CRASHES_UNREPORTED",
     "ENGINES_UNREPORTED",
+    "ENGINE_CRASHED",
     "ENGINE_LEAVING",
     "ENGINE_LIST_CHANGED",
     "ENGINE_PAUSED",
@@ -16,6 +18,8 @@
     "LIST_ENTRY_SKIPPED",
     "LIST_LOST",
     "LIST_REGAINED",
+    "PROMPT_PARTS_BLOCKED",
+    "PROMPT_PARTS_RELEASED",
     "REPORTS_LOST",
     "REPORTS_REGAINED",
     "CONFIGURATION_IN_FORCE",
@@ -72,6 +76,24 @@
     "engines-unreported",
     "The leader did not confirm a report on engines; the next poll has it.",
 )
+CRASHES_UNREPORTED = events.define(
+    5106,
+    "crashes-unreported",
+    "A control VM did not confirm a report on crashes; the next poll has it.",
+)
+ENGINE_CRASHED = events.define(
+    5107,
+    "engine-crashed",
+    "An engine ended under runs that had just begun; their prompts are reported.",
+)
+PROMPT_PARTS_BLOCKED = events.define(
+    5108,
+    "prompt-parts-blocked",
+    "Prompts with these parts crash engines and are refused.",
+)
+PROMPT_PARTS_RELEASED = events.define(
+    5109, "prompt-parts-released", "Prompts with these parts are served again."
+)
 LIST_LOST = events.define(
     4502,
     "engine-list-lost",
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -10,6 +10,7 @@
 import attrs
 
 from endivesill import errors, events
+from endivesill.fleet.crash_exchange import CrashExchange
 from endivesill.fleet.events import (
     ENGINES_UNREPORTED,
     LEADER_LOST,
@@ -104,6 +105,7 @@
       leader: peer address of the leader; None while unknown.
       leader_lost: notified when the leader does not reply.
       outcomes: outcomes of requests for the next report.
+      crashes: exchanges reports of crashes with the control VMs.
     """
 
     def __init__(
@@ -129,6 +131,7 @@
         self._connected = False
         self.leader_lost = Signal()
         self.outcomes = OutcomeCounts()
+        self.crashes = CrashExchange(timer, transport, self._known_controls)
         # Whether `report_engines` is running, and was called since its last report.
         self._is_reporting = False
         self._has_news = False
@@ -144,17 +147,19 @@
         while True:
             address = self.leader or self._next_address()
             sent_s = self._timer.now_s()
-            request = self._sync_request()
+            request = {**self._sync_request(), **self.crashes.request_fields(address)}
             try:
                 reply = await self._transport.call(
                     address, SYNC_PATH, request, self._sync_timeout_s()
                 )
             except errors.PeerUnreachableError as error:
                 self.outcomes.restore(request["outcomes"])
+                self.crashes.forget(address)
                 self._note_unreachable(address, str(error))
                 await self._timer.sleep(retry_s)
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
                 continue
+            self.crashes.apply_reply(address, request, reply)
             if "share" in reply:
                 retry_s = RETRY_S
                 self._apply(address, reply, sent_s)
@@ -215,8 +220,11 @@
             # The lease expires anyway.
             events.emit(LEADER_LOST, address=self.leader, reason=str(error))
 
+    def _known_controls(self) -> list[str]:
+        return list(dict.fromkeys([*self._control_addresses, *self._seeds]))
+
     def _next_address(self) -> str:
-        addresses = list(dict.fromkeys([*self._control_addresses, *self._seeds]))
+        addresses = self._known_controls()
         return addresses[next(self._attempts) % len(addresses)]
 
     def _sync_timeout_s(self) -> float:
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -14,6 +14,7 @@
 from endivesill import errors
 from endivesill.control import Applied, ControlReplica
 from endivesill.control.leadership import Leadership
+from endivesill.fleet.crash_exchange import CrashService
 from endivesill.fleet.engine_list import EngineListReader, EngineListSource
 from endivesill.fleet.list_updates import ListUpdates
 from endivesill.fleet.load import FleetLoads, loads_to_rows
@@ -50,6 +51,7 @@
     Attributes:
       reader: holds the newest snapshot of the list.
       loads: the loads of all entries.
+      crashes: exchanges reports of crashes with the entries.
     """
 
     def __init__(
@@ -75,6 +77,8 @@
         self.loads = FleetLoads()
         self._allocator: ShareAllocator | None = None
         self._term = 0
+        self.crashes = CrashService(timer, transport, self.leads)
+        self.crashes.evidence.on_change = self._updated.notify
         transport.handle(SYNC_PATH, self.handle_sync)
         transport.handle(ENGINES_PATH, self._handle_engines)
         replica.subscribe_applied(self._note_applied)
@@ -167,10 +171,11 @@
         Args:
           message: `{"entry", "version", "evacuations", "list", "share", "loads",
             "grants_seen", "departures", "outcomes", "ejections", "loads_stamp",
-            "controls", "wait_s", "leaving"}`: the entry, the versions and the share
-            that it has, its load by incarnation, the last grant included in it, the
-            engines that have told it that they leave, the outcomes of its requests by
-            incarnation, and how long to wait for updates.
+            "controls", "crashes", "crashes_stamp", "wait_s", "leaving"}`: the entry,
+            the versions and the share that it has, its load by incarnation, the last
+            grant included in it, the engines that have told it that they leave, the
+            outcomes of its requests by incarnation, its reports of crashes, and how
+            long to wait for updates.
 
         Returns:
           `{"leader"}` from a VM that does not lead; `{}` to an entry that leaves; else
@@ -188,11 +193,13 @@
             entry_id, message["loads"], message["grants_seen"], self._timer.now_s()
         )
         self._record_engines(message)
+        self.crashes.record(message)
         self._on_loads()
         if not self._has_updates(message):
             await self._wait_for_updates(message)
         if await self._confirmed_term() is None:
-            return {"leader": self._replica.core.active_leader_address()}
+            leader = self._replica.core.active_leader_address()
+            return {"leader": leader, **self.crashes.reply_fields(message)}
         return self._build_reply(entry_id, message)
 
     async def _handle_engines(self, message: Message) -> Message:
@@ -225,7 +232,11 @@
             return
 
     def _has_updates(self, message: Message) -> bool:
-        return bool(self._updates_for(message)) or self._replica.core.leadership is None
+        return (
+            bool(self._updates_for(message))
+            or self.crashes.has_updates(message)
+            or self._replica.core.leadership is None
+        )
 
     def _updates_for(self, message: Message) -> dict[str, Callable[[], EncodedValue]]:
         """Return a builder for each part of the state that the entry lacks."""
@@ -283,6 +294,7 @@
         controls = sorted(self._replica.core.voter_set.members.values())
         if addresses_digest(controls) != message.get("controls"):
             reply["controls"] = controls
+        reply.update(self.crashes.reply_fields(message))
         reply["term"] = self._term
         return reply
 
