Refuse prompts that crash engines, in the whole fleet

Callers saw: each request with one part in its prompt ended one more engine, with all the generations of other callers that ran there. Cause: entries and leader judged engines by the outcomes of requests, never requests by what became of engines; such a request was sent, resumed and waited for like any other. Change: when the connection of a generation ends before its first event, or within 0.2 s of its head, and the engine refuses connections, the entry reports the parts of its prompt. Requests that meet a block are refused with 503 before they are placed; those that wait, or were sent and have not begun, are ended when a block comes; a run whose prompt is suspected is not resumed.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -100,6 +100,7 @@
             RetryBudget(timer, 0.2, 50, 10.0, lambda: 1.0),
             ConnectionPool(timer, 0.5, 3.0),
             PlatformProtocol(),
+            sync_client.crashes,
             CallLog(timer, Statistics(), lambda: 0.0),
             random.Random(1),
         )
--- a/endivesill/forwarding/call.py
+++ b/endivesill/forwarding/call.py
@@ -32,6 +32,8 @@
       excluded: targets that it must not be sent to again.
       may_have_run: whether a target may have started to run it.
       waited_s: total time spent waiting for placements.
+      has_survived: whether a run of it went on after its start.
+      is_trial: whether it is let through although its prompt is blocked.
     """
 
     exchange: Exchange
@@ -49,6 +51,8 @@
     excluded: list[Target] = attrs.Factory(list)
     may_have_run: bool = False
     waited_s: float = 0.0
+    has_survived: bool = False
+    is_trial: bool = False
 
     def note_sent(self) -> None:
         """Record that the request may have reached a target."""
--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -9,6 +9,7 @@
     "ATTEMPT_FAILED",
     "FLEET_BUSY",
     "PLACE_REFUSED",
+    "PROMPT_BLOCKED",
     "REQUEST_ENDED",
     "REQUEST_PLACED",
     "REQUEST_REFUSED",
@@ -41,6 +42,9 @@
 RUN_COPIED = events.define(
     2107, "run-copied", "An order to copy a run's KV cache to another engine has ended."
 )
+PROMPT_BLOCKED = events.define(
+    2110, "prompt-blocked", "A generation meets a block of parts of prompts."
+)
 PLACE_REFUSED = events.define(
     2108, "place-refused", "The leader refused an entry's request for a placement."
 )
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 import random
 
 from endivesill import errors
+from endivesill.fleet.crash_exchange import CrashExchange
 from endivesill.fleet.model import Organisation, RequestKind, Route
 from endivesill.forwarding.attempt import (
     Attempt,
@@ -15,6 +16,7 @@
 )
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.call_log import CallLog
+from endivesill.forwarding.crash_guard import BLOCKED, CrashGuard
 from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.placement import estimate_demand
 from endivesill.forwarding.placer import Placement, Placer
@@ -61,6 +63,7 @@
       budget: limits retries.
       pool: connections to targets.
       protocol: decodes and encodes heads.
+      crashes: exchanges reports of crashes.
       log: logs each decision.
       random_source: chooses among weighted services and draws jitter.
 
@@ -79,6 +82,7 @@
         budget: RetryBudget,
         pool: ConnectionPool,
         protocol: EngineProtocol,
+        crashes: CrashExchange,
         log: CallLog,
         random_source: random.Random,
     ) -> None:
@@ -99,6 +103,9 @@
         self._initial_sync = InitialSync(timer, table)
         self.refuse_streams = False
         self._running = RunningCalls(timer)
+        self._guard = CrashGuard(
+            timer, crashes, pool, self._running, placer.request_trial
+        )
 
     @property
     def routes(self) -> RouteTable | None:
@@ -138,6 +145,10 @@
         if is_stopping or not self.stop_deadline.leaves_time_for(call):
             self._refuse(exchange, info, 503, STOPPING, 0.0, call)
             return
+        retry_after_s = await self._guard.check(call)
+        if retry_after_s is not None:
+            self._finish_failed(call, 503, BLOCKED, retry_after_s)
+            return
         await self._serve_with_deadline(call)
 
     def _call(
@@ -172,13 +183,13 @@
     def end_waiting(self) -> None:
         """Refuse the requests that wait and can no longer end before the stop."""
         self._running.end(
-            STOPPING,
             lambda call: not (call.sends or self.stop_deadline.leaves_time_for(call)),
+            STOPPING,
         )
 
     def end_all(self) -> None:
         """Respond to all requests that are running, because this process stops."""
-        self._running.end(STOPPING, lambda call: True)
+        self._running.end(lambda call: True, STOPPING)
 
     async def _serve_with_deadline(self, call: Call) -> None:
         """Serve a request until its deadline or until its caller disconnects."""
@@ -191,7 +202,7 @@
         except errors.DeadlineExceededError:
             self._finish_failed(call, 504, "timeout")
         except CallEndedError as error:
-            self._finish_failed(call, 502, error.reason, 0.0)
+            self._finish_failed(call, 502, error.reason, error.retry_after_s)
         except asyncio.CancelledError:
             self._log.ended(call, "caller-gone", "")
             raise
@@ -296,6 +307,7 @@
             self._table,
             self._placer,
             self._copier,
+            self._guard,
             call,
         )
         try:
--- a/endivesill/forwarding/running_calls.py
+++ b/endivesill/forwarding/running_calls.py
@@ -19,11 +19,13 @@
 
     Attributes:
       reason: short reason for logs and metrics.
+      retry_after_s: when the caller may retry.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, retry_after_s: float) -> None:
         super().__init__(reason)
         self.reason = reason
+        self.retry_after_s = retry_after_s
 
 
 class RunningCalls:
@@ -36,7 +38,7 @@
     def __init__(self, timer: TimerService) -> None:
         self._timer = timer
         self._tasks: dict[Call, asyncio.Task[None]] = {}
-        self._end_reasons: dict[Call, str] = {}
+        self._ends: dict[Call, CallEndedError] = {}
 
     async def serve(self, call: Call, serving: Coroutine[Any, Any, None]) -> None:
         """Serve a request until its deadline or until its caller disconnects.
@@ -62,18 +64,23 @@
         try:
             await self._timer.wait_for(task, call.deadline_s - self._timer.now_s())
         except asyncio.CancelledError:
-            reason = self._end_reasons.get(call)
-            if reason is None or own_task.cancelling():
+            end = self._ends.get(call)
+            if end is None or own_task.cancelling():
                 raise
-            raise CallEndedError(reason) from None
+            raise end from None
         finally:
             call.exchange.on_disconnect = None
             del self._tasks[call]
-            self._end_reasons.pop(call, None)
-
-    def end(self, reason: str, condition: Callable[[Call], bool]) -> None:
+            self._ends.pop(call, None)
+
+    def end(
+        self,
+        condition: Callable[[Call], bool],
+        reason: str,
+        retry_after_s: float = 0.0,
+    ) -> None:
         """End the requests that meet a condition."""
         for call, task in list(self._tasks.items()):
             if condition(call):
-                self._end_reasons[call] = reason
+                self._ends[call] = CallEndedError(reason, retry_after_s)
                 task.cancel()
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -12,6 +12,7 @@
 from endivesill import errors, events
 from endivesill.forwarding.attempt import Attempt, AttemptError, Sender
 from endivesill.forwarding.call import Call
+from endivesill.forwarding.crash_guard import CrashGuard
 from endivesill.forwarding.event_stream import EventSplitter, StreamEvent
 from endivesill.forwarding.events import ATTEMPT_FAILED, STREAM_RESUMED
 from endivesill.forwarding.placer import Placement, Placer
@@ -74,6 +75,7 @@
       table: the targets.
       placer: places copies.
       copier: orders copies of runs.
+      guard: is told how runs go on.
       call: the request.
 
     Attributes:
@@ -92,6 +94,7 @@
         table: TargetTable,
         placer: Placer,
         copier: RunCopier,
+        guard: CrashGuard,
         call: Call,
     ) -> None:
         self._timer = timer
@@ -100,6 +103,7 @@
         self._table = table
         self._placer = placer
         self._copier = copier
+        self._guard = guard
         self._copy_task: asyncio.Task[None] | None = None
         self._call = call
         self._run: _Run | None = None
@@ -206,8 +210,11 @@
         not_run = isinstance(error, AttemptError) and error.failure.not_run
         if not_run and not was_resumed:
             raise error
+        may_resume = run.is_moving or self._guard.note_broken(
+            call, run.target, run.head_s, run.events
+        )
         target, copy = self._find_copy(run)
-        if target is None or not_run or self.resumes >= MAX_RESUMES:
+        if target is None or not_run or not may_resume or self.resumes >= MAX_RESUMES:
             raise StreamBrokenError(str(error)) from None
         self.resumes += 1
         if not run.is_moving and self._table.accepts_requests(run.target):
@@ -325,11 +332,17 @@
                 run.target.note_prefill_done(self._call.demand)
             run.events += len(new_events)
             self._note_events(len(new_events))
+            self._note_progress(run, is_complete=False)
             exchange.send(b"".join(event.data for event in new_events))
             await exchange.drain()
         if splitter.remainder:
             raise UpstreamError("the stream ended inside an event", sent=True)
         exchange.finish()
+        self._note_progress(run, is_complete=True)
+
+    def _note_progress(self, run: _Run, *, is_complete: bool) -> None:
+        if run.events and run.head_s is not None:
+            self._guard.note_progress(self._call, run.head_s, is_complete=is_complete)
 
     def _drop_duplicates(self, events_read: list[StreamEvent]) -> list[StreamEvent]:
         """Return the events that the caller has not received yet.
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -84,6 +84,7 @@
             budget,
             self.pool,
             PlatformProtocol(),
+            self.sync_client.crashes,
             CallLog(self.timer, Statistics(), lambda: 0.0),
             source,
         )
