--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -25,8 +25,8 @@
 Row = list[Any]
 
 # Crashes that a part must explain before it is blocked; the second number is for a part
-# that was in a run that went on. Popular parts are in runs at most engines, also at those
-# that crash for other reasons.
+# that was in a run that went on. Popular parts are in runs at most engines, and so at
+# many that crash for other reasons.
 BLOCK_CRASHES = 3
 SOUND_BLOCK_CRASHES = 5
 # After this long without a crash, one request with a blocked part is let through; each
