Stop entries in the soak while callers use their connections

Cause: the soak stopped entries with a grace of 4 s, callers that leave an entry once it is not ready, and targets that answer within a second, so that no request was running at the end of a stop. A request that a stopping entry gave up was not visible. Change: the soak has profiles. The profile `stops` has a grace of 8 s and callers that use each connection until the entry ends it: short and long requests, pipelined ones, and ones whose last byte comes up to 5 s late; targets run up to 4.5 s. Requests that were sent later than 3 s after a SIGTERM and reached a target need a complete response, and so do earlier ones that their target had answered before the last sixth of the grace.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -1,6 +1,7 @@
 """Soak of the platform processes: a real fleet under injected faults.
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
+        [--profile standard|stops|crashes]
 
 Starts three control VMs and three entries, sends requests and configuration changes,
 injects the faults drawn from the seed, and checks what callers, operators and targets
@@ -16,17 +17,17 @@
 import json
 import pathlib
 import random
-import signal
 import sys
 import traceback
 from typing import Any
 
 import cyclopts
 
-from bench.fault_proxy import FaultProxy, LinkState
 from bench.platform_soak_callers import Callers, CallRecord, Operator
-from bench.platform_soak_faults import Fault, make_faults
-from bench.platform_soak_fleet import DATA_CENTRES, GRACE_S, SoakFleet, SoakProcess
+from bench.platform_soak_faults import STANDARD, Fault
+from bench.platform_soak_fleet import DATA_CENTRES, SoakFleet
+from bench.platform_soak_injector import FaultInjector
+from bench.platform_soak_profiles import make_profile
 from bench.platform_soak_targets import PlatformTargetList, SoakTarget
 from endivesill.timer import SystemTimer
 
@@ -46,9 +47,6 @@
 FLEET_NUMBERS = 20_000
 # Time for a run besides its fault period, from the start to the last check.
 RUN_MARGIN_S = 90.0
-# Control VMs get no fault for this long after one has lost its disk: that replica
-# must be replaced first.
-VOTER_REPAIR_S = 8.0
 # These statuses promise that the request did not run.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 DENIED_STATUSES = (401, 403, 404)
@@ -61,15 +59,18 @@
       seed: seed of the load and of the faults.
       fault_s: length of the period in which faults begin.
       number: number of the fleet, unique on the machine.
+      profile: name of a profile of `platform_soak_profiles`.
 
     Attributes:
-      skipped: number of faults that were not injected since their process was down,
-        in another fault or under repair.
       findings: violations found, one text each.
     """
 
     def __init__(
-        self, seed: int, fault_s: float, number: int = FIRST_FLEET_NUMBER
+        self,
+        seed: int,
+        fault_s: float,
+        number: int = FIRST_FLEET_NUMBER,
+        profile: str = STANDARD,
     ) -> None:
         self._seed = seed
         self._fault_s = fault_s
@@ -80,10 +81,8 @@
         self._all_targets: list[SoakTarget] = []
         self._target_list = PlatformTargetList(self._timer, self._targets)
         self._folder = RUN_FOLDER / f"seed-{seed}-{number}"
+        self._profile = make_profile(profile, self._timer, seed)
         self._number = number
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._repair_until_s = 0.0
-        self.skipped = 0
         self.findings: list[str] = []
 
     async def run(self) -> dict[str, Any]:
@@ -94,10 +93,16 @@
         """
         await self._target_list.start()
         for service in ("app", "llm"):
-            for data_centre in DATA_CENTRES:
-                await self._add_target(service, data_centre)
+            for data_centre in DATA_CENTRES * self._profile.targets_per_data_centre:
+                await self.add_target(service, data_centre)
         fleet = self._fleet = SoakFleet(
-            self._folder, self._number, self._target_list.proxy.address
+            self._folder,
+            self._number,
+            self._target_list.proxy.address,
+            self._profile.grace_s,
+        )
+        self._injector = FaultInjector(
+            self._timer, fleet, self._targets, self._target_list, self
         )
         operator = Operator(self._timer, fleet, self._seed)
         try:
@@ -105,9 +110,11 @@
             callers = Callers(self._timer, fleet, self._seed)
             operator_task = asyncio.ensure_future(operator.run())
             await self._wait_until_serving(operator)
-            call_task = asyncio.ensure_future(callers.run())
-            faults = make_faults(self._seed, self._fault_s)
-            await self._inject(faults)
+            call_task = asyncio.gather(callers.run(), self._profile.run(fleet))
+            faults = self._profile.make_faults(self._fault_s)
+            load_ends_s = self._timer.now_s() + self._profile.load_s
+            await self._injector.inject(faults)
+            await self._timer.sleep(max(0.0, load_ends_s - self._timer.now_s()))
             operator_task.cancel()
             faults_ended_s = self._timer.now_s()
             await self._timer.sleep(FAULT_FREE_S)
@@ -115,6 +122,7 @@
             call_task.cancel()
             await asyncio.gather(call_task, operator_task, return_exceptions=True)
         finally:
+            await self._profile.stop()
             await fleet.stop()
             for target in self._all_targets:
                 await target.stop()
@@ -122,14 +130,19 @@
         self._check_records(callers.records, faults_ended_s)
         return self._report(callers.records, faults)
 
-    async def _add_target(self, service: str, data_centre: str) -> None:
-        target = SoakTarget(
-            self._timer, service, data_centre, self._run_counts, self._random
+    async def add_target(self, service: str, data_centre: str) -> None:
+        """Add a target that callers reach from now on."""
+        target = self._profile.make_target(
+            service, data_centre, self._run_counts, self._random
         )
         await target.start()
         self._targets.append(target)
         self._all_targets.append(target)
 
+    def note_stop(self, name: str) -> None:
+        """Record that a VM gets SIGTERM now."""
+        self._profile.note_stop(name)
+
     async def _wait_until_serving(self, operator: Operator) -> None:
         timeout_at_s = self._timer.now_s() + START_TIMEOUT_S
         while not operator.acknowledged:
@@ -138,134 +151,6 @@
             await self._timer.sleep(0.2)
         await self._timer.sleep(1.0)
 
-    # Faults.
-
-    async def _inject(self, faults: list[Fault]) -> None:
-        started_s = self._timer.now_s()
-        for fault in faults:
-            await self._timer.sleep(started_s + fault.at_s - self._timer.now_s())
-            task = asyncio.ensure_future(getattr(self, f"_{fault.action}")(fault))
-            self._tasks.add(task)
-        await asyncio.gather(*self._tasks)
-
-    def _available_process(self, fault: Fault) -> SoakProcess | None:
-        """Return the process of a fault; None, counted as skipped, if unavailable."""
-        process = self._fleet.processes[fault.subject]
-        is_under_repair = process.role == "control" and (
-            self._timer.now_s() < self._repair_until_s
-        )
-        if process.process is None or process.has_active_fault or is_under_repair:
-            self.skipped += 1
-            return None
-        return process
-
-    async def _kill(self, fault: Fault) -> None:
-        process = self._available_process(fault)
-        if process is not None:
-            process.kill()
-            await self._timer.sleep(fault.for_s)
-            self._fleet.launch(process)
-
-    async def _pause(self, fault: Fault) -> None:
-        process = self._available_process(fault)
-        if process is not None:
-            process.has_active_fault = True
-            process.signal(signal.SIGSTOP)
-            await self._timer.sleep(fault.for_s)
-            process.signal(signal.SIGCONT)
-            process.has_active_fault = False
-
-    async def _stop(self, fault: Fault) -> None:
-        process = self._available_process(fault)
-        if process is None or process.process is None:
-            return
-        running = process.process
-        process.signal(signal.SIGTERM)
-        # Keeps other faults off the process while it stops.
-        process.has_active_fault = True
-        timeout_at_s = self._timer.now_s() + GRACE_S
-        while running.poll() is None and self._timer.now_s() < timeout_at_s:
-            await self._timer.sleep(0.05)
-        process.kill()
-        await self._timer.sleep(fault.for_s)
-        self._fleet.launch(process)
-
-    async def _wipe_disk(self, fault: Fault) -> None:
-        process = self._available_process(fault)
-        controls = self._fleet.with_role("control")
-        if process is None or any(
-            c.process is None or c.has_active_fault for c in controls
-        ):
-            self.skipped += 1
-            return
-        self._repair_until_s = self._timer.now_s() + fault.for_s + VOTER_REPAIR_S
-        process.kill()
-        process.wipe_disk()
-        await self._timer.sleep(fault.for_s)
-        self._fleet.launch(process)
-
-    async def _fail_disk(self, fault: Fault) -> None:
-        process = self._available_process(fault)
-        if process is not None:
-            process.limit_file_size(0)
-            process.has_active_fault = True
-            await self._timer.sleep(fault.for_s)
-            process.kill()
-            self._fleet.launch(process)
-
-    async def _kill_all_controls(self, fault: Fault) -> None:
-        if self._timer.now_s() < self._repair_until_s:
-            self.skipped += 1
-            return
-        down = [c for c in self._fleet.with_role("control") if not c.has_active_fault]
-        for process in down:
-            process.kill()
-        await self._timer.sleep(fault.for_s)
-        for process in down:
-            if process.process is None:
-                self._fleet.launch(process)
-
-    async def _impair(self, proxy: FaultProxy, fault: Fault) -> None:
-        proxy.set(LinkState(fault.link))
-        await self._timer.sleep(fault.for_s)
-        proxy.set(LinkState.OPEN)
-
-    async def _impair_entry_link(self, fault: Fault) -> None:
-        await self._impair(self._fleet.entry_proxies[fault.subject], fault)
-
-    async def _impair_control_link(self, fault: Fault) -> None:
-        await self._impair(self._fleet.control_proxies[fault.subject], fault)
-
-    async def _impair_list_link(self, fault: Fault) -> None:
-        await self._impair(self._target_list.proxy, fault)
-
-    def _target(self, fault: Fault) -> SoakTarget:
-        return self._targets[int(fault.subject) % len(self._targets)]
-
-    async def _impair_target_link(self, fault: Fault) -> None:
-        await self._impair(self._target(fault).proxy, fault)
-
-    async def _crash_target(self, fault: Fault) -> None:
-        target = self._target(fault)
-        await target.stop()
-        await self._replace_target(target, fault.for_s)
-
-    async def _drain_target(self, fault: Fault) -> None:
-        target = self._target(fault)
-        target.is_draining = True
-        await self._timer.sleep(fault.for_s)
-        await target.stop()
-        await self._replace_target(target, 0.0)
-
-    async def _replace_target(
-        self, target: SoakTarget, delisting_delay_s: float
-    ) -> None:
-        """Remove a stopped target from the list after a delay, and add a new one."""
-        await self._timer.sleep(delisting_delay_s)
-        if target in self._targets:
-            self._targets.remove(target)
-            await self._add_target(target.service, target.data_centre)
-
     # Checks.
 
     async def _check_configuration(self, operator: Operator) -> None:
@@ -291,8 +176,9 @@
             self.findings.append(f"version {version} differs from the document sent")
 
     def _check_records(self, records: list[CallRecord], faults_ended_s: float) -> None:
-        for record in records:
+        for record in [*records, *self._profile.records]:
             self._check_record(record, self._run_counts[record.attempt_id])
+        self.findings.extend(self._profile.check())
         recovered_s = faults_ended_s + RECOVERY_LIMIT_S
         after_recovery = [r for r in records if r.sent_s > recovered_s and r.ended_s]
         served = sum(record.status == 200 for record in after_recovery)
@@ -318,19 +204,20 @@
         return {
             "seed": self._seed,
             "faults": len(faults),
-            "faults_skipped": self.skipped,
+            "faults_skipped": self._injector.skipped,
             "requests": len(records),
             "statuses": dict(sorted(statuses.items())),
+            **self._profile.figures,
             "findings": self.findings,
         }
 
 
-def run_seed(seed: int, fault_s: float, number: int) -> dict[str, Any]:
+def run_seed(seed: int, fault_s: float, number: int, profile: str) -> dict[str, Any]:
     """Run one seed in this process; return its report.
 
     A run that fails or exceeds its time limit is reported as a finding.
     """
-    soak = Soak(seed, fault_s, number)
+    soak = Soak(seed, fault_s, number, profile)
 
     async def run_with_timeout() -> dict[str, Any]:
         async with asyncio.timeout(fault_s + RUN_MARGIN_S):
@@ -348,7 +235,12 @@
 
 @app.default
 def main(
-    *, seed: int = 1, seeds: int = 1, fault_s: float = FAULT_PERIOD_S, jobs: int = 1
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    fault_s: float = FAULT_PERIOD_S,
+    jobs: int = 1,
+    profile: str = STANDARD,
 ) -> int:
     """Run seeds and print a report of each as a line of JSON.
 
@@ -357,6 +249,7 @@
       seeds: number of consecutive seeds.
       fault_s: length of the period in which faults begin, for each seed.
       jobs: number of fleets that run at a time.
+      profile: the faults, callers and checks.
     """
     failed_seeds = 0
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
@@ -366,6 +259,7 @@
                 current_seed,
                 fault_s,
                 FIRST_FLEET_NUMBER + current_seed % FLEET_NUMBERS,
+                profile,
             )
             for current_seed in range(seed, seed + seeds)
         ]
--- a/bench/platform_soak_callers.py
+++ b/bench/platform_soak_callers.py
@@ -17,7 +17,7 @@
 from endivesill.http1 import ConnectionPool, UpstreamError, encode_head
 from endivesill.timer import TimerService
 
-__all__ = ["CallRecord", "Callers", "Operator"]
+__all__ = ["CallRecord", "Callers", "Operator", "encode_request"]
 
 ROUTE_KINDS = ("unsafe", "safe", "streaming")
 CALLERS = 12
@@ -42,6 +42,7 @@
       ended_s: when its response was complete or had failed; 0 before.
       status: status of the response; 0 without a complete one.
       is_correct: whether the response is sealed and its body the expected one.
+      head_status: status of the head of the response, also of one that breaks off.
     """
 
     attempt_id: str
@@ -51,6 +52,7 @@
     ended_s: float = 0.0
     status: int = 0
     is_correct: bool = False
+    head_status: int = 0
 
 
 class Callers:
@@ -63,34 +65,35 @@
 
     Attributes:
       records: all attempts, in order of sending.
+      ready_entries: names of the entries that report ready.
     """
 
     def __init__(self, timer: TimerService, fleet: SoakFleet, seed: int) -> None:
         self._timer = timer
         self._fleet = fleet
         self._random = random.Random(seed)
-        self._ready_entries = set(fleet.entry_proxies)
+        self.ready_entries = set(fleet.entry_proxies)
         self.records: list[CallRecord] = []
 
     async def run(self) -> None:
         """Call until cancelled."""
         await asyncio.gather(
-            self._watch_readiness(), *(self._call_repeatedly() for _ in range(CALLERS))
+            self.watch_readiness(), *(self._call_repeatedly() for _ in range(CALLERS))
         )
 
-    async def _watch_readiness(self) -> None:
+    async def watch_readiness(self) -> None:
         """Track which entries report ready; new connections go only to those."""
         pool = ConnectionPool(self._timer, CONNECT_TIMEOUT_S, 0.0)
         while True:
             for process in self._fleet.with_role("entry"):
-                request = _encode("GET", "/readiness", [], b"")
+                request = encode_request("GET", "/readiness", [], b"")
                 exchange = pool.exchange(f"{process.ip}:{READY_PORT}", request)
                 try:
                     head, _ = await self._timer.wait_for(exchange, READINESS_PERIOD_S)
                     is_ready = head.status == 200
                 except (UpstreamError, errors.DeadlineExceededError):
                     is_ready = False
-                (self._ready_entries.add if is_ready else self._ready_entries.discard)(
+                (self.ready_entries.add if is_ready else self.ready_entries.discard)(
                     process.name
                 )
             await self._timer.sleep(READINESS_PERIOD_S)
@@ -99,8 +102,8 @@
         pool = ConnectionPool(self._timer, CONNECT_TIMEOUT_S, 10.0)
         entry = self._random.choice(sorted(self._fleet.entry_proxies))
         while True:
-            if entry not in self._ready_entries and self._ready_entries:
-                entry = self._random.choice(sorted(self._ready_entries))
+            if entry not in self.ready_entries and self.ready_entries:
+                entry = self._random.choice(sorted(self.ready_entries))
             record = CallRecord(
                 uuid.UUID(int=self._random.getrandbits(128)).hex,
                 self._random.choice(ROUTE_KINDS),
@@ -133,7 +136,7 @@
             headers.append(("X-Endivesill-Prompt-Prefix", "5c:80,91:20"))
         method = "GET" if record.kind == "safe" else "POST"
         body = b"" if method == "GET" else b"order"
-        request = _encode(method, f"/{record.kind}/x", headers, body)
+        request = encode_request(method, f"/{record.kind}/x", headers, body)
         head, response_body = await pool.exchange(proxy.address, request)
         record.status = head.status
         expected = expected_body(record.attempt_id, is_stream=is_stream)
@@ -174,7 +177,7 @@
 
     async def _send(self, version: int) -> bool:
         body = json.dumps(self.sent[version]).encode()
-        request = _encode("POST", "/Configuration.Replace", [], body)
+        request = encode_request("POST", "/Configuration.Replace", [], body)
         for _ in range(MAX_CHANGE_ATTEMPTS):
             response = await self._exchange(request)
             if response is not None and response[0] == 200:
@@ -184,7 +187,9 @@
 
     async def read(self) -> dict[str, Any] | None:
         """Return the committed configuration from one control VM; None on failure."""
-        response = await self._exchange(_encode("GET", "/Configuration.Get", [], b""))
+        response = await self._exchange(
+            encode_request("GET", "/Configuration.Get", [], b"")
+        )
         if response is None or response[0] != 200:
             return None
         return json.loads(response[1])
@@ -199,9 +204,10 @@
         return head.status, body
 
 
-def _encode(
+def encode_request(
     method: str, path: str, headers: list[tuple[str, str]], body: bytes
 ) -> bytes:
+    """Return a request to a route of the soak."""
     lines = [("Host", "soak.example"), *headers]
     if body:
         lines.append(("Content-Length", str(len(body))))
--- a/bench/platform_soak_faults.py
+++ b/bench/platform_soak_faults.py
@@ -1,7 +1,8 @@
-"""Fault schedule of the platform soak, determined by a seed."""
+"""Fault schedules of the platform soak, determined by a seed."""
 
 from __future__ import annotations
 
+import collections
 import random
 from collections.abc import Callable
 
@@ -10,11 +11,14 @@
 from bench.fault_proxy import LinkState
 from bench.platform_soak_fleet import DATA_CENTRES
 
-__all__ = ["Fault", "make_faults"]
+__all__ = ["STANDARD", "Fault", "make_faults"]
 
 # Intervals between faults; shorter than most faults last, so that they overlap.
 MIN_INTERVAL_S = 0.3
 MAX_INTERVAL_S = 1.6
+STANDARD = "standard"
+# By profile, where they differ: sound requests must be served between the faults.
+INTERVALS_S = {"crashes": (3.0, 6.0)}
 IMPAIRED_STATES = tuple(state for state in LinkState if state is not LinkState.OPEN)
 
 
@@ -24,7 +28,8 @@
 
     Attributes:
       at_s: when it begins, from the start of the fault period.
-      action: name of the method of `Soak` that injects it, without the underscore.
+      action: name of the method of `FaultInjector` that injects it, without the
+        underscore.
       subject: the VM or proxy by name, or the position of the target.
       for_s: how long it lasts.
       link: value of the `LinkState` during the fault; empty for other faults.
@@ -38,14 +43,22 @@
 
 
 FaultFactory = Callable[[random.Random], tuple[str, str, float, str]]
-_FACTORIES: list[FaultFactory] = []
+# By profile.
+_FACTORIES: dict[str, list[FaultFactory]] = collections.defaultdict(list)
 
 
-def _register(function: FaultFactory) -> FaultFactory:
-    _FACTORIES.append(function)
+def _register(
+    function: FaultFactory, profiles: tuple[str, ...] = (STANDARD,)
+) -> FaultFactory:
+    for profile in profiles:
+        _FACTORIES[profile].append(function)
     return function
 
 
+def _register_for(*profiles: str) -> Callable[[FaultFactory], FaultFactory]:
+    return lambda function: _register(function, profiles)
+
+
 def _draw_vm(rng: random.Random) -> str:
     role = rng.choice(("control", "entry"))
     return f"{role}-{rng.choice(DATA_CENTRES)}"
@@ -117,19 +130,42 @@
     return "drain_target", str(rng.randrange(100)), 3.0, ""
 
 
-def make_faults(seed: int, duration_s: float) -> list[Fault]:
-    """Return the faults of a seed in order of time.
+@_register_for("stops", "crashes")
+def _stop_entry(rng: random.Random) -> tuple[str, str, float, str]:
+    subject = f"entry-{rng.choice(DATA_CENTRES)}"
+    return "stop", subject, rng.uniform(0.1, 1.0), ""
+
+
+@_register_for("crashes")
+def _kill_entry(rng: random.Random) -> tuple[str, str, float, str]:
+    subject = f"entry-{rng.choice(DATA_CENTRES)}"
+    return "kill", subject, rng.uniform(0.2, 1.0), ""
+
+
+@_register_for("crashes")
+def _kill_leader(rng: random.Random) -> tuple[str, str, float, str]:
+    return "kill_leader", "control", rng.uniform(0.5, 2.0), ""
+
+
+@_register_for("crashes")
+def _kill_all_controls_long(rng: random.Random) -> tuple[str, str, float, str]:
+    return "kill_all_controls", "control", rng.uniform(1.0, 3.0), ""
+
+
+def make_faults(seed: int, duration_s: float, profile: str = STANDARD) -> list[Fault]:
+    """Return the faults of a seed and a profile in order of time.
 
     Every kind occurs once, in random order, before any occurs again.
     """
     rng = random.Random(seed)
     faults = []
     remaining: list[FaultFactory] = []
-    at_s = rng.uniform(0.0, MAX_INTERVAL_S)
+    interval_s = INTERVALS_S.get(profile, (MIN_INTERVAL_S, MAX_INTERVAL_S))
+    at_s = rng.uniform(0.0, interval_s[1])
     while at_s < duration_s:
         if not remaining:
-            remaining = list(_FACTORIES)
+            remaining = list(_FACTORIES[profile])
             rng.shuffle(remaining)
         faults.append(Fault(at_s, *remaining.pop()(rng)))
-        at_s += rng.uniform(MIN_INTERVAL_S, MAX_INTERVAL_S)
+        at_s += rng.uniform(*interval_s)
     return faults
--- a/bench/platform_soak_fleet.py
+++ b/bench/platform_soak_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import pathlib
 import resource
@@ -14,8 +15,12 @@
 
 from bench.fault_proxy import FaultProxy
 from bench.platform_soak_targets import LIST_RATE_PER_S
+from endivesill import errors
+from endivesill.http1 import ConnectionPool, UpstreamError
+from endivesill.platform.metrics_port import METRICS_PORT
+from endivesill.timer import TimerService
 
-__all__ = ["DATA_CENTRES", "SoakFleet", "SoakProcess"]
+__all__ = ["DATA_CENTRES", "FRONT_PORT", "GRACE_S", "SoakFleet", "SoakProcess"]
 
 REPOSITORY_FOLDER = pathlib.Path(__file__).resolve().parent.parent
 DATA_CENTRES = ("a", "b", "c")
@@ -24,6 +29,7 @@
 FRONT_PORT = 8740
 READY_PORT = 8749
 GRACE_S = 4.0
+LEADER_TIMEOUT_S = 0.3
 
 SETTINGS = """
 node_name = "{name}"
@@ -115,15 +121,24 @@
       number: number of the fleet, unique on the machine, 256 to 65,535; determines
         its loopback addresses.
       list_address: HOST:PORT of the platform's target list.
+      grace_s: time from a SIGTERM to the end of a process.
 
     Attributes:
+      grace_s: the argument.
       processes: the processes by VM name.
       entry_proxies: the proxies between callers and entries, by VM name.
       control_proxies: the proxies between operators and control VMs, by VM name.
     """
 
-    def __init__(self, folder: pathlib.Path, number: int, list_address: str) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        number: int,
+        list_address: str,
+        grace_s: float = GRACE_S,
+    ) -> None:
         self._list_address = list_address
+        self.grace_s = grace_s
         self._is_first_start = True
         self.processes: dict[str, SoakProcess] = {}
         self.entry_proxies: dict[str, FaultProxy] = {}
@@ -143,6 +158,18 @@
         """Return the processes with a role."""
         return [p for p in self.processes.values() if p.role == role]
 
+    async def find_leader(self, timer: TimerService) -> str:
+        """Return the name of the control VM that says it leads; empty if none does."""
+        pool = ConnectionPool(timer, LEADER_TIMEOUT_S, 0.0)
+        request = b"GET /metrics HTTP/1.1\r\nHost: soak.example\r\n\r\n"
+        for process in self.with_role("control"):
+            exchange = pool.exchange(f"{process.ip}:{METRICS_PORT}", request)
+            with contextlib.suppress(UpstreamError, errors.DeadlineExceededError):
+                _, body = await timer.wait_for(exchange, LEADER_TIMEOUT_S)
+                if b"endivesill_control_leads 1\n" in body:
+                    return process.name
+        return ""
+
     async def start(self) -> None:
         """Start all processes and proxies; only this start bootstraps the cluster."""
         for process in self.processes.values():
@@ -203,7 +230,7 @@
             bootstrap=str(self._is_first_start).lower(),
             folder="" if is_entry else process.disk,
             listen=listen,
-            grace_s=GRACE_S,
+            grace_s=self.grace_s,
             list_address=self._list_address,
             list_rate_per_s=LIST_RATE_PER_S,
         )
--- /dev/null
+++ b/bench/platform_soak_profiles.py
@@ -0,0 +1,125 @@
+"""Profiles of the platform soak: faults, callers and checks of a kind of run."""
+
+from __future__ import annotations
+
+import collections
+import random
+from typing import Any
+
+from bench.platform_soak_callers import CallRecord
+from bench.platform_soak_faults import STANDARD, Fault, make_faults
+from bench.platform_soak_fleet import GRACE_S, SoakFleet
+from bench.platform_soak_stops import RecordingTarget, StopCallers, StopRecords
+from bench.platform_soak_targets import SoakTarget
+from endivesill.timer import TimerService
+
+__all__ = ["Profile", "make_profile"]
+
+LONG_GRACE_S = 8.0
+
+_PROFILES: dict[str, type[Profile]] = {}
+
+
+def _register(profile: type[Profile]) -> type[Profile]:
+    _PROFILES[profile.name] = profile
+    return profile
+
+
+def make_profile(name: str, timer: TimerService, seed: int) -> Profile:
+    """Return the profile with a name.
+
+    Raises:
+      KeyError: there is none.
+    """
+    return _PROFILES[name](timer, seed)
+
+
+@_register
+class Profile:
+    """Faults of all kinds, without callers and checks of its own.
+
+    Args:
+      timer: the timer service.
+      seed: seed of the faults and of the profile's callers.
+
+    Attributes:
+      records: attempts of the profile's callers that the usual checks apply to.
+      load_s: shortest time from the start of the load to the end of the faults.
+      figures: counts for the report.
+    """
+
+    name = STANDARD
+    grace_s = GRACE_S
+    targets_per_data_centre = 1
+
+    def __init__(self, timer: TimerService, seed: int) -> None:
+        self._timer = timer
+        self._seed = seed
+        self.records: list[CallRecord] = []
+        self.load_s = 0.0
+        self.figures: dict[str, Any] = {}
+
+    def make_faults(self, duration_s: float) -> list[Fault]:
+        """Return the faults in order of time."""
+        return make_faults(self._seed, duration_s, self.name)
+
+    def make_target(
+        self,
+        service: str,
+        data_centre: str,
+        run_counts: collections.Counter[str],
+        rng: random.Random,
+    ) -> SoakTarget:
+        """Return a target that is not started."""
+        return SoakTarget(self._timer, service, data_centre, run_counts, rng)
+
+    async def run(self, fleet: SoakFleet) -> None:
+        """Call until cancelled."""
+
+    async def stop(self) -> None:
+        """Stop what the profile has started."""
+
+    def note_stop(self, name: str) -> None:
+        """Record that a VM gets SIGTERM now."""
+
+    def check(self) -> list[str]:
+        """Return the violations found."""
+        return []
+
+
+@_register
+class StopProfile(Profile):
+    """Entries that stop while callers use their connections to the end."""
+
+    name = "stops"
+    grace_s = LONG_GRACE_S
+
+    def __init__(self, timer: TimerService, seed: int) -> None:
+        super().__init__(timer, seed)
+        self._stops = StopRecords(timer, self.grace_s)
+
+    def make_target(
+        self,
+        service: str,
+        data_centre: str,
+        run_counts: collections.Counter[str],
+        rng: random.Random,
+    ) -> SoakTarget:
+        """Return a target that records when requests came and ended."""
+        return RecordingTarget(
+            self._timer, service, data_centre, run_counts, rng, self._stops
+        )
+
+    async def run(self, fleet: SoakFleet) -> None:
+        """Call until cancelled."""
+        callers = StopCallers(self._timer, fleet, self._seed, self.records)
+        await callers.run()
+
+    def note_stop(self, name: str) -> None:
+        """Record that a VM gets SIGTERM now."""
+        self._stops.add_stop(name)
+
+    def check(self) -> list[str]:
+        """Return the requests that were given up by a stopping entry."""
+        findings, self.figures = self._stops.check(self.records)
+        return findings
--- a/bench/platform_soak_targets.py
+++ b/bench/platform_soak_targets.py
@@ -15,6 +15,7 @@
 __all__ = [
     "EVENTS_PER_STREAM",
     "PlatformTargetList",
+    "SEAL",
     "SoakTarget",
     "configuration",
     "expected_body",
@@ -54,13 +55,19 @@
     """
 
     def __init__(self, timer: TimerService) -> None:
+        self._timer = timer
         self._listener = HttpListener(timer, "127.0.0.1:0", self._handle)
         self.proxy = FaultProxy("")
 
-    async def start(self) -> None:
-        """Start the listener and its proxy."""
+    async def start(self, address: str = "127.0.0.1:0") -> None:
+        """Start the listener and its proxy, which listens at an address.
+
+        Raises:
+          OSError: the address cannot be bound.
+        """
+        self._listener = HttpListener(self._timer, "127.0.0.1:0", self._handle)
         await self._listener.start()
-        self.proxy = FaultProxy(self._listener.address)
+        self.proxy = FaultProxy(self._listener.address, address)
         await self.proxy.start()
 
     async def stop(self) -> None:
@@ -124,13 +131,20 @@
         if path == b"/health":
             exchange.respond(503 if self.is_draining else 200, [])
         elif path == b"/report":
-            document = {"kv_used": 0, "queued_requests": 0, "state": "ready"}
-            exchange.respond(200, [], json.dumps(document).encode())
+            exchange.respond(200, [], json.dumps(self._report()).encode())
         elif path.startswith(b"/kv-"):
             exchange.respond(503, [])
         else:
             await self._run(exchange)
 
+    def _report(self) -> dict[str, Any]:
+        return {"kv_used": 0, "queued_requests": 0, "state": "ready"}
+
+    def _service_time_s(self, exchange: Exchange, default_s: float) -> float:
+        """Return how long a request runs; the query of its path may say so."""
+        _, _, value = exchange.target.partition(b"?run_s=")
+        return float(value) if value else default_s
+
     async def _run(self, exchange: Exchange) -> None:
         attempt = exchange.header(ATTEMPT_ID.lower()).decode()
         expected = exchange.header(b"x-endivesill-expected-instance").decode()
@@ -147,7 +161,7 @@
         if exchange.header(b"x-endivesill-token-counts"):
             await self._stream(exchange, attempt, attempt_header)
             return
-        await asyncio.sleep(PLAIN_SERVICE_TIME_S)
+        await asyncio.sleep(self._service_time_s(exchange, PLAIN_SERVICE_TIME_S))
         failed = self._random.random() < FAILURE_FRACTION
         body = b"" if failed else expected_body(attempt, is_stream=False)
         exchange.respond(500 if failed else 200, [attempt_header, SEAL], body)
@@ -158,11 +172,13 @@
         exchange.start(
             200, [attempt_header, SEAL, (b"Content-Type", b"text/event-stream")]
         )
+        stream_s = EVENTS_PER_STREAM * EVENT_INTERVAL_S
+        interval_s = self._service_time_s(exchange, stream_s) / EVENTS_PER_STREAM
         for number in range(1, EVENTS_PER_STREAM + 1):
             if exchange.disconnected.is_set():
                 return
             exchange.send(_event(attempt, number))
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(interval_s)
         exchange.finish()
 
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -1,6 +1,6 @@
-"""Tests of the platform soak: fault schedule, checks, and one short seeded run.
+"""Tests of the platform soak: fault schedules, checks, and short seeded runs.
 
-The run starts the real processes. It checks what callers, operators and targets
+The runs start the real processes. They check what callers, operators and targets
 observed, and nothing that depends on the speed of the machine.
 """
 
@@ -13,6 +13,9 @@
 from bench.platform_soak_callers import CallRecord
 from bench.platform_soak_faults import make_faults
 from bench.platform_soak_fleet import SoakFleet
+from bench.platform_soak_profiles import make_profile
+from bench.platform_soak_stops import StopRecords
+from endivesill.timer import ManualTimer
 
 SHORT_FAULT_S = 4.0
 # Above the numbers of manual runs; differs between test runs on one machine.
@@ -31,6 +34,11 @@
         self.assertEqual(kinds, len(set(first)))
         self.assertGreaterEqual(kinds, 10)
 
+    def test_the_stop_profile_only_stops_entries(self):
+        faults = make_profile("stops", ManualTimer(), 5).make_faults(30.0)
+        self.assertEqual({"stop"}, {fault.action for fault in faults})
+        self.assertTrue(all(f.subject.startswith("entry-") for f in faults))
+
 
 class CheckTest(unittest.TestCase):
     def setUp(self):
@@ -66,6 +74,41 @@
         self.assertEqual(1, len(self.soak.findings))
 
 
+class StopCheckTest(unittest.TestCase):
+    """A request to an entry that gets SIGTERM at 1,000 s with a grace of 6 s."""
+
+    def setUp(self):
+        self.stops = StopRecords(ManualTimer(1_000.0), 6.0)
+        self.stops.add_stop("entry-a")
+        self.stops.arrived.add("a1")
+
+    def count_findings(self, sent_s, ended_s, status=0, entry="entry-a", attempt="a1"):
+        record = CallRecord(
+            attempt, "safe", entry, 1_000.0 + sent_s, 1_000.0 + ended_s, status
+        )
+        return len(self.stops.check([record])[0])
+
+    def test_a_late_request_that_is_given_up(self):
+        self.assertEqual(1, self.count_findings(3.1, 5.0))
+        self.assertEqual(1, self.count_findings(5.9, 6.1))
+
+    def test_a_complete_response(self):
+        self.assertEqual(0, self.count_findings(3.1, 5.0, 503))
+
+    def test_a_request_that_reached_no_target(self):
+        self.assertEqual(0, self.count_findings(3.1, 5.0, attempt="a2"))
+
+    def test_a_request_to_another_entry(self):
+        self.assertEqual(0, self.count_findings(3.1, 5.0, entry="entry-b"))
+
+    def test_an_early_request_that_its_target_has_not_answered(self):
+        self.assertEqual(0, self.count_findings(2.9, 5.9))
+
+    def test_an_early_request_that_its_target_has_answered(self):
+        self.stops.ended_s["a1"] = 1_004.9
+        self.assertEqual(1, self.count_findings(2.9, 5.9))
+
+
 class FleetTest(unittest.TestCase):
     def test_a_running_process_is_not_started_again(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -86,3 +129,8 @@
         report = await Soak(3, SHORT_FAULT_S, FLEET_NUMBER).run()
         self.assertEqual([], report["findings"])
         self.assertGreater(report["statuses"].get("200", 0), 0)
+
+    async def test_a_stopping_entry_gives_up_no_request(self):
+        report = await Soak(1, SHORT_FAULT_S, FLEET_NUMBER, "stops").run()
+        self.assertGreater(report["late_requests"], 0)
+        self.assertEqual([], report["findings"])
