Answer the calls of operators before a control process stops

Cause: the operators' connections were reset as soon as leadership was transferred.

Change: from the signal on, responses announce the close. After the transfer, the process stops accepting connections, closes the idle ones and answers the calls that it has read, for 2 s or a quarter of the grace period at most. The stop logs how many calls were active and how many were cut.

--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -32,6 +32,11 @@
 SEGMENT_BYTES = 1_048_576
 # Calls are small except for configurations with many routes.
 OPERATOR_LIMITS = ConnectionLimits(body_bytes=16_777_216)
+# After the stop signal: how long the last calls of operators may take, as a time and
+# as a fraction of the grace period.
+LAST_CALLS_S = 2.0
+LAST_CALLS_FRACTION = 1 / 4
+STOP_POLL_PERIOD_S = 0.05
 
 
 def control_settings(settings: NodeSettings) -> ControlSettings:
@@ -101,18 +106,35 @@
         role="control",
     )
     await stop.wait()
-    events.emit(events.PROCESS_STOPPING, vm=settings.vm)
-    await replica.transfer_leadership()
     listener.closing = True
-    await listener.stop()
+    active = listener.active_exchanges
+    events.emit(events.PROCESS_STOPPING, vm=settings.vm, active=active)
+    await replica.transfer_leadership()
+    cut = await _end_calls(settings, timer, listener)
     for task in tasks:
         task.cancel()
     await replica.halt()
     await transport.close()
-    events.emit(events.PROCESS_STOPPED, vm=settings.vm)
+    events.emit(events.PROCESS_STOPPED, vm=settings.vm, cut=cut)
     await asyncio.sleep(0)
 
 
+async def _end_calls(
+    settings: NodeSettings, timer: TimerService, listener: HttpListener
+) -> int:
+    """Answer the calls that operators have sent; return how many were cut."""
+    listener.stop_accepting()
+    max_wait_s = min(LAST_CALLS_S, LAST_CALLS_FRACTION * settings.bounds.grace_s)
+    end_s = timer.now_s() + max_wait_s
+    listener.close_idle()
+    while listener.connections and timer.now_s() < end_s:
+        await timer.sleep(STOP_POLL_PERIOD_S)
+        listener.close_idle()
+    cut = listener.active_exchanges
+    await listener.stop()
+    return cut
+
+
 def _metric_lines(
     replica: ControlReplica,
     sync_service: FleetSyncService,
