Show that a VM that no longer leads keeps queued placements

Cause: PlacementService checks leadership only when a request comes. A request that is queued when leadership ends waits until its time is over, or is placed with outdated loads when a poll of any entry arrives (FleetSyncService calls its listener of loads whether the VM leads or not).

--- a/tests/test_forwarding_placement_service.py
+++ b/tests/test_forwarding_placement_service.py
@@ -171,6 +171,30 @@
         await asyncio.gather(first_task, retry_task)
         self.assertEqual(("back", True), order[0])
 
+    async def test_queued_requests_are_released_when_the_vm_no_longer_leads(self):
+        """Another VM places requests now, and entries can do it themselves."""
+        await self.fill_engines()
+        request = asyncio.ensure_future(self.request_placement(patience_s=2.0))
+        await settle()
+        self.assertEqual(1, self.placement_service.queue_length())
+        self.leads = False
+        self.placement_service.update()
+        await settle()
+        self.assertTrue(request.done())
+        self.assertEqual({"leader": None}, await request)
+        self.assertEqual(0, self.placement_service.queue_length())
+
+    async def test_a_vm_that_no_longer_leads_places_no_queued_request(self):
+        await self.fill_engines()
+        request = asyncio.ensure_future(self.request_placement(patience_s=2.0))
+        await settle()
+        self.leads = False
+        await self.timer.advance(1.1)
+        self.placement_service.update()
+        await settle()
+        await self.timer.advance(1.0)
+        self.assertNotIn("target", await request)
+
     async def test_a_cancelled_request_leaves_the_queue(self):
         await self.fill_engines()
         task = asyncio.ensure_future(
