Release queued placements when a VM no longer leads

Cause: nothing ended the wait of queued requests at the loss of leadership, and the queue was still served after each report of an entry.

Entries then place them as they do while there is no leader.

--- a/endivesill/forwarding/placement_service.py
+++ b/endivesill/forwarding/placement_service.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from endivesill import events
+from endivesill import errors, events
 from endivesill.fleet.load import EngineLoad, FleetLoads
 from endivesill.fleet.model import Service
 from endivesill.forwarding.events import FLEET_BUSY, PLACE_REFUSED
@@ -93,7 +93,13 @@
         return LEADER_COLD_FRACTION * (factor * service.cold_requests_per_s + slack)
 
     def update(self) -> None:
-        """Apply changed loads and targets, then place queued requests."""
+        """Apply changed loads and targets, then place queued requests.
+
+        A VM that no longer leads releases them instead: entries place them.
+        """
+        if not self._is_leader():
+            self._admission.release_waiting()
+            return
         self._table.update_loads(self._loads.totals(self._timer.now_s()))
         self._admission.admit_waiting()
 
@@ -132,7 +138,7 @@
         Returns:
           `{"number", "target", "backup"}` with engines as in the list; `{"refused",
           "retry_after_s"}` with the reason; `{"leader": None}` from a VM that does not
-          lead.
+          lead, or no longer does.
         """
         now_s = self._timer.now_s()
         service = self._services(message["service"])
@@ -163,6 +169,8 @@
         try:
             target = await self._place_or_refuse(request, wait_s)
             number, backup = self._grants.pop(id(request))
+        except errors.NotLeaderError:
+            return {"leader": None}
         except NoRoomError as error:
             self._refused_sessions.add(message["session"], self._timer.now_s())
             events.emit(
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -157,6 +157,7 @@
 
         Raises:
           NoRoomError: the queue is full, or no target had capacity in time.
+          NotLeaderError: `release_waiting` was called meanwhile.
         """
         service = request.service.name
         queue = self._queues.get(service)
@@ -189,8 +190,10 @@
                 return waiter.future.result()
             raise NoRoomError("waited in vain") from None
         except asyncio.CancelledError:
-            if waiter.future.done() and not waiter.future.cancelled():
-                self._on_abandoned(request, waiter.future.result())
+            future = waiter.future
+            is_placed = future.done() and not future.cancelled()
+            if is_placed and future.exception() is None:
+                self._on_abandoned(request, future.result())
             raise
         finally:
             if not waiter.future.done():
@@ -229,6 +232,14 @@
                     waiter.future.set_result(target)
                 queue.pop()
 
+    def release_waiting(self) -> None:
+        """End the wait of all queued requests, which another VM can place."""
+        for queue in self._queues.values():
+            while queue:
+                waiter = queue.pop()
+                if not waiter.future.done():
+                    waiter.future.set_exception(errors.NotLeaderError())
+
 
 def _sort_key(queue: FairQueue[_Waiter], request: PlacementRequest) -> SortKey:
     return queue.sort_key_of(request.priority, request.flow, request.cost)
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/platform/leader_placement.py
@@ -140,7 +140,7 @@
             self._table.update_reports(
                 self._reports.latest, self._reports.unresponsive()
             )
-            self._placement.update()
+        self._placement.update()
 
     def _admit_waiting(self) -> None:
         """Place queued requests after a load report; without any, nothing is due."""
