Show that a reload signal ends a process that starts

Cause: SettingsWatcher handles SIGHUP, but is created after the settings are read and the modules of the role are imported; before that the default action ends the process.

--- a/tests/test_platform_control.py
+++ b/tests/test_platform_control.py
@@ -1,12 +1,15 @@
-"""Tests of the stop of a control process, with the real process on loopback."""
+"""Tests of the signals of a control process, with the real process on loopback."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 
 from endivesill.http1 import ConnectionPool, UpstreamError
@@ -111,3 +114,30 @@
     async def test_an_idle_connection_does_not_delay_the_stop(self):
         self.process.terminate()
         self.assertEqual(0, await asyncio.to_thread(self.process.wait, 3))
+
+
+class StartTest(unittest.TestCase):
+    """Signals that arrive before the settings are read."""
+
+    def test_a_reload_signal_during_the_start_does_not_end_the_process(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        # The process waits for a writer when it reads its settings.
+        settings = pathlib.Path(folder) / "local.toml"
+        os.mkfifo(settings)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "endivesill.platform", "control"],
+            cwd=REPOSITORY_FOLDER,
+            env={**os.environ, "ENDIVESILL_NODE_FILE": str(settings)},
+            stdin=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+        )
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        writer = os.open(settings, os.O_WRONLY)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(READ_S)
+        with contextlib.suppress(BrokenPipeError):
+            os.write(writer, b"invalid")
+        os.close(writer)
+        _, output = process.communicate(timeout=START_TIMEOUT_S)
+        self.assertEqual((1, True), (process.returncode, b"local.toml" in output))
