Ignore the reload signal until it is handled

Cause: SIGHUP ended a process that had not created its SettingsWatcher yet.

Not covered: the start of the interpreter and the first imports, and a change of the file between the first read and the watcher, which the next change makes up for.

--- a/endivesill/platform/__main__.py
+++ b/endivesill/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 import uvloop
@@ -41,6 +42,8 @@
     if len(sys.argv) != 2 or sys.argv[1] not in ROLES:
         print(f"usage: python3 -m endivesill.platform {'|'.join(ROLES)}")
         return 2
+    # Until the process handles the signal, its default action would end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         settings = read_settings(settings_path())
     except errors.FindingsError as error:
