Count the grace period from the first stop signal

Cause: a second signal replaced the time of the first one.

Change: only the first signal sets received_s.

Measured: the test passes, with those of the control process.

--- a/endivesill/platform/process.py
+++ b/endivesill/platform/process.py
@@ -40,7 +40,7 @@
       timer: the timer service.
 
     Attributes:
-      received_s: time of the last signal; 0 before the first.
+      received_s: time of the first signal; 0 before it.
     """
 
     def __init__(self, settings: NodeSettings, timer: TimerService) -> None:
@@ -52,8 +52,9 @@
             loop.add_signal_handler(number, self._handle_signal)
 
     def _handle_signal(self) -> None:
-        self.received_s = self._timer.now_s()
-        self._event.set()
+        if not self._event.is_set():
+            self.received_s = self._timer.now_s()
+            self._event.set()
 
     async def wait(self) -> None:
         """Wait until the first signal arrives."""
