Show that a draining VM becomes the orderer after its hand-over

Cause: hand_over releases the leases that are held. A lease that is waited for at that moment is granted later, and kept while the orders of the previous orderer are resolved (up to read_back_s). Orders that come meanwhile are accepted and are cut when the VM stops.

--- a/tests/test_orders_placement.py
+++ b/tests/test_orders_placement.py
@@ -257,3 +257,31 @@
         self.assertIsNone(self.services["v2"].orderer("a"))
         await self.timer.advance(5.0)
         self.assertIsNotNone(self.services["v2"].orderer("a"))
+
+    async def test_a_lease_that_comes_after_the_hand_over_is_released(self):
+        """A VM that stops would otherwise accept orders while it resolves others."""
+        for view in self.views.values():
+            view.replace(self.vms, {"orderer/a": "v2"})
+        await self.timer.advance(15.0)
+        self.assertIsNotNone(self.services["v2"].orderer("a"))
+        self.engines.lose_orders = True
+        pending = asyncio.ensure_future(
+            self.services["v2"].issue(
+                OrderRequest("o-1", "plain-0", OrderKind.CHANGE_ROLE, "decode")
+            )
+        )
+        await self.timer.advance(5.0)
+        self.assertFalse(pending.done())
+        await self.services["v2"].stop()
+        await asyncio.gather(pending, return_exceptions=True)
+        for view in self.views.values():
+            view.replace(self.vms, {"orderer/a": "v1"})
+        await self.timer.advance(5.0)
+        hand_over = asyncio.ensure_future(self.services["v1"].hand_over())
+        await self.timer.advance(2.0)
+        self.assertTrue(hand_over.done())
+        for _ in range(20):
+            await self.timer.advance(1.0)
+            self.assertIsNone(self.services["v1"].orderer("a"))
+        lease = self.control.state.section("orderers")["a"]
+        self.assertEqual("", lease["holder"])
