Move the planned end of a listener to the package http1

Change: close_listener, usable for any listener; the control process waits for a quarter of its grace at most.

--- a/endivesill/http1/__init__.py
+++ b/endivesill/http1/__init__.py
@@ -6,6 +6,7 @@
     UpstreamError,
     bounds_exceeded,
 )
+from endivesill.http1.closing import close_listener
 from endivesill.http1.exchange import ConnectionLimits, Exchange
 from endivesill.http1.head import Headers, encode_head, header_value, strip_hop_by_hop
 from endivesill.http1.pool import ConnectionPool
@@ -25,6 +26,7 @@
     "UpstreamConnection",
     "UpstreamError",
     "bounds_exceeded",
+    "close_listener",
     "encode_head",
     "header_value",
     "send_request",
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -7,7 +7,7 @@
 from endivesill import events
 from endivesill.control import ControlReplica, ControlSettings, TimedDisk
 from endivesill.fleet.sync_service import FleetSyncService
-from endivesill.http1 import ConnectionLimits, HttpListener
+from endivesill.http1 import ConnectionLimits, HttpListener, close_listener
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.leader_placement import LeaderPlacement
@@ -32,11 +32,8 @@
 SEGMENT_BYTES = 1_048_576
 # Calls are small except for configurations with many routes.
 OPERATOR_LIMITS = ConnectionLimits(body_bytes=16_777_216)
-# After the stop signal: how long the last calls of operators may take, as a time and
-# as a fraction of the grace period.
-LAST_CALLS_S = 2.0
+# Fraction of the grace period in which the last calls of operators are answered.
 LAST_CALLS_FRACTION = 1 / 4
-STOP_POLL_PERIOD_S = 0.05
 
 
 def control_settings(settings: NodeSettings) -> ControlSettings:
@@ -110,7 +107,8 @@
     active = listener.active_exchanges
     events.emit(events.PROCESS_STOPPING, vm=settings.vm, active=active)
     await replica.transfer_leadership()
-    cut = await _end_calls(settings, timer, listener)
+    max_wait_s = LAST_CALLS_FRACTION * settings.bounds.grace_s
+    cut = await close_listener(listener, max_wait_s)
     for task in tasks:
         task.cancel()
     await replica.halt()
@@ -119,22 +117,6 @@
     await asyncio.sleep(0)
 
 
-async def _end_calls(
-    settings: NodeSettings, timer: TimerService, listener: HttpListener
-) -> int:
-    """Answer the calls that operators have sent; return how many were cut."""
-    listener.stop_accepting()
-    max_wait_s = min(LAST_CALLS_S, LAST_CALLS_FRACTION * settings.bounds.grace_s)
-    end_s = timer.now_s() + max_wait_s
-    listener.close_idle()
-    while listener.connections and timer.now_s() < end_s:
-        await timer.sleep(STOP_POLL_PERIOD_S)
-        listener.close_idle()
-    cut = listener.active_exchanges
-    await listener.stop()
-    return cut
-
-
 def _metric_lines(
     replica: ControlReplica,
     sync_service: FleetSyncService,
