End the listeners of both platform processes alike

Cause: two functions ended a listener after its last responses, one for each process. Change: the entry uses close_listener as well and logs what it cuts. A generation without tokens is no longer started when no time is left.

--- a/endivesill/forwarding/stop_deadline.py
+++ b/endivesill/forwarding/stop_deadline.py
@@ -32,7 +32,7 @@
 
     def leaves_time_for(self, call: Call) -> bool:
         """Return whether a request that is sent now is expected to end in time."""
-        return _expected_time_s(call) <= self.remaining_s()
+        return _expected_time_s(call) < self.remaining_s()
 
 
 def _expected_time_s(call: Call) -> float:
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -31,8 +31,6 @@
 # TCP reset that may discard the last response before the caller reads it.
 LINGER_S = 1.0
 BACKLOG_CONNECTIONS = 512
-# Period of the checks whether the connections of a stopping listener have closed.
-CLOSE_POLL_PERIOD_S = 0.02
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 BAD_REQUEST = events.define(
@@ -374,20 +372,6 @@
         if self._server is not None:
             self._server.close()
 
-    async def finish_responses(self, timeout_s: float) -> None:
-        """Stop listening and send the responses that are complete.
-
-        Returns after the callers have closed all connections, or after a time.
-
-        Args:
-          timeout_s: the longest time to wait.
-        """
-        self.stop_accepting()
-        end_s = self.timer.now_s() + timeout_s
-        while self.connections and self.timer.now_s() < end_s:
-            self.close_idle()
-            await self.timer.sleep(CLOSE_POLL_PERIOD_S)
-
     async def stop(self) -> None:
         """Stop listening and reset the open connections."""
         if self._sweep_timer is not None:
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -21,7 +21,13 @@
 from endivesill.forwarding.statistics import Statistics
 from endivesill.forwarding.targets import TargetTable
 from endivesill.forwarding.waiting import AdmissionQueue
-from endivesill.http1 import ConnectionLimits, ConnectionPool, Exchange, HttpListener
+from endivesill.http1 import (
+    ConnectionLimits,
+    ConnectionPool,
+    Exchange,
+    HttpListener,
+    close_listener,
+)
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import PlatformProtocol
@@ -142,11 +148,9 @@
         self._timer.call_every(ADMISSION_PERIOD_S, self._admission.admit_waiting)
         events.emit(events.PROCESS_STARTED, vm=self._settings.vm, role="entry")
         await stop.wait()
-        await self._drain(stop.received_s)
+        cut = await self._drain(stop.received_s)
         await self._sync_client.deregister()
         task.cancel()
-        cut = self._front.active_exchanges
-        await self._front.stop()
         events.emit(events.PROCESS_STOPPED, vm=self._settings.vm, cut=cut)
 
     def _metric_lines(self) -> list[str]:
@@ -235,12 +239,12 @@
     async def _handle_readiness(self, exchange: Exchange) -> None:
         exchange.respond(200 if self.is_ready() else 503, [])
 
-    async def _drain(self, stop_received_s: float) -> None:
+    async def _drain(self, stop_received_s: float) -> int:
         """Serve running and new requests until all connections close or time is up.
 
         Connections are accepted until shortly before the end, since callers may have no
         other entry. Requests that could not end in time are refused, and all that still
-        run at the end get a response.
+        run at the end get a response. Returns how many were cut nevertheless.
         """
         self._stopping = True
         self._front.closing = True
@@ -260,11 +264,11 @@
                 self._forwarder.refuse_streams = True
                 self._front.close_idle()
                 if not is_accepting and not self._front.connections:
-                    return
+                    break
                 if now_s > accepting_end_s or not self._front.connections:
                     self._front.stop_accepting()
                     is_accepting = False
             self._forwarder.end_waiting()
             await self._timer.sleep(STOP_POLL_PERIOD_S)
         self._forwarder.end_all()
-        await self._front.finish_responses(FLUSH_FRACTION * grace_s)
+        return await close_listener(self._front, FLUSH_FRACTION * grace_s)
