Move the planned stop of an entry out of the adapter

Change: forwarding/entry_stop.py holds them. No change of behaviour. Result: tests.test_platform_entry, test_platform_boundary and test_layers pass.

--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -13,6 +13,7 @@
 from endivesill.fleet.model import Service
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.call_log import CallLog
+from endivesill.forwarding.entry_stop import stop_serving
 from endivesill.forwarding.forwarder import Forwarder
 from endivesill.forwarding.placement_service import LEADER_COLD_FRACTION
 from endivesill.forwarding.placer import Placer
@@ -26,7 +27,6 @@
     ConnectionPool,
     Exchange,
     HttpListener,
-    close_listener,
 )
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.configuration import decode_configuration
@@ -55,15 +55,6 @@
 # With an older view of the fleet the entry reports that it is not ready, so
 # that callers are sent to other entries.
 MAX_READY_VIEW_AGE_S = 6.0
-# After the stop signal: how long the load balancer may still open connections, and the
-# fractions of the grace period during which connections are accepted and requests are
-# served. The time between them is for the requests of the last connections.
-BALANCER_LAG_S = 2.5
-ACCEPTING_FRACTION = 2 / 3
-SERVING_FRACTION = 5 / 6
-STOP_POLL_PERIOD_S = 0.05
-# Fraction of the grace period for sending the last responses.
-FLUSH_FRACTION = 1 / 16
 
 
 class EntryProcess:
@@ -240,35 +231,17 @@
         exchange.respond(200 if self.is_ready() else 503, [])
 
     async def _drain(self, stop_received_s: float) -> int:
-        """Serve running and new requests until all connections close or time is up.
-
-        Connections are accepted until shortly before the end, since callers may have no
-        other entry. Requests that could not end in time are refused, and all that still
-        run at the end get a response. Returns how many were cut nevertheless.
-        """
+        """Stop serving; return how many requests were cut."""
         self._stopping = True
-        self._front.closing = True
-        grace_s = self._settings.bounds.grace_s
         events.emit(
             events.PROCESS_STOPPING,
             vm=self._settings.vm,
             active=self._front.active_exchanges,
         )
-        balancer_lag_end_s = stop_received_s + BALANCER_LAG_S
-        accepting_end_s = stop_received_s + ACCEPTING_FRACTION * grace_s
-        serving_end_s = stop_received_s + SERVING_FRACTION * grace_s
-        self._forwarder.stop_deadline.end_s = serving_end_s
-        is_accepting = True
-        while (now_s := self._timer.now_s()) < serving_end_s:
-            if now_s > balancer_lag_end_s:
-                self._forwarder.refuse_streams = True
-                self._front.close_idle()
-                if not is_accepting and not self._front.connections:
-                    break
-                if now_s > accepting_end_s or not self._front.connections:
-                    self._front.stop_accepting()
-                    is_accepting = False
-            self._forwarder.end_waiting()
-            await self._timer.sleep(STOP_POLL_PERIOD_S)
-        self._forwarder.end_all()
-        return await close_listener(self._front, FLUSH_FRACTION * grace_s)
+        return await stop_serving(
+            self._timer,
+            self._front,
+            self._forwarder,
+            stop_received_s,
+            self._settings.bounds.grace_s,
+        )
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -7,15 +7,15 @@
 
 from endivesill.fleet.model import EngineInfo, FleetConfiguration, RequestKind
 from endivesill.fleet.shares import ShareLease
-from endivesill.forwarding.route_table import RouteTable
-from endivesill.http1 import ConnectionPool, UpstreamError
-from endivesill.platform.entry_process import (
+from endivesill.forwarding.entry_stop import (
     ACCEPTING_FRACTION,
     BALANCER_LAG_S,
     SERVING_FRACTION,
     STOP_POLL_PERIOD_S,
-    EntryProcess,
 )
+from endivesill.forwarding.route_table import RouteTable
+from endivesill.http1 import ConnectionPool, UpstreamError
+from endivesill.platform.entry_process import EntryProcess
 from endivesill.platform.settings import read_settings
 from endivesill.timer import ManualTimer, SystemTimer
 from tests.forwarding_case import STREAM_HEADERS, request
