--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -7,7 +7,7 @@
 from endivesill import events
 from endivesill.control import ControlReplica, ControlSettings, TimedDisk
 from endivesill.fleet.sync_service import FleetSyncService
-from endivesill.http1 import ConnectionLimits, HttpListener
+from endivesill.http1 import ConnectionLimits, HttpListener, close_listener
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.leader_placement import LeaderPlacement
@@ -32,6 +32,8 @@
 SEGMENT_BYTES = 1_048_576
 # Calls are small except for configurations with many routes.
 OPERATOR_LIMITS = ConnectionLimits(body_bytes=16_777_216)
+# Fraction of the grace period in which the last calls of operators are answered.
+LAST_CALLS_FRACTION = 1 / 4
 
 
 def control_settings(settings: NodeSettings) -> ControlSettings:
@@ -101,15 +103,17 @@
         role="control",
     )
     await stop.wait()
-    events.emit(events.PROCESS_STOPPING, vm=settings.vm)
-    await replica.transfer_leadership()
     listener.closing = True
-    await listener.stop()
+    active = listener.active_exchanges
+    events.emit(events.PROCESS_STOPPING, vm=settings.vm, active=active)
+    await replica.transfer_leadership()
+    max_wait_s = LAST_CALLS_FRACTION * settings.bounds.grace_s
+    cut = await close_listener(listener, max_wait_s)
     for task in tasks:
         task.cancel()
     await replica.halt()
     await transport.close()
-    events.emit(events.PROCESS_STOPPED, vm=settings.vm)
+    events.emit(events.PROCESS_STOPPED, vm=settings.vm, cut=cut)
     await asyncio.sleep(0)
 
 
