Crash engines of the soak on a part of prompts

Cause: engines of the soak crashed one at a time and for no reason that lay in a request, so that a part of prompts that crashes every engine was not visible. Change: the profile `crashes` has twelve engines that reset all connections within 0.1 s after the head of a response, or one event, to a prompt with the part, refuse connections for 3 s, and are back at the address under a new identity and `born`. Checks: later than 3 s after the fifth crash, at most three requests with the part reach engines; from 6 s after it, sound streams begin at least half as often as before.

--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -6,7 +6,15 @@
 import random
 from typing import Any
 
+import attrs
+
 from bench.platform_soak_callers import CallRecord
+from bench.platform_soak_crashes import (
+    FIRST_WAVE_S,
+    CrashCallers,
+    CrashingTarget,
+    CrashRecords,
+)
 from bench.platform_soak_faults import STANDARD, Fault, make_faults
 from bench.platform_soak_fleet import GRACE_S, SoakFleet
 from bench.platform_soak_stops import RecordingTarget, StopCallers, StopRecords
@@ -123,3 +131,50 @@
         """Return the requests that were given up by a stopping entry."""
         findings, self.figures = self._stops.check(self.records)
         return findings
+
+
+@_register
+class CrashProfile(Profile):
+    """Engines that crash on a part of prompts; odd seeds have further faults."""
+
+    name = "crashes"
+    targets_per_data_centre = 4
+
+    def __init__(self, timer: TimerService, seed: int) -> None:
+        super().__init__(timer, seed)
+        self._crashes = CrashRecords(timer, seed)
+
+    def make_faults(self, duration_s: float) -> list[Fault]:
+        """Return the faults in order of time."""
+        self._crashes.duration_s = duration_s
+        self.load_s = FIRST_WAVE_S + duration_s
+        faults = super().make_faults(duration_s) if self._seed % 2 else []
+        return [attrs.evolve(f, at_s=f.at_s + FIRST_WAVE_S) for f in faults]
+
+    def make_target(
+        self,
+        service: str,
+        data_centre: str,
+        run_counts: collections.Counter[str],
+        rng: random.Random,
+    ) -> SoakTarget:
+        """Return a target that crashes on a part."""
+        return CrashingTarget(
+            self._timer, service, data_centre, run_counts, rng, self._crashes
+        )
+
+    async def run(self, fleet: SoakFleet) -> None:
+        """Call until cancelled."""
+        callers = CrashCallers(
+            self._timer, fleet, self._seed, self.records, self._crashes
+        )
+        await callers.run()
+
+    async def stop(self) -> None:
+        """Stop the restarts of targets."""
+        await self._crashes.cancel_restarts()
+
+    def check(self) -> list[str]:
+        """Return what broke the bounds on crashes and on sound streams."""
+        findings, self.figures = self._crashes.check()
+        return findings
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -11,6 +11,7 @@
 
 from bench.platform_soak import Soak
 from bench.platform_soak_callers import CallRecord
+from bench.platform_soak_crashes import CrashRecords
 from bench.platform_soak_faults import make_faults
 from bench.platform_soak_fleet import SoakFleet
 from bench.platform_soak_profiles import make_profile
@@ -18,6 +19,7 @@
 from endivesill.timer import ManualTimer
 
 SHORT_FAULT_S = 4.0
+SHORT_CRASH_S = 6.0
 # Above the numbers of manual runs; differs between test runs on one machine.
 FLEET_NUMBER = 30_000 + os.getpid() % 30_000
 
@@ -39,6 +41,15 @@
         self.assertEqual({"stop"}, {fault.action for fault in faults})
         self.assertTrue(all(f.subject.startswith("entry-") for f in faults))
 
+    def test_part_of_the_seeds_of_the_crash_profile_has_faults(self):
+        even, odd = (
+            make_profile("crashes", ManualTimer(), seed).make_faults(60.0)
+            for seed in (8, 9)
+        )
+        self.assertEqual([], even)
+        actions = {fault.action for fault in odd}
+        self.assertEqual({"stop", "kill", "kill_leader", "kill_all_controls"}, actions)
+
 
 class CheckTest(unittest.TestCase):
     def setUp(self):
@@ -109,6 +120,51 @@
         self.assertEqual(1, self.count_findings(2.9, 5.9))
 
 
+class CrashCheckTest(unittest.TestCase):
+    """A part that crashes engines from 1,000 s to 1,004 s, and is sent to 1,030 s."""
+
+    def setUp(self):
+        self.crashes = CrashRecords(ManualTimer(), 1)
+        self.wave = self.crashes.waves[0]
+        self.wave.crashes_s = [1_000.0 + number for number in range(5)]
+        self.wave.last_sent_s = 1_030.0
+
+    def add_sound(self, from_s, count, statuses):
+        for number in range(count):
+            record = CallRecord("a", "streaming", "entry-a", from_s, from_s + 1.0)
+            record.head_status = statuses[number % len(statuses)]
+            self.crashes.sound.append(record)
+
+    def count_findings(self):
+        return len(self.crashes.check()[0])
+
+    def test_the_last_part_of_a_prompt_crashes_nothing(self):
+        part = self.wave.part
+        self.assertIsNone(self.crashes.wave_of(f"5c:80,{part}:20"))
+        self.assertIs(self.wave, self.crashes.wave_of(f"5c:80,{part}:20,91:20"))
+
+    def test_requests_that_reach_engines_late(self):
+        self.wave.arrivals = [(1_006.9, "a")] * 9 + [(1_007.1, "a")] * 3
+        self.assertEqual(0, self.count_findings())
+        self.wave.arrivals.append((1_007.1, "a"))
+        self.assertEqual(1, self.count_findings())
+
+    def test_four_crashes_set_no_bound(self):
+        self.wave.crashes_s.pop()
+        self.wave.arrivals = [(1_020.0, "a")] * 9
+        self.assertEqual(0, self.count_findings())
+
+    def test_sound_streams_that_begin_half_as_often(self):
+        self.add_sound(990.0, 20, [200])
+        self.add_sound(1_011.0, 20, [200, 503])
+        self.assertEqual(0, self.count_findings())
+
+    def test_sound_streams_that_do_not_begin(self):
+        self.add_sound(990.0, 20, [200])
+        self.add_sound(1_011.0, 21, [200, 503, 0])
+        self.assertEqual(1, self.count_findings())
+
+
 class FleetTest(unittest.TestCase):
     def test_a_running_process_is_not_started_again(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -134,3 +190,11 @@
         report = await Soak(1, SHORT_FAULT_S, FLEET_NUMBER, "stops").run()
         self.assertGreater(report["late_requests"], 0)
         self.assertEqual([], report["findings"])
+
+    async def test_a_part_that_crashes_engines_is_bounded(self):
+        report = await Soak(9, SHORT_CRASH_S, FLEET_NUMBER, "crashes").run()
+        figures = report["part 1"]
+        self.assertGreaterEqual(figures["crashes"], 5)
+        self.assertGreaterEqual(figures["sound_before"][1], 20)
+        self.assertGreaterEqual(figures["sound_after"][1], 20)
+        self.assertEqual([], report["findings"])
