--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 
-from endivesill.http1 import Exchange, HttpListener
+from endivesill.http1 import Exchange, HttpListener, encode_head
 from endivesill.timer import SystemTimer
 
 SEAL = (b"X-Endivesill-Response-Seal", b"1.2.3")
@@ -21,7 +21,7 @@
       event_pause_s: time between two events.
       rejects: whether requests are rejected as not run.
       sends_foreign_response: whether a response to another request comes first.
-      omits_length: whether plain responses end with the connection.
+      omits_length: whether responses have no length and end with the connection.
       response_headers: further headers of all responses to requests and copy orders.
       is_hanging: whether requests are never answered.
       crashing_part: part of prompts, but for their last part, whose runs crash the
@@ -65,6 +65,28 @@
     def address(self) -> str:
         return self._listener.address
 
+    async def _stream_unframed(
+        self, exchange: Exchange, headers, headers_sent, first: int
+    ) -> None:
+        """Send a stream that ends with the connection; a crash also closes it."""
+        exchange.head_sent = exchange.finished = exchange.closes_connection = True
+        transport = exchange.connection.transport
+        transport.write(encode_head(b"HTTP/1.1 200 OK", headers_sent))
+        if self._crashes_on(headers):
+            self.has_crashed = True
+            self._listener.stop_accepting()
+            for connection in self._listener.connections:
+                connection.transport.write(b"id: 1\ndata: t1\n\n")
+                connection.transport.close()
+            return
+        for number in range(first, self.events + 1):
+            if self.break_after is not None and number > self.break_after:
+                transport.write(b"id: %d\ndata: ha" % number)
+                return
+            transport.write(b"id: %d\ndata: t%d\n\n" % (number, number))
+            if self.event_pause_s:
+                await asyncio.sleep(self.event_pause_s)
+
     def _crashes_on(self, headers: dict[bytes, bytes]) -> bool:
         parts = headers.get(b"x-endivesill-prompt-prefix", b"").split(b",")[:-1]
         return any(part.partition(b":")[0] == self.crashing_part for part in parts)
@@ -93,6 +115,9 @@
         elif self.is_hanging:
             await exchange.disconnected.wait()
             self.cancelled_requests += 1
+        elif self._crashes_on(headers) and b"x-endivesill-token-counts" not in headers:
+            self.has_crashed = True
+            await self.stop()
         elif b"x-endivesill-token-counts" in headers:
             await self._respond_stream(exchange, headers, attempt)
         else:
@@ -125,8 +150,12 @@
                 return
             first = int(headers[b"last-event-id"]) + 1
         content_type = (b"Content-Type", b"text/event-stream")
-        exchange.start(200, [attempt, SEAL, content_type, *self.response_headers])
-        if self.crashing_part is not None and self._crashes_on(headers):
+        headers_sent = [attempt, SEAL, content_type, *self.response_headers]
+        if self.omits_length:
+            await self._stream_unframed(exchange, headers, headers_sent, first)
+            return
+        exchange.start(200, headers_sent)
+        if self._crashes_on(headers):
             await asyncio.sleep(0.01)
             self.has_crashed = True
             await self.stop()
--- a/tests/test_forwarding_crashes.py
+++ b/tests/test_forwarding_crashes.py
@@ -49,3 +49,35 @@
             await self.stream(b"5c", b"bad", b"%x" % number)
         statuses = [await self.stream(b"5c", b"%x" % n) for n in range(12)]
         self.assertEqual([200] * 12, statuses)
+
+    async def test_an_engine_that_closes_a_stream_without_a_length_may_have_crashed(
+        self,
+    ):
+        """The stream looks complete, as it ends after an event."""
+        for engine in self.engines:
+            engine.omits_length = True
+        statuses = [await self.stream(b"5c", b"bad") for _ in range(12)]
+        self.assertLessEqual(self.crashes(), MAX_CRASHES)
+        self.assertEqual([503] * 4, statuses[-4:])
+
+
+class PlainCrashTest(ForwardingTestCase):
+    """Prompts whose responses are no streams."""
+
+    async def test_a_request_that_crashes_engines_is_no_longer_retried(self):
+        engines = await self.add_engines("app", *ENGINES)
+        for engine in engines:
+            engine.crashing_part = b"bad"
+        statuses = []
+        for number in range(12):
+            prefix = b"5c:100,bad:100,%x:100" % number
+            head, _ = await asyncio.wait_for(
+                self.send_request("/safe/x", (b"X-Endivesill-Prompt-Prefix", prefix)),
+                5,
+            )
+            statuses.append(head.status)
+        self.assertLessEqual(sum(e.has_crashed for e in engines), MAX_CRASHES)
+        self.assertEqual([503] * 4, statuses[-4:])
+        prefix = (b"X-Endivesill-Prompt-Prefix", b"5c:100,1:100")
+        head, _ = await self.send_request("/safe/x", prefix)
+        self.assertEqual(200, head.status)
--- a/tests/test_forwarding_streams.py
+++ b/tests/test_forwarding_streams.py
@@ -203,6 +203,30 @@
         self.assertEqual(503, head.status)
         self.assertEqual(0, self.target("e1").requests)
 
+    async def test_a_stream_without_a_length_ends_with_its_connection(self):
+        (engine,) = await self.add_engines("llm", "e1")
+        engine.omits_length = True
+        head, body = await self.stream()
+        self.assertEqual(200, head.status)
+        self.assertEqual(5, body.count(b"id: "))
+
+    async def test_a_stream_without_a_length_that_ends_inside_an_event(self):
+        (engine,) = await self.add_engines("llm", "e1")
+        engine.omits_length = True
+        engine.break_after = 2
+        with self.assertRaises(UpstreamError):
+            await self.stream()
+        self.assertEqual(["broken"], self.outcomes())
+
+    async def test_a_stream_without_a_length_that_ends_before_its_first_event(self):
+        """It cannot be told from one whose engine has ended."""
+        (engine,) = await self.add_engines("llm", "e1")
+        engine.omits_length = True
+        engine.events = 0
+        with self.assertRaises(UpstreamError):
+            await self.stream()
+        self.assertEqual(["broken"], self.outcomes())
+
     async def test_generations_are_refused_while_the_process_stops(self):
         (engine,) = await self.add_engines("llm", "e1")
         self.forwarder.refuse_streams = True
