Refuse waiting generations once a stopping entry takes no new ones

Callers saw: a generation that waited for a placement was still started when new ones were already refused, and was cut at the end of the stop. Cause: the flag that refuses generations was asked only when a request came. Change: the flag belongs to the stop's deadline, which is asked before each placement, each send and for each waiting request.

--- a/endivesill/forwarding/entry_stop.py
+++ b/endivesill/forwarding/entry_stop.py
@@ -50,7 +50,7 @@
     is_accepting = True
     while (now_s := timer.now_s()) < serving_end_s:
         if now_s > balancer_lag_end_s:
-            forwarder.refuse_streams = True
+            forwarder.stop_deadline.refuses_streams = True
             listener.close_idle()
             if not is_accepting and not listener.connections:
                 break
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -68,8 +68,6 @@
       random_source: chooses among weighted services and draws jitter.
 
     Attributes:
-      refuse_streams: whether new generations are refused because this process is about
-        to stop.
       stop_deadline: when this process ends its requests.
     """
 
@@ -101,7 +99,6 @@
         self._copier = RunCopier(timer, pool, table, protocol)
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
-        self.refuse_streams = False
         self._running = RunningCalls(timer)
         self._guard = CrashGuard(
             timer, crashes, pool, self._running, placer.request_trial
@@ -141,8 +138,7 @@
                 self._refuse(exchange, info, 401, "unknown key", None)
                 return
         call = self._call(exchange, info, route, organisation)
-        is_stopping = self.refuse_streams and route.kind is RequestKind.STREAMING
-        if is_stopping or not self.stop_deadline.leaves_time_for(call):
+        if not self.stop_deadline.leaves_time_for(call):
             self._refuse(exchange, info, 503, STOPPING, 0.0, call)
             return
         retry_after_s = await self._guard.check(call)
--- a/endivesill/forwarding/stop_deadline.py
+++ b/endivesill/forwarding/stop_deadline.py
@@ -20,11 +20,13 @@
 
     Attributes:
       end_s: when it ends them; infinite while it does not stop.
+      refuses_streams: whether no generation is started any more.
     """
 
     def __init__(self, timer: TimerService) -> None:
         self._timer = timer
         self.end_s = math.inf
+        self.refuses_streams = False
 
     def remaining_s(self) -> float:
         """Return the time until the end; infinite while the process does not stop."""
@@ -32,6 +34,8 @@
 
     def leaves_time_for(self, call: Call) -> bool:
         """Return whether a request that is sent now is expected to end in time."""
+        if self.refuses_streams and call.route.kind is RequestKind.STREAMING:
+            return False
         return _expected_time_s(call) < self.remaining_s()
 
 
--- a/tests/test_forwarding_streams.py
+++ b/tests/test_forwarding_streams.py
@@ -229,7 +229,7 @@
 
     async def test_generations_are_refused_while_the_process_stops(self):
         (engine,) = await self.add_engines("llm", "e1")
-        self.forwarder.refuse_streams = True
+        self.forwarder.stop_deadline.refuses_streams = True
         head, _ = await self.stream()
         self.assertEqual(503, head.status)
         self.assertEqual([], engine.requests)
