Check the engine when a stream without a length ends early

Callers saw: an engine that crashed under such a stream left it looking complete, empty or after an event; its prompt then counted as sound, and the next engine crashed. Cause: without a length, the end of the connection is the end of the response. Change: such a stream without any event is broken off; after one that ended within 1 s, a connection to the engine tells whether it has crashed, and only then its prompt counts as sound or is reported.

--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from endivesill import events
 from endivesill.fleet.crash_evidence import Block
@@ -57,9 +58,7 @@
         self._pool = pool
         self._running = running
         self._request_trial = request_trial
-        # Parts of prompts to report if an engine has crashed, by incarnation.
-        self._unconfirmed: dict[str, set[str]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     # Admission.
 
@@ -115,64 +114,76 @@
 
     # Observation of runs.
 
-    def note_progress(self, call: Call, head_s: float, *, is_complete: bool) -> None:
-        """Record events of a run, or its complete response."""
-        if call.has_survived or not call.info.shared_parts:
+    def note_progress(self, call: Call, head_s: float) -> None:
+        """Record events of a run whose response began at `head_s`."""
+        if self._timer.now_s() - head_s >= SURVIVAL_S:
+            self._note_survival(call)
+
+    def note_complete(
+        self, call: Call, target: Target, head_s: float, *, is_framed: bool
+    ) -> None:
+        """Record a complete response.
+
+        The crash of an engine looks like the end of a response without framing, so the
+        engine is checked after a short one.
+        """
+        if not self._is_observed(call):
             return
-        if is_complete or self._timer.now_s() - head_s >= SURVIVAL_S:
-            call.has_survived = True
-            self._evidence.note_sound(call.info.shared_parts)
+        if is_framed or self._timer.now_s() - head_s >= SURVIVAL_S:
+            self._note_survival(call)
+        else:
+            self._start(self._check_end(call, target))
+
+    def note_broken(self, call: Call, target: Target) -> None:
+        """Record that a run which had just begun has lost its connection."""
+        if self._is_observed(call):
+            parts = call.info.shared_parts
+            call.is_suspect = self._evidence.is_suspect(parts)
+            self._start(self._check_crash(target, parts))
 
-    def note_broken(
-        self, call: Call, target: Target, head_s: float | None, run_events: int
-    ) -> bool:
-        """Record the end of a run's connection.
+    def has_just_begun(self, head_s: float | None, run_events: int) -> bool:
+        """Return whether the end of a run's connection may come from its prompt.
 
         Args:
-          call: the request.
-          target: the engine.
-          head_s: when the head of the run's response came; None if it did not.
+          head_s: when the head of the response came; None if it did not.
           run_events: events that came from this run.
-
-        Returns:
-          Whether the request may be resumed elsewhere.
         """
-        parts = call.info.shared_parts
-        if head_s is None or call.has_survived or not parts:
-            return True
-        if run_events and self._timer.now_s() - head_s > START_WINDOW_S:
-            return True
-        self._confirm(target, parts)
-        return not self._evidence.is_suspect(parts)
-
-    def _confirm(self, target: Target, parts: tuple[str, ...]) -> None:
-        """Report the parts if the engine refuses connections."""
-        incarnation = target.info.incarnation
-        unconfirmed = self._unconfirmed.get(incarnation)
-        if unconfirmed is not None:
-            unconfirmed.update(parts)
-            return
-        self._unconfirmed[incarnation] = set(parts)
-        task = asyncio.ensure_future(self._confirm_crash(target))
+        if head_s is None:
+            return False
+        return not run_events or self._timer.now_s() - head_s <= START_WINDOW_S
+
+    def _is_observed(self, call: Call) -> bool:
+        return bool(call.info.shared_parts) and not call.has_survived
+
+    def _note_survival(self, call: Call) -> None:
+        if self._is_observed(call):
+            call.has_survived = True
+            self._evidence.note_sound(call.info.shared_parts)
+
+    def _start(self, check: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.ensure_future(check)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _confirm_crash(self, target: Target) -> None:
-        incarnation = target.info.incarnation
+    async def _check_end(self, call: Call, target: Target) -> None:
+        """Count a run as survived unless its engine has crashed."""
+        if not await self._check_crash(target, call.info.shared_parts):
+            self._note_survival(call)
+
+    async def _check_crash(self, target: Target, parts: tuple[str, ...]) -> bool:
+        """Report parts if the engine refuses connections; return whether it does."""
         try:
             connection = await self._pool.acquire(target.info.address, 0)
         except UpstreamError as error:
-            parts = self._unconfirmed.pop(incarnation)
             events.emit(
                 ENGINE_CRASHED,
                 target=target.info.identity,
-                parts=sorted(parts),
+                parts=parts,
                 reason=str(error),
             )
-            self._evidence.note_crash(incarnation, parts)
+            self._evidence.note_crash(target.info.incarnation, parts)
             await self._exchange.report()
-        else:
-            # The engine is there: it has broken off this run alone.
-            self._pool.release(connection)
-        finally:
-            self._unconfirmed.pop(incarnation, None)
+            return True
+        # The engine has broken off this run alone.
+        self._pool.release(connection)
+        return False
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -64,6 +64,12 @@
     copy: RunCopy | None = None
     is_moving: bool = False
 
+    @property
+    def began_s(self) -> float:
+        """When the response began, of a run whose head has come."""
+        assert self.head_s is not None
+        return self.head_s
+
 
 class StreamRelay:
     """Relays one generation, resuming it at another engine where necessary.
@@ -210,11 +216,10 @@
         not_run = isinstance(error, AttemptError) and error.failure.not_run
         if not_run and not was_resumed:
             raise error
-        may_resume = run.is_moving or self._guard.note_broken(
-            call, run.target, run.head_s, run.events
-        )
+        if not run.is_moving and self._guard.has_just_begun(run.head_s, run.events):
+            self._guard.note_broken(call, run.target)
         target, copy = self._find_copy(run)
-        if target is None or not_run or not may_resume or self.resumes >= MAX_RESUMES:
+        if target is None or not_run or call.is_suspect or self.resumes >= MAX_RESUMES:
             raise StreamBrokenError(str(error)) from None
         self.resumes += 1
         if not run.is_moving and self._table.accepts_requests(run.target):
@@ -332,17 +337,18 @@
                 run.target.note_prefill_done(self._call.demand)
             run.events += len(new_events)
             self._note_events(len(new_events))
-            self._note_progress(run, is_complete=False)
+            self._guard.note_progress(self._call, run.began_s)
             exchange.send(b"".join(event.data for event in new_events))
             await exchange.drain()
         if splitter.remainder:
             raise UpstreamError("the stream ended inside an event", sent=True)
+        is_framed = attempt.head.framed
+        if not is_framed and not run.events:
+            raise UpstreamError("the stream ended before its first event", sent=True)
         exchange.finish()
-        self._note_progress(run, is_complete=True)
-
-    def _note_progress(self, run: _Run, *, is_complete: bool) -> None:
-        if run.events and run.head_s is not None:
-            self._guard.note_progress(self._call, run.head_s, is_complete=is_complete)
+        self._guard.note_complete(
+            self._call, run.target, run.began_s, is_framed=is_framed
+        )
 
     def _drop_duplicates(self, events_read: list[StreamEvent]) -> list[StreamEvent]:
         """Return the events that the caller has not received yet.
