Report crashes under plain requests with a prompt

Callers saw: a repeatable request that crashes engines was retried at the next one, and each such request ended more of them. Cause: only streams were observed. Change: a plain request with parts of a prompt whose connection ends without a response is reported if its engine refuses connections, is not retried once its parts are suspected, and clears them when it is answered.

--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -255,6 +255,9 @@
             self._log.attempt_failed(call, target, f"status {attempt.response.status}")
             return False
         self._forward_response(call, attempt, body)
+        self._guard.note_complete(
+            call, target, call.received_s, is_framed=attempt.head.framed
+        )
         return True
 
     async def _read_response(self, call: Call, target: Target) -> tuple[Attempt, bytes]:
@@ -349,6 +352,7 @@
             self._table.note_outcome(target, succeeded=False)
             if failure is Failure.BROKEN:
                 self._table.note_broken(target)
+                self._guard.note_broken(call, target)
         self._log.attempt_failed(call, target, str(error))
 
     def _finish_failed(
--- a/endivesill/forwarding/retry_policy.py
+++ b/endivesill/forwarding/retry_policy.py
@@ -44,6 +44,7 @@
         """
         return (
             call.is_idempotent
+            and not call.is_suspect
             and call.runs < call.route.max_attempts
             and self._timer.now_s() < call.deadline_s
             and self._stop_deadline.leaves_time_for(call)
