Count an engine as crashed only if its host refuses connections

Cause: a connection to a working engine that timed out, because packets were lost or the VM was busy, was taken for a crash, and the prompts of runs that had broken off there were reported. Change: only a refused connection is a crash; an engine that cannot be reached neither clears nor accuses the prompt. Result: OtherEndsTest.test_an_engine_that_cannot_be_reached_may_not_have_crashed fails on the code before and passes.

--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -166,15 +166,21 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _check_end(self, call: Call, target: Target) -> None:
-        """Count a run as survived unless its engine has crashed."""
-        if not await self._check_crash(target, call.info.shared_parts):
+        """Count a run as survived if its engine accepts connections."""
+        if await self._check_crash(target, call.info.shared_parts) is False:
             self._note_survival(call)
 
-    async def _check_crash(self, target: Target, parts: tuple[str, ...]) -> bool:
-        """Report parts if the engine refuses connections; return whether it does."""
+    async def _check_crash(self, target: Target, parts: tuple[str, ...]) -> bool | None:
+        """Report parts if the engine refuses connections.
+
+        Returns:
+          Whether the engine has crashed; None if it cannot be reached.
+        """
         try:
             connection = await self._pool.acquire(target.info.address, 0)
         except UpstreamError as error:
+            if not error.is_refused:
+                return None
             events.emit(
                 ENGINE_CRASHED,
                 target=target.info.identity,
--- a/tests/test_forwarding_crashes.py
+++ b/tests/test_forwarding_crashes.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from endivesill.http1 import UpstreamError
-from tests.forwarding_case import ForwardingTestCase
+from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase
 
 ENGINES = [f"e{number}" for number in range(1, 9)]
 # Crashes by one part until no entry may send it any more.
@@ -61,6 +61,40 @@
         self.assertEqual([503] * 4, statuses[-4:])
 
 
+class OtherEndsTest(ForwardingTestCase):
+    """Runs that end at their start while their engine goes on."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for engine in await self.add_engines("llm", *ENGINES):
+            engine.break_after = 0
+
+    async def break_runs(self):
+        """Let a run of the same prompt break off at each of many attempts."""
+        for _ in range(12):
+            with self.assertRaises(UpstreamError):
+                await self.send_request("/stream/x", *STREAM_HEADERS)
+        await asyncio.sleep(0.05)
+
+    async def test_an_engine_that_accepts_connections_has_not_crashed(self):
+        await self.break_runs()
+        self.assertEqual([], self.sync_client.crashes.evidence.rows())
+
+    async def test_an_engine_that_cannot_be_reached_may_not_have_crashed(self):
+        """Its packets may be lost on the way."""
+        acquire = self.pool.acquire
+
+        async def time_out(address, max_idle_s=None):
+            if max_idle_s == 0:
+                raise UpstreamError(f"{address}: timeout", sent=False)
+            return await acquire(address, max_idle_s)
+
+        self.pool.acquire = time_out
+        self.forwarder._guard._pool = self.pool
+        await self.break_runs()
+        self.assertEqual([], self.sync_client.crashes.evidence.rows())
+
+
 class PlainCrashTest(ForwardingTestCase):
     """Prompts whose responses are no streams."""
 
