--- a/tests/test_fleet_crash_exchange.py
+++ b/tests/test_fleet_crash_exchange.py
@@ -2,25 +2,13 @@
 
 from endivesill.fleet.crash_evidence import BLOCK_CRASHES, FIRST_TRIAL_S
 from endivesill.fleet.sync_client import SYNC_PATH
-from tests.control_cluster import ClusterTestCase
-from tests.fleet_cluster import FleetCluster
-from tests.forwarding_fakes import engine
+from tests.test_fleet_sync import SyncTestCase
 
 # From a report until it has reached all entries; the platform's bound is 3 s.
 EXCHANGE_BOUND_S = 1.0
 
 
-class ExchangeTestCase(ClusterTestCase):
-    async def cluster(self, entries=3):
-        cluster = FleetCluster()
-        self.addAsyncCleanup(cluster.close)
-        cluster.list.engines = [engine("e1")]
-        await cluster.start()
-        for _ in range(entries):
-            cluster.add_entry()
-        await cluster.timer.advance(3.0)
-        return cluster
-
+class ExchangeTestCase(SyncTestCase):
     async def crash(self, cluster, entry, name, *parts):
         crashes = entry.sync_client.crashes
         crashes.evidence.note_crash(f"{name}@1", parts)
@@ -70,14 +58,14 @@
         self.assertEqual([[{"bad"}]] * 4, self.blocked(cluster))
 
     async def test_an_entry_that_starts_later_learns_of_a_block(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         cluster.add_entry()
         await cluster.timer.advance(EXCHANGE_BOUND_S)
         self.assertEqual([[{"bad"}]] * 4, self.blocked(cluster))
 
     async def test_control_vms_that_restart_learn_of_a_block_from_the_entries(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         for address in list(cluster.addresses):
             await cluster.crash(address)
@@ -88,7 +76,7 @@
         self.assertEqual([[{"bad"}]] * 4, self.blocked(cluster))
 
     async def test_a_run_that_goes_on_at_one_entry_clears_a_part_everywhere(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "first", "bad")
         await cluster.timer.advance(0.1)
         self.assertEqual([[{"first", "bad"}]] * 3, self.blocked(cluster))
@@ -97,7 +85,7 @@
         self.assertEqual([[{"bad"}]] * 3, self.blocked(cluster))
 
     async def test_polls_do_not_return_at_once_for_ever_after_a_report(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         await cluster.timer.advance(EXCHANGE_BOUND_S)
         calls = []
@@ -116,7 +104,7 @@
 
 class TrialTest(ExchangeTestCase):
     async def test_the_leader_grants_one_trial_to_the_fleet(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         await cluster.timer.advance(FIRST_TRIAL_S + 1.0)
         granted = []
@@ -129,7 +117,7 @@
         self.assertEqual([True, False, False], granted)
 
     async def test_there_is_no_trial_without_a_leader(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         await cluster.timer.advance(FIRST_TRIAL_S + 1.0)
         crashes = cluster.entries[0].sync_client.crashes
