Show faults of the crash evidence

Cause: found in a review: verdicts after many crashes at one moment, the bound on reports, and which runs count as begun, survived or crashed.

--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -140,6 +140,30 @@
             self.assertEqual([{"bad"}], self.blocks(), seed)
 
 
+class SimultaneousCrashesTest(EvidenceTestCase):
+    """No run with a popular part can go on between crashes of one moment."""
+
+    def setUp(self):
+        super().setUp()
+        self.sound("popular")
+
+    def crash_at_once(self, *parts, count):
+        for _ in range(count):
+            self.crashes += 1
+            self.evidence.note_crash(f"e{self.crashes}@1", parts)
+
+    def test_engines_that_end_together_block_no_popular_part(self):
+        """A data centre loses power while runs with the part begin there."""
+        self.crash_at_once("popular", count=SOUND_BLOCK_CRASHES)
+        self.assertEqual([], self.blocks())
+
+    def test_a_sound_part_does_not_explain_crashes_of_a_new_part(self):
+        """One more engine ends under runs with the sound part alone."""
+        self.crash_at_once("popular", "bad", count=SOUND_BLOCK_CRASHES)
+        self.crash_at_once("popular", count=1)
+        self.assertEqual([{"bad"}], self.blocks())
+
+
 class TrialTest(EvidenceTestCase):
     def setUp(self):
         super().setUp()
@@ -251,6 +275,31 @@
         self.assertEqual(MAX_REPORTS, len(rows))
         self.assertEqual(f"e{self.crashes}@1", rows[-1][0])
 
+    def test_crashes_for_other_reasons_keep_a_block(self):
+        for _ in range(BLOCK_CRASHES):
+            self.crash("bad")
+        for number in range(MAX_REPORTS):
+            self.crash(f"p{number}")
+        self.assertEqual([{"bad"}], self.blocks())
+
+    def test_vms_that_order_old_reports_differently_come_to_rest(self):
+        """Each report that arrives seems younger by the time in transit."""
+        first, second = CrashEvidence(self.timer), CrashEvidence(self.timer)
+        for evidence, oldest in ((first, "b@1"), (second, "a@1")):
+            for number in range(MAX_REPORTS - 1):
+                evidence.note_crash(f"e{number}@1", ["x"])
+            self.timer.jump(-1.0)
+            evidence.note_crash(oldest, ["x"])
+            self.timer.jump(1.002)
+        numbers = []
+        for _ in range(20):
+            request, reply = first.rows(), second.rows()
+            self.timer.jump(0.005)
+            second.merge(request)
+            first.merge(reply)
+            numbers.append((first.number, second.number))
+        self.assertEqual(numbers[-2], numbers[-1])
+
     def test_the_parts_of_a_report_are_bounded(self):
         self.crash("x" * (MAX_PART_LENGTH + 1), *map(str, range(2 * MAX_PARTS)))
         self.assertEqual(MAX_PARTS, len(self.evidence.rows()[0][2]))
--- /dev/null
+++ b/tests/test_forwarding_crash_guard.py
@@ -0,0 +1,164 @@
+"""Tests of the observation of runs that crash engines."""
+
+import asyncio
+import contextlib
+import types
+
+from endivesill.fleet.crash_evidence import (
+    BLOCK_CRASHES,
+    FIRST_TRIAL_S,
+    CrashEvidence,
+)
+from endivesill.fleet.model import FleetConfiguration, RequestKind
+from endivesill.forwarding.crash_guard import CrashGuard
+from endivesill.forwarding.route_table import RouteTable
+from endivesill.http1 import UpstreamError
+from tests.forwarding_case import ROUTES, ForwardingTestCase
+from tests.forwarding_fakes import MODEL, PLAIN, route
+
+COUNTS = (b"X-Endivesill-Token-Counts", b"1000,80")
+
+
+def prefix(*parts):
+    value = b",".join(part + b":100" for part in (*parts, b"0a"))
+    return (b"X-Endivesill-Prompt-Prefix", value)
+
+
+class ObservationTest(ForwardingTestCase):
+    @property
+    def evidence(self):
+        return self.sync_client.crashes.evidence
+
+    async def stream(self, *parts):
+        try:
+            head, body = await asyncio.wait_for(
+                self.send_request("/stream/x", COUNTS, prefix(*parts)), 5
+            )
+        except UpstreamError:
+            return None
+        return head.status, body
+
+    async def test_a_crash_after_a_late_first_event_is_reported(self):
+        """The head comes at once; the prompt is read before the first event."""
+        (engine,) = await self.add_engines("llm", "e1")
+
+        async def respond_stream(exchange, headers, attempt):
+            exchange.start(200, [attempt])
+            await asyncio.sleep(1.1)
+            exchange.send(b"id: 1\ndata: x\n\n")
+            await asyncio.sleep(0.05)
+            await engine.stop()
+
+        engine._respond_stream = respond_stream
+        await self.stream(b"bad")
+        await asyncio.sleep(0.1)
+        self.assertIn("engine-crashed", [name for name, _ in self.lines])
+        self.assertTrue(self.evidence.is_suspect(["bad"]))
+
+    async def test_a_stream_that_ends_without_an_event_is_no_success(self):
+        """The response has neither a length nor chunks, and its engine crashes."""
+        (engine,) = await self.add_engines("llm", "e1")
+
+        async def respond_stream(exchange, headers, attempt):
+            exchange.head_sent = exchange.finished = True
+            exchange.closes_connection = True
+            exchange.connection.transport.write(
+                b"HTTP/1.1 200 OK\r\n" + attempt[0] + b": " + attempt[1] + b"\r\n\r\n"
+            )
+            await asyncio.sleep(0.01)
+            engine._listener.stop_accepting()
+
+        engine._respond_stream = respond_stream
+        self.assertNotEqual((200, b""), await self.stream(b"bad"))
+        await asyncio.sleep(0.1)
+        self.assertTrue(self.evidence.is_suspect(["bad"]))
+
+    async def test_a_trial_of_one_block_does_not_pass_another(self):
+        for block in ("bad1", "bad2"):
+            for number in range(BLOCK_CRASHES):
+                self.evidence.note_crash(f"{block}-{number}@1", [block])
+        first = self.evidence.blocks[0]
+        now_s = self.timer.now_s()
+        for report in self.evidence._reports.values():
+            if report.parts <= first.parts:
+                report.at_s = now_s - FIRST_TRIAL_S - 1
+        self.evidence.number += 1
+        self.evidence._finish_change()
+
+        async def grant(block):
+            return True
+
+        self.forwarder._guard._request_trial = grant
+        (engine,) = await self.add_engines("llm", "e1")
+        await self.stream(b"bad1", b"bad2")
+        self.assertEqual([], engine.requests)
+
+    async def test_a_generation_that_is_not_streamed_is_observed(self):
+        safe = route(
+            RequestKind.SAFE,
+            name="gen",
+            path_prefix="/gen/",
+            weighted_services=ROUTES[2].weighted_services,
+        )
+        self.forwarder.routes = RouteTable(
+            FleetConfiguration(
+                1, (safe,), {"app": PLAIN, "llm": MODEL}, (), 16_384, 1_000_000, 3, 15
+            )
+        )
+        engines = await self.add_engines("llm", *(f"e{n}" for n in range(10)))
+        for engine in engines:
+            engine.crashing_part = b"bad"
+        for _ in range(4):
+            with contextlib.suppress(UpstreamError):
+                await self.send_request("/gen/x", COUNTS, prefix(b"bad"))
+        await asyncio.sleep(0.1)
+        self.assertTrue(self.evidence.is_suspect(["bad"]))
+
+    async def test_a_partition_of_an_engine_is_no_crash(self):
+        (engine,) = await self.add_engines("llm", "e1")
+
+        async def respond_stream(exchange, headers, attempt):
+            exchange.start(200, [attempt])
+            await asyncio.sleep(0.01)
+            exchange.abort()
+
+        async def acquire(address, max_idle_s=None, own=self.pool.acquire):
+            if max_idle_s == 0:
+                raise UpstreamError("no result within 0.5 s", sent=False)
+            return await own(address, max_idle_s)
+
+        self.pool.acquire = acquire
+        engine._respond_stream = respond_stream
+        await self.stream(b"popular")
+        await asyncio.sleep(0.1)
+        self.assertFalse(self.evidence.is_suspect(["popular"]))
+
+    async def test_a_run_that_ends_during_a_report_is_reported_too(self):
+        evidence = CrashEvidence(self.timer)
+        is_reported, may_connect = asyncio.Event(), asyncio.Event()
+        connects = []
+
+        async def report():
+            await is_reported.wait()
+
+        async def acquire(address, max_idle_s):
+            connects.append(address)
+            if len(connects) > 1:
+                await may_connect.wait()
+            raise UpstreamError("refused", sent=False)
+
+        exchange = types.SimpleNamespace(evidence=evidence, report=report)
+        pool = types.SimpleNamespace(acquire=acquire)
+        guard = CrashGuard(self.timer, exchange, pool, None, None)
+        await self.add_engines("llm", "e1")
+        target = self.target("e1")
+        for number, part in enumerate(("sound", "bad")):
+            info = types.SimpleNamespace(shared_parts=(part,))
+            call = types.SimpleNamespace(info=info, has_survived=False)
+            guard.note_broken(call, target, 0.0, 0)
+            await self.wait_until(lambda n=number: len(connects) > n)
+        is_reported.set()
+        await asyncio.sleep(0.01)
+        may_connect.set()
+        await asyncio.sleep(0.01)
+        self.assertTrue(evidence.is_suspect(["bad"]))
