Keep the runs that end while a crash is reported

Cause: the confirmation of a crash removed the parts of the engine again after its report, up to 0.5 s later; a run that had ended meanwhile lost its parts, with a KeyError. Change: parts are removed once, when the connection attempt has ended. Result: test_a_run_that_ends_during_a_report_is_reported_too was red and passes.

--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -173,6 +173,5 @@
             await self._exchange.report()
         else:
             # The engine is there: it has broken off this run alone.
+            del self._unconfirmed[incarnation]
             self._pool.release(connection)
-        finally:
-            self._unconfirmed.pop(incarnation, None)
