Judge a run by the time since its first event

Cause: the time since the head of the response decided whether a run had just begun or had survived. A head that comes before the prompt is read made a crash at the first event look like one of a long run, and after 1 s cleared the part that caused it. Change: both windows start with the first event. Result: test_a_crash_after_a_late_first_event_is_reported was red and passes.

--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -24,10 +24,10 @@
 
 # Reason of a refusal because of a blocked prompt.
 BLOCKED = "prompt part blocked"
-# Time from the head of a response during which the end of the connection may come from
-# the prompt even if an event has come.
+# Time from the first event of a run during which the end of the connection may come
+# from the prompt; a prompt is read between the head and that event.
 START_WINDOW_S = 0.2
-# Time from the head of a response after which a run with events has survived its start.
+# Time from the first event after which a run has survived its start.
 SURVIVAL_S = 1.0
 
 
@@ -115,16 +115,22 @@
 
     # Observation of runs.
 
-    def note_progress(self, call: Call, head_s: float, *, is_complete: bool) -> None:
+    def note_progress(
+        self, call: Call, first_event_s: float, *, is_complete: bool
+    ) -> None:
         """Record events of a run, or its complete response."""
         if call.has_survived or not call.info.shared_parts:
             return
-        if is_complete or self._timer.now_s() - head_s >= SURVIVAL_S:
+        if is_complete or self._timer.now_s() - first_event_s >= SURVIVAL_S:
             call.has_survived = True
             self._evidence.note_sound(call.info.shared_parts)
 
     def note_broken(
-        self, call: Call, target: Target, head_s: float | None, run_events: int
+        self,
+        call: Call,
+        target: Target,
+        head_s: float | None,
+        first_event_s: float | None,
     ) -> bool:
         """Record the end of a run's connection.
 
@@ -132,7 +138,7 @@
           call: the request.
           target: the engine.
           head_s: when the head of the run's response came; None if it did not.
-          run_events: events that came from this run.
+          first_event_s: when its first event came; None if none did.
 
         Returns:
           Whether the request may be resumed elsewhere.
@@ -140,7 +146,8 @@
         parts = call.info.shared_parts
         if head_s is None or call.has_survived or not parts:
             return True
-        if run_events and self._timer.now_s() - head_s > START_WINDOW_S:
+        now_s = self._timer.now_s()
+        if first_event_s is not None and now_s - first_event_s > START_WINDOW_S:
             return True
         self._confirm(target, parts)
         return not self._evidence.is_suspect(parts)
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -50,6 +50,7 @@
       attempt: the response, once it has begun.
       head_s: when its head came; None before.
       events: events that came from this run.
+      first_event_s: when the first of them came; None before.
       prefill_done: whether the prompt was counted as prefilled.
       copy: a copy on demand, made because the backup cannot be used.
       is_moving: whether it was stopped in order to resume from its copy.
@@ -60,6 +61,7 @@
     attempt: Attempt | None = None
     head_s: float | None = None
     events: int = 0
+    first_event_s: float | None = None
     prefill_done: bool = False
     copy: RunCopy | None = None
     is_moving: bool = False
@@ -211,7 +213,7 @@
         if not_run and not was_resumed:
             raise error
         may_resume = run.is_moving or self._guard.note_broken(
-            call, run.target, run.head_s, run.events
+            call, run.target, run.head_s, run.first_event_s
         )
         target, copy = self._find_copy(run)
         if target is None or not_run or not may_resume or self.resumes >= MAX_RESUMES:
@@ -329,6 +331,7 @@
                 continue
             if not run.prefill_done:
                 run.prefill_done = True
+                run.first_event_s = self._timer.now_s()
                 run.target.note_prefill_done(self._call.demand)
             run.events += len(new_events)
             self._note_events(len(new_events))
@@ -341,8 +344,10 @@
         self._note_progress(run, is_complete=True)
 
     def _note_progress(self, run: _Run, *, is_complete: bool) -> None:
-        if run.events and run.head_s is not None:
-            self._guard.note_progress(self._call, run.head_s, is_complete=is_complete)
+        if run.first_event_s is not None:
+            self._guard.note_progress(
+                self._call, run.first_event_s, is_complete=is_complete
+            )
 
     def _drop_duplicates(self, events_read: list[StreamEvent]) -> list[StreamEvent]:
         """Return the events that the caller has not received yet.
--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -155,7 +155,7 @@
         for number, part in enumerate(("sound", "bad")):
             info = types.SimpleNamespace(shared_parts=(part,))
             call = types.SimpleNamespace(info=info, has_survived=False)
-            guard.note_broken(call, target, 0.0, 0)
+            guard.note_broken(call, target, 0.0, None)
             await self.wait_until(lambda n=number: len(connects) > n)
         is_reported.set()
         await asyncio.sleep(0.01)
