Let sound parts explain only crashes that no other part does

Cause: a popular part in one more uncleared crash than the part that causes them explained them all: it was blocked, and the other was not. Change: parts that were in runs which went on come after all others. Result: test_a_sound_part_does_not_explain_crashes_of_a_new_part was red and passes, with the other tests of the evidence.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -4,7 +4,8 @@
 begun at each of these crashes, and in no run that went on. Other parts of the same
 prompts are also in runs that survive. What is left after removing those explains the
 crashes; as in a set cover by a greedy algorithm, the part in most crashes explains its
-crashes first, and only crashes without an explanation count for other parts.
+crashes first, and only crashes without an explanation count for other parts. Parts that
+were in runs which went on explain only what no other part does.
 
 Reports of crashes are merged by union in any order, so that all VMs which have the same
 reports reach the same verdict without a leader.
@@ -266,7 +267,7 @@
                 return blocks
             best = max(
                 sorted(names_by_part),
-                key=lambda part: (len(names_by_part[part]), part not in sound),
+                key=lambda part: (part not in sound, len(names_by_part[part])),
             )
             names = names_by_part[best]
             tied = {part for part in names_by_part if names_by_part[part] == names}
