Replace old reports of crashes only by clearly younger ones

Cause: each VM kept the 64 newest reports by its own clock, and a report that arrives seems younger by its time in transit. Two VMs with different oldest reports replaced each other's with each exchange; each replacement made all polls return at once. Change: a report replaces the oldest one if it is younger by 1 s at least.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -38,6 +38,10 @@
 # Reports that are kept, and for how long; longer than the longest wait for a trial.
 MAX_REPORTS = 64
 REPORT_TTL_S = 14_400.0
+# A report replaces the oldest one only if it is younger by this time, which is longer
+# than a message takes. Otherwise two VMs that order two old reports differently would
+# replace each other's for ever.
+MIN_AGE_DIFFERENCE_S = 1.0
 # Parts of one report, and the length of one part's id.
 MAX_PARTS = 256
 MAX_PART_LENGTH = 64
@@ -210,11 +214,10 @@
     ) -> None:
         report = self._reports.get(name)
         if report is None:
-            if not parts:
+            if not parts or not self._make_room(at_s):
                 return
             report = self._reports[name] = CrashReport(name, at_s)
             self.number += 1
-            self._remove_excess()
         before = (len(report.parts), len(report.sound), len(report.cleared))
         valid = sorted(p for p in parts - report.parts if len(p) <= MAX_PART_LENGTH)
         report.parts.update(valid[: MAX_PARTS - len(report.parts)])
@@ -229,10 +232,15 @@
         known = self._sound_at_s
         return {p for p in report.parts if p in known and known[p] > start_s}
 
-    def _remove_excess(self) -> None:
-        if len(self._reports) > MAX_REPORTS:
-            oldest = min(self._reports.values(), key=lambda report: report.at_s)
-            del self._reports[oldest.name]
+    def _make_room(self, at_s: float) -> bool:
+        """Return whether there is room for a report; drops the oldest one if needed."""
+        if len(self._reports) < MAX_REPORTS:
+            return True
+        oldest = min(self._reports.values(), key=lambda report: report.at_s)
+        if at_s < oldest.at_s + MIN_AGE_DIFFERENCE_S:
+            return False
+        del self._reports[oldest.name]
+        return True
 
     def expire(self) -> None:
         """Drop old reports; to be called periodically."""
