Let a trial of one block pass no other block

Cause: a prompt that meets two blocks was judged by the first alone; the trial of that one sent it also if the other was not due. Change: the block whose trial is due last decides. Result: test_a_trial_of_one_block_does_not_pass_another was red and passes.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -159,11 +159,13 @@
     # Verdicts.
 
     def find_block(self, parts: Iterable[str]) -> Block | None:
-        """Return the block that a prompt with these parts meets; None without one."""
-        if not self.blocks:
-            return None
+        """Return the block that a prompt with these parts meets; None without one.
+
+        Of several ones, it is that whose trial is due last.
+        """
         prompt = set(parts)
-        return next((block for block in self.blocks if block.parts <= prompt), None)
+        met = [block for block in self.blocks if block.parts <= prompt]
+        return max(met, key=lambda block: block.trial_at_s, default=None)
 
     def is_suspect(self, parts: Iterable[str]) -> bool:
         """Return whether a part of a prompt may have crashed an engine before."""
