Forward no stream without framing that has no event

Cause: a response with neither a length nor chunks is complete when its connection ends, also if that is the end of its engine: the caller got an empty stream that looked complete, and a run that had ended with its first event cleared the parts of its prompt. Change: such a stream without an event has been broken off, and the end of such a connection is no proof that a run has survived its start. Result: test_a_stream_that_ends_without_an_event_is_no_success was red and passes.

--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -340,8 +340,11 @@
             await exchange.drain()
         if splitter.remainder:
             raise UpstreamError("the stream ended inside an event", sent=True)
+        # Without framing, the end of the connection may be that of the engine.
+        if not self.events and not attempt.head.framed:
+            raise UpstreamError("the stream ended before its first event", sent=True)
         exchange.finish()
-        self._note_progress(run, is_complete=True)
+        self._note_progress(run, is_complete=attempt.head.framed)
 
     def _note_progress(self, run: _Run, *, is_complete: bool) -> None:
         if run.first_event_s is not None:
