Count an engine as crashed only if it refuses connections

Cause: any failure to connect confirmed a crash. A partition that begins under runs with a popular part would report it once for each engine behind it. Change: only a refused connection confirms a crash; a time-out does not. Result: test_a_partition_of_an_engine_is_no_crash was red and passes.

--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -170,6 +170,9 @@
             connection = await self._pool.acquire(target.info.address, 0)
         except UpstreamError as error:
             parts = self._unconfirmed.pop(incarnation)
+            if not error.is_refused:
+                # A partition or a machine without power: no prompt causes that.
+                return
             events.emit(
                 ENGINE_CRASHED,
                 target=target.info.identity,
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -52,11 +52,13 @@
 
     Attributes:
       sent: whether a byte of the request may have reached the peer.
+      is_refused: whether the peer's machine has refused the connection.
     """
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
+    def __init__(self, detail: str, *, sent: bool, is_refused: bool = False) -> None:
         super().__init__(detail)
         self.sent = sent
+        self.is_refused = is_refused
 
 
 def ignore_head(head: ResponseHead) -> None:
--- a/endivesill/http1/pool.py
+++ b/endivesill/http1/pool.py
@@ -81,7 +81,10 @@
                 connecting, self._connect_timeout_s
             )
         except (OSError, errors.DeadlineExceededError) as error:
-            raise UpstreamError(f"{address}: {error!r}", sent=False) from None
+            is_refused = isinstance(error, ConnectionRefusedError)
+            raise UpstreamError(
+                f"{address}: {error!r}", sent=False, is_refused=is_refused
+            ) from None
         return connection
 
     def _tls_context(self) -> ssl.SSLContext:
