--- a/tests/test_fleet_crash_exchange.py
+++ b/tests/test_fleet_crash_exchange.py
@@ -87,6 +87,18 @@
         await cluster.timer.advance(EXCHANGE_BOUND_S)
         self.assertEqual([[{"bad"}]] * 4, self.blocked(cluster))
 
+    async def test_a_block_survives_a_restart_of_all_vms(self):
+        cluster = await self.cluster()
+        await self.crash_at_each(cluster, "bad")
+        for entry in cluster.entries:
+            entry.task.cancel()
+        for address in list(cluster.addresses):
+            await cluster.crash(address)
+            await cluster.boot(address, cluster.disks[address])
+        cluster.add_entry()
+        await cluster.timer.advance(3.0)
+        self.assertEqual([{"bad"}], self.blocked(cluster)[-1])
+
     async def test_a_run_that_goes_on_at_one_entry_clears_a_part_everywhere(self):
         cluster = await self.cluster()
         await self.crash_at_each(cluster, "first", "bad")
