Resume no request that meets a block

Cause: a trial of a part that had been in runs which went on was resumed at the backup of its engine, and ended that too: such a part is no suspect of any report. Change: a run that breaks off at its start is not resumed if its prompt is blocked. Result: test_a_trial_of_a_part_that_was_sound_is_not_resumed was red (2 requests reached engines) and passes.

--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -150,7 +150,8 @@
         if first_event_s is not None and now_s - first_event_s > START_WINDOW_S:
             return True
         self._confirm(target, parts)
-        return not self._evidence.is_suspect(parts)
+        is_blocked = self._find_block(call) is not None
+        return not (is_blocked or self._evidence.is_suspect(parts))
 
     def _confirm(self, target: Target, parts: tuple[str, ...]) -> None:
         """Report the parts if the engine refuses connections."""
--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -7,6 +7,7 @@
 from endivesill.fleet.crash_evidence import (
     BLOCK_CRASHES,
     FIRST_TRIAL_S,
+    SOUND_BLOCK_CRASHES,
     CrashEvidence,
 )
 from endivesill.fleet.model import FleetConfiguration, RequestKind
@@ -93,6 +94,26 @@
         await self.stream(b"bad1", b"bad2")
         self.assertEqual([], engine.requests)
 
+    async def test_a_trial_of_a_part_that_was_sound_is_not_resumed(self):
+        self.evidence.note_sound(["bad"])
+        for number in range(SOUND_BLOCK_CRASHES):
+            await asyncio.sleep(0.01)
+            self.evidence.note_crash(f"x{number}@1", ["bad"])
+        for report in self.evidence._reports.values():
+            report.at_s -= FIRST_TRIAL_S
+        self.evidence.number += 1
+        self.evidence._finish_change()
+
+        async def grant(block):
+            return True
+
+        self.forwarder._guard._request_trial = grant
+        engines = await self.add_engines("llm", "e1", "e2", "e3")
+        for engine in engines:
+            engine.crashing_part = b"bad"
+        await self.stream(b"bad")
+        self.assertEqual(1, sum(len(engine.requests) for engine in engines))
+
     async def test_a_generation_that_is_not_streamed_is_observed(self):
         safe = route(
             RequestKind.SAFE,
