--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -4,7 +4,8 @@
 begun at each of these crashes, and in no run that went on. Other parts of the same
 prompts are also in runs that survive. What is left after removing those explains the
 crashes; as in a set cover by a greedy algorithm, the part in most crashes explains its
-crashes first, and only crashes without an explanation count for other parts.
+crashes first, and only crashes without an explanation count for other parts. Parts that
+were in runs which went on explain only what no other part does.
 
 Reports of crashes are merged by union in any order, so that all VMs which have the same
 reports reach the same verdict without a leader.
@@ -37,6 +38,10 @@
 # Reports that are kept, and for how long; longer than the longest wait for a trial.
 MAX_REPORTS = 64
 REPORT_TTL_S = 14_400.0
+# A report replaces the oldest one only if it is younger by this time, which is longer
+# than a message takes. Otherwise two VMs that order two old reports differently would
+# replace each other's for ever.
+MIN_AGE_DIFFERENCE_S = 1.0
 # Parts of one report, and the length of one part's id.
 MAX_PARTS = 256
 MAX_PART_LENGTH = 64
@@ -154,11 +159,13 @@
     # Verdicts.
 
     def find_block(self, parts: Iterable[str]) -> Block | None:
-        """Return the block that a prompt with these parts meets; None without one."""
-        if not self.blocks:
-            return None
+        """Return the block that a prompt with these parts meets; None without one.
+
+        Of several ones, it is that whose trial is due last.
+        """
         prompt = set(parts)
-        return next((block for block in self.blocks if block.parts <= prompt), None)
+        met = [block for block in self.blocks if block.parts <= prompt]
+        return max(met, key=lambda block: block.trial_at_s, default=None)
 
     def is_suspect(self, parts: Iterable[str]) -> bool:
         """Return whether a part of a prompt may have crashed an engine before."""
@@ -209,11 +216,10 @@
     ) -> None:
         report = self._reports.get(name)
         if report is None:
-            if not parts:
+            if not parts or not self._make_room(at_s):
                 return
             report = self._reports[name] = CrashReport(name, at_s)
             self.number += 1
-            self._remove_excess()
         before = (len(report.parts), len(report.sound), len(report.cleared))
         valid = sorted(p for p in parts - report.parts if len(p) <= MAX_PART_LENGTH)
         report.parts.update(valid[: MAX_PARTS - len(report.parts)])
@@ -228,10 +234,15 @@
         known = self._sound_at_s
         return {p for p in report.parts if p in known and known[p] > start_s}
 
-    def _remove_excess(self) -> None:
-        if len(self._reports) > MAX_REPORTS:
-            oldest = min(self._reports.values(), key=lambda report: report.at_s)
-            del self._reports[oldest.name]
+    def _make_room(self, at_s: float) -> bool:
+        """Return whether there is room for a report; drops the oldest one if needed."""
+        if len(self._reports) < MAX_REPORTS:
+            return True
+        oldest = min(self._reports.values(), key=lambda report: report.at_s)
+        if at_s < oldest.at_s + MIN_AGE_DIFFERENCE_S:
+            return False
+        del self._reports[oldest.name]
+        return True
 
     def expire(self) -> None:
         """Drop old reports; to be called periodically."""
@@ -266,7 +277,7 @@
                 return blocks
             best = max(
                 sorted(names_by_part),
-                key=lambda part: (len(names_by_part[part]), part not in sound),
+                key=lambda part: (part not in sound, len(names_by_part[part])),
             )
             names = names_by_part[best]
             tied = {part for part in names_by_part if names_by_part[part] == names}
--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -25,10 +25,10 @@
 
 # Reason of a refusal because of a blocked prompt.
 BLOCKED = "prompt part blocked"
-# Time from the head of a response during which the end of the connection may come from
-# the prompt even if an event has come.
+# Time from the first event of a run during which the end of the connection may come
+# from the prompt; the prompt is read between the head and that event.
 START_WINDOW_S = 0.2
-# Time from the head of a response after which a run with events has survived its start.
+# Time from the first event after which a run has survived its start.
 SURVIVAL_S = 1.0
 
 
@@ -114,22 +114,34 @@
 
     # Observation of runs.
 
-    def note_progress(self, call: Call, head_s: float) -> None:
-        """Record events of a run whose response began at `head_s`."""
-        if self._timer.now_s() - head_s >= SURVIVAL_S:
+    def note_progress(self, call: Call, first_event_s: float) -> None:
+        """Record events of a run whose first one came at `first_event_s`."""
+        if self._timer.now_s() - first_event_s >= SURVIVAL_S:
             self._note_survival(call)
 
     def note_complete(
-        self, call: Call, target: Target, head_s: float, *, is_framed: bool
+        self,
+        call: Call,
+        target: Target,
+        first_event_s: float | None,
+        *,
+        is_framed: bool,
     ) -> None:
         """Record a complete response.
 
         The crash of an engine looks like the end of a response without framing, so the
         engine is checked after a short one.
+
+        Args:
+          call: the request.
+          target: the engine.
+          first_event_s: when the first event of the run came; None without one.
+          is_framed: whether the response did not end with its connection.
         """
         if not self._is_observed(call):
             return
-        if is_framed or self._timer.now_s() - head_s >= SURVIVAL_S:
+        age_s = 0.0 if first_event_s is None else self._timer.now_s() - first_event_s
+        if is_framed or age_s >= SURVIVAL_S:
             self._note_survival(call)
         else:
             self._start(self._check_end(call, target))
@@ -138,19 +150,20 @@
         """Record that a run which had just begun has lost its connection."""
         if self._is_observed(call):
             parts = call.info.shared_parts
-            call.is_suspect = self._evidence.is_suspect(parts)
+            is_blocked = self._find_block(call) is not None
+            call.is_suspect = is_blocked or self._evidence.is_suspect(parts)
             self._start(self._check_crash(target, parts))
 
-    def has_just_begun(self, head_s: float | None, run_events: int) -> bool:
+    def has_just_begun(self, head_s: float | None, first_event_s: float | None) -> bool:
         """Return whether the end of a run's connection may come from its prompt.
 
         Args:
           head_s: when the head of the response came; None if it did not.
-          run_events: events that came from this run.
+          first_event_s: when its first event came; None if none did.
         """
-        if head_s is None:
-            return False
-        return not run_events or self._timer.now_s() - head_s <= START_WINDOW_S
+        if head_s is None or first_event_s is None:
+            return head_s is not None
+        return self._timer.now_s() - first_event_s <= START_WINDOW_S
 
     def _is_observed(self, call: Call) -> bool:
         return bool(call.info.shared_parts) and not call.has_survived
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -255,9 +255,7 @@
             self._log.attempt_failed(call, target, f"status {attempt.response.status}")
             return False
         self._forward_response(call, attempt, body)
-        self._guard.note_complete(
-            call, target, call.received_s, is_framed=attempt.head.framed
-        )
+        self._guard.note_complete(call, target, None, is_framed=attempt.head.framed)
         return True
 
     async def _read_response(self, call: Call, target: Target) -> tuple[Attempt, bytes]:
