Block a part that was sound only if no run with it goes on

Cause: engines that end at one moment, as when a data centre loses power, end under runs that had just begun; no run can go on between these crashes, and a popular part was blocked in the whole fleet for 300 s. Change: such a block comes into force 1 s after the crash that makes it, unless a run went on meanwhile, and its first trial comes after 10 s.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -30,9 +30,13 @@
 # many that crash for other reasons.
 BLOCK_CRASHES = 3
 SOUND_BLOCK_CRASHES = 5
+# When engines end together, no run can go on between their crashes. A part that was
+# sound is blocked only if none has gone on for this long after the last crash needed.
+SOUND_BLOCK_DELAY_S = 1.0
 # After this long without a crash, one request with a blocked part is let through; each
 # further trial comes after a time longer by the factor.
 FIRST_TRIAL_S = 300.0
+SOUND_FIRST_TRIAL_S = 10.0
 TRIAL_FACTOR = 4
 MAX_TRIAL_S = 3_600.0
 # Reports that are kept, and for how long; longer than the longest wait for a trial.
@@ -62,7 +66,7 @@
       at_s: when it was reported, by this VM's clock.
       parts: parts of the prompts of the runs that had just begun.
       sound: those that were in another run that went on before.
-      cleared: those that were in a run that began later and went on.
+      cleared: those that were in a run that went on after the crash.
     """
 
     name: str
@@ -91,20 +95,29 @@
       crashes: number of crashes that they explain.
       trials: number of trials since.
       newest_s: when the newest of these crashes and trials was reported.
+      from_s: when the block comes into force.
+      is_sound: whether runs with the parts went on before the crashes.
     """
 
     parts: frozenset[str]
     crashes: int
     trials: int
     newest_s: float
+    from_s: float
+    is_sound: bool
 
     @property
     def trial_at_s(self) -> float:
         """When one request may be let through."""
-        wait_s = FIRST_TRIAL_S * TRIAL_FACTOR**self.trials
+        first_s = SOUND_FIRST_TRIAL_S if self.is_sound else FIRST_TRIAL_S
+        wait_s = first_s * TRIAL_FACTOR**self.trials
         return self.newest_s + min(wait_s, MAX_TRIAL_S)
 
 
+def ignore_blocks(new: list[Block], gone: list[Block]) -> None:
+    """Ignore blocks that come and go; the default."""
+
+
 class CrashEvidence:
     """Reports of crashes, and the parts of prompts that they block.
 
@@ -113,7 +126,6 @@
 
     Attributes:
       number: counts the changes of the reports.
-      blocks: the blocks in force.
       on_change: called after each change of the reports.
       on_blocks: called with the blocks that are new and those that are gone.
     """
@@ -124,12 +136,21 @@
         self._sound_at_s: dict[str, float] = {}
         self._evaluated_number = 0
         self.number = 0
-        self.blocks: list[Block] = []
+        self._found: list[Block] = []
+        self._announced: dict[frozenset[str], Block] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.on_blocks: Callable[[list[Block], list[Block]], None] = lambda new, gone: (
             None
         )
 
+    @property
+    def blocks(self) -> list[Block]:
+        """The blocks in force."""
+        if not self._found:
+            return []
+        now_s = self._timer.now_s()
+        return [block for block in self._found if block.from_s <= now_s]
+
     # What this VM observes.
 
     def note_crash(self, incarnation: str, parts: Iterable[str]) -> None:
@@ -200,7 +221,7 @@
     def merge(self, rows: Iterable[Row]) -> None:
         """Merge the reports of another VM."""
         now_s = self._timer.now_s()
-        for name, age_s, parts, sound, cleared in rows:
+        for name, age_s, parts, sound, cleared, *_ in rows:
             at_s = now_s - max(0.0, age_s)
             if now_s - at_s <= REPORT_TTL_S:
                 self._merge_report(name, at_s, set(parts), set(sound), set(cleared))
@@ -257,10 +278,16 @@
         if self.number == self._evaluated_number:
             return
         self._evaluated_number = self.number
-        old = {block.parts: block for block in self.blocks}
-        self.blocks = self._find_blocks()
-        new = {block.parts: block for block in self.blocks}
+        self._found = self._find_blocks()
         self.on_change()
+        self._announce_blocks()
+        if len(self.blocks) < len(self._found):
+            self._timer.call_after(SOUND_BLOCK_DELAY_S, self._announce_blocks)
+
+    def _announce_blocks(self) -> None:
+        """Call `on_blocks` if other blocks are in force than at the last call."""
+        old, new = self._announced, {block.parts: block for block in self.blocks}
+        self._announced = new
         if old.keys() != new.keys():
             self.on_blocks(
                 [block for parts, block in new.items() if parts not in old],
@@ -281,18 +308,24 @@
             )
             names = names_by_part[best]
             tied = {part for part in names_by_part if names_by_part[part] == names}
-            blocks.append(self._make_block(frozenset(tied - sound or tied), names))
+            blamed = frozenset(tied - sound or tied)
+            blocks.append(self._make_block(blamed, names, is_sound=best in sound))
             crashes = [report for report in crashes if report.name not in names]
 
-    def _make_block(self, parts: frozenset[str], names: set[str]) -> Block:
+    def _make_block(
+        self, parts: frozenset[str], names: set[str], *, is_sound: bool
+    ) -> Block:
         trials = [
             report
             for report in self._reports.values()
             if report.is_trial and report.suspects & parts
         ]
-        times_s = [self._reports[name].at_s for name in names]
-        newest_s = max(times_s + [report.at_s for report in trials])
-        return Block(parts, len(names), len(trials), newest_s)
+        times_s = sorted(self._reports[name].at_s for name in names)
+        newest_s = max([times_s[-1], *(report.at_s for report in trials)])
+        from_s = float("-inf")
+        if is_sound:
+            from_s = times_s[SOUND_BLOCK_CRASHES - 1] + SOUND_BLOCK_DELAY_S
+        return Block(parts, len(names), len(trials), newest_s, from_s, is_sound)
 
 
 def _blockable_parts(
--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -12,6 +12,8 @@
     MAX_TRIAL_S,
     REPORT_TTL_S,
     SOUND_BLOCK_CRASHES,
+    SOUND_BLOCK_DELAY_S,
+    SOUND_FIRST_TRIAL_S,
     SOUND_TTL_S,
     TRIAL_FACTOR,
     CrashEvidence,
@@ -101,6 +103,9 @@
         for _ in range(SOUND_BLOCK_CRASHES):
             self.assertFalse(self.is_blocked("turned"))
             self.crash("turned")
+        self.timer.jump(SOUND_BLOCK_DELAY_S - 0.1)
+        self.assertFalse(self.is_blocked("turned"))
+        self.timer.jump(0.2)
         self.assertTrue(self.is_blocked("turned"))
 
     def test_parts_that_were_sound_long_ago_count_as_unknown(self):
@@ -157,6 +162,20 @@
         self.crash_at_once("popular", count=SOUND_BLOCK_CRASHES)
         self.assertEqual([], self.blocks())
 
+    def test_a_run_that_goes_on_after_them_clears_a_popular_part(self):
+        self.crash_at_once("popular", count=SOUND_BLOCK_CRASHES)
+        self.sound("popular")
+        self.timer.jump(SOUND_BLOCK_DELAY_S)
+        self.assertEqual([], self.blocks())
+
+    def test_a_popular_part_without_a_run_that_goes_on_is_soon_tried(self):
+        self.crash_at_once("popular", count=SOUND_BLOCK_CRASHES)
+        self.timer.jump(SOUND_BLOCK_DELAY_S)
+        (block,) = self.evidence.blocks
+        self.assertFalse(self.evidence.try_trial(block))
+        self.timer.jump(SOUND_FIRST_TRIAL_S)
+        self.assertTrue(self.evidence.try_trial(block))
+
     def test_a_sound_part_does_not_explain_crashes_of_a_new_part(self):
         """One more engine ends under runs with the sound part alone."""
         self.crash_at_once("popular", "bad", count=SOUND_BLOCK_CRASHES)
