Keep the reports of a block when others crowd them out

Cause: of more than 64 reports the oldest was dropped, so that crashes for other reasons ended a block. Change: reports whose parts are all cleared are dropped first, then those of no block.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -237,7 +237,7 @@
     ) -> None:
         report = self._reports.get(name)
         if report is None:
-            if not parts or not self._make_room(at_s):
+            if not parts or not self._make_room(at_s, parts - cleared):
                 return
             report = self._reports[name] = CrashReport(name, at_s)
             self.number += 1
@@ -255,15 +255,27 @@
         known = self._sound_at_s
         return {p for p in report.parts if p in known and known[p] > start_s}
 
-    def _make_room(self, at_s: float) -> bool:
-        """Return whether there is room for a report; drops the oldest one if needed."""
+    def _make_room(self, at_s: float, suspects: set[str]) -> bool:
+        """Return whether there is room for a report; drops another one if needed."""
         if len(self._reports) < MAX_REPORTS:
             return True
-        oldest = min(self._reports.values(), key=lambda report: report.at_s)
-        if at_s < oldest.at_s + MIN_AGE_DIFFERENCE_S:
-            return False
-        del self._reports[oldest.name]
-        return True
+        least = min(
+            self._reports.values(), key=lambda r: (self._weight(r.suspects), r.at_s)
+        )
+        weight, least_weight = self._weight(suspects), self._weight(least.suspects)
+        if weight == least_weight:
+            is_better = at_s >= least.at_s + MIN_AGE_DIFFERENCE_S
+        else:
+            is_better = weight > least_weight
+        if is_better:
+            del self._reports[least.name]
+        return is_better
+
+    def _weight(self, suspects: set[str]) -> int:
+        """Return 2 for suspects of a block, 1 for others, 0 without any."""
+        if any(suspects & block.parts for block in self._found):
+            return 2
+        return 1 if suspects else 0
 
     def expire(self) -> None:
         """Drop old reports; to be called periodically."""
