Store the reports of crashes that block a part

Cause: reports were kept in memory only; after a restart of all VMs, a part that was blocked ended three more engines. Change: the leader commits the reports of its blocks to the replicated state before it confirms a report, and after each read of the list if something is missing; control VMs merge them when they apply the entry, also after a restart.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -20,7 +20,7 @@
 
 from endivesill.timer import TimerService
 
-__all__ = ["Block", "CrashEvidence", "CrashReport"]
+__all__ = ["Block", "CrashEvidence", "CrashReport", "Row"]
 
 # `[name, age in seconds, parts, sound, cleared]` of a report.
 Row = list[Any]
@@ -218,6 +218,12 @@
             for report in self._reports.values()
         ]
 
+    def blocking_rows(self) -> list[Row]:
+        """Return the rows of the reports without which a block would end."""
+        blamed = set().union(*(block.parts for block in self._found))
+        names = {r.name for r in self._reports.values() if r.suspects & blamed}
+        return [row for row in self.rows() if row[0] in names]
+
     def merge(self, rows: Iterable[Row]) -> None:
         """Merge the reports of another VM."""
         now_s = self._timer.now_s()
--- a/endivesill/fleet/crash_exchange.py
+++ b/endivesill/fleet/crash_exchange.py
@@ -2,7 +2,8 @@
 
 An entry sends a new report to all control VMs at once. Beside that, each sync request
 and its reply carry what the other side has not seen, also if the control VM does not
-lead. No VM decides for the others: each finds the blocked parts from the reports.
+lead. No VM decides for the others: each finds the blocked parts from the reports. The
+leader stores those that block a part, so that a restart of all VMs keeps the block.
 """
 
 from __future__ import annotations
@@ -13,8 +14,10 @@
 from typing import Any
 
 from endivesill import errors, events
-from endivesill.fleet.crash_evidence import Block, CrashEvidence
-from endivesill.fleet.events import CRASHES_UNREPORTED
+from endivesill.control import ControlReplica
+from endivesill.fleet.crash_evidence import Block, CrashEvidence, Row
+from endivesill.fleet.events import CRASHES_UNREPORTED, CRASHES_UNSTORED
+from endivesill.fleet.state import STORE_CRASHES, stored_crashes
 from endivesill.peers import Message, PeerTransport
 from endivesill.timer import TimerService
 
@@ -22,6 +25,7 @@
 
 CRASHES_PATH = "/fleet/crashes"
 REPORT_TIMEOUT_S = 0.5
+STORE_TIMEOUT_S = 1.0
 EXPIRY_PERIOD_S = 60.0
 
 
@@ -31,22 +35,52 @@
     Args:
       timer: the timer service.
       transport: the peer port.
-      leads: returns whether this VM leads.
+      replica: this VM's control replica.
 
     Attributes:
       evidence: the reports.
     """
 
     def __init__(
-        self, timer: TimerService, transport: PeerTransport, leads: Callable[[], bool]
+        self,
+        timer: TimerService,
+        transport: PeerTransport,
+        replica: ControlReplica,
     ) -> None:
-        self._leads = leads
+        self._replica = replica
+        self._loaded_index = -1
+        self._store_lock = asyncio.Lock()
         # The number of the evidence starts anew with the process.
         self._start_id = uuid.uuid4().hex[:12]
         self.evidence = CrashEvidence(timer)
         timer.call_every(EXPIRY_PERIOD_S, self.evidence.expire)
         transport.handle(CRASHES_PATH, self._handle)
 
+    def _leads(self) -> bool:
+        return self._replica.core.leadership is not None
+
+    def load(self) -> None:
+        """Merge the stored reports if they have changed."""
+        index, rows = stored_crashes(self._replica.state)
+        if index > self._loaded_index:
+            self._loaded_index = index
+            self.evidence.merge(rows)
+
+    async def store(self) -> None:
+        """Store the reports that block a part, if others are stored; for the leader."""
+        async with self._store_lock:
+            _, stored = stored_crashes(self._replica.state)
+            rows = self.evidence.blocking_rows()
+            if not self._leads() or _without_age(rows) == _without_age(stored):
+                return
+            try:
+                await self._replica.propose(
+                    STORE_CRASHES, {"rows": rows}, STORE_TIMEOUT_S
+                )
+            except errors.EndivesillError as error:
+                # Done again with the next report, or after the next read of the list.
+                events.emit(CRASHES_UNSTORED, reason=str(error))
+
     def record(self, message: Message) -> None:
         """Merge the reports in an entry's message."""
         if message.get("crashes"):
@@ -74,7 +108,7 @@
         return [self._start_id, self.evidence.number]
 
     async def _handle(self, message: Message) -> Message:
-        """Merge reports, or decide about a trial.
+        """Merge reports and store those that block a part, or decide about a trial.
 
         Args:
           message: `{"crashes"}` with rows of `CrashEvidence`, and for a trial
@@ -84,6 +118,7 @@
           `{"granted"}`: whether the trial may take place.
         """
         self.record(message)
+        await self.store()
         parts = frozenset(message.get("trial", ()))
         block = next((b for b in self.evidence.blocks if b.parts == parts), None)
         is_granted = (
@@ -92,6 +127,10 @@
         return {"granted": is_granted}
 
 
+def _without_age(rows: list[Row]) -> list[Row]:
+    return sorted([name, *rest] for name, _, *rest in rows)
+
+
 class CrashExchange:
     """An entry's side of the exchange.
 
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -5,6 +5,7 @@
 __all__ = [
     "CHANGE_ANSWERED",
     "CRASHES_UNREPORTED",
+    "CRASHES_UNSTORED",
     "ENGINES_UNREPORTED",
     "ENGINE_CRASHED",
     "ENGINE_LEAVING",
@@ -94,6 +95,11 @@
 PROMPT_PARTS_RELEASED = events.define(
     5109, "prompt-parts-released", "Prompts with these parts are served again."
 )
+CRASHES_UNSTORED = events.define(
+    5110,
+    "crashes-unstored",
+    "The reports that block parts of prompts were not stored; it is tried again.",
+)
 LIST_LOST = events.define(
     4502,
     "engine-list-lost",
--- a/endivesill/fleet/state.py
+++ b/endivesill/fleet/state.py
@@ -1,4 +1,4 @@
-"""Replicated state of the fleet: configuration and evacuated data centres.
+"""Replicated state of the fleet: configuration, evacuations and reports of crashes.
 
 The configuration document is stored as the operator sent it, so that it can be read
 back unchanged. Only its version and digest are interpreted here.
@@ -18,18 +18,22 @@
     "CURRENT",
     "REPLACE",
     "SET_EVACUATION",
+    "STORE_CRASHES",
     "ReplaceOutcome",
     "current_configuration",
     "document_digest",
     "evacuations",
+    "stored_crashes",
 ]
 
 REPLACE = "fleet.replace_configuration"
 SET_EVACUATION = "evacuation.set"
+STORE_CRASHES = "fleet.store_crashes"
 CURRENT = "fleet.current_configuration"
 
 CONFIGURATION_SECTION = "fleet_configuration"
 EVACUATION_SECTION = "evacuations"
+CRASHES_SECTION = "crashes"
 
 
 class ReplaceOutcome(enum.Enum):
@@ -94,6 +98,26 @@
     return {}
 
 
+@command(STORE_CRASHES)
+def store_crashes(state: State, message: Message, context: CommandContext) -> Message:
+    """Replace the stored reports of crashes.
+
+    Args:
+      state: the replicated state.
+      message: `{"rows"}`, rows of `CrashEvidence`.
+      context: the position of the command in the log.
+    """
+    section = state.section(CRASHES_SECTION)
+    section.update(rows=message["rows"], index=context.index)
+    return {}
+
+
+def stored_crashes(state: State) -> tuple[int, list[list[Any]]]:
+    """Return the log index of the last change and the rows of the reports."""
+    section = state.section(CRASHES_SECTION)
+    return section.get("index", 0), section.get("rows", [])
+
+
 def current_configuration(state: State) -> Message | None:
     """Return `{"version", "digest", "document", "index"}`, or None without one."""
     return state.section(CONFIGURATION_SECTION) or None
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -77,7 +77,7 @@
         self.loads = FleetLoads()
         self._allocator: ShareAllocator | None = None
         self._term = 0
-        self.crashes = CrashService(timer, transport, self.leads)
+        self.crashes = CrashService(timer, transport, replica)
         self.crashes.evidence.on_change = self._updated.notify
         transport.handle(SYNC_PATH, self.handle_sync)
         transport.handle(ENGINES_PATH, self._handle_engines)
@@ -120,6 +120,7 @@
         return self._replica.core.leadership is not None
 
     def _note_applied(self, applied: Applied) -> None:
+        self.crashes.load()
         self._updated.notify()
         self._on_change()
 
@@ -133,6 +134,7 @@
             if await self.reader.read(term):
                 self._updated.notify()
                 self._on_change()
+            await self.crashes.store()
             await self.reader.wait_until_due()
 
     async def _confirmed_term(self) -> int | None:
--- a/tests/test_fleet_crash_exchange.py
+++ b/tests/test_fleet_crash_exchange.py
@@ -76,7 +76,7 @@
         self.assertEqual([[{"bad"}]] * 4, self.blocked(cluster))
 
     async def test_a_block_survives_a_restart_of_all_vms(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         for entry in cluster.entries:
             entry.task.cancel()
