Bound the time that a stopping entry keeps for a plain request

Cause: where a route's target latency is longer than the time until the end, a stopping entry refused all of its requests from the signal on, though most take much less. Change: at most 1 s is kept; a request that takes longer gets a response at the end of the stop. An import that was split without a reason is one line again.

--- a/endivesill/forwarding/stop_deadline.py
+++ b/endivesill/forwarding/stop_deadline.py
@@ -11,6 +11,10 @@
 
 __all__ = ["StopDeadline"]
 
+# Time kept for a plain request, where its route allows more. Most take much less, and
+# one that does not end in time still gets a response.
+MAX_PLAIN_TIME_S = 1.0
+
 
 class StopDeadline:
     """When this process ends its requests because it stops.
@@ -42,4 +46,4 @@
 def _expected_time_s(call: Call) -> float:
     if call.route.kind is RequestKind.STREAMING:
         return run_time_s(call.demand)
-    return call.route.target_latency_s
+    return min(call.route.target_latency_s, MAX_PLAIN_TIME_S)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -22,12 +22,7 @@
 from endivesill.forwarding.statistics import Statistics
 from endivesill.forwarding.targets import TargetTable
 from endivesill.forwarding.waiting import AdmissionQueue
-from endivesill.http1 import (
-    ConnectionLimits,
-    ConnectionPool,
-    Exchange,
-    HttpListener,
-)
+from endivesill.http1 import ConnectionLimits, ConnectionPool, Exchange, HttpListener
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import PlatformProtocol
