Request a trial of a block at most once a second

Cause: while a trial was due and not granted, each request that met the block asked the leader, with all reports, and waited for it. Requests that a new block ended were told to come back at once. Change: after a request for a trial, the entry asks again after 1 s at the earliest; ended requests get the time until the trial, bounded by their own. The exchange knows the leader, so that placement does not pass the question on. Result: ObservationTest.test_a_denied_trial_is_not_requested_by_each_prompt was written with the change; 73 passed with the modules around it.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -255,9 +255,9 @@
         if before != (len(report.parts), len(report.sound), len(report.cleared)):
             self.number += 1
 
-    def _sound_since(self, report: CrashReport, after_s: float) -> set[str]:
-        """Return the parts of runs that went on since a time after the report."""
-        start_s = report.at_s + after_s
+    def _sound_since(self, report: CrashReport, offset_s: float) -> set[str]:
+        """Return the parts of runs that went on since an offset to the report."""
+        start_s = report.at_s + offset_s
         known = self._sound_at_s
         return {p for p in report.parts if p in known and known[p] > start_s}
 
--- a/endivesill/fleet/crash_exchange.py
+++ b/endivesill/fleet/crash_exchange.py
@@ -138,6 +138,7 @@
       timer: the timer service.
       transport: calls the control VMs.
       control_addresses: returns the peer addresses of the control VMs.
+      leader: returns the peer address of the leader; None while unknown.
 
     Attributes:
       evidence: the reports.
@@ -148,8 +149,10 @@
         timer: TimerService,
         transport: PeerTransport,
         control_addresses: Callable[[], list[str]],
+        leader: Callable[[], str | None],
     ) -> None:
         self._transport = transport
+        self._leader = leader
         self._control_addresses = control_addresses
         # By address: the last stamp, and the number of the evidence last sent.
         self._stamps: dict[str, list[Any]] = {}
@@ -214,8 +217,9 @@
             events.emit(CRASHES_UNREPORTED, address=address, reason=str(error))
             return {}
 
-    async def request_trial(self, leader: str | None, block: Block) -> bool:
-        """Return whether one request that meets a block may be sent."""
+    async def request_trial(self, block: Block) -> bool:
+        """Return whether the leader lets one request through a block."""
+        leader = self._leader()
         if leader is None:
             return False
         message = {"crashes": self.evidence.rows(), "trial": sorted(block.parts)}
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -131,7 +131,9 @@
         self._connected = False
         self.leader_lost = Signal()
         self.outcomes = OutcomeCounts()
-        self.crashes = CrashExchange(timer, transport, self._known_controls)
+        self.crashes = CrashExchange(
+            timer, transport, self._known_controls, lambda: self.leader
+        )
         # Whether `report_engines` is running, and was called since its last report.
         self._is_reporting = False
         self._has_news = False
--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 from endivesill import events
@@ -30,6 +30,8 @@
 START_WINDOW_S = 0.2
 # Time from the first event after which a run has survived its start.
 SURVIVAL_S = 1.0
+# Time between two requests for a trial; the leader grants one to the whole fleet.
+TRIAL_REQUEST_PAUSE_S = 1.0
 
 
 class CrashGuard:
@@ -40,7 +42,6 @@
       exchange: exchanges reports of crashes with the control VMs.
       pool: connections to targets.
       running: the requests of this process.
-      request_trial: asks whether one request that meets a block may be sent.
     """
 
     def __init__(
@@ -49,7 +50,6 @@
         exchange: CrashExchange,
         pool: ConnectionPool,
         running: RunningCalls,
-        request_trial: Callable[[Block], Awaitable[bool]],
     ) -> None:
         self._timer = timer
         self._exchange = exchange
@@ -57,7 +57,8 @@
         self._evidence.on_blocks = self._apply_blocks
         self._pool = pool
         self._running = running
-        self._request_trial = request_trial
+        # No trial is requested until then, as the last one was not granted.
+        self._next_trial_s = float("-inf")
         self._tasks: set[asyncio.Task[Any]] = set()
 
     # Admission.
@@ -71,12 +72,22 @@
         block = self._find_block(call)
         if block is None:
             return None
-        wait_s = block.trial_at_s - self._timer.now_s()
-        if wait_s <= 0 and await self._request_trial(block):
+        if await self._may_try(block):
             call.is_trial = True
             return None
         self._log_blocked(call, block)
-        return max(0.0, wait_s)
+        return self._trial_wait_s(block)
+
+    def _trial_wait_s(self, block: Block) -> float:
+        return max(0.0, block.trial_at_s - self._timer.now_s())
+
+    async def _may_try(self, block: Block) -> bool:
+        """Return whether the leader lets one request through a block."""
+        now_s = self._timer.now_s()
+        if self._trial_wait_s(block) > 0 or now_s < self._next_trial_s:
+            return False
+        self._next_trial_s = now_s + TRIAL_REQUEST_PAUSE_S
+        return await self._exchange.request_trial(block)
 
     def _find_block(self, call: Call) -> Block | None:
         return self._evidence.find_block(call.info.shared_parts)
@@ -100,7 +111,8 @@
                 PROMPT_PARTS_RELEASED, parts=sorted(block.parts), trials=block.trials
             )
         if new:
-            self._running.end(self._must_end, BLOCKED)
+            wait_s = min(map(self._trial_wait_s, new))
+            self._running.end(self._must_end, BLOCKED, wait_s)
 
     def _must_end(self, call: Call) -> bool:
         """Return whether a request that waits, or has just been sent, is blocked."""
--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -42,9 +42,6 @@
 RUN_COPIED = events.define(
     2107, "run-copied", "An order to copy a run's KV cache to another engine has ended."
 )
-PROMPT_BLOCKED = events.define(
-    2110, "prompt-blocked", "A generation meets a block of parts of prompts."
-)
 PLACE_REFUSED = events.define(
     2108, "place-refused", "The leader refused an entry's request for a placement."
 )
@@ -54,6 +51,9 @@
 ANSWER_SKIPPED = events.define(
     2106, "answer-skipped", "A response to another request was skipped."
 )
+PROMPT_BLOCKED = events.define(
+    2110, "prompt-blocked", "A generation meets a block of parts of prompts."
+)
 TARGET_EJECTED = events.define(
     4511,
     "target-ejected",
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -100,9 +100,7 @@
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
         self._running = RunningCalls(timer)
-        self._guard = CrashGuard(
-            timer, crashes, pool, self._running, placer.request_trial
-        )
+        self._guard = CrashGuard(timer, crashes, pool, self._running)
 
     @property
     def routes(self) -> RouteTable | None:
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -7,7 +7,6 @@
 import attrs
 
 from endivesill import errors
-from endivesill.fleet.crash_evidence import Block
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.call import Call
@@ -186,11 +185,6 @@
             target.reserve_copy(call.demand)
         return target
 
-    async def request_trial(self, block: Block) -> bool:
-        """Return whether the leader lets one request through a block."""
-        sync_client = self._sync_client
-        return await sync_client.crashes.request_trial(sync_client.leader, block)
-
     async def _request_from_leader(
         self, call: Call, max_wait_s: float, *, source: str
     ) -> Message | None:
--- a/tests/test_fleet_crash_exchange.py
+++ b/tests/test_fleet_crash_exchange.py
@@ -123,9 +123,7 @@
         for entry in cluster.entries:
             client = entry.sync_client
             (block,) = client.crashes.evidence.blocks
-            granted.append(
-                await cluster.run(client.crashes.request_trial(client.leader, block))
-            )
+            granted.append(await cluster.run(client.crashes.request_trial(block)))
         self.assertEqual([True, False, False], granted)
 
     async def test_there_is_no_trial_without_a_leader(self):
@@ -134,7 +132,8 @@
         await cluster.timer.advance(FIRST_TRIAL_S + 1.0)
         crashes = cluster.entries[0].sync_client.crashes
         (block,) = crashes.evidence.blocks
-        self.assertFalse(await cluster.run(crashes.request_trial(None, block)))
         leader = cluster.address_of(await cluster.leader())
         follower = next(a for a in cluster.addresses if a != leader)
-        self.assertFalse(await cluster.run(crashes.request_trial(follower, block)))
+        for address in (None, follower):
+            crashes._leader = lambda address=address: address
+            self.assertFalse(await cluster.run(crashes.request_trial(block)))
--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -89,7 +89,7 @@
         async def grant(block):
             return True
 
-        self.forwarder._guard._request_trial = grant
+        self.sync_client.crashes.request_trial = grant
         (engine,) = await self.add_engines("llm", "e1")
         await self.stream(b"bad1", b"bad2")
         self.assertEqual([], engine.requests)
@@ -107,13 +107,32 @@
         async def grant(block):
             return True
 
-        self.forwarder._guard._request_trial = grant
+        self.sync_client.crashes.request_trial = grant
         engines = await self.add_engines("llm", "e1", "e2", "e3")
         for engine in engines:
             engine.crashing_part = b"bad"
         await self.stream(b"bad")
         self.assertEqual(1, sum(len(engine.requests) for engine in engines))
 
+    async def test_a_denied_trial_is_not_requested_by_each_prompt(self):
+        for number in range(BLOCK_CRASHES):
+            self.evidence.note_crash(f"x{number}@1", ["bad"])
+        for report in self.evidence._reports.values():
+            report.at_s -= FIRST_TRIAL_S
+        self.evidence.number += 1
+        self.evidence._finish_change()
+        requested = []
+
+        async def deny(block):
+            requested.append(block)
+            return False
+
+        self.sync_client.crashes.request_trial = deny
+        await self.add_engines("llm", "e1")
+        for _ in range(5):
+            self.assertEqual(503, (await self.stream(b"bad"))[0])
+        self.assertEqual(1, len(requested))
+
     async def test_a_generation_that_is_not_streamed_is_observed(self):
         safe = route(
             RequestKind.SAFE,
@@ -170,7 +189,7 @@
 
         exchange = types.SimpleNamespace(evidence=evidence, report=report)
         pool = types.SimpleNamespace(acquire=acquire)
-        guard = CrashGuard(self.timer, exchange, pool, None, None)
+        guard = CrashGuard(self.timer, exchange, pool, None)
         await self.add_engines("llm", "e1")
         target = self.target("e1")
         for number, part in enumerate(("sound", "bad")):
