--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -162,6 +162,20 @@
         self.crash_at_once("popular", count=SOUND_BLOCK_CRASHES)
         self.assertEqual([], self.blocks())
 
+    def test_crashes_whose_cause_was_ended_by_a_block_blame_no_popular_part(self):
+        """The last two engines crash as the runs with the bad part are ended.
+
+        Trace of seed 212 of the soak's profile `crashes`.
+        """
+        for others in (["a5"], ["a5", "a3"], ["a5"]):
+            self.crash_at_once("popular", "bad", *others, count=1)
+        self.assertEqual([{"bad"}], self.blocks())
+        for others in (["a2"], ["a6"]):
+            self.crash_at_once("popular", *others, count=1)
+        self.assertEqual([{"bad"}], self.blocks())
+        self.timer.jump(SOUND_BLOCK_DELAY_S)
+        self.assertEqual([{"bad"}], self.blocks())
+
     def test_a_run_that_goes_on_after_them_clears_a_popular_part(self):
         self.crash_at_once("popular", count=SOUND_BLOCK_CRASHES)
         self.sound("popular")
