--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -167,6 +167,7 @@
 
         Trace of seed 212 of the soak's profile `crashes`.
         """
+        self.sound("a2", "a3", "a5", "a6")
         for others in (["a5"], ["a5", "a3"], ["a5"]):
             self.crash_at_once("popular", "bad", *others, count=1)
         self.assertEqual([{"bad"}], self.blocks())
