Limit how long the promotion of a learner waits under the lock

Cause: the repair promotes a learner that was ready when it looked. A learner that was lost while the promotion waited for the lock was waited for without a limit, under the lock, so that no other replica could join; one that was removed meanwhile raised KeyError, which the repair does not handle. Change: the promotion waits at most one election timeout, and refuses a replica that is no member. Result: both new tests failed on the code before (the second replica did not join within 10 s; KeyError); 27 tests of voters and repair pass.

--- a/endivesill/control/voter_manager.py
+++ b/endivesill/control/voter_manager.py
@@ -152,12 +152,22 @@
         return {"joined": True}
 
     async def promote(self, identity: str) -> None:
-        """Promote a learner to voter, waiting until it has caught up.
+        """Promote a learner to voter, waiting for a short time until it is ready.
 
         Raises:
-          UnsafeChangeError: the cluster might lose its quorum.
+          UnsafeChangeError: the learner is not ready or no longer a member, or the
+            cluster might lose its quorum.
         """
         async with self._lock:
+            if identity not in self._core.voter_set.members:
+                raise errors.UnsafeChangeError(f"no replica {identity}")
+            try:
+                await self._core.timer.wait_for(
+                    self._wait_until(lambda: self._is_ready(identity)),
+                    self._core.settings.election_timeout_s,
+                )
+            except errors.DeadlineExceededError:
+                raise errors.UnsafeChangeError(f"{identity} is not ready") from None
             await self._promote(identity)
 
     async def remove_lost(self, identity: str) -> None:
--- a/tests/test_control_voters.py
+++ b/tests/test_control_voters.py
@@ -245,3 +245,28 @@
         await other.start()
         with self.assertRaisesRegex(errors.UnsafeChangeError, "another cluster"):
             await cluster.run(operations.add("10.0.0.9:7000"))
+
+    async def test_a_lost_learner_that_is_promoted_does_not_block_others(self):
+        cluster = await self.start()
+        lost, new = "10.0.0.8:7000", "10.0.0.9:7000"
+        await cluster.boot(lost, MemoryDisk())
+        await cluster.timer.advance(5.0)
+        leader = await cluster.leader()
+        identity = cluster.replicas[lost].identity
+        self.assertIn(identity, leader.core.voter_set.learners)
+        await cluster.crash(lost)
+        await cluster.timer.advance(3.0)
+        promotion = asyncio.ensure_future(leader._voter_manager.promote(identity))
+        self.addCleanup(promotion.cancel)
+        await cluster.timer.advance(0)
+        await cluster.boot(new, MemoryDisk())
+        await cluster.timer.advance(10.0)
+        self.assertIn(new, leader.core.voter_set.learners.values())
+        with self.assertRaises(errors.UnsafeChangeError):
+            await promotion
+
+    async def test_a_learner_that_is_no_longer_a_member_is_not_promoted(self):
+        cluster = await self.start()
+        leader = await cluster.leader()
+        with self.assertRaises(errors.UnsafeChangeError):
+            await cluster.run(leader._voter_manager.promote("no-such-replica"))
