Give no slots at an engine whose memory is allocated in full

Cause: an allocation of 0 tokens tells an entry that the target limits no memory, as a plain service does. An engine without free memory allocated 0 tokens beside its slots, and so lifted the limit that it had reached. In the takeover period, when the memory of the predecessor counts in full, each allocation was of that kind. Change: an allocation without tokens to an entry that needs some has no slots. In the takeover period the tokens are those in use and the headroom asked for; the slots bound the new work.

--- a/endivesill/routing/credits.py
+++ b/endivesill/routing/credits.py
@@ -20,6 +20,7 @@
     Usage,
 )
 from endivesill.routing.limits import DecodeLimit, MemoryLimit, PrefillLimit
+from endivesill.routing.shares import fair_share
 from endivesill.routing.slow_start import SlowStart
 
 __all__ = [
@@ -148,10 +149,14 @@
         account.allocations = {usage.serial: held} if held else {}
         self._update_limits(usage, now_s)
         slots = self._allocate_slots(entry_id, usage, now_s) if may_allocate else 0
+        tokens = self._allocate_tokens(entry_id, usage, now_s)
+        if not tokens and self._needs_memory(usage):
+            # To the entry, 0 tokens mean that memory is not limited.
+            slots = 0
         self._serial += 1
         allocation = Allocation(
             slots,
-            self._allocate_tokens(entry_id, usage),
+            tokens,
             self._prefill_share(),
             self._serial,
             now_s + ALLOCATION_LIFETIME_S,
@@ -216,7 +221,7 @@
             a.usage.slots + self._headroom_slots(a.usage, allowance)
             for a in self._accounts.values()
         ]
-        share = _fair_share(demands, allowance - residual)
+        share = fair_share(demands, allowance - residual)
         if usage.queued or not self._any_entry_queues():
             # Shares of less than one slot go to the first entry that requests.
             share = max(1, share)
@@ -259,22 +264,28 @@
         headroom = self._headroom_slots(usage, self.slow_start.cold_slots)
         return min(usage.slots + headroom, base + cold)
 
-    def _allocate_tokens(self, entry_id: str, usage: Usage) -> int:
+    def _needs_memory(self, usage: Usage) -> bool:
+        return bool(self._memory_tokens and usage.tokens + usage.headroom_tokens)
+
+    def _allocate_tokens(self, entry_id: str, usage: Usage, now_s: float) -> int:
         if not self._memory_tokens:
             return 0
+        allowance = self.allowance_tokens()
+        demand = usage.tokens + self._headroom_tokens(usage, allowance)
+        if now_s - self._taken_over_s < TAKEOVER_S:
+            # The slots bound the new work until the predecessor's load is known.
+            return min(demand, max(usage.tokens, allowance))
         others = sum(
             a.committed_tokens() for n, a in self._accounts.items() if n != entry_id
         )
         residual = sum(residual.tokens for residual in self._residuals)
         unattributed = self._unattributed_slots * TOKENS_PER_UNATTRIBUTED_SLOT
-        allowance = self.allowance_tokens()
         free = allowance - others - max(residual, unattributed)
         demands = [
             a.usage.tokens + self._headroom_tokens(a.usage, allowance)
             for a in self._accounts.values()
         ]
-        share = _fair_share(demands, allowance - residual)
-        demand = usage.tokens + self._headroom_tokens(usage, allowance)
+        share = fair_share(demands, allowance - residual)
         allocated = max(0, min(demand, max(share, usage.tokens), free))
         self._memory_limiting = self._memory_limiting or (
             allocated < demand and usage.queued > 0
@@ -385,15 +396,3 @@
 def _warm_slots(target: Target) -> int:
     """Return the most to allocate; the rest is the reserve for a new owner."""
     return max(target.cold_slots, target.maximum_slots - target.cold_slots)
-
-
-def _fair_share(demands: list[int], total: int) -> int:
-    """Return the max-min fair share: the largest cap per entry that fits the total."""
-    left = max(0, total)
-    ordered = sorted(demands)
-    for index, requested in enumerate(ordered):
-        share = left // (len(ordered) - index)
-        if requested > share:
-            return share
-        left -= requested
-    return max([left, *demands])
--- a/tests/test_routing_credits.py
+++ b/tests/test_routing_credits.py
@@ -43,6 +43,33 @@
         )
         self.assertEqual(5 + 3 + COLD_SLOTS, first.slots + second.slots)
 
+    def test_new_owner_allocates_the_memory_of_the_slots_that_it_allocates(self):
+        allocator = make_allocator(warm=False)
+        usage = Usage(
+            slots=5, tokens=5_000, headroom_slots=9, headroom_tokens=900, queued=1
+        )
+        allocation = allocator.allocate("a", usage, 0.0)
+        self.assertEqual(5 + COLD_SLOTS, allocation.slots)
+        self.assertEqual(5_900, allocation.tokens)
+
+    def test_an_engine_without_free_memory_gives_no_slots(self):
+        """An allocation of 0 tokens means to an entry that memory is not limited."""
+        allocator = make_allocator()
+        usage = Usage(headroom_slots=2, headroom_tokens=100_000, queued=1)
+        first = allocator.allocate("a", usage, 0.0)
+        self.assertEqual(2, first.slots)
+        self.assertEqual(allocator.allowance_tokens(), first.tokens)
+        second = allocator.allocate("b", usage, 0.1)
+        self.assertEqual((0, 0), (second.slots, second.tokens))
+
+    def test_a_plain_service_gives_slots_without_memory(self):
+        target = make_target(memory_tokens=0)
+        allocator = CreditAllocator(target, 71.0, 880.0, 0.0)
+        allocator.assume_warm()
+        usage = Usage(headroom_slots=2, headroom_tokens=4_000, queued=1)
+        allocation = allocator.allocate("a", usage, 0.0)
+        self.assertEqual((2, 0), (allocation.slots, allocation.tokens))
+
     def test_takeover_allocation_does_not_grow_with_renewals(self):
         allocator = make_allocator(warm=False)
         allocation = allocator.allocate(
