Report a lost suspicion again, and forget gone entries and order locks

Cause: the usage report of a credit request that fails, or that the owner does not answer for, took with it the suspicion that the target is cold. The owner kept the number of the last request and the addresses of every entry process that it ever heard of, and the orderer a lock of each engine. Change: the suspicion is sent with the next request. Completed responses are not sent again, as the owner may have counted them; without them slow start is slower only. An owner forgets an entry after 60 s without a request, and a lock lives as long as an order of its engine.

--- a/endivesill/orders/orderer.py
+++ b/endivesill/orders/orderer.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 from collections.abc import Callable
 from typing import Protocol
 
@@ -80,7 +81,10 @@
         self._engines = engines
         self._settings = settings
         self._running: dict[str, asyncio.Task[OrderRecord]] = {}
-        self._locks: dict[str, asyncio.Lock] = {}
+        # A lock by target, as long as an order of the target is in progress.
+        self._locks: weakref.WeakValueDictionary[str, asyncio.Lock] = (
+            weakref.WeakValueDictionary()
+        )
 
     def is_idle(self) -> bool:
         """Return whether no order is in progress."""
--- a/endivesill/routing/credit_client.py
+++ b/endivesill/routing/credit_client.py
@@ -96,6 +96,8 @@
         self._demand_s: dict[str, float] = {}
         self._local_requested_s: dict[str, float] = {}
         self._deferred: set[str] = set()
+        # Targets whose owner was not told that they are suspected to be cold.
+        self._unreported: set[str] = set()
         self._request_number = 0
         self._checked_configuration: Configuration | None = None
         self._ticker: TimerHandle | None = None
@@ -173,7 +175,7 @@
         self._local_requested_s[target.name] = now_s
         before = self.allocation(target.name)
         allocation = self._credit_server.allocate(
-            self._entry_id, target, self.usage_of(target)
+            self._entry_id, target, self._usage(target)
         )
         self._store(target, self._credit_server.instance_id, allocation)
         return allocation.is_larger_than(before)
@@ -207,6 +209,7 @@
             if target is None or not self._has_work(target, now_s - demand_s):
                 del self._demand_s[name]
                 self._local_requested_s.pop(name, None)
+                self._unreported.discard(name)
                 continue
             if self._credit_server.is_owner(target):
                 if self._allocate_local(target, LOCAL_RENEW_PERIOD_S):
@@ -252,7 +255,8 @@
     async def _request(self, owner: _OwnerState, targets: list[Target]) -> None:
         assert self._peers is not None
         self._request_number += 1
-        usages = {target.name: self.usage_of(target) for target in targets}
+        usages = {target.name: self._usage(target) for target in targets}
+        suspected = {name for name, usage in usages.items() if usage.suspects_cold}
         message = {
             "from": self._entry_id,
             "address": self._peers.address,
@@ -266,9 +270,22 @@
                 owner.address, REQUEST_PATH, message, REQUEST_TIMEOUT_S
             )
         except errors.PeerUnreachableError:
+            self._unreported |= suspected
             return
+        self._unreported |= suspected - answer["loans"].keys()
         self._apply(owner, targets, answer, expires_s)
 
+    def _usage(self, target: Target) -> Usage:
+        """Return the usage to report, with a suspicion that was not reported yet.
+
+        Completed responses are not reported again: the owner may have counted them.
+        """
+        usage = self.usage_of(target)
+        if target.name not in self._unreported:
+            return usage
+        self._unreported.discard(target.name)
+        return attrs.evolve(usage, suspects_cold=True)
+
     def _apply(
         self,
         owner: _OwnerState,
--- a/endivesill/routing/credit_server.py
+++ b/endivesill/routing/credit_server.py
@@ -23,6 +23,9 @@
 REQUEST_PATH = "/credits/ask"
 REVOKE_PATH = "/credits/revoke"
 REVOKE_TIMEOUT_S = 1.0
+# An entry without a request for this time is forgotten; its credits have expired
+# and no request of it is in flight.
+ENTRY_GONE_AFTER_S = 60.0
 USAGE_FIELD_COUNT = len(attrs.fields(Usage))
 
 
@@ -60,6 +63,8 @@
         self._allocators: dict[str, CreditAllocator] = {}
         self._entry_addresses: dict[str, dict[str, str]] = {}
         self._request_numbers: dict[str, int] = {}
+        # Time of the last request by entry, the longest ago first.
+        self._requested_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._revoke_listeners: list[Callable[[Target], None]] = []
         if peers is not None:
@@ -125,6 +130,9 @@
         if message["number"] <= self._request_numbers.get(entry_id, 0):
             return {"instance": self.instance_id, "loans": {}}
         self._request_numbers[entry_id] = message["number"]
+        self._requested_s.pop(entry_id, None)
+        self._requested_s[entry_id] = self._timer.now_s()
+        self._forget_gone_entries()
         configuration = self._configuration()
         allocations: dict[str, list[int]] = {}
         for name, fields in message["use"].items():
@@ -143,6 +151,16 @@
             ]
         return {"instance": self.instance_id, "loans": allocations}
 
+    def _forget_gone_entries(self) -> None:
+        forget_before_s = self._timer.now_s() - ENTRY_GONE_AFTER_S
+        while True:
+            entry_id = next(iter(self._requested_s))
+            if self._requested_s[entry_id] >= forget_before_s:
+                return
+            del self._requested_s[entry_id], self._request_numbers[entry_id]
+            for addresses in self._entry_addresses.values():
+                addresses.pop(entry_id, None)
+
     def observe_load(self, target: Target, report: LoadReport) -> None:
         """Apply a load report; a reboot of the target revokes its credits."""
         allocator = self.allocator(target)
--- a/tests/test_orders_orderer.py
+++ b/tests/test_orders_orderer.py
@@ -73,6 +73,11 @@
 
 
 class IssueTest(OrdererTestCase):
+    async def test_nothing_is_kept_of_the_engines_of_finished_orders(self):
+        for number, target in enumerate(self.configuration.targets):
+            await self.finish(self.one, change_role(f"o-{number}", target))
+        self.assertEqual(0, len(self.one._locks))
+
     async def test_order_runs_and_is_recorded(self):
         for target in ("fencing-0", "plain-0"):
             record = await self.finish(self.one, change_role(f"o-{target}", target))
--- a/tests/test_routing_credit_exchange.py
+++ b/tests/test_routing_credit_exchange.py
@@ -5,11 +5,14 @@
 from endivesill.membership import StaticMembership, VmRecord
 from endivesill.peers import MemoryNetwork
 from endivesill.routing import CreditClient, CreditServer
+from endivesill.routing.credit_server import usage_fields
 from endivesill.routing.credits import ALLOCATION_LIFETIME_S, TAKEOVER_S, Usage
 from endivesill.targets import LoadReport
 from endivesill.timer import ManualTimer
 from tests.routing_fakes import make_source, make_target
 
+COLD_SLOTS = 2
+
 
 class Vm:
     """The credit server and client of one VM, with a load that the test sets."""
@@ -218,6 +221,37 @@
         await self.fleet.request_credits(vm)
         vm.suspects_cold = False
 
+    async def test_a_suspicion_that_did_not_reach_the_owner_is_sent_again(self):
+        fleet = self.fleet
+        fleet.b.running = 3
+        await fleet.request_credits(fleet.b)
+        allocator = fleet.a.credit_server.allocator(fleet.target)
+        fleet.network.cut("a", "b")
+        await self.suspect_cold(fleet.b)
+        await fleet.timer.advance(2.0)
+        fleet.network.heal()
+        self.assertGreater(allocator.slow_start.slots, COLD_SLOTS)
+        await fleet.timer.advance(3.0)
+        self.assertEqual(COLD_SLOTS, allocator.slow_start.slots)
+        allocator.assume_warm()
+        await fleet.timer.advance(10.0)
+        self.assertGreater(allocator.slow_start.slots, COLD_SLOTS)
+
+    async def test_an_owner_forgets_the_entries_that_have_gone(self):
+        fleet = self.fleet
+        server = fleet.a.credit_server
+        for number in range(2_000):
+            message = {
+                "from": f"b-{number}",
+                "address": "b",
+                "number": 1,
+                "use": {"e0": usage_fields(Usage(headroom_slots=1))},
+            }
+            await server._handle_request(message)
+            await fleet.timer.advance(1.0)
+        self.assertLess(len(server._request_numbers), 100)
+        self.assertLess(len(server._entry_addresses["e0"]), 100)
+
     async def test_target_that_returns_to_service_is_cold(self):
         fleet = self.fleet
         target = make_target(leaving=True)
