Drop the prefixes of targets that are no longer configured

Cause: nothing called the removal of a target from the prefix index. The prefixes of removed targets stayed, up to 4,096 each, and a target that came back under the name counted as caching them. Change: the router drops them when it indexes a new configuration. Result: the new test failed on the code before (the removed target was still among the holders); 36 tests of router, prefixes and directory pass.

--- a/endivesill/routing/directory.py
+++ b/endivesill/routing/directory.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import attrs
 
@@ -42,6 +42,7 @@
       entry_name: the name of this VM.
       is_leaving: returns whether the target of a given name is leaving.
       data_centre: the data centre of this VM.
+      on_targets: called with all target names after each configuration change.
     """
 
     def __init__(
@@ -50,11 +51,13 @@
         entry_name: str,
         is_leaving: Callable[[str], bool],
         data_centre: str = "",
+        on_targets: Callable[[Container[str]], None] = lambda names: None,
     ) -> None:
         self._configuration = configuration
         self._entry_name = entry_name
         self._is_leaving = is_leaving
         self._data_centre = data_centre
+        self._on_targets = on_targets
         self._indexed: Configuration | None = None
         self._services: dict[str, _ServiceTargets] = {}
         self._candidates: dict[str, Candidate] = {}
@@ -107,6 +110,7 @@
         for name in list(self._candidates):
             if name not in configuration.targets:
                 self._remove(name)
+        self._on_targets(configuration.targets)
 
     def _remove(self, name: str) -> None:
         if not self._candidates[name].outstanding:
--- a/endivesill/routing/prefixes.py
+++ b/endivesill/routing/prefixes.py
@@ -4,7 +4,7 @@
 
 import collections
 import hashlib
-from collections.abc import Set
+from collections.abc import Container, Set
 
 from endivesill.targets.messages import CacheEvents
 
@@ -155,10 +155,15 @@
         for block in list(prefixes.blocks):
             self._remove(target_name, prefixes, block)
 
-    def remove_target(self, target_name: str) -> None:
-        """Remove a target that is no longer configured."""
-        self.clear(target_name)
-        self._targets.pop(target_name, None)
+    def retain(self, target_names: Container[str]) -> None:
+        """Drop all other targets, which are no longer configured."""
+        for name in [name for name in self._targets if name not in target_names]:
+            self.clear(name)
+            del self._targets[name]
+
+    def target_names(self) -> Set[str]:
+        """Return the names of the targets that the index knows."""
+        return self._targets.keys()
 
     def _prefixes_of(self, target_name: str) -> _TargetPrefixes:
         return self._targets.setdefault(target_name, _TargetPrefixes())
--- a/endivesill/routing/router.py
+++ b/endivesill/routing/router.py
@@ -73,7 +73,7 @@
         self._credit = credit_client
         self.prefixes = prefixes or PrefixIndex()
         self.directory = TargetDirectory(
-            configuration, entry_name, is_leaving, data_centre
+            configuration, entry_name, is_leaving, data_centre, self.prefixes.retain
         )
         self.lengths = LengthEstimator()
         self.retries = RetryBudgets()
--- a/tests/test_routing_router.py
+++ b/tests/test_routing_router.py
@@ -288,3 +288,14 @@
                 break
         self.assertEqual("check", order[0])
         self.assertEqual(3, order.count("plan"))
+
+    async def test_the_prefixes_of_a_removed_target_are_dropped(self):
+        self.build([make_target("e0"), make_target("e1")])
+        for name in ("e0", "e1"):
+            self.router.prefixes.record_placement(name, ("p",))
+        await self.fill(1)
+        self.assertEqual({"e0", "e1"}, self.router.prefixes.holders(("p",)))
+        self.source.replace(make_configuration([make_target("e1")], self.service))
+        await self.fill(1)
+        self.assertEqual({"e1"}, self.router.prefixes.holders(("p",)))
+        self.assertEqual({"e1"}, self.router.prefixes.target_names())
