Refuse malformed updates and changes

Cause: a negative state of an update was read as that of a gone VM, text as a list, and lists as names; an infinite number raised OverflowError out of the decoder. A change whose `changed` was no object raised AttributeError, in the replicated command and in the copy of a VM. Change: an update takes lists, texts and integers only. Change.from_message checks the types of a change once for the command, the copy and the full copy: the command refuses it, a delta of that kind is followed by a full copy, and a malformed delta after a full copy counts as a failure of the upstream VM.

--- a/endivesill/configuration/changes.py
+++ b/endivesill/configuration/changes.py
@@ -13,6 +13,9 @@
 
 import attrs
 
+from endivesill import errors
+from endivesill.peers import Message
+
 __all__ = [
     "Change",
     "ChangeLog",
@@ -44,6 +47,22 @@
     changed: Documents = attrs.Factory(dict)
     removed: tuple[str, ...] = ()
 
+    @classmethod
+    def from_message(cls, message: Message) -> Change:
+        """Return the change in the fields `changed` and `removed` of a message.
+
+        Raises:
+          PeerMessageError: the fields are missing or of other types.
+        """
+        changed, removed = message.get("changed"), message.get("removed")
+        if not isinstance(changed, dict) or not isinstance(removed, list):
+            raise errors.PeerMessageError("a change without its items")
+        if not all(isinstance(document, dict) for document in changed.values()):
+            raise errors.PeerMessageError("an item of a change is no object")
+        if not all(isinstance(key, str) for key in removed):
+            raise errors.PeerMessageError("a removed key is no text")
+        return cls(changed, tuple(removed))
+
     def __bool__(self) -> bool:
         """Return whether the change is not empty."""
         return bool(self.changed or self.removed)
--- a/endivesill/configuration/checks.py
+++ b/endivesill/configuration/checks.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from endivesill import errors
 from endivesill.configuration import model
 from endivesill.configuration.changes import Change, Documents
 from endivesill.peers import Message
@@ -25,15 +26,17 @@
 
 def is_well_formed(message: Message) -> bool:
     """Return whether the parts of a change have the types that the checks need."""
-    objects = [*message["changed"].values(), *message["origins"].values()]
-    places = [p for o in message["origins"].values() for p in _values_of(o)]
-    return all(isinstance(value, dict) for value in objects) and all(
-        isinstance(text, str) for text in [*message["removed"], *places]
-    )
-
-
-def _values_of(value: Any) -> list[Any]:
-    return list(value.values()) if isinstance(value, dict) else []
+    origins = message["origins"]
+    try:
+        Change.from_message(message)
+    except errors.PeerMessageError:
+        return False
+    if not isinstance(origins, dict):
+        return False
+    if not all(isinstance(fields, dict) for fields in origins.values()):
+        return False
+    places = [place for fields in origins.values() for place in fields.values()]
+    return all(isinstance(place, str) for place in places)
 
 
 def change_findings(
--- a/endivesill/configuration/copy.py
+++ b/endivesill/configuration/copy.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from endivesill import errors
 from endivesill.configuration.changes import (
     Change,
     ChangeLog,
@@ -95,14 +96,17 @@
         """Apply a delta; one that is not newer only advances `as_of`.
 
         Returns:
-          False if the result does not match the digest of the delta; the copy is
-          then unchanged.
+          False if the delta is malformed or the result does not match its digest;
+          the copy is then unchanged.
         """
         revision = delta["revision"]
         if revision <= self.revision:
             self.confirm(revision, delta["as_of"])
             return True
-        change = Change(delta["changed"], tuple(delta["removed"]))
+        try:
+            change = Change.from_message(delta)
+        except errors.PeerMessageError:
+            return False
         before = [
             (key, self.documents[key])
             for key in change.touched_keys
--- a/endivesill/configuration/watcher.py
+++ b/endivesill/configuration/watcher.py
@@ -18,6 +18,7 @@
     PackedRevisions,
     pack_revisions,
 )
+from endivesill.configuration.changes import Change
 from endivesill.configuration.copy import ConfigurationCopy, unpack_documents
 from endivesill.configuration.events import (
     CONFIGURATION_IN_FORCE,
@@ -263,7 +264,7 @@
             )
             if delta.get("full") or not self._apply(delta):
                 await self._fetch_copy(address, delta_path, page_path)
-        except errors.PeerUnreachableError as error:
+        except (errors.PeerUnreachableError, errors.PeerMessageError) as error:
             events.emit(UPSTREAM_FAILED, upstream=address, error=str(error))
 
     async def _fetch_copy(self, address: str, delta_path: str, page_path: str) -> None:
@@ -286,8 +287,9 @@
         )
         if delta.get("full"):
             return
-        documents.update(delta["changed"])
-        for key in delta["removed"]:
+        change = Change.from_message(delta)
+        documents.update(change.changed)
+        for key in change.removed:
             documents.pop(key, None)
         before = self._copy.revision
         is_intact = self._copy.replace(
--- a/endivesill/membership/messages.py
+++ b/endivesill/membership/messages.py
@@ -10,6 +10,7 @@
 import enum
 import hashlib
 import json
+import math
 from typing import Any
 
 import attrs
@@ -231,30 +232,53 @@
       PeerMessageError: the list is not a valid update.
     """
     try:
+        if not isinstance(row, list):
+            raise TypeError("no list")
         if row[0] == "t":
-            notice_s = float(row[5]) if len(row) > 5 else None
-            return TargetNotice(
-                str(row[1]), int(row[2]), str(row[3]), bool(row[4]), notice_s
-            )
+            return _decode_notice(row)
         if row[0] != "v":
             raise ValueError(f"no update of kind {row[0]!r}")
-        health, phase = divmod(int(row[4]), len(_PHASES))
+        state = _integer(row[4])
+        if state < 0:
+            raise ValueError(f"no state {state}")
+        health, phase = divmod(state, len(_PHASES))
         address, data_centre, region, letters = row[5:9] or ("", "", "", "")
         return VmUpdate(
-            str(row[1]),
-            str(row[2]),
-            int(row[3]),
+            _text(row[1]),
+            _text(row[2]),
+            _integer(row[3]),
             _PHASES[phase],
             _HEALTHS[health],
-            str(address),
-            str(data_centre),
-            str(region),
+            _text(address),
+            _text(data_centre),
+            _text(region),
             tuple(_LETTER_ROLES[letter] for letter in letters),
         )
     except (IndexError, KeyError, TypeError, ValueError) as error:
         raise errors.PeerMessageError(f"invalid update: {error!r}") from None
 
 
+def _decode_notice(row: list[Any]) -> TargetNotice:
+    notice_s = float(row[5]) if len(row) > 5 else None
+    if notice_s is not None and not math.isfinite(notice_s):
+        raise ValueError(f"no duration: {notice_s}")
+    return TargetNotice(
+        _text(row[1]), _integer(row[2]), _text(row[3]), bool(row[4]), notice_s
+    )
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"no text: {value!r}")
+    return value
+
+
+def _integer(value: Any) -> int:
+    if type(value) is not int:
+        raise TypeError(f"no integer: {value!r}")
+    return value
+
+
 def encode_datagram(datagram: Datagram) -> bytes:
     """Return a datagram as UTF-8 encoded JSON."""
     row: list[Any] = [
@@ -278,10 +302,10 @@
         kind, sequence, sender, subject, digest, *updates = parse_json(data)
         return Datagram(
             DatagramKind(kind),
-            int(sequence),
-            str(sender),
-            str(subject),
-            int(digest),
+            _integer(sequence),
+            _text(sender),
+            _text(subject),
+            _integer(digest),
             tuple(decode_update(row) for row in updates),
         )
     except (TypeError, ValueError) as error:
--- a/tests/test_configuration_recovery.py
+++ b/tests/test_configuration_recovery.py
@@ -256,6 +256,17 @@
         self.assertFalse(self.copy.apply({**self.deltas[0], "digest": "0" * 64}))
         self.assertEqual((0, {}), (self.copy.revision, self.copy.documents))
 
+    def test_a_delta_whose_parts_have_other_types_is_rejected(self):
+        for name, value in (
+            ("changed", ["data-centre/a"]),
+            ("changed", {"data-centre/a": "r1"}),
+            ("removed", 7),
+            ("removed", [["data-centre/a"]]),
+        ):
+            delta = {**self.deltas[0], name: value}
+            self.assertFalse(self.copy.apply(delta), (name, value))
+        self.assertEqual((0, {}), (self.copy.revision, self.copy.documents))
+
 
 class VoterSetTest(unittest.TestCase):
     def test_the_majority_is_more_than_half(self):
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -65,6 +65,19 @@
         self.assertEqual((2, "ada"), (answer["revision"], answer["first"]["operator"]))
         self.assertNotIn("data-centre/d", self.configuration.documents)
 
+    def test_a_change_whose_parts_have_other_types_is_refused(self):
+        message = apply_message(2, {}, base=1)
+        for name, value in (
+            ("changed", ["data-centre/c"]),
+            ("changed", None),
+            ("origins", "none"),
+            ("removed", 7),
+            ("removed", "data-centre/a"),
+        ):
+            answer = self.run_command(APPLY, {**message, name: value})
+            self.assertEqual("refused", answer["outcome"], (name, value))
+        self.assertEqual(1, self.configuration.revision)
+
     def test_a_future_base_revision_is_a_conflict(self):
         answer = self.apply(2, {"data-centre/c": {"region": "r"}}, base=9)
         self.assertEqual("conflict", answer["outcome"])
--- a/tests/test_membership_messages.py
+++ b/tests/test_membership_messages.py
@@ -74,11 +74,22 @@
             '["t","x"]',
             "3",
             '["x","a","b",1,1]',
+            '["v","a","b",1,-1]',
+            '["v","a","b",Infinity,1]',
+            '["t","a",Infinity,"b",1]',
+            '["t","a",1,"b",1,NaN]',
+            '["v",["a"],"b",1,1]',
+            '"v1111"',
         ):
             text = f'["g",0,"w","",0,{row}]'
             with self.assertRaises(errors.PeerMessageError, msg=row):
                 decode_datagram(text.encode())
 
+    def test_a_datagram_whose_numbers_are_no_integers_is_an_error(self):
+        for text in ('["p",Infinity,"w","",0]', '["p",0,"w","",NaN]'):
+            with self.assertRaises(errors.PeerMessageError, msg=text):
+                decode_datagram(text.encode())
+
 
 class ChecksumTest(unittest.TestCase):
     def test_equal_changes_of_two_vms_do_not_cancel_out(self):
