Give the line and the kind in findings of platform files

Cause: platform check said line 0 for every finding and "'a' has no use" for a value of another type, and took impossible addresses and ports and negative or infinite limits. Change: a TOML file knows the line of each key; a finding has that line, or that of its table, and says what kind of value is expected. The check also validates addresses, ports and limits; a process still starts with such settings, as before.

--- a/endivesill/platform/settings.py
+++ b/endivesill/platform/settings.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-import pathlib
-import tomllib
-from typing import Any
-
 import attrs
 
 from endivesill import errors
 from endivesill.findings import Finding
-from endivesill.platform.decode import Reader
+from endivesill.toml_file import TomlFile, TomlTable
 
 __all__ = ["Bounds", "NodeSettings", "check_settings", "read_settings"]
 
@@ -109,45 +105,14 @@
 def _parse(path: str) -> tuple[list[Finding], NodeSettings | None]:
     findings: list[Finding] = []
     try:
-        document = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        return [Finding(path, 0, str(error))], None
-    fields = _Fields(path, Reader(document, ""), findings)
-    settings = _decode_settings(fields)
+        file = TomlFile.read(path)
+    except errors.FindingsError as error:
+        return list(error.findings), None
+    settings = _decode_settings(TomlTable(file, file.document, "", findings))
     return findings, None if findings else settings
 
 
-class _Fields:
-    """Reads the fields of a table and collects a finding for each invalid one."""
-
-    def __init__(self, path: str, reader: Reader, findings: list[Finding]) -> None:
-        self._path = path
-        self._reader = reader
-        self._findings = findings
-
-    def read(self, method: str, name: str, fallback: Any, *default: Any) -> Any:
-        """Return the value that a method of `Reader` reads.
-
-        An invalid field adds a finding and gives `fallback`. `default` applies to a
-        missing field; without it the field is required.
-        """
-        try:
-            return getattr(self._reader, method)(name, *default)
-        except errors.DocumentError as error:
-            self._findings.append(Finding(self._path, 0, str(error).lstrip(".")))
-            return fallback
-
-    def table(self, name: str) -> _Fields:
-        """Return the fields of a required table; an empty one after a finding."""
-        try:
-            reader = self._reader.object(name)
-        except errors.DocumentError as error:
-            self._findings.append(Finding(self._path, 0, str(error).lstrip(".")))
-            reader = Reader({}, name)
-        return _Fields(self._path, reader, self._findings)
-
-
-def _decode_settings(fields: _Fields) -> NodeSettings:
+def _decode_settings(fields: TomlTable) -> NodeSettings:
     listen = fields.table("listen_addresses")
     cloud = fields.table("cloud")
     seeds = fields.read("texts", "seeds", [])
@@ -173,12 +138,12 @@
     )
 
 
-def _peer_port(fields: _Fields) -> int:
+def _peer_port(fields: TomlTable) -> int:
     ports = fields.read("integers", "internal_port_range", [0])
     return ports[0] + PEER_PORT_OFFSET
 
 
-def _decode_bounds(fields: _Fields) -> Bounds:
+def _decode_bounds(fields: TomlTable) -> Bounds:
     def number(name: str, default: float) -> float:
         return fields.read("number", name, default, default)
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,6 +28,8 @@
     "supervision",
     "timer",
     "tls",
+    "toml_file",
+    "value_checks",
 }
 COMMAND_LINE_TOOL = {"cli", "cli_options", "cli_tools", "porcelain", "presentation"}
 ALLOWED = {
