Apply a bench order once, and say in the demo what a refusal started

Cause: a fake engine without an apply delay applied each order twice, so that its report listed an adapter twice. The demo printed "engines untouched" for a refusal also when engines had started generations.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -230,7 +230,9 @@
         document = await response.json(content_type=None)
     after = [await count_starts(fleet, engine) for engine in fleet.engines]
     holds = document["run"] == "not-run" and before == after
-    observed = f"status {response.status}, run {document['run']}, engines untouched"
+    started = sum(after) - sum(before)
+    engines = "untouched" if before == after else f"started {started}"
+    observed = f"status {response.status}, run {document['run']}, engines {engines}"
     return Check("a refusal that says not-run is true", observed, holds)
 
 
--- a/bench/order_engines.py
+++ b/bench/order_engines.py
@@ -100,8 +100,9 @@
             engine.stale_token_runs += 1
         engine.highest_token = max(engine.highest_token, order.fencing_token)
         engine.runs.append((order.order_id, order.fencing_token))
-        self._timer.call_after(engine.apply_delay_s, lambda: _apply(engine, order))
-        if not engine.apply_delay_s:
+        if engine.apply_delay_s:
+            self._timer.call_after(engine.apply_delay_s, lambda: _apply(engine, order))
+        else:
             _apply(engine, order)
         return None
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,15 +1,23 @@
 """Tests of the modules that the benches share."""
 
+import asyncio
 import pathlib
 import tempfile
 import unittest
 import xml.etree.ElementTree as ElementTree
 
+from aiohttp import test_utils, web
+
+from bench import demo
 from bench.all import write_load_plots
 from bench.compare import compare
 from bench.fit import fit_line
+from bench.order_engines import OrderEngines, orders_configuration
 from bench.plot import Line, line_plot
 from bench.report import Report
+from endivesill.orders.messages import OrderKind
+from endivesill.targets.messages import Order
+from endivesill.timer import ManualTimer
 
 
 class CompareTest(unittest.TestCase):
@@ -58,3 +66,58 @@
             svg = path.read_text(encoding="utf-8")
         self.assertEqual(2, svg.count("<polyline"))
         self.assertIn("least-outstanding, 1 VM", svg)
+
+
+class OrderEnginesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_order_is_applied_once(self):
+        timer = ManualTimer()
+        configuration = orders_configuration()
+        engines = OrderEngines(timer, configuration)
+        target = configuration.targets["plain-0"]
+        for number, delay_s in enumerate((0.0, 1.0)):
+            engines.engines["plain-0"].apply_delay_s = delay_s
+            order = Order(f"o{number}", 1, OrderKind.LOAD_ADAPTER.value, f"a{number}")
+            sent = asyncio.ensure_future(engines.order(target, order))
+            await timer.advance(2.0)
+            await sent
+        adapters = engines.engines["plain-0"].report.adapters
+        self.assertEqual(("a0", "a1"), adapters)
+
+
+class DemoFleet:
+    """A fleet with one entry that refuses, and an engine that starts meanwhile."""
+
+    engines = ("engine-1",)
+
+    def __init__(self, address, new_starts):
+        self.caller_addresses = {"vm-1": address}
+        self._starts = 0
+        self._new_starts = new_starts
+
+    async def fetch_runs(self, engine):
+        starts = self._starts
+        self._starts += self._new_starts
+        return {"generation": starts}
+
+
+class DemoTest(unittest.IsolatedAsyncioTestCase):
+    async def check_refusal(self, new_starts):
+        async def refuse(request):
+            return web.json_response({"run": "not-run"}, status=404)
+
+        application = web.Application()
+        application.router.add_post("/v1/completions", refuse)
+        async with test_utils.TestServer(application, host="127.0.0.1") as server:
+            fleet = DemoFleet(f"127.0.0.1:{server.port}", new_starts)
+            return await demo.check_refusal(fleet, demo.Caller(fleet, None))
+
+    async def test_a_refusal_that_started_nothing_holds(self):
+        check = await self.check_refusal(0)
+        self.assertTrue(check.holds)
+        self.assertIn("engines untouched", check.observed)
+
+    async def test_engines_that_started_a_refused_request_are_told(self):
+        check = await self.check_refusal(1)
+        self.assertFalse(check.holds)
+        self.assertNotIn("untouched", check.observed)
+        self.assertIn("engines started 1", check.observed)
