Take deeply nested JSON as invalid at the other ports too

Cause: the operators' port, the peer port and its client, the client of the targets and the unpacking of documents still decoded JSON with json.loads, which raises RecursionError on 100,000 nested lists: status 500, or an error that no caller expects. Damaged packed documents raised zlib.error out of the watcher's fetch.

--- a/endivesill/configuration/copy.py
+++ b/endivesill/configuration/copy.py
@@ -18,6 +18,7 @@
     updated_digest,
 )
 from endivesill.configuration.model import Configuration
+from endivesill.json_text import parse_json
 from endivesill.peers import Message
 
 __all__ = [
@@ -38,8 +39,16 @@
 
 
 def unpack_documents(packed: str) -> Documents:
-    """Return the documents from the form made by `pack_documents`."""
-    return json.loads(zlib.decompress(base64.b64decode(packed)))
+    """Return the documents from the form made by `pack_documents`.
+
+    Raises:
+      PeerMessageError: the text is damaged or holds no documents.
+    """
+    try:
+        documents = parse_json(zlib.decompress(base64.b64decode(packed)))
+    except (TypeError, ValueError, zlib.error) as error:
+        raise errors.PeerMessageError(f"damaged documents: {error}") from None
+    return Change.from_message({"changed": documents, "removed": []}).changed
 
 
 def page_keys(keys: Any, after: str) -> list[str]:
--- a/endivesill/http_peers.py
+++ b/endivesill/http_peers.py
@@ -13,6 +13,7 @@
 from starlette.routing import Route
 
 from endivesill import errors, events
+from endivesill.json_text import parse_json
 from endivesill.keys import KeyRing
 from endivesill.peers import Message, PeerTransport
 
@@ -72,7 +73,7 @@
         if handler is None:
             return Response(status_code=404)
         try:
-            message = json.loads(await request.body())
+            message = parse_json(await request.body())
         except ValueError:
             return Response(status_code=400)
         self.in_flight[path] += 1
@@ -113,7 +114,7 @@
                     raise errors.PeerUnreachableError(
                         f"{address}{path} answered {response.status}"
                     )
-                return json.loads(body)
+                return parse_json(body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise errors.PeerUnreachableError(
                 f"{address}{path}: {error!r}", sent=False
--- a/endivesill/operators/application.py
+++ b/endivesill/operators/application.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -20,6 +19,7 @@
 from endivesill.drain import DrainService
 from endivesill.fleet_status import fleet_status
 from endivesill.http_peers import KEY_REFUSED
+from endivesill.json_text import parse_json
 from endivesill.keys import KeyRing
 from endivesill.membership.view import MembershipView, VmState
 from endivesill.metrics import Metrics
@@ -308,7 +308,7 @@
       RequestError: the body is not such an object (400).
     """
     try:
-        body = json.loads(await request.body())
+        body = parse_json(await request.body())
     except ValueError:
         raise errors.RequestError(400, "the body is not JSON") from None
     if not isinstance(body, dict) or body.keys() != fields.keys():
--- a/endivesill/targets/client.py
+++ b/endivesill/targets/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import urllib.parse
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -22,6 +21,7 @@
     header_value,
     send_request,
 )
+from endivesill.json_text import parse_json
 from endivesill.timer import TimerService
 
 __all__ = ["TargetClient", "TargetRequest", "TargetResponse", "split_target_url"]
@@ -189,7 +189,7 @@
         if status != 200:
             return status, body.decode("utf-8", "replace")
         try:
-            return status, json.loads(body)
+            return status, parse_json(body)
         except ValueError as error:
             raise errors.TargetError(f"no JSON document: {error}") from None
 
--- a/tests/test_configuration_recovery.py
+++ b/tests/test_configuration_recovery.py
@@ -1,15 +1,22 @@
 """Tests of the configuration after partitions, restarts and random faults."""
 
 import asyncio
+import base64
 import tempfile
 import unittest
+import zlib
 
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
+from endivesill import errors
 from endivesill.configuration import lease
 from endivesill.configuration.changes import digest_of_documents
-from endivesill.configuration.copy import ConfigurationCopy
+from endivesill.configuration.copy import (
+    ConfigurationCopy,
+    pack_documents,
+    unpack_documents,
+)
 from endivesill.configuration.replica import MemoryReplica, VoterSet
 from endivesill.configuration.state import CHANGE
 from endivesill.configuration.store import ConfigurationFile
@@ -228,6 +235,23 @@
                 self.assertGreaterEqual(revision, due, name)
 
 
+class PackedDocumentsTest(unittest.TestCase):
+    def test_damaged_documents_are_an_error(self):
+        nested = b'{"a":' * 100_000
+        for packed in (
+            "no base64!",
+            pack_documents({"data-centre/a": {}})[:-8],
+            base64.b64encode(zlib.compress(b"[1]")).decode(),
+            base64.b64encode(zlib.compress(b"{]")).decode(),
+            base64.b64encode(zlib.compress(nested)).decode(),
+            7,
+        ):
+            with self.assertRaises(errors.PeerMessageError, msg=packed):
+                unpack_documents(packed)
+        documents = {"data-centre/a": {"region": "r"}}
+        self.assertEqual(documents, unpack_documents(pack_documents(documents)))
+
+
 class CopyTest(unittest.TestCase):
     def setUp(self):
         self.copy = ConfigurationCopy()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -33,7 +33,9 @@
     def request(self, path, body=None, key=KEY):
         request = urllib.request.Request(f"{self.scheme}://{self.server.address}{path}")
         request.add_header("Authorization", f"Bearer {key}")
-        data = None if body is None else json.dumps(body).encode()
+        data = body
+        if body is not None and not isinstance(body, bytes):
+            data = json.dumps(body).encode()
         try:
             with urllib.request.urlopen(
                 request, data, timeout=5, context=self.context
@@ -82,7 +84,7 @@
         del valid_body["wall_time_s"]
         wrong_type = {**valid_body, "value": "yes"}
         missing = {"number": "x"}
-        for body in (wrong_type, missing, [1]):
+        for body in (wrong_type, missing, [1], b"{", b"[" * 100_000):
             status, text = self.request(path, body)
             self.assertEqual(400, status)
             self.assertEqual("request", json.loads(text)["error"])
--- a/tests/test_peer_port.py
+++ b/tests/test_peer_port.py
@@ -3,11 +3,14 @@
 import asyncio
 import unittest
 
+import aiohttp
+from aiohttp import test_utils, web
+
 from endivesill import errors
 from endivesill.http_peers import HttpPeerTransport
 from endivesill.keys import KeyRing
 from endivesill.peer_port import STOP_TIMEOUT_S, PeerPort
-from endivesill.timer import ManualTimer
+from endivesill.timer import ManualTimer, SystemTimer
 
 
 class PeerPortTest(unittest.IsolatedAsyncioTestCase):
@@ -35,3 +38,33 @@
         with self.assertRaises(errors.PeerUnreachableError):
             await call
         await client.close()
+
+    async def test_a_message_that_is_nested_too_deeply_is_a_400(self):
+        keys = KeyRing(["a-key-for-this-test"])
+        transport = HttpPeerTransport("127.0.0.1:0", keys)
+
+        async def respond(message):
+            return {}
+
+        transport.handle("/x", respond)
+        port = PeerPort(SystemTimer(), transport)
+        await port.start()
+        self.addAsyncCleanup(port.stop)
+        headers = {"Authorization": keys.authorization()}
+        async with (
+            aiohttp.ClientSession(headers=headers) as session,
+            session.post(f"http://{port.address}/x", data=b"[" * 100_000) as response,
+        ):
+            self.assertEqual(400, response.status)
+
+    async def test_a_response_that_is_nested_too_deeply_is_a_failed_call(self):
+        async def respond(request):
+            return web.Response(text="[" * 100_000)
+
+        application = web.Application()
+        application.router.add_post("/x", respond)
+        client = HttpPeerTransport("127.0.0.1:1", KeyRing(["a-key-for-this-test"]))
+        self.addAsyncCleanup(client.close)
+        async with test_utils.TestServer(application, host="127.0.0.1") as server:
+            with self.assertRaises(errors.PeerUnreachableError):
+                await client.call(f"127.0.0.1:{server.port}", "/x", {}, 5.0)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -216,6 +216,13 @@
         with self.assertRaises(errors.TargetError):
             await self.client.json(target_config, TargetRequest("GET", "/x"), 2.0)
 
+    async def test_an_answer_that_is_nested_too_deeply_is_an_error(self):
+        target_config = await self.scripted(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"[" * 100_000
+        )
+        with self.assertRaises(errors.TargetError):
+            await self.client.json(target_config, TargetRequest("GET", "/x"), 2.0)
+
     async def test_the_default_port_follows_the_scheme(self):
         self.assertEqual(("10.0.0.1:80", ""), split_target_url("http://10.0.0.1"))
         self.assertEqual(("https://h:443", "/p"), split_target_url("https://h/p"))
