--- a/endivesill/configuration/copy.py
+++ b/endivesill/configuration/copy.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from endivesill import errors
 from endivesill.configuration.changes import (
     Change,
     ChangeLog,
@@ -17,6 +18,7 @@
     updated_digest,
 )
 from endivesill.configuration.model import Configuration
+from endivesill.json_text import parse_json
 from endivesill.peers import Message
 
 __all__ = [
@@ -37,8 +39,16 @@
 
 
 def unpack_documents(packed: str) -> Documents:
-    """Return the documents from the form made by `pack_documents`."""
-    return json.loads(zlib.decompress(base64.b64decode(packed)))
+    """Return the documents from the form made by `pack_documents`.
+
+    Raises:
+      PeerMessageError: the text is damaged or holds no documents.
+    """
+    try:
+        documents = parse_json(zlib.decompress(base64.b64decode(packed)))
+    except (TypeError, ValueError, zlib.error) as error:
+        raise errors.PeerMessageError(f"damaged documents: {error}") from None
+    return Change.from_message({"changed": documents, "removed": []}).changed
 
 
 def page_keys(keys: Any, after: str) -> list[str]:
@@ -95,14 +105,17 @@
         """Apply a delta; one that is not newer only advances `as_of`.
 
         Returns:
-          False if the result does not match the digest of the delta; the copy is
-          then unchanged.
+          False if the delta is malformed or the result does not match its digest;
+          the copy is then unchanged.
         """
         revision = delta["revision"]
         if revision <= self.revision:
             self.confirm(revision, delta["as_of"])
             return True
-        change = Change(delta["changed"], tuple(delta["removed"]))
+        try:
+            change = Change.from_message(delta)
+        except errors.PeerMessageError:
+            return False
         before = [
             (key, self.documents[key])
             for key in change.touched_keys
