--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -4,7 +4,8 @@
 begun at each of these crashes, and in no run that went on. Other parts of the same
 prompts are also in runs that survive. What is left after removing those explains the
 crashes; as in a set cover by a greedy algorithm, the part in most crashes explains its
-crashes first, and only crashes without an explanation count for other parts.
+crashes first, and only crashes without an explanation count for other parts. Parts that
+were in runs which went on explain only what no other part does.
 
 Reports of crashes are merged by union in any order, so that all VMs which have the same
 reports reach the same verdict without a leader.
@@ -19,7 +20,7 @@
 
 from endivesill.timer import TimerService
 
-__all__ = ["Block", "CrashEvidence", "CrashReport"]
+__all__ = ["Block", "CrashEvidence", "CrashReport", "Row"]
 
 # `[name, age in seconds, parts, sound, cleared]` of a report.
 Row = list[Any]
@@ -29,14 +30,22 @@
 # many that crash for other reasons.
 BLOCK_CRASHES = 3
 SOUND_BLOCK_CRASHES = 5
+# When engines end together, no run can go on between their crashes. A part that was
+# sound is blocked only if none has gone on for this long after the last crash needed.
+SOUND_BLOCK_DELAY_S = 1.0
 # After this long without a crash, one request with a blocked part is let through; each
 # further trial comes after a time longer by the factor.
 FIRST_TRIAL_S = 300.0
+SOUND_FIRST_TRIAL_S = 10.0
 TRIAL_FACTOR = 4
 MAX_TRIAL_S = 3_600.0
 # Reports that are kept, and for how long; longer than the longest wait for a trial.
 MAX_REPORTS = 64
 REPORT_TTL_S = 14_400.0
+# A report replaces the oldest one only if it is younger by this time, which is longer
+# than a message takes. Otherwise two VMs that order two old reports differently would
+# replace each other's for ever.
+MIN_AGE_DIFFERENCE_S = 1.0
 # Parts of one report, and the length of one part's id.
 MAX_PARTS = 256
 MAX_PART_LENGTH = 64
@@ -57,7 +66,7 @@
       at_s: when it was reported, by this VM's clock.
       parts: parts of the prompts of the runs that had just begun.
       sound: those that were in another run that went on before.
-      cleared: those that were in a run that began later and went on.
+      cleared: those that were in a run that went on after the crash.
     """
 
     name: str
@@ -86,20 +95,29 @@
       crashes: number of crashes that they explain.
       trials: number of trials since.
       newest_s: when the newest of these crashes and trials was reported.
+      from_s: when the block comes into force.
+      is_sound: whether runs with the parts went on before the crashes.
     """
 
     parts: frozenset[str]
     crashes: int
     trials: int
     newest_s: float
+    from_s: float
+    is_sound: bool
 
     @property
     def trial_at_s(self) -> float:
         """When one request may be let through."""
-        wait_s = FIRST_TRIAL_S * TRIAL_FACTOR**self.trials
+        first_s = SOUND_FIRST_TRIAL_S if self.is_sound else FIRST_TRIAL_S
+        wait_s = first_s * TRIAL_FACTOR**self.trials
         return self.newest_s + min(wait_s, MAX_TRIAL_S)
 
 
+def ignore_blocks(new: list[Block], gone: list[Block]) -> None:
+    """Ignore blocks that come and go; the default."""
+
+
 class CrashEvidence:
     """Reports of crashes, and the parts of prompts that they block.
 
@@ -108,7 +126,6 @@
 
     Attributes:
       number: counts the changes of the reports.
-      blocks: the blocks in force.
       on_change: called after each change of the reports.
       on_blocks: called with the blocks that are new and those that are gone.
     """
@@ -119,12 +136,21 @@
         self._sound_at_s: dict[str, float] = {}
         self._evaluated_number = 0
         self.number = 0
-        self.blocks: list[Block] = []
+        self._found: list[Block] = []
+        self._announced: dict[frozenset[str], Block] = {}
         self.on_change: Callable[[], None] = lambda: None
         self.on_blocks: Callable[[list[Block], list[Block]], None] = lambda new, gone: (
             None
         )
 
+    @property
+    def blocks(self) -> list[Block]:
+        """The blocks in force."""
+        if not self._found:
+            return []
+        now_s = self._timer.now_s()
+        return [block for block in self._found if block.from_s <= now_s]
+
     # What this VM observes.
 
     def note_crash(self, incarnation: str, parts: Iterable[str]) -> None:
@@ -154,11 +180,13 @@
     # Verdicts.
 
     def find_block(self, parts: Iterable[str]) -> Block | None:
-        """Return the block that a prompt with these parts meets; None without one."""
-        if not self.blocks:
-            return None
+        """Return the block that a prompt with these parts meets; None without one.
+
+        Of several ones, it is that whose trial is due last.
+        """
         prompt = set(parts)
-        return next((block for block in self.blocks if block.parts <= prompt), None)
+        met = [block for block in self.blocks if block.parts <= prompt]
+        return max(met, key=lambda block: block.trial_at_s, default=None)
 
     def is_suspect(self, parts: Iterable[str]) -> bool:
         """Return whether a part of a prompt may have crashed an engine before."""
@@ -190,10 +218,16 @@
             for report in self._reports.values()
         ]
 
+    def blocking_rows(self) -> list[Row]:
+        """Return the rows of the reports without which a block would end."""
+        blamed = set().union(*(block.parts for block in self._found))
+        names = {r.name for r in self._reports.values() if r.suspects & blamed}
+        return [row for row in self.rows() if row[0] in names]
+
     def merge(self, rows: Iterable[Row]) -> None:
         """Merge the reports of another VM."""
         now_s = self._timer.now_s()
-        for name, age_s, parts, sound, cleared in rows:
+        for name, age_s, parts, sound, cleared, *_ in rows:
             at_s = now_s - max(0.0, age_s)
             if now_s - at_s <= REPORT_TTL_S:
                 self._merge_report(name, at_s, set(parts), set(sound), set(cleared))
@@ -209,11 +243,10 @@
     ) -> None:
         report = self._reports.get(name)
         if report is None:
-            if not parts:
+            if not parts or not self._make_room(at_s, parts - cleared):
                 return
             report = self._reports[name] = CrashReport(name, at_s)
             self.number += 1
-            self._remove_excess()
         before = (len(report.parts), len(report.sound), len(report.cleared))
         valid = sorted(p for p in parts - report.parts if len(p) <= MAX_PART_LENGTH)
         report.parts.update(valid[: MAX_PARTS - len(report.parts)])
@@ -222,16 +255,33 @@
         if before != (len(report.parts), len(report.sound), len(report.cleared)):
             self.number += 1
 
-    def _sound_since(self, report: CrashReport, after_s: float) -> set[str]:
-        """Return the parts of runs that went on since a time after the report."""
-        start_s = report.at_s + after_s
+    def _sound_since(self, report: CrashReport, offset_s: float) -> set[str]:
+        """Return the parts of runs that went on since an offset to the report."""
+        start_s = report.at_s + offset_s
         known = self._sound_at_s
         return {p for p in report.parts if p in known and known[p] > start_s}
 
-    def _remove_excess(self) -> None:
-        if len(self._reports) > MAX_REPORTS:
-            oldest = min(self._reports.values(), key=lambda report: report.at_s)
-            del self._reports[oldest.name]
+    def _make_room(self, at_s: float, suspects: set[str]) -> bool:
+        """Return whether there is room for a report; drops another one if needed."""
+        if len(self._reports) < MAX_REPORTS:
+            return True
+        least = min(
+            self._reports.values(), key=lambda r: (self._weight(r.suspects), r.at_s)
+        )
+        weight, least_weight = self._weight(suspects), self._weight(least.suspects)
+        if weight == least_weight:
+            is_better = at_s >= least.at_s + MIN_AGE_DIFFERENCE_S
+        else:
+            is_better = weight > least_weight
+        if is_better:
+            del self._reports[least.name]
+        return is_better
+
+    def _weight(self, suspects: set[str]) -> int:
+        """Return 2 for suspects of a block, 1 for others, 0 without any."""
+        if any(suspects & block.parts for block in self._found):
+            return 2
+        return 1 if suspects else 0
 
     def expire(self) -> None:
         """Drop old reports; to be called periodically."""
@@ -246,10 +296,16 @@
         if self.number == self._evaluated_number:
             return
         self._evaluated_number = self.number
-        old = {block.parts: block for block in self.blocks}
-        self.blocks = self._find_blocks()
-        new = {block.parts: block for block in self.blocks}
+        self._found = self._find_blocks()
         self.on_change()
+        self._announce_blocks()
+        if len(self.blocks) < len(self._found):
+            self._timer.call_after(SOUND_BLOCK_DELAY_S, self._announce_blocks)
+
+    def _announce_blocks(self) -> None:
+        """Call `on_blocks` if other blocks are in force than at the last call."""
+        old, new = self._announced, {block.parts: block for block in self.blocks}
+        self._announced = new
         if old.keys() != new.keys():
             self.on_blocks(
                 [block for parts, block in new.items() if parts not in old],
@@ -266,22 +322,28 @@
                 return blocks
             best = max(
                 sorted(names_by_part),
-                key=lambda part: (len(names_by_part[part]), part not in sound),
+                key=lambda part: (part not in sound, len(names_by_part[part])),
             )
             names = names_by_part[best]
             tied = {part for part in names_by_part if names_by_part[part] == names}
-            blocks.append(self._make_block(frozenset(tied - sound or tied), names))
+            blamed = frozenset(tied - sound or tied)
+            blocks.append(self._make_block(blamed, names, is_sound=best in sound))
             crashes = [report for report in crashes if report.name not in names]
 
-    def _make_block(self, parts: frozenset[str], names: set[str]) -> Block:
+    def _make_block(
+        self, parts: frozenset[str], names: set[str], *, is_sound: bool
+    ) -> Block:
         trials = [
             report
             for report in self._reports.values()
             if report.is_trial and report.suspects & parts
         ]
-        times_s = [self._reports[name].at_s for name in names]
-        newest_s = max(times_s + [report.at_s for report in trials])
-        return Block(parts, len(names), len(trials), newest_s)
+        times_s = sorted(self._reports[name].at_s for name in names)
+        newest_s = max([times_s[-1], *(report.at_s for report in trials)])
+        from_s = float("-inf")
+        if is_sound:
+            from_s = times_s[SOUND_BLOCK_CRASHES - 1] + SOUND_BLOCK_DELAY_S
+        return Block(parts, len(names), len(trials), newest_s, from_s, is_sound)
 
 
 def _blockable_parts(
--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 from endivesill import events
@@ -25,11 +25,13 @@
 
 # Reason of a refusal because of a blocked prompt.
 BLOCKED = "prompt part blocked"
-# Time from the head of a response during which the end of the connection may come from
-# the prompt even if an event has come.
+# Time from the first event of a run during which the end of the connection may come
+# from the prompt; the prompt is read between the head and that event.
 START_WINDOW_S = 0.2
-# Time from the head of a response after which a run with events has survived its start.
+# Time from the first event after which a run has survived its start.
 SURVIVAL_S = 1.0
+# Time between two requests for a trial; the leader grants one to the whole fleet.
+TRIAL_REQUEST_PAUSE_S = 1.0
 
 
 class CrashGuard:
@@ -40,7 +42,6 @@
       exchange: exchanges reports of crashes with the control VMs.
       pool: connections to targets.
       running: the requests of this process.
-      request_trial: asks whether one request that meets a block may be sent.
     """
 
     def __init__(
@@ -49,7 +50,6 @@
         exchange: CrashExchange,
         pool: ConnectionPool,
         running: RunningCalls,
-        request_trial: Callable[[Block], Awaitable[bool]],
     ) -> None:
         self._timer = timer
         self._exchange = exchange
@@ -57,7 +57,8 @@
         self._evidence.on_blocks = self._apply_blocks
         self._pool = pool
         self._running = running
-        self._request_trial = request_trial
+        # No trial is requested until then, as the last one was not granted.
+        self._next_trial_s = float("-inf")
         self._tasks: set[asyncio.Task[Any]] = set()
 
     # Admission.
@@ -71,12 +72,22 @@
         block = self._find_block(call)
         if block is None:
             return None
-        wait_s = block.trial_at_s - self._timer.now_s()
-        if wait_s <= 0 and await self._request_trial(block):
+        if await self._may_try(block):
             call.is_trial = True
             return None
         self._log_blocked(call, block)
-        return max(0.0, wait_s)
+        return self._trial_wait_s(block)
+
+    def _trial_wait_s(self, block: Block) -> float:
+        return max(0.0, block.trial_at_s - self._timer.now_s())
+
+    async def _may_try(self, block: Block) -> bool:
+        """Return whether the leader lets one request through a block."""
+        now_s = self._timer.now_s()
+        if self._trial_wait_s(block) > 0 or now_s < self._next_trial_s:
+            return False
+        self._next_trial_s = now_s + TRIAL_REQUEST_PAUSE_S
+        return await self._exchange.request_trial(block)
 
     def _find_block(self, call: Call) -> Block | None:
         return self._evidence.find_block(call.info.shared_parts)
@@ -100,7 +111,8 @@
                 PROMPT_PARTS_RELEASED, parts=sorted(block.parts), trials=block.trials
             )
         if new:
-            self._running.end(self._must_end, BLOCKED)
+            wait_s = min(map(self._trial_wait_s, new))
+            self._running.end(self._must_end, BLOCKED, wait_s)
 
     def _must_end(self, call: Call) -> bool:
         """Return whether a request that waits, or has just been sent, is blocked."""
@@ -114,22 +126,34 @@
 
     # Observation of runs.
 
-    def note_progress(self, call: Call, head_s: float) -> None:
-        """Record events of a run whose response began at `head_s`."""
-        if self._timer.now_s() - head_s >= SURVIVAL_S:
+    def note_progress(self, call: Call, first_event_s: float) -> None:
+        """Record events of a run whose first one came at `first_event_s`."""
+        if self._timer.now_s() - first_event_s >= SURVIVAL_S:
             self._note_survival(call)
 
     def note_complete(
-        self, call: Call, target: Target, head_s: float, *, is_framed: bool
+        self,
+        call: Call,
+        target: Target,
+        first_event_s: float | None,
+        *,
+        is_framed: bool,
     ) -> None:
         """Record a complete response.
 
         The crash of an engine looks like the end of a response without framing, so the
         engine is checked after a short one.
+
+        Args:
+          call: the request.
+          target: the engine.
+          first_event_s: when the first event of the run came; None without one.
+          is_framed: whether the response did not end with its connection.
         """
         if not self._is_observed(call):
             return
-        if is_framed or self._timer.now_s() - head_s >= SURVIVAL_S:
+        age_s = 0.0 if first_event_s is None else self._timer.now_s() - first_event_s
+        if is_framed or age_s >= SURVIVAL_S:
             self._note_survival(call)
         else:
             self._start(self._check_end(call, target))
@@ -138,19 +162,20 @@
         """Record that a run which had just begun has lost its connection."""
         if self._is_observed(call):
             parts = call.info.shared_parts
-            call.is_suspect = self._evidence.is_suspect(parts)
+            is_blocked = self._find_block(call) is not None
+            call.is_suspect = is_blocked or self._evidence.is_suspect(parts)
             self._start(self._check_crash(target, parts))
 
-    def has_just_begun(self, head_s: float | None, run_events: int) -> bool:
+    def has_just_begun(self, head_s: float | None, first_event_s: float | None) -> bool:
         """Return whether the end of a run's connection may come from its prompt.
 
         Args:
           head_s: when the head of the response came; None if it did not.
-          run_events: events that came from this run.
+          first_event_s: when its first event came; None if none did.
         """
-        if head_s is None:
-            return False
-        return not run_events or self._timer.now_s() - head_s <= START_WINDOW_S
+        if head_s is None or first_event_s is None:
+            return head_s is not None
+        return self._timer.now_s() - first_event_s <= START_WINDOW_S
 
     def _is_observed(self, call: Call) -> bool:
         return bool(call.info.shared_parts) and not call.has_survived
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -100,9 +100,7 @@
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
         self._running = RunningCalls(timer)
-        self._guard = CrashGuard(
-            timer, crashes, pool, self._running, placer.request_trial
-        )
+        self._guard = CrashGuard(timer, crashes, pool, self._running)
 
     @property
     def routes(self) -> RouteTable | None:
@@ -255,9 +253,7 @@
             self._log.attempt_failed(call, target, f"status {attempt.response.status}")
             return False
         self._forward_response(call, attempt, body)
-        self._guard.note_complete(
-            call, target, call.received_s, is_framed=attempt.head.framed
-        )
+        self._guard.note_complete(call, target, None, is_framed=attempt.head.framed)
         return True
 
     async def _read_response(self, call: Call, target: Target) -> tuple[Attempt, bytes]:
