--- a/tests/test_fleet_crash_exchange.py
+++ b/tests/test_fleet_crash_exchange.py
@@ -2,25 +2,13 @@
 
 from endivesill.fleet.crash_evidence import BLOCK_CRASHES, FIRST_TRIAL_S
 from endivesill.fleet.sync_client import SYNC_PATH
-from tests.control_cluster import ClusterTestCase
-from tests.fleet_cluster import FleetCluster
-from tests.forwarding_fakes import engine
+from tests.test_fleet_sync import SyncTestCase
 
 # From a report until it has reached all entries; the platform's bound is 3 s.
 EXCHANGE_BOUND_S = 1.0
 
 
-class ExchangeTestCase(ClusterTestCase):
-    async def cluster(self, entries=3):
-        cluster = FleetCluster()
-        self.addAsyncCleanup(cluster.close)
-        cluster.list.engines = [engine("e1")]
-        await cluster.start()
-        for _ in range(entries):
-            cluster.add_entry()
-        await cluster.timer.advance(3.0)
-        return cluster
-
+class ExchangeTestCase(SyncTestCase):
     async def crash(self, cluster, entry, name, *parts):
         crashes = entry.sync_client.crashes
         crashes.evidence.note_crash(f"{name}@1", parts)
@@ -70,14 +58,14 @@
         self.assertEqual([[{"bad"}]] * 4, self.blocked(cluster))
 
     async def test_an_entry_that_starts_later_learns_of_a_block(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         cluster.add_entry()
         await cluster.timer.advance(EXCHANGE_BOUND_S)
         self.assertEqual([[{"bad"}]] * 4, self.blocked(cluster))
 
     async def test_control_vms_that_restart_learn_of_a_block_from_the_entries(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         for address in list(cluster.addresses):
             await cluster.crash(address)
@@ -87,8 +75,20 @@
         await cluster.timer.advance(EXCHANGE_BOUND_S)
         self.assertEqual([[{"bad"}]] * 4, self.blocked(cluster))
 
+    async def test_a_block_survives_a_restart_of_all_vms(self):
+        cluster = await self.cluster(entries=3)
+        await self.crash_at_each(cluster, "bad")
+        for entry in cluster.entries:
+            entry.task.cancel()
+        for address in list(cluster.addresses):
+            await cluster.crash(address)
+            await cluster.boot(address, cluster.disks[address])
+        cluster.add_entry()
+        await cluster.timer.advance(3.0)
+        self.assertEqual([{"bad"}], self.blocked(cluster)[-1])
+
     async def test_a_run_that_goes_on_at_one_entry_clears_a_part_everywhere(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "first", "bad")
         await cluster.timer.advance(0.1)
         self.assertEqual([[{"first", "bad"}]] * 3, self.blocked(cluster))
@@ -97,7 +97,7 @@
         self.assertEqual([[{"bad"}]] * 3, self.blocked(cluster))
 
     async def test_polls_do_not_return_at_once_for_ever_after_a_report(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         await cluster.timer.advance(EXCHANGE_BOUND_S)
         calls = []
@@ -116,25 +116,24 @@
 
 class TrialTest(ExchangeTestCase):
     async def test_the_leader_grants_one_trial_to_the_fleet(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         await cluster.timer.advance(FIRST_TRIAL_S + 1.0)
         granted = []
         for entry in cluster.entries:
             client = entry.sync_client
             (block,) = client.crashes.evidence.blocks
-            granted.append(
-                await cluster.run(client.crashes.request_trial(client.leader, block))
-            )
+            granted.append(await cluster.run(client.crashes.request_trial(block)))
         self.assertEqual([True, False, False], granted)
 
     async def test_there_is_no_trial_without_a_leader(self):
-        cluster = await self.cluster()
+        cluster = await self.cluster(entries=3)
         await self.crash_at_each(cluster, "bad")
         await cluster.timer.advance(FIRST_TRIAL_S + 1.0)
         crashes = cluster.entries[0].sync_client.crashes
         (block,) = crashes.evidence.blocks
-        self.assertFalse(await cluster.run(crashes.request_trial(None, block)))
         leader = cluster.address_of(await cluster.leader())
         follower = next(a for a in cluster.addresses if a != leader)
-        self.assertFalse(await cluster.run(crashes.request_trial(follower, block)))
+        for address in (None, follower):
+            crashes._leader = lambda address=address: address
+            self.assertFalse(await cluster.run(crashes.request_trial(block)))
