Log the request rates to which engines limit all entries

Entries now decode it from each response and log each change as engine-limited or engine-unlimited; the metric endivesill_engines_limited counts the engines.

--- /dev/null
+++ b/endivesill/fleet/engine_limits.py
@@ -0,0 +1,112 @@
+"""Request rates to which engines limit all entries together.
+
+Entries learn of a limit from the engine's own responses, at different times. Each
+observation has its time, and the newest one of an engine holds.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from endivesill import events
+from endivesill.fleet.events import ENGINE_LIMITED, ENGINE_UNLIMITED
+from endivesill.timer import TimerService
+
+__all__ = ["EngineLimits", "LimitRow"]
+
+# `[requests per second or None, age in seconds]` of an observation.
+LimitRow = list[float | None]
+
+# Range of the limits. With a lower one, requests would be too rare to notice its end;
+# a higher one bounds nothing.
+MIN_LIMIT_PER_S = 0.25
+MAX_LIMIT_PER_S = 100_000.0
+
+
+@attrs.frozen
+class _Observation:
+    """What an engine has said about its limit.
+
+    Attributes:
+      per_s: the limit in requests per second; None for no limit.
+      seen_s: when it said so, by this VM's clock.
+    """
+
+    per_s: float | None
+    seen_s: float
+
+
+class EngineLimits:
+    """The newest limit of each engine, by incarnation.
+
+    Args:
+      timer: the timer service.
+
+    Attributes:
+      number: counts the changes that another VM may lack.
+    """
+
+    def __init__(self, timer: TimerService) -> None:
+        self._timer = timer
+        self._observations: dict[str, _Observation] = {}
+        self.number = 0
+
+    def note_response(
+        self, incarnation: str, per_s: float | None, *, may_end: bool
+    ) -> bool:
+        """Record the limit that a response of an engine names.
+
+        Args:
+          incarnation: the engine.
+          per_s: requests per second; None if the response names no limit, NaN if it
+            names one that cannot be read, which leaves the last one in force.
+          may_end: whether a response without a limit ends the last one.
+
+        Returns:
+          Whether the limit has changed.
+        """
+        known = self._observations.get(incarnation)
+        if per_s is None and (known is None or not may_end):
+            return False
+        if per_s is not None and math.isnan(per_s):
+            if known is None or known.per_s is None:
+                events.emit(
+                    ENGINE_LIMITED, target=incarnation, limit_per_s="unreadable"
+                )
+            return False
+        return self._observe(incarnation, per_s, self._timer.now_s())
+
+    def _observe(self, incarnation: str, per_s: float | None, seen_s: float) -> bool:
+        if per_s is not None:
+            per_s = min(max(per_s, MIN_LIMIT_PER_S), MAX_LIMIT_PER_S)
+        known = self._observations.get(incarnation)
+        is_news = per_s != (known.per_s if known else None)
+        self._observations[incarnation] = _Observation(per_s, seen_s)
+        if is_news:
+            self.number += 1
+            if per_s is None:
+                events.emit(ENGINE_UNLIMITED, target=incarnation)
+            else:
+                events.emit(ENGINE_LIMITED, target=incarnation, limit_per_s=per_s)
+        return is_news
+
+    def limit_per_s(self, incarnation: str) -> float | None:
+        """Return the limit of an engine in requests per second; None without one."""
+        known = self._observations.get(incarnation)
+        return known.per_s if known else None
+
+    def limited(self) -> list[str]:
+        """Return the incarnations that have a limit."""
+        return [key for key, o in self._observations.items() if o.per_s is not None]
+
+    def forget(self, incarnations: Iterable[str]) -> None:
+        """Drop what is known of some engines."""
+        for incarnation in incarnations:
+            self._observations.pop(incarnation, None)
+
+    def known(self) -> set[str]:
+        """Return the incarnations that have or had a limit."""
+        return set(self._observations)
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -72,6 +72,14 @@
     "engine-paused",
     "An engine has rejected a request and wants none from this process for a time.",
 )
+ENGINE_LIMITED = events.define(
+    4514,
+    "engine-limited",
+    "An engine limits the requests per second from all entries together.",
+)
+ENGINE_UNLIMITED = events.define(
+    4515, "engine-unlimited", "An engine no longer limits the rate of requests."
+)
 ENGINES_UNREPORTED = events.define(
     5105,
     "engines-unreported",
--- a/endivesill/fleet/notices.py
+++ b/endivesill/fleet/notices.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from endivesill import events
+from endivesill.fleet.engine_limits import EngineLimits
 from endivesill.fleet.events import ENGINE_LEAVING, ENGINE_PAUSED
 from endivesill.fleet.model import EngineInfo
 from endivesill.timer import TimerService
@@ -29,6 +30,9 @@
 
     Args:
       timer: the timer service.
+
+    Attributes:
+      limits: the request rates to which engines limit all entries together.
     """
 
     def __init__(self, timer: TimerService) -> None:
@@ -36,6 +40,7 @@
         self._leaving: set[str] = set()
         self._paused_until_s: dict[str, float] = {}
         self._unlisted_since_s: dict[str, float] = {}
+        self.limits = EngineLimits(timer)
 
     def note_leaving(self, engine: EngineInfo, source: str) -> bool:
         """Record that an engine leaves; return whether this is news.
@@ -91,7 +96,8 @@
         """Drop the notices of incarnations that have not been listed for long."""
         now_s = self._timer.now_s()
         known = set(listed)
-        for incarnation in self._leaving | self._paused_until_s.keys():
+        noted = self._leaving | self._paused_until_s.keys() | self.limits.known()
+        for incarnation in noted:
             if incarnation in known:
                 self._unlisted_since_s.pop(incarnation, None)
             elif now_s - self._unlisted_since_s.setdefault(incarnation, now_s) > (
@@ -99,4 +105,5 @@
             ):
                 self._leaving.discard(incarnation)
                 self._paused_until_s.pop(incarnation, None)
+                self.limits.forget([incarnation])
                 del self._unlisted_since_s[incarnation]
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -155,6 +155,10 @@
         except SendError as error:
             raise AttemptError(FAILURES[error.failure], str(error)) from None
         response = self._protocol.decode_response(head)
+        if not response.wrong_target:
+            self._table.note_limit(
+                target, response.limit_per_s, may_end=not response.not_run
+            )
         if response.wrong_target or response.not_run:
             self._pool.release(connection)
             is_wrong_target = response.wrong_target
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -83,6 +83,8 @@
       is_leaving: whether the engine says that it is about to leave.
       pause_s: how long the engine wants no requests from this VM; None for no pause,
         NaN if it asks for one that cannot be read.
+      limit_per_s: requests per second that the engine takes from all VMs together;
+        None for no limit, NaN for one that cannot be read.
     """
 
     status: int
@@ -90,6 +92,7 @@
     wrong_target: bool
     is_leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class EngineProtocol(Protocol):
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -175,6 +175,16 @@
         if pause_s is not None:
             self.notices.note_pause(target.info, pause_s)
 
+    def note_limit(
+        self, target: Target, limit_per_s: float | None, *, may_end: bool
+    ) -> None:
+        """Record the limit that a response of a target names.
+
+        See `EngineLimits.note_response` for the arguments.
+        """
+        incarnation = target.info.incarnation
+        self.notices.limits.note_response(incarnation, limit_per_s, may_end=may_end)
+
     def unlisted_departures(self) -> list[str]:
         """Return the leaving incarnations that the list does not show as leaving."""
         return [
@@ -234,10 +244,12 @@
                 counts["evacuated"] += 1
             else:
                 counts["resting" if target.ejected_until_s > now_s else "ready"] += 1
-        return [
+        lines = [
             f'endivesill_engines{{state="{state}"}} {count}'
             for state, count in counts.items()
         ]
+        limited = len(self.notices.limits.limited())
+        return [*lines, f"endivesill_engines_limited {limited}"]
 
     def has_list(self) -> bool:
         """Return whether the list of engines was received since the start."""
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -21,12 +21,15 @@
     "ListPage",
     "PlatformProtocol",
     "decode_leaving",
+    "decode_limit_per_s",
     "decode_list_page",
     "decode_pause_s",
 ]
 
 MS_PER_S = 1_000.0
 SECONDS_PATTERN = re.compile(rb"-?[0-9]{1,18}(\.[0-9]{0,18})?")
+# Digits beyond these would only make a limit larger than any that bounds something.
+LIMIT_PATTERN = re.compile(rb"[0-9]{1,64}(\.[0-9]{0,64})?")
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -110,6 +113,22 @@
     return float(value)
 
 
+def decode_limit_per_s(head: ResponseHead) -> float | None:
+    """Return the request rate to which an engine limits all VMs; None without one.
+
+    Of several values the lowest counts. If none is a decimal number, the result is NaN.
+    """
+    values = [
+        value.strip()
+        for field in header_values(head.headers, wire.SERVER_LIMIT)
+        for value in field.split(b",")
+    ]
+    if not values:
+        return None
+    limits = [float(value) for value in values if LIMIT_PATTERN.fullmatch(value)]
+    return min(limits, default=math.nan)
+
+
 class PlatformProtocol:
     """Encodes and decodes the platform's request and response headers."""
 
@@ -157,6 +176,7 @@
             wrong_target=status == 421,
             is_leaving=decode_leaving(head),
             pause_s=decode_pause_s(head),
+            limit_per_s=decode_limit_per_s(head),
         )
 
     def encode_copy_order(
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -33,6 +33,9 @@
 RETRY_AFTER = b"retry-after"
 # In any response of an engine: present if it is about to leave.
 SERVER_LEAVING = b"server-leaving"
+# In responses of an engine in need: requests per second that it takes from all VMs
+# together, for as long as its responses have the header.
+SERVER_LIMIT = b"server-limit"
 # In the response to a health check: identity of the responding engine.
 INSTANCE_ID = b"x-endivesill-instance-id"
 
