Keep to engines' limits on the sum of all entries' requests

Entries report the limits that responses name at once; the leader publishes the newest observation of each engine. It keeps a token bucket for each one and grants permits for requests that wait, so that nothing is saved up at the entries: one request at each of 1,000 would break the limit. Placements of the leader and its own polls take from the same buckets. Without a leader, the entries take turns by its last clock; the places come with the leases. Retries, resumes and orders to copy runs need a permit each. A request that can get none in time is refused at once, with a time of return of its own.

--- a/endivesill/fleet/departures.py
+++ b/endivesill/fleet/departures.py
@@ -53,6 +53,7 @@
       source: checks one engine.
       engines: returns the engines to check; none while this VM does not lead.
       on_change: called when the set of leaving engines has changed.
+      may_check: returns whether an engine may be checked now.
     """
 
     def __init__(
@@ -61,7 +62,9 @@
         source: HealthSource,
         engines: Callable[[], Iterable[EngineInfo]],
         on_change: Callable[[], None],
+        may_check: Callable[[EngineInfo], bool] = lambda engine: True,
     ) -> None:
+        self._may_check = may_check
         self._timer = timer
         self._source = source
         self._engines = engines
@@ -143,8 +146,9 @@
         self._unconfirmed &= incarnations
 
     def _needs_check(self, engine: EngineInfo) -> bool:
-        """Return whether a check can add to what the list shows."""
-        return not engine.is_draining or engine.incarnation in self.leaving()
+        """Return whether a check is allowed and can add to what the list shows."""
+        can_add = not engine.is_draining or engine.incarnation in self.leaving()
+        return can_add and self._may_check(engine)
 
     async def _check(self, engine: EngineInfo) -> None:
         try:
--- a/endivesill/fleet/engine_limits.py
+++ b/endivesill/fleet/engine_limits.py
@@ -110,3 +110,31 @@
     def known(self) -> set[str]:
         """Return the incarnations that have or had a limit."""
         return set(self._observations)
+
+    def rows(self) -> dict[str, LimitRow]:
+        """Return the observations as JSON, by incarnation."""
+        now_s = self._timer.now_s()
+        return {
+            incarnation: [o.per_s, round(now_s - o.seen_s, 4)]
+            for incarnation, o in self._observations.items()
+        }
+
+    def merge(self, rows: dict[str, LimitRow]) -> bool:
+        """Merge the observations of another VM; return whether it lacks one.
+
+        Args:
+          rows: rows of that VM. Where it has another limit and an older observation,
+            this VM's is news for it.
+        """
+        now_s = self._timer.now_s()
+        is_behind = False
+        for incarnation, (per_s, age_s) in rows.items():
+            seen_s = now_s - max(0.0, age_s or 0.0)
+            known = self._observations.get(incarnation)
+            if known is None or seen_s > known.seen_s:
+                self._observe(incarnation, per_s, seen_s)
+            elif per_s != known.per_s:
+                is_behind = True
+        if is_behind:
+            self.number += 1
+        return is_behind
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -80,6 +80,11 @@
 ENGINE_UNLIMITED = events.define(
     4515, "engine-unlimited", "An engine no longer limits the rate of requests."
 )
+PERMITS_UNANSWERED = events.define(
+    4516,
+    "permits-unanswered",
+    "The leader did not answer a request for permits; entries take turns meanwhile.",
+)
 ENGINES_UNREPORTED = events.define(
     5105,
     "engines-unreported",
--- a/endivesill/fleet/reports.py
+++ b/endivesill/fleet/reports.py
@@ -59,6 +59,7 @@
       timer: the timer service.
       source: reads one report.
       engines: returns the engines to poll; none while this VM does not lead.
+      may_poll: returns whether an engine may be polled now.
     """
 
     def __init__(
@@ -66,10 +67,12 @@
         timer: TimerService,
         source: ReportSource,
         engines: Callable[[], Iterable[EngineInfo]],
+        may_poll: Callable[[EngineInfo], bool] = lambda engine: True,
     ) -> None:
         self._timer = timer
         self._source = source
         self._engines = engines
+        self._may_poll = may_poll
         self._reports: dict[str, EngineReport] = {}
         self._unresponsive: set[str] = set()
 
@@ -96,7 +99,7 @@
         """Poll the engines until cancelled."""
         while True:
             engines = list(self._engines())
-            await asyncio.gather(*(self._read(engine) for engine in engines))
+            await asyncio.gather(*map(self._read, filter(self._may_poll, engines)))
             incarnations = {engine.incarnation for engine in engines}
             self._reports = {
                 key: r for key, r in self._reports.items() if key in incarnations
--- a/endivesill/fleet/shares.py
+++ b/endivesill/fleet/shares.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-__all__ = ["LEASE_DURATION_S", "ShareLease", "ShareAllocator"]
+__all__ = ["LEASE_DURATION_S", "EntryTurn", "ShareLease", "ShareAllocator"]
 
 # Longer than two elections of the control VMs, so that a change of the leader does not
 # interrupt work that needs a share.
@@ -35,6 +35,25 @@
         return self.share if now_s < self.expires_s else 0.0
 
 
+@attrs.frozen
+class EntryTurn:
+    """An entry's place among those that share a limit while no leader answers.
+
+    Attributes:
+      index: its place, from 0.
+      count: the number of places.
+      clock_offset_s: the leader's time minus that of this process.
+    """
+
+    index: int
+    count: int
+    clock_offset_s: float
+
+    def clock_s(self, now_s: float) -> float:
+        """Return the leader's time at a time of this process."""
+        return now_s + self.clock_offset_s
+
+
 class ShareAllocator:
     """Leases granted by one leader.
 
@@ -50,6 +69,9 @@
             collections.OrderedDict()
         )
         self._granted = 0.0
+        # Places of the entries with a lease, and the free ones below the highest.
+        self._places: dict[str, int] = {}
+        self._free_places: set[int] = set()
 
     def renew(self, entry_id: str, held_share: float, now_s: float) -> float:
         """Renew an entry's lease and return its share.
@@ -60,7 +82,11 @@
           now_s: the leader's time.
         """
         self._expire(now_s)
-        self.release(entry_id)
+        self._end_lease(entry_id)
+        if entry_id not in self._places:
+            place = min(self._free_places, default=self.place_count)
+            self._free_places.discard(place)
+            self._places[entry_id] = place
         if now_s < self._previous_expired_s:
             share = held_share
         else:
@@ -69,8 +95,25 @@
         self._granted += share
         return share
 
+    def place(self, entry_id: str) -> int:
+        """Return the place of an entry with a lease; see `EntryTurn`."""
+        return self._places[entry_id]
+
+    @property
+    def place_count(self) -> int:
+        """Number of places, free ones included."""
+        return len(self._places) + len(self._free_places)
+
     def release(self, entry_id: str) -> None:
         """End the lease of an entry that stops."""
+        self._end_lease(entry_id)
+        place = self._places.pop(entry_id, None)
+        if place is not None:
+            self._free_places.add(place)
+        while self._free_places and self.place_count - 1 in self._free_places:
+            self._free_places.remove(self.place_count - 1)
+
+    def _end_lease(self, entry_id: str) -> None:
         lease = self._leases.pop(entry_id, None)
         if lease is not None:
             self._granted -= lease.share
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -11,6 +11,7 @@
 
 from endivesill import errors, events
 from endivesill.fleet.crash_exchange import CrashExchange
+from endivesill.fleet.engine_limits import EngineLimits, LimitRow
 from endivesill.fleet.events import (
     ENGINES_UNREPORTED,
     LEADER_LOST,
@@ -22,7 +23,7 @@
 from endivesill.fleet.outcomes import OutcomeCounts
 from endivesill.fleet.packing import unpack_document
 from endivesill.fleet.polling import addresses_digest, long_poll_s
-from endivesill.fleet.shares import LEASE_DURATION_S, ShareLease
+from endivesill.fleet.shares import LEASE_DURATION_S, EntryTurn, ShareLease
 from endivesill.peers import Message, PeerTransport
 from endivesill.signals import Signal
 from endivesill.timer import TimerService
@@ -67,7 +68,10 @@
       loads_stamp: stamp of these loads.
       ejections_stamp: stamp of the newest ejections.
       ejections: remaining seconds of these ejections, by incarnation, when they came.
+      limits_stamp: stamp of the newest limits of engines.
       lease: this entry's share of the fleet-wide limits.
+      turn: its place among the entries while no leader answers; None before the first
+        lease.
       entry_count: how many entries hold a lease.
       confirmed_at_s: when the view was last known to be current.
     """
@@ -82,7 +86,9 @@
     loads_stamp: list[int] = attrs.Factory(lambda: NO_LOADS_STAMP)
     ejections_stamp: list[int] = attrs.Factory(lambda: NO_LIST_STAMP)
     ejections: dict[str, float] = attrs.Factory(dict)
+    limits_stamp: list[int] = attrs.Factory(lambda: NO_LIST_STAMP)
     lease: ShareLease = NO_LEASE
+    turn: EntryTurn | None = None
     entry_count: int = 1
     confirmed_at_s: float = float("-inf")
 
@@ -106,6 +112,7 @@
       leader_lost: notified when the leader does not reply.
       outcomes: outcomes of requests for the next report.
       crashes: exchanges reports of crashes with the control VMs.
+      limits: the request rates to which engines limit all entries together.
     """
 
     def __init__(
@@ -134,6 +141,9 @@
         self.crashes = CrashExchange(
             timer, transport, self._known_controls, lambda: self.leader
         )
+        self.limits = EngineLimits(timer)
+        # The leader that has the limits, and their number.
+        self._limits_reported: tuple[str | None, int] = (None, 0)
         # Whether `report_engines` is running, and was called since its last report.
         self._is_reporting = False
         self._has_news = False
@@ -164,6 +174,7 @@
             self.crashes.apply_reply(address, request, reply)
             if "share" in reply:
                 retry_s = RETRY_S
+                self._limits_reported = (address, request["limits_number"])
                 self._apply(address, reply, sent_s)
                 continue
             self.outcomes.restore(request["outcomes"])
@@ -204,9 +215,15 @@
 
     async def _send_report(self, leader: str) -> None:
         outcomes = self.outcomes.take()
-        message = {"departures": self._departures(), "outcomes": outcomes}
+        number = self.limits.number
+        message = {
+            "departures": self._departures(),
+            "outcomes": outcomes,
+            "limits": self._unreported_limits(leader),
+        }
         try:
             await self._transport.call(leader, ENGINES_PATH, message, SYNC_TIMEOUT_S)
+            self._limits_reported = (leader, number)
         except errors.PeerUnreachableError as error:
             self.outcomes.restore(outcomes)
             events.emit(ENGINES_UNREPORTED, leader=leader, reason=str(error))
@@ -222,6 +239,12 @@
             # The lease expires anyway.
             events.emit(LEADER_LOST, address=self.leader, reason=str(error))
 
+    def _unreported_limits(self, leader: str | None) -> dict[str, LimitRow]:
+        """Return the limits if the leader may lack some of them."""
+        if self._limits_reported == (leader, self.limits.number):
+            return {}
+        return self.limits.rows()
+
     def _known_controls(self) -> list[str]:
         return list(dict.fromkeys([*self._control_addresses, *self._seeds]))
 
@@ -242,6 +265,9 @@
             "departures": self._departures(),
             "outcomes": self.outcomes.take(),
             "ejections": view.ejections_stamp,
+            "limits": self._unreported_limits(self.leader),
+            "limits_number": self.limits.number,
+            "limits_stamp": view.limits_stamp,
             "loads_stamp": view.loads_stamp,
             "controls": addresses_digest(self._control_addresses),
             "wait_s": long_poll_s(view.entry_count),
@@ -291,6 +317,11 @@
             view.ejections_stamp = ejections["stamp"]
             view.ejections = ejections["remaining_s"]
             updated.add("ejections")
+        limits = reply.get("limits")
+        if limits and limits["stamp"] > view.limits_stamp:
+            view.limits_stamp = limits["stamp"]
+            self._merge_limits(address, limits["rows"])
+            updated.add("limits")
         if "loads" in reply:
             view.loads_stamp = reply.get("loads_stamp", NO_LOADS_STAMP)
             own_rows = reply.get("own_loads", {})
@@ -298,8 +329,18 @@
         # Counted from the request, so that the lease expires here before it does at
         # the leader.
         view.lease = ShareLease(reply["share"], sent_s + LEASE_DURATION_S)
+        if "turn" in reply:
+            index, count, clock_s = reply["turn"]
+            view.turn = EntryTurn(index, count, clock_s - self._timer.now_s())
         view.entry_count = reply["entries"]
         view.confirmed_at_s = sent_s
         self.leader = address
         self._control_addresses = reply.get("controls", self._control_addresses)
         self._on_update(updated)
+
+    def _merge_limits(self, leader: str, rows: dict[str, LimitRow]) -> None:
+        """Merge the leader's limits; they need not be reported back to it."""
+        is_current = self._limits_reported == (leader, self.limits.number)
+        is_behind = self.limits.merge(rows)
+        if is_current and not is_behind:
+            self._limits_reported = (leader, self.limits.number)
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -18,8 +18,11 @@
 from endivesill.fleet.engine_list import EngineListReader, EngineListSource
 from endivesill.fleet.list_updates import ListUpdates
 from endivesill.fleet.load import FleetLoads, loads_to_rows
+from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.outcomes import Ejections
 from endivesill.fleet.packing import pack_document
+from endivesill.fleet.permit_service import PermitService
+from endivesill.fleet.permits import LeaderPermits
 from endivesill.fleet.polling import (
     MAX_LONG_POLL_S,
     MIN_LONG_POLL_S,
@@ -51,6 +54,8 @@
     Attributes:
       reader: holds the newest snapshot of the list.
       loads: the loads of all entries.
+      limits: the request rates to which engines limit all entries together.
+      permits: permits of all entries to send requests to these engines.
       crashes: exchanges reports of crashes with the entries.
     """
 
@@ -75,7 +80,17 @@
         self._ejections = Ejections(timer)
         self.reader = EngineListReader(timer, source)
         self.loads = FleetLoads()
+        self.limits = self.reader.notices.limits
+        self.permits = LeaderPermits(timer, self.limits)
+        PermitService(
+            timer,
+            transport,
+            self.permits,
+            self._confirm_leadership,
+            self._record_limits,
+        )
         self._allocator: ShareAllocator | None = None
+        self._published_limits = 0
         self._term = 0
         self.crashes = CrashService(timer, transport, replica)
         self.crashes.evidence.on_change = self._updated.notify
@@ -115,6 +130,31 @@
                 self.reader.notices.note_leaving(listed[incarnation], source)
         self.apply_departures()
 
+    def note_poll(
+        self,
+        engine: EngineInfo,
+        *,
+        is_leaving: bool,
+        pause_s: float | None,
+        limit_per_s: float | None,
+    ) -> None:
+        """Record what an engine announces in its response to a poll of this VM.
+
+        See `EngineNotices` for the arguments. A response to a poll without a limit does
+        not end one.
+        """
+        notices = self.reader.notices
+        if is_leaving and not notices.is_leaving(engine.incarnation):
+            self.note_departures([engine.incarnation], "poll")
+        if pause_s is not None:
+            notices.note_pause(engine, pause_s)
+        self.limits.note_response(engine.incarnation, limit_per_s, may_end=False)
+        self._publish_limits()
+
+    def may_poll(self, engine: EngineInfo) -> bool:
+        """Return whether an engine's limit leaves room for a poll by this VM."""
+        return self.permits.may_poll(engine.incarnation)
+
     def leads(self) -> bool:
         """Return whether this VM leads, without confirmation by a quorum."""
         return self._replica.core.leadership is not None
@@ -156,8 +196,12 @@
         if leadership.term != self._term:
             self._term = leadership.term
             self._allocator = ShareAllocator(self._timer.now_s())
+            self.permits.reset()
         return leadership.term
 
+    async def _confirm_leadership(self) -> bool:
+        return await self._confirmed_term() is not None
+
     def _is_current(self, leadership: Leadership) -> bool:
         """Return whether the applied state is known to be current without waiting."""
         core = self._replica.core
@@ -172,12 +216,13 @@
 
         Args:
           message: `{"entry", "version", "evacuations", "list", "share", "loads",
-            "grants_seen", "departures", "outcomes", "ejections", "loads_stamp",
-            "controls", "crashes", "crashes_stamp", "wait_s", "leaving"}`: the entry,
-            the versions and the share that it has, its load by incarnation, the last
-            grant included in it, the engines that have told it that they leave, the
-            outcomes of its requests by incarnation, its reports of crashes, and how
-            long to wait for updates.
+            "grants_seen", "departures", "outcomes", "ejections", "limits",
+            "limits_stamp", "loads_stamp", "controls", "crashes", "crashes_stamp",
+            "wait_s", "leaving"}`: the entry, the versions and the share that it has,
+            its load by incarnation, the last grant included in it, the engines that
+            have told it that they leave, the outcomes of its requests by incarnation,
+            the limits that engines have told it, its reports of crashes, and how long
+            to wait for updates.
 
         Returns:
           `{"leader"}` from a VM that does not lead; `{}` to an entry that leaves; else
@@ -221,6 +266,19 @@
             self.note_departures(message["departures"], "entry")
         if message.get("outcomes"):
             self._on_outcomes(message["outcomes"])
+        self._record_limits(message)
+
+    def _record_limits(self, message: Message) -> None:
+        """Merge the limits that an entry has learnt of."""
+        if message.get("limits"):
+            self.limits.merge(message["limits"])
+            self._publish_limits()
+
+    def _publish_limits(self) -> None:
+        """Tell the entries about limits of engines that have changed."""
+        if self.limits.number != self._published_limits:
+            self._published_limits = self.limits.number
+            self._updated.notify()
 
     async def _wait_for_updates(self, message: Message) -> None:
         async def wait() -> None:
@@ -265,6 +323,12 @@
                 "remaining_s": self._ejections.remaining_s(),
             }
             updates["ejections"] = lambda: EncodedValue(json.dumps(ejections))
+        limits_stamp = [self._term, self.limits.number]
+        if self.limits.number and limits_stamp > message.get(
+            "limits_stamp", limits_stamp
+        ):
+            limits = {"stamp": limits_stamp, "rows": self.limits.rows()}
+            updates["limits"] = lambda: EncodedValue(json.dumps(limits))
         return updates
 
     def _encode_state(self, state: Message) -> EncodedValue:
@@ -292,6 +356,11 @@
         }
         reply["share"] = self._allocator.renew(entry_id, message["share"], now_s)
         reply["entries"] = self._allocator.entry_count(now_s)
+        reply["turn"] = [
+            self._allocator.place(entry_id),
+            self._allocator.place_count,
+            round(now_s, 4),
+        ]
         reply.update(self._loads_for(entry_id, message, now_s))
         controls = sorted(self._replica.core.voter_set.members.values())
         if addresses_digest(controls) != message.get("controls"):
--- a/endivesill/forwarding/placement_service.py
+++ b/endivesill/forwarding/placement_service.py
@@ -184,7 +184,9 @@
                 expected_wait_s=round(wait_s, 3),
                 patience_s=round(request.wait_until_s - self._timer.now_s(), 3),
             )
-            after_s = retry_after_s(wait_s, self._random.random())
+            after_s = error.retry_after_s
+            if after_s is None:
+                after_s = retry_after_s(wait_s, self._random.random())
             return {"refused": error.reason, "retry_after_s": after_s}
         finally:
             self._requesting_entries.pop(id(request), None)
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -26,6 +26,8 @@
 # engines discard an unused copy.
 REFRESH_S = 1.5
 RELEASE_TIMEOUT_S = 1.0
+# Longest wait for a permit where the engine limits its requests; it is about to leave.
+PERMIT_TIMEOUT_S = 0.5
 
 
 class CopyRefusedError(errors.EndivesillError):
@@ -87,12 +89,18 @@
     ) -> tuple[int, bytes]:
         if self._table.notices.is_paused(source.info):
             raise CopyRefusedError("the engine wants no requests now")
+        incarnation = source.info.incarnation
+        if not await self._table.permits.acquire(
+            self.timer, incarnation, PERMIT_TIMEOUT_S
+        ):
+            raise CopyRefusedError("the engine's limit leaves no room")
 
         def note_announcements(head: ResponseHead) -> None:
             response = self._protocol.decode_response(head)
             self._table.note_announcements(
                 source, is_leaving=response.is_leaving, pause_s=response.pause_s
             )
+            self._table.note_limit(source, response.limit_per_s, may_end=False)
 
         exchange = self._pool.exchange(
             source.info.address, order, on_head=note_announcements
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -155,6 +155,8 @@
 
     async def _send(self, run: _Run, resume_from: str) -> Attempt:
         self.target = run.target
+        if resume_from:
+            await self._wait_for_permit(run.target)
         last_event_id = str(self._last_event_id or 0) if resume_from else ""
         run.attempt = await self._sender.send(
             self._call,
@@ -166,6 +168,17 @@
         run.head_s = self._timer.now_s()
         return run.attempt
 
+    async def _wait_for_permit(self, target: Target) -> None:
+        """Wait until a target may be sent a resume; a placement has its permit.
+
+        Raises:
+          StreamBrokenError: its limit leaves no room in time.
+        """
+        permits = self._table.permits
+        incarnation = target.info.incarnation
+        if not await permits.acquire(self._timer, incarnation, STALL_TIMEOUT_S):
+            raise StreamBrokenError("the engine's limit leaves no room for a resume")
+
     def _non_stream_response(self, attempt: Attempt) -> Attempt:
         """Return an attempt whose response is to be forwarded as a whole.
 
--- a/endivesill/forwarding/target.py
+++ b/endivesill/forwarding/target.py
@@ -15,6 +15,9 @@
 
 # Largest age of an engine's report when it is read.
 REPORT_LAG_S = 0.6
+# The request rate of a cold target is limited in every second by the target's clock;
+# the wider window absorbs variable network delay.
+COLD_WINDOW_S = 1.1
 # Upper bound of the placements at a target between two reports.
 MAX_RECENT_PLACEMENTS = 64
 
@@ -135,6 +138,18 @@
         """Undo `reserve_copy`."""
         self.reserved_tokens -= demand.memory_tokens
 
+    def may_send(self, now_s: float, allowance: float) -> bool:
+        """Return whether one more request stays within a rate while it is cold.
+
+        Args:
+          now_s: the time.
+          allowance: requests per second; below 1, one request in a longer window.
+        """
+        start_s = now_s - COLD_WINDOW_S / min(1.0, max(allowance, 1e-6))
+        while self.send_times_s and self.send_times_s[0] < start_s:
+            self.send_times_s.popleft()
+        return len(self.send_times_s) < max(1, int(allowance))
+
     def load(self) -> EngineLoad:
         """Return this entry's own load."""
         return EngineLoad(self.requests, self.reserved_tokens, self.prefill_tokens)
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable, Container, Iterable
 
 from endivesill import events
+from endivesill.fleet.engine_limits import EngineLimits
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.notices import EngineNotices
 from endivesill.fleet.outcomes import OutcomeCounts
+from endivesill.fleet.permits import SendPermits
 from endivesill.fleet.reports import EngineReport
 from endivesill.fleet.sync_client import NO_LIST_STAMP, FleetView
 from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
@@ -25,9 +27,6 @@
 MAX_CONNECT_EJECTION_S = 4.0
 # Largest fraction of a service's targets that may be ejected at a time.
 MAX_EJECTED_FRACTION = 0.5
-# The request rate of a cold target is limited in every second by the target's clock;
-# the wider window absorbs variable network delay.
-COLD_WINDOW_S = 1.1
 
 
 class TargetTable:
@@ -42,6 +41,8 @@
     Attributes:
       watchers: called by `notify`.
       notices: what the engines have announced to this process.
+      permits: says which targets may be sent a request under their limits.
+      on_limit: called when a response has changed a target's limit.
       on_leaving: called with an engine whose notice of departure is news.
       on_ejected: called with a target and the duration of its ejection as an outlier.
       outcomes: counts the outcomes of this entry's requests for the leader.
@@ -63,6 +64,8 @@
         self._by_service: dict[str, list[Target]] = {}
         self.watchers: set[Callable[[], None]] = set()
         self.notices = EngineNotices(timer)
+        self.permits = SendPermits()
+        self.on_limit: Callable[[], None] = lambda: None
         self.on_leaving: Callable[[EngineInfo], None] = lambda engine: None
         self.on_ejected: Callable[[Target, float], None] = lambda target, time_s: None
         self.outcomes = OutcomeCounts()
@@ -175,6 +178,11 @@
         if pause_s is not None:
             self.notices.note_pause(target.info, pause_s)
 
+    def use_limits(self, limits: EngineLimits, permits: SendPermits) -> None:
+        """Share the limits of targets and the permits with another part."""
+        self.notices.limits = limits
+        self.permits = permits
+
     def note_limit(
         self, target: Target, limit_per_s: float | None, *, may_end: bool
     ) -> None:
@@ -182,8 +190,9 @@
 
         See `EngineLimits.note_response` for the arguments.
         """
-        incarnation = target.info.incarnation
-        self.notices.limits.note_response(incarnation, limit_per_s, may_end=may_end)
+        limits = self.notices.limits
+        if limits.note_response(target.info.incarnation, limit_per_s, may_end=may_end):
+            self.on_limit()
 
     def unlisted_departures(self) -> list[str]:
         """Return the leaving incarnations that the list does not show as leaving."""
@@ -209,9 +218,16 @@
           None unless the service has targets and all of them are paused.
         """
         staying = [t for t in self._by_service.get(service, []) if self._stays(t)]
-        if not staying or not all(self.notices.is_paused(t.info) for t in staying):
-            return None
-        return min(self.notices.pause_end_s(t.info) for t in staying)
+        ends_s = self.pause_ends_s(service)
+        return min(ends_s) if ends_s and len(ends_s) == len(staying) else None
+
+    def pause_ends_s(self, service: str) -> list[float]:
+        """Return when the paused targets of a service accept requests again."""
+        return [
+            self.notices.pause_end_s(t.info)
+            for t in self._by_service.get(service, [])
+            if self._stays(t) and self.notices.is_paused(t.info)
+        ]
 
     def candidates(self, service: str, excluded: Iterable[Target]) -> list[Target]:
         """Return the targets of a service that a request may be placed at.
@@ -262,20 +278,8 @@
     # Rate limits.
 
     def may_send_now(self, target: Target, allowance: float) -> bool:
-        """Return whether one more request stays within a limit.
-
-        Args:
-          target: where it would be sent.
-          allowance: requests per second; below 1, one request in a longer window.
-        """
-        now_s = self._timer.now_s()
-        sends = target.send_times_s
-        window_s = (
-            COLD_WINDOW_S if allowance >= 1 else COLD_WINDOW_S / max(allowance, 1e-6)
-        )
-        while sends and now_s - sends[0] > window_s:
-            sends.popleft()
-        return len(sends) < max(1, int(allowance))
+        """Return whether one more request is allowed; see `Target.may_send`."""
+        return target.may_send(self._timer.now_s(), allowance)
 
     def note_send(self, target: Target) -> None:
         """Record a request that is sent now."""
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -12,6 +12,7 @@
 from endivesill import errors
 from endivesill.fleet.model import Service
 from endivesill.forwarding.fair_queue import FairQueue, Flow, SortKey
+from endivesill.forwarding.limited_targets import LimitedTargets
 from endivesill.forwarding.placement import ResourceDemand, choose_target, engine_time_s
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.timer import TimerService
@@ -119,6 +120,7 @@
         self._cold_allowance = cold_allowance
         self._on_placed = on_placed
         self._random = random_source
+        self._limited = LimitedTargets(timer, table)
         self._queues: dict[str, FairQueue[_Waiter]] = {}
         self._last_queued_s: dict[str, float] = {}
         # Since when a service has had no target, by its name.
@@ -145,13 +147,43 @@
         if service.cold_requests_per_s > 0:
             allowance = self._cold_allowance(service)
             targets = [t for t in targets if self._table.may_send_now(t, allowance)]
-        target = choose_target(
-            targets, service, request.demand, self._table.data_centre, self._random
-        )
-        if target is not None:
-            self._on_placed(request, target)
+        target = self._choose(request, targets)
+        if target is None or not self._table.permits.take(target.info.incarnation):
+            return None
+        self._on_placed(request, target)
         return target
 
+    def _choose(
+        self, request: PlacementRequest, targets: list[Target]
+    ) -> Target | None:
+        """Return the best target that may be sent a request now, or None.
+
+        A permit is requested only where the request would queue otherwise, since a
+        permit that is not used is lost.
+        """
+        service = request.service
+        allowed = self._limited.with_permit(targets)
+        if len(allowed) < len(targets) and not any(map(_has_free_slot, allowed)):
+            limited = self._limited.requestable(service.name, targets)
+            best = self._least_cost(request, limited)
+            if best is not None:
+                count = 1 + len(self._queues.get(service.name, ()))
+                incarnation = best.info.incarnation
+                self._table.permits.request(service.name, incarnation, count)
+                return None
+        return self._least_cost(request, allowed)
+
+    def _least_cost(
+        self, request: PlacementRequest, targets: list[Target]
+    ) -> Target | None:
+        return choose_target(
+            targets,
+            request.service,
+            request.demand,
+            self._table.data_centre,
+            self._random,
+        )
+
     async def place(self, request: PlacementRequest) -> Target:
         """Place a request, waiting in the queue if necessary.
 
@@ -170,6 +202,9 @@
                 queue.note_served(sort_key[1])
                 return target
         self._refuse_if_paused(request)
+        error = self._limit_refusal(request, queue.count_ahead(sort_key))
+        if error is not None:
+            raise error
         max_wait_s = request.wait_until_s - self._timer.now_s()
         no_target_wait_s = self._no_target_wait_s(service)
         if no_target_wait_s <= 0:
@@ -220,6 +255,27 @@
         if pause_end_s is not None and pause_end_s > request.wait_until_s:
             raise NoRoomError("all targets paused", pause_end_s - self._timer.now_s())
 
+    def _limit_refusal(
+        self, request: PlacementRequest, ahead: int
+    ) -> NoRoomError | None:
+        """Return why a request can get no permit in time; None if it may get one.
+
+        Args:
+          request: the request.
+          ahead: queued requests that get a permit before it.
+        """
+        service = request.service.name
+        targets = self._table.candidates(service, request.excluded)
+        wait_s = self._limited.expected_wait_s(targets, ahead)
+        now_s = self._timer.now_s()
+        if wait_s is None or now_s + wait_s <= request.wait_until_s:
+            return None
+        pause_ends_s = self._table.pause_ends_s(service)
+        if pause_ends_s and min(pause_ends_s) <= request.wait_until_s:
+            return None
+        after_s = self._limited.return_after_s(service, targets)
+        return NoRoomError("all targets limited", after_s)
+
     def admit_waiting(self) -> None:
         """Place queued requests in order until no target has capacity."""
         for queue in self._queues.values():
@@ -227,9 +283,13 @@
                 waiter = queue.peek()
                 if not waiter.future.done():
                     target = self.try_place(waiter.request)
-                    if target is None:
-                        break
-                    waiter.future.set_result(target)
+                    if target is not None:
+                        waiter.future.set_result(target)
+                    else:
+                        error = self._limit_refusal(waiter.request, 0)
+                        if error is None:
+                            break
+                        waiter.future.set_exception(error)
                 queue.pop()
 
     def release_waiting(self) -> None:
@@ -241,5 +301,9 @@
                     waiter.future.set_exception(errors.NotLeaderError())
 
 
+def _has_free_slot(target: Target) -> bool:
+    return target.total_requests < target.info.slots
+
+
 def _sort_key(queue: FairQueue[_Waiter], request: PlacementRequest) -> SortKey:
     return queue.sort_key_of(request.priority, request.flow, request.cost)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -11,6 +11,7 @@
 from endivesill.fleet.events import CONFIGURATION_IN_FORCE
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import Service
+from endivesill.fleet.permit_client import PermitClient
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.entry_stop import stop_serving
@@ -78,6 +79,9 @@
         view = self._sync_client.view
         self._table = TargetTable(timer, view, settings.data_centre)
         self._table.outcomes = self._sync_client.outcomes
+        permits = PermitClient(timer, transport, self._sync_client)
+        self._table.use_limits(self._sync_client.limits, permits)
+        self._table.on_limit = self._report_engines
         self._table.on_broken = self._report_engines
         self._table.on_leaving = lambda engine: self._report_engines()
         self._admission = AdmissionQueue(
@@ -88,6 +92,7 @@
             random_source,
             on_abandoned=lambda request, target: target.release(request.demand),
         )
+        permits.on_change = self._admission.admit_waiting
         placer = Placer(
             timer, self._table, self._admission, self._sync_client, transport
         )
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/platform/leader_placement.py
@@ -18,7 +18,11 @@
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.configuration import decode_configuration
-from endivesill.platform.engines import decode_leaving, decode_pause_s
+from endivesill.platform.engines import (
+    decode_leaving,
+    decode_limit_per_s,
+    decode_pause_s,
+)
 from endivesill.platform.health import PlatformHealth
 from endivesill.platform.reports import PlatformReports
 from endivesill.platform.settings import NodeSettings
@@ -59,6 +63,7 @@
         self._services: dict[str, Service] = {}
         # The entries are in all data centres, so none of them counts as local.
         self._table = TargetTable(timer, self._view, "", new_fleet_record)
+        self._table.use_limits(sync_service.limits, sync_service.permits)
         bounds = settings.bounds
         self._placement = PlacementService(
             timer,
@@ -81,12 +86,14 @@
             timer,
             PlatformReports(timer, client, self._note_response),
             self._polled_engines,
+            sync_service.may_poll,
         )
         self._departures = DepartureDetector(
             timer,
             PlatformHealth(client, self._health_path, self._note_response),
             self._polled_engines,
             sync_service.apply_departures,
+            sync_service.may_poll,
         )
         sync_service.reader.use_departure_sources(
             self._leaving, self._reports.with_notice, self._departures.is_verified
@@ -112,12 +119,12 @@
 
     def _note_response(self, engine: EngineInfo, head: ResponseHead) -> None:
         """Record what an engine announces in its response to a poll."""
-        notices = self._sync_service.reader.notices
-        if decode_leaving(head) and not notices.is_leaving(engine.incarnation):
-            self._sync_service.note_departures([engine.incarnation], "poll")
-        pause_s = decode_pause_s(head)
-        if pause_s is not None:
-            notices.note_pause(engine, pause_s)
+        self._sync_service.note_poll(
+            engine,
+            is_leaving=decode_leaving(head),
+            pause_s=decode_pause_s(head),
+            limit_per_s=decode_limit_per_s(head),
+        )
 
     def _health_path(self, service: str) -> str:
         return self._services[service].health_path
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -8,6 +8,7 @@
 import attrs
 
 from endivesill.fleet.model import EngineInfo
+from endivesill.fleet.permit_client import PermitClient
 from endivesill.forwarding.targets import ResourceDemand, TargetTable
 from endivesill.forwarding.waiting import AdmissionQueue, NoRoomError, PlacementRequest
 from tests.fleet_cluster import Entry, FleetCluster
@@ -80,6 +81,12 @@
             random.Random(address),
         )
         self.sync_client._on_update = self._apply
+        self.table.on_limit = lambda: asyncio.ensure_future(
+            self.sync_client.report_engines()
+        )
+        permits = PermitClient(self.timer, self.transport, self.sync_client)
+        permits.on_change = self.admission.admit_waiting
+        self.table.use_limits(self.sync_client.limits, permits)
 
     def _apply(self, updates: set[str]) -> None:
         if "engines" in updates:
--- a/tests/test_forwarding_targets.py
+++ b/tests/test_forwarding_targets.py
@@ -10,7 +10,7 @@
     new_fleet_record,
 )
 from endivesill.forwarding.placement import choose_target
-from endivesill.forwarding.targets import COLD_WINDOW_S, ResourceDemand
+from endivesill.forwarding.target import COLD_WINDOW_S, ResourceDemand
 from endivesill.timer import ManualTimer
 from tests.forwarding_fakes import PLAIN, engine, make_table, set_engines
 
