--- a/endivesill/forwarding/call.py
+++ b/endivesill/forwarding/call.py
@@ -27,6 +27,7 @@
       received_s: when it was read.
       deadline_s: the earlier of the caller's deadline and the route's time-out.
       caller_deadline_s: the caller's deadline.
+      causes: what it may crash engines by; see `crash_causes`.
       sends: how many targets it was sent to.
       runs: how many of them may have started to run it.
       excluded: targets that it must not be sent to again.
@@ -47,6 +48,7 @@
     received_s: float
     deadline_s: float
     caller_deadline_s: float
+    causes: tuple[str, ...] = ()
     sends: int = 0
     runs: int = 0
     excluded: list[Target] = attrs.Factory(list)
--- a/endivesill/forwarding/call_log.py
+++ b/endivesill/forwarding/call_log.py
@@ -95,6 +95,7 @@
             requests=target.total_requests,
             reserved_tokens=target.total_reserved_tokens,
             unread_tokens=target.total_prefill_tokens,
+            request_digest=_request_digest(call),
         )
 
     def attempt_failed(self, call: Call, target: Target, reason: str) -> None:
@@ -107,6 +108,7 @@
             reason=reason,
             sends=call.sends,
             runs=call.runs,
+            request_digest=_request_digest(call),
         )
 
     def ended(self, call: Call, outcome: str, reason: str, **fields: float) -> None:
@@ -124,3 +126,8 @@
             connection_age_s=round(call.connection_age_s, 3),
             **fields,
         )
+
+
+def _request_digest(call: Call) -> str | None:
+    """Return what a request has in common with others of its caller that are alike."""
+    return call.causes[-1] if call.causes else None
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 )
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.call_log import CallLog
+from endivesill.forwarding.crash_causes import crash_causes
 from endivesill.forwarding.crash_guard import BLOCKED, CrashGuard
 from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.placement import estimate_demand
@@ -158,6 +159,7 @@
         caller_remaining_s = (
             info.remaining_s if info.remaining_s is not None else route.timeout_s
         )
+        name = organisation.name if organisation is not None else ""
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
@@ -166,12 +168,13 @@
             info=info,
             route=route,
             service=service,
-            organisation=organisation.name if organisation else "",
+            organisation=name,
             priority=priority,
             demand=estimate_demand(info, service),
             received_s=received_s,
             deadline_s=received_s + min(caller_remaining_s, route.timeout_s),
             caller_deadline_s=received_s + caller_remaining_s,
+            causes=crash_causes(info, exchange, name),
         )
 
     def end_waiting(self) -> None:
--- a/tests/test_forwarding_log.py
+++ b/tests/test_forwarding_log.py
@@ -78,6 +78,21 @@
         self.assertEqual((0, ("5c",)), (failed["run_events"], failed["prompt_parts"]))
         self.assertLess(failed["head_age_s"], 1.0)
 
+    async def test_requests_that_are_alike_have_the_same_digest(self):
+        await self.add_engines("app", "s1")
+        for path, body in (
+            ("/safe/x", b"a"),
+            ("/safe/x", b"a"),
+            ("/safe/x", b"b"),
+            ("/safe/y", b"a"),
+            ("/safe/x?q=1", b"a"),
+        ):
+            await self.send_request(path, body=body)
+        placed = [f for name, f in self.lines if name == "request-placed"]
+        digests = [fields["request_digest"] for fields in placed]
+        self.assertEqual(digests[0], digests[1])
+        self.assertEqual(4, len(set(digests)))
+
     async def test_keys_are_not_logged(self):
         await self.add_engines("app", "s1")
         await self.send_request("/keyed/x", (b"Api-Key", b"k1"))
