--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -26,6 +26,8 @@
       is_hanging: whether requests are never answered.
       crashing_part: part of prompts, but for their last part, whose runs crash the
         engine as they begin to write; None for no part.
+      crashing_body: body of plain requests whose runs crash the engine; None for no
+        body.
       has_crashed: whether it has crashed; its port then refuses connections.
       requests: requests received, as (method, target, headers by lower-case name,
         body).
@@ -47,6 +49,7 @@
         self.response_headers: list[tuple[bytes, bytes]] = []
         self.is_hanging = False
         self.crashing_part: bytes | None = None
+        self.crashing_body: bytes | None = None
         self.has_crashed = False
         self.requests: list[tuple[str, bytes, dict[bytes, bytes], bytes]] = []
         self.copies: set[str] = set()
@@ -115,7 +118,9 @@
         elif self.is_hanging:
             await exchange.disconnected.wait()
             self.cancelled_requests += 1
-        elif self._crashes_on(headers) and b"x-endivesill-token-counts" not in headers:
+        elif exchange.body == self.crashing_body or (
+            self._crashes_on(headers) and b"x-endivesill-token-counts" not in headers
+        ):
             self.has_crashed = True
             await self.stop()
         elif b"x-endivesill-token-counts" in headers:
--- a/tests/test_forwarding_crashes.py
+++ b/tests/test_forwarding_crashes.py
@@ -8,6 +8,8 @@
 ENGINES = [f"e{number}" for number in range(1, 9)]
 # Crashes by one part until no entry may send it any more.
 MAX_CRASHES = 5
+# Crashes by one request until no entry may send it any more.
+MAX_REQUEST_CRASHES = 3
 COUNTS = (b"X-Endivesill-Token-Counts", b"1000,80")
 
 
@@ -115,3 +117,48 @@
         prefix = (b"X-Endivesill-Prompt-Prefix", b"5c:100,1:100")
         head, _ = await self.send_request("/safe/x", prefix)
         self.assertEqual(200, head.status)
+
+
+class CrashingRequestTest(ForwardingTestCase):
+    """A plain request that comes again and crashes each engine that runs it."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for engine in await self.add_engines("app", *ENGINES):
+            engine.crashing_body = b"bad"
+
+    async def send_often(self, path="/safe/x", *headers):
+        """Send the request 8 times; return the statuses."""
+        statuses = []
+        for _ in range(8):
+            sent = self.send_request(path, *headers, body=b"bad")
+            head, _ = await asyncio.wait_for(sent, 5)
+            statuses.append(head.status)
+            await asyncio.sleep(0.02)
+        return statuses
+
+    def crashes(self):
+        return sum(engine.has_crashed for engine in self.engines)
+
+    async def test_a_request_that_crashes_engines_is_no_longer_sent(self):
+        statuses = await self.send_often()
+        self.assertLessEqual(self.crashes(), MAX_REQUEST_CRASHES)
+        self.assertEqual([503] * 4, statuses[-4:])
+
+    async def test_a_request_that_may_not_be_repeated_is_no_longer_sent(self):
+        statuses = await self.send_often("/unsafe/x")
+        self.assertLessEqual(self.crashes(), MAX_REQUEST_CRASHES)
+        self.assertEqual([503] * 4, statuses[-4:])
+
+    async def test_requests_of_the_same_caller_path_or_body_are_served(self):
+        key = (b"Api-Key", b"k1")
+        await self.send_often("/keyed/x", key)
+        for engine in self.engines:
+            engine.crashing_body = None
+        for path, headers, body in (
+            ("/keyed/x", (key,), b"good"),
+            ("/keyed/y", (key,), b"bad"),
+            ("/safe/x", (), b"bad"),
+        ):
+            head, _ = await self.send_request(path, *headers, body=body)
+            self.assertEqual(200, head.status, path)
