Name what crashes engines a cause, of which parts of prompts are one kind

No change of behaviour. The evidence of crashes, its exchange, its events and its metric speak of causes, so that causes of another kind can go through them.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -1,11 +1,11 @@
-"""Finds parts of prompts that crash engines.
+"""Finds what crashes engines, such as parts of prompts.
 
-A part that crashes each engine that begins to write on it is in a run that had just
-begun at each of these crashes, and in no run that went on. Other parts of the same
-prompts are also in runs that survive. What is left after removing those explains the
-crashes; as in a set cover by a greedy algorithm, the part in most crashes explains its
-crashes first, and only crashes without an explanation count for other parts. Parts that
-were in runs which went on explain only what no other part does.
+A cause that crashes each engine that begins to run it is in a run that had just begun
+at each of these crashes, and in no run that went on. Other causes of the same requests
+are also in runs that survive. What is left after removing those explains the crashes;
+as in a set cover by a greedy algorithm, the cause in most crashes explains its crashes
+first, and only crashes without an explanation count for other causes. Causes that were
+in runs which went on explain only what no other cause does.
 
 Reports of crashes are merged by union in any order, so that all VMs which have the same
 reports reach the same verdict without a leader.
@@ -22,18 +22,18 @@
 
 __all__ = ["Block", "CrashEvidence", "CrashReport", "Row"]
 
-# `[name, age in seconds, parts, sound, cleared]` of a report.
+# `[name, age in seconds, causes, sound, cleared]` of a report.
 Row = list[Any]
 
-# Crashes that a part must explain before it is blocked; the second number is for a part
-# that was in a run that went on. Popular parts are in runs at most engines, and so at
+# Crashes that a cause must explain before it is blocked; the second number is for one
+# that was in a run that went on. Popular causes are in runs at most engines, and so at
 # many that crash for other reasons.
 BLOCK_CRASHES = 3
 SOUND_BLOCK_CRASHES = 5
-# When engines end together, no run can go on between their crashes. A part that was
+# When engines end together, no run can go on between their crashes. A cause that was
 # sound is blocked only if none has gone on for this long after the last crash needed.
 SOUND_BLOCK_DELAY_S = 1.0
-# After this long without a crash, one request with a blocked part is let through; each
+# After this long without a crash, one request with a blocked cause is let through; each
 # further trial comes after a time longer by the factor.
 FIRST_TRIAL_S = 300.0
 SOUND_FIRST_TRIAL_S = 10.0
@@ -46,25 +46,25 @@
 # than a message takes. Otherwise two VMs that order two old reports differently would
 # replace each other's for ever.
 MIN_AGE_DIFFERENCE_S = 1.0
-# Parts of one report, and the length of one part's id.
-MAX_PARTS = 256
-MAX_PART_LENGTH = 64
-# How long a part counts as sound after a run with it has gone on, and how many of these
-# parts are remembered.
+# Parts of one report, and the length of one cause's id.
+MAX_CAUSES = 256
+MAX_CAUSE_LENGTH = 64
+# How long a cause counts as sound after a run with it has gone on, and how many of
+# these are remembered.
 SOUND_TTL_S = 60.0
-MAX_SOUND_PARTS = 4_096
+MAX_SOUND_CAUSES = 4_096
 # Start of the name of a report that stands for a trial.
 TRIAL_PREFIX = "trial:"
 
 
 @attrs.define
 class CrashReport:
-    """The crash of one engine, or one trial of a blocked part.
+    """The crash of one engine, or one trial of a blocked cause.
 
     Attributes:
       name: incarnation of the engine, or the name of the trial.
       at_s: when it was reported, by this VM's clock.
-      parts: parts of the prompts of the runs that had just begun.
+      causes: what may have caused it, from the runs that had just begun.
       sound: those that were in a run that went on within `SOUND_TTL_S` before.
       cleared: those that were in a run that went on after the crash; they did not
         cause it.
@@ -72,14 +72,14 @@
 
     name: str
     at_s: float
-    parts: set[str] = attrs.Factory(set)
+    causes: set[str] = attrs.Factory(set)
     sound: set[str] = attrs.Factory(set)
     cleared: set[str] = attrs.Factory(set)
 
     @property
     def suspects(self) -> set[str]:
         """Parts that may have caused the crash."""
-        return self.parts - self.cleared
+        return self.causes - self.cleared
 
     @property
     def is_trial(self) -> bool:
@@ -89,18 +89,18 @@
 
 @attrs.frozen
 class Block:
-    """Parts of which one crashes engines; a prompt with all of them is blocked.
+    """Causes of which one crashes engines; a request with all of them is blocked.
 
     Attributes:
-      parts: the parts that cannot be told apart.
+      causes: the causes that cannot be told apart.
       crashes: number of crashes that they explain.
       trials: number of trials since.
       newest_s: when the newest of these crashes and trials was reported.
       from_s: when the block comes into force.
-      is_sound: whether runs with the parts went on before the crashes.
+      is_sound: whether runs with the causes went on before the crashes.
     """
 
-    parts: frozenset[str]
+    causes: frozenset[str]
     crashes: int
     trials: int
     newest_s: float
@@ -120,7 +120,7 @@
 
 
 class CrashEvidence:
-    """Reports of crashes, and the parts of prompts that they block.
+    """Reports of crashes, and the causes that they block.
 
     Args:
       timer: the timer service.
@@ -152,52 +152,52 @@
 
     # What this VM observes.
 
-    def note_crash(self, incarnation: str, parts: Iterable[str]) -> None:
+    def note_crash(self, incarnation: str, causes: Iterable[str]) -> None:
         """Record the crash of an engine under runs that had just begun.
 
         Args:
           incarnation: the engine.
-          parts: parts of one of their prompts, without its last part.
+          causes: the causes of one of them.
         """
-        self._merge_report(incarnation, self._timer.now_s(), set(parts), set(), set())
+        self._merge_report(incarnation, self._timer.now_s(), set(causes), set(), set())
         self._finish_change()
 
-    def note_sound(self, parts: Iterable[str]) -> None:
-        """Record that a run has gone on; clears the parts of its prompt."""
+    def note_sound(self, causes: Iterable[str]) -> None:
+        """Record that a run has gone on; clears its causes."""
         now_s = self._timer.now_s()
-        parts = set(parts)
-        for part in parts:
-            self._sound_at_s.pop(part, None)
-            self._sound_at_s[part] = now_s
-        while len(self._sound_at_s) > MAX_SOUND_PARTS:
+        causes = set(causes)
+        for cause in causes:
+            self._sound_at_s.pop(cause, None)
+            self._sound_at_s[cause] = now_s
+        while len(self._sound_at_s) > MAX_SOUND_CAUSES:
             del self._sound_at_s[next(iter(self._sound_at_s))]
         for report in self._reports.values():
-            if cleared := parts & report.suspects:
+            if cleared := causes & report.suspects:
                 self._merge_report(report.name, report.at_s, set(), set(), cleared)
         self._finish_change()
 
     # Verdicts.
 
-    def find_block(self, parts: Iterable[str]) -> Block | None:
-        """Return the block that a prompt with these parts meets; None without one.
+    def find_block(self, causes: Iterable[str]) -> Block | None:
+        """Return the block that a request with these causes meets; None without one.
 
         Of several ones, it is that whose trial is due last.
         """
-        prompt = set(parts)
-        met = [block for block in self.blocks if block.parts <= prompt]
+        present = set(causes)
+        met = [block for block in self.blocks if block.causes <= present]
         return max(met, key=lambda block: block.trial_at_s, default=None)
 
-    def is_suspect(self, parts: Iterable[str]) -> bool:
-        """Return whether a part of a prompt may have crashed an engine before."""
-        prompt = set(parts)
-        return any(prompt & (r.suspects - r.sound) for r in self._reports.values())
+    def is_suspect(self, causes: Iterable[str]) -> bool:
+        """Return whether one of some causes may have crashed an engine before."""
+        present = set(causes)
+        return any(present & (r.suspects - r.sound) for r in self._reports.values())
 
     def try_trial(self, block: Block) -> bool:
         """Take the trial of a block if it is due; one VM decides about trials."""
         if block not in self.blocks or self._timer.now_s() < block.trial_at_s:
             return False
-        name = f"{TRIAL_PREFIX}{min(block.parts)}:{block.trials + 1}"
-        self._merge_report(name, self._timer.now_s(), set(block.parts), set(), set())
+        name = f"{TRIAL_PREFIX}{min(block.causes)}:{block.trials + 1}"
+        self._merge_report(name, self._timer.now_s(), set(block.causes), set(), set())
         self._finish_change()
         return True
 
@@ -210,7 +210,7 @@
             [
                 report.name,
                 round(now_s - report.at_s, 3),
-                sorted(report.parts),
+                sorted(report.causes),
                 sorted(report.sound),
                 sorted(report.cleared),
             ]
@@ -219,46 +219,48 @@
 
     def blocking_rows(self) -> list[Row]:
         """Return the rows of the reports without which a block would end."""
-        blamed = set().union(*(block.parts for block in self._found))
+        blamed = set().union(*(block.causes for block in self._found))
         names = {r.name for r in self._reports.values() if r.suspects & blamed}
         return [row for row in self.rows() if row[0] in names]
 
     def merge(self, rows: Iterable[Row]) -> None:
         """Merge the reports of another VM."""
         now_s = self._timer.now_s()
-        for name, age_s, parts, sound, cleared, *_ in rows:
+        for name, age_s, causes, sound, cleared, *_ in rows:
             at_s = now_s - max(0.0, age_s)
             if now_s - at_s <= REPORT_TTL_S:
-                self._merge_report(name, at_s, set(parts), set(sound), set(cleared))
+                self._merge_report(name, at_s, set(causes), set(sound), set(cleared))
         self._finish_change()
 
     def _merge_report(
         self,
         name: str,
         at_s: float,
-        parts: set[str],
+        causes: set[str],
         sound: set[str],
         cleared: set[str],
     ) -> None:
         report = self._reports.get(name)
         if report is None:
-            if not parts or not self._make_room(at_s, parts - cleared):
+            if not causes or not self._make_room(at_s, causes - cleared):
                 return
             report = self._reports[name] = CrashReport(name, at_s)
             self.number += 1
-        before = (len(report.parts), len(report.sound), len(report.cleared))
-        valid = sorted(p for p in parts - report.parts if len(p) <= MAX_PART_LENGTH)
-        report.parts.update(valid[: MAX_PARTS - len(report.parts)])
-        report.sound |= (sound | self._sound_since(report, -SOUND_TTL_S)) & report.parts
-        report.cleared |= (cleared | self._sound_since(report, 0.0)) & report.parts
-        if before != (len(report.parts), len(report.sound), len(report.cleared)):
+        before = (len(report.causes), len(report.sound), len(report.cleared))
+        valid = sorted(p for p in causes - report.causes if len(p) <= MAX_CAUSE_LENGTH)
+        report.causes.update(valid[: MAX_CAUSES - len(report.causes)])
+        report.sound |= (
+            sound | self._sound_since(report, -SOUND_TTL_S)
+        ) & report.causes
+        report.cleared |= (cleared | self._sound_since(report, 0.0)) & report.causes
+        if before != (len(report.causes), len(report.sound), len(report.cleared)):
             self.number += 1
 
     def _sound_since(self, report: CrashReport, offset_s: float) -> set[str]:
-        """Return the parts of runs that went on since an offset to the report."""
+        """Return the causes of runs that went on since an offset to the report."""
         start_s = report.at_s + offset_s
         known = self._sound_at_s
-        return {p for p in report.parts if p in known and known[p] > start_s}
+        return {p for p in report.causes if p in known and known[p] > start_s}
 
     def _make_room(self, at_s: float, suspects: set[str]) -> bool:
         """Return whether there is room for a report; drops another one if needed."""
@@ -278,7 +280,7 @@
 
     def _weight(self, suspects: set[str]) -> int:
         """Return 2 for suspects of a block, 1 for others, 0 without any."""
-        if any(suspects & block.parts for block in self._found):
+        if any(suspects & block.causes for block in self._found):
             return 2
         return 1 if suspects else 0
 
@@ -303,12 +305,12 @@
 
     def _announce_blocks(self) -> None:
         """Call `on_blocks` if other blocks are in force than at the last call."""
-        old, new = self._announced, {block.parts: block for block in self.blocks}
+        old, new = self._announced, {block.causes: block for block in self.blocks}
         self._announced = new
         if old.keys() != new.keys():
             self.on_blocks(
-                [block for parts, block in new.items() if parts not in old],
-                [block for parts, block in old.items() if parts not in new],
+                [block for causes, block in new.items() if causes not in old],
+                [block for causes, block in old.items() if causes not in new],
             )
 
     def _find_blocks(self) -> list[Block]:
@@ -316,45 +318,45 @@
         sound = set().union(*(report.sound for report in crashes))
         blocks: list[Block] = []
         while True:
-            names_by_part = _blockable_parts(crashes, sound)
-            if not names_by_part:
+            names_by_cause = _blockable_causes(crashes, sound)
+            if not names_by_cause:
                 return blocks
             best = max(
-                sorted(names_by_part),
-                key=lambda part: (part not in sound, len(names_by_part[part])),
+                sorted(names_by_cause),
+                key=lambda cause: (cause not in sound, len(names_by_cause[cause])),
             )
-            names = names_by_part[best]
-            tied = {part for part in names_by_part if names_by_part[part] == names}
+            names = names_by_cause[best]
+            tied = {cause for cause in names_by_cause if names_by_cause[cause] == names}
             blamed = frozenset(tied - sound or tied)
             blocks.append(self._make_block(blamed, names, is_sound=best in sound))
             crashes = [report for report in crashes if report.name not in names]
 
     def _make_block(
-        self, parts: frozenset[str], names: set[str], *, is_sound: bool
+        self, causes: frozenset[str], names: set[str], *, is_sound: bool
     ) -> Block:
         trials = [
             report
             for report in self._reports.values()
-            if report.is_trial and report.suspects & parts
+            if report.is_trial and report.suspects & causes
         ]
         times_s = sorted(self._reports[name].at_s for name in names)
         newest_s = max([times_s[-1], *(report.at_s for report in trials)])
         from_s = float("-inf")
         if is_sound:
             from_s = times_s[SOUND_BLOCK_CRASHES - 1] + SOUND_BLOCK_DELAY_S
-        return Block(parts, len(names), len(trials), newest_s, from_s, is_sound)
+        return Block(causes, len(names), len(trials), newest_s, from_s, is_sound)
 
 
-def _blockable_parts(
+def _blockable_causes(
     crashes: Iterable[CrashReport], sound: set[str]
 ) -> dict[str, set[str]]:
-    """Return the names of the crashes of each part that is in enough of them."""
-    names_by_part: dict[str, set[str]] = {}
+    """Return the names of the crashes of each cause that is in enough of them."""
+    names_by_cause: dict[str, set[str]] = {}
     for report in crashes:
-        for part in report.suspects:
-            names_by_part.setdefault(part, set()).add(report.name)
+        for cause in report.suspects:
+            names_by_cause.setdefault(cause, set()).add(report.name)
     return {
-        part: names
-        for part, names in names_by_part.items()
-        if len(names) >= (SOUND_BLOCK_CRASHES if part in sound else BLOCK_CRASHES)
+        cause: names
+        for cause, names in names_by_cause.items()
+        if len(names) >= (SOUND_BLOCK_CRASHES if cause in sound else BLOCK_CRASHES)
     }
--- a/endivesill/fleet/crash_exchange.py
+++ b/endivesill/fleet/crash_exchange.py
@@ -2,8 +2,8 @@
 
 An entry sends a new report to all control VMs at once. Beside that, each sync request
 and its reply carry what the other side has not seen, also if the control VM does not
-lead. No VM decides for the others: each finds the blocked parts from the reports. The
-leader stores those that block a part, so that a restart of all VMs keeps the block.
+lead. No VM decides for the others: each finds the blocked causes from the reports. The
+leader stores those that block a cause, so that a restart of all VMs keeps the block.
 """
 
 from __future__ import annotations
@@ -67,7 +67,7 @@
             self.evidence.merge(rows)
 
     async def store(self) -> None:
-        """Store the reports that block a part, if others are stored; for the leader."""
+        """Store the reports that block a cause, if they are news; for the leader."""
         async with self._store_lock:
             _, stored = stored_crashes(self._replica.state)
             rows = self.evidence.blocking_rows()
@@ -108,19 +108,19 @@
         return [self._start_id, self.evidence.number]
 
     async def _handle(self, message: Message) -> Message:
-        """Merge reports and store those that block a part, or decide about a trial.
+        """Merge reports and store those that block a cause, or decide about a trial.
 
         Args:
           message: `{"crashes"}` with rows of `CrashEvidence`, and for a trial
-            `"trial"` with the parts of the block.
+            `"trial"` with the causes of the block.
 
         Returns:
           `{"granted"}`: whether the trial may take place.
         """
         self.record(message)
         await self.store()
-        parts = frozenset(message.get("trial", ()))
-        block = next((b for b in self.evidence.blocks if b.parts == parts), None)
+        causes = frozenset(message.get("trial", ()))
+        block = next((b for b in self.evidence.blocks if b.causes == causes), None)
         is_granted = (
             block is not None and self._leads() and self.evidence.try_trial(block)
         )
@@ -222,6 +222,6 @@
         leader = self._leader()
         if leader is None:
             return False
-        message = {"crashes": self.evidence.rows(), "trial": sorted(block.parts)}
+        message = {"crashes": self.evidence.rows(), "trial": sorted(block.causes)}
         reply = await self._send(leader, message)
         return bool(reply.get("granted"))
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -19,8 +19,8 @@
     "LIST_ENTRY_SKIPPED",
     "LIST_LOST",
     "LIST_REGAINED",
-    "PROMPT_PARTS_BLOCKED",
-    "PROMPT_PARTS_RELEASED",
+    "CRASH_CAUSE_BLOCKED",
+    "CRASH_CAUSE_RELEASED",
     "REPORTS_LOST",
     "REPORTS_REGAINED",
     "CONFIGURATION_IN_FORCE",
@@ -98,20 +98,20 @@
 ENGINE_CRASHED = events.define(
     5107,
     "engine-crashed",
-    "An engine ended under runs that had just begun; their prompts are reported.",
+    "An engine ended under runs that had just begun; their causes are reported.",
 )
-PROMPT_PARTS_BLOCKED = events.define(
+CRASH_CAUSE_BLOCKED = events.define(
     5108,
-    "prompt-parts-blocked",
-    "Prompts with these parts crash engines and are refused.",
+    "crash-cause-blocked",
+    "Requests with these causes crash engines and are refused.",
 )
-PROMPT_PARTS_RELEASED = events.define(
-    5109, "prompt-parts-released", "Prompts with these parts are served again."
+CRASH_CAUSE_RELEASED = events.define(
+    5109, "crash-cause-released", "Requests with these causes are served again."
 )
 CRASHES_UNSTORED = events.define(
     5110,
     "crashes-unstored",
-    "The reports that block parts of prompts were not stored; it is tried again.",
+    "The reports that block a cause were not stored; it is tried again.",
 )
 LIST_LOST = events.define(
     4502,
--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -1,4 +1,4 @@
-"""Keeps prompts that crash engines from being sent to more of them."""
+"""Keeps requests that crash engines from being sent to more of them."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 from endivesill.fleet.crash_evidence import Block
 from endivesill.fleet.crash_exchange import CrashExchange
 from endivesill.fleet.events import (
+    CRASH_CAUSE_BLOCKED,
+    CRASH_CAUSE_RELEASED,
     ENGINE_CRASHED,
-    PROMPT_PARTS_BLOCKED,
-    PROMPT_PARTS_RELEASED,
 )
 from endivesill.forwarding.call import Call
-from endivesill.forwarding.events import PROMPT_BLOCKED
+from endivesill.forwarding.events import REQUEST_BLOCKED
 from endivesill.forwarding.running_calls import RunningCalls
 from endivesill.forwarding.targets import Target
 from endivesill.http1 import ConnectionPool, UpstreamError
@@ -23,10 +23,10 @@
 
 __all__ = ["BLOCKED", "CrashGuard"]
 
-# Reason of a refusal because of a blocked prompt.
-BLOCKED = "prompt part blocked"
+# Reason of a refusal because of a block.
+BLOCKED = "crashes engines"
 # Time from the first event of a run during which the end of the connection may come
-# from the prompt; the prompt is read between the head and that event.
+# from the request; the prompt is read between the head and that event.
 START_WINDOW_S = 0.2
 # Time from the first event after which a run has survived its start.
 SURVIVAL_S = 1.0
@@ -35,7 +35,7 @@
 
 
 class CrashGuard:
-    """Reports which prompts engines crash under, and refuses those that are blocked.
+    """Reports what engines crash under, and refuses requests that are blocked.
 
     Args:
       timer: the timer service.
@@ -94,9 +94,9 @@
 
     def _log_blocked(self, call: Call, block: Block) -> None:
         events.emit(
-            PROMPT_BLOCKED,
+            REQUEST_BLOCKED,
             request_id=call.info.attempt_id,
-            parts=sorted(block.parts),
+            causes=sorted(block.causes),
             crashes=block.crashes,
             trials=block.trials,
         )
@@ -104,11 +104,11 @@
     def _apply_blocks(self, new: list[Block], gone: list[Block]) -> None:
         for block in new:
             events.emit(
-                PROMPT_PARTS_BLOCKED, parts=sorted(block.parts), crashes=block.crashes
+                CRASH_CAUSE_BLOCKED, causes=sorted(block.causes), crashes=block.crashes
             )
         for block in gone:
             events.emit(
-                PROMPT_PARTS_RELEASED, parts=sorted(block.parts), trials=block.trials
+                CRASH_CAUSE_RELEASED, causes=sorted(block.causes), trials=block.trials
             )
         if new:
             wait_s = min(map(self._trial_wait_s, new))
@@ -161,13 +161,13 @@
     def note_broken(self, call: Call, target: Target) -> None:
         """Record that a run which had just begun has lost its connection."""
         if self._is_observed(call):
-            parts = call.info.shared_parts
+            causes = call.info.shared_parts
             is_blocked = self._find_block(call) is not None
-            call.is_suspect = is_blocked or self._evidence.is_suspect(parts)
-            self._start(self._check_crash(target, parts))
+            call.is_suspect = is_blocked or self._evidence.is_suspect(causes)
+            self._start(self._check_crash(target, causes))
 
     def has_just_begun(self, head_s: float | None, first_event_s: float | None) -> bool:
-        """Return whether the end of a run's connection may come from its prompt.
+        """Return whether the end of a run's connection may come from its request.
 
         Args:
           head_s: when the head of the response came; None if it did not.
@@ -195,8 +195,10 @@
         if await self._check_crash(target, call.info.shared_parts) is False:
             self._note_survival(call)
 
-    async def _check_crash(self, target: Target, parts: tuple[str, ...]) -> bool | None:
-        """Report parts if the engine refuses connections.
+    async def _check_crash(
+        self, target: Target, causes: tuple[str, ...]
+    ) -> bool | None:
+        """Report causes if the engine refuses connections.
 
         Returns:
           Whether the engine has crashed; None if it cannot be reached.
@@ -209,10 +211,10 @@
             events.emit(
                 ENGINE_CRASHED,
                 target=target.info.identity,
-                parts=parts,
+                causes=causes,
                 reason=str(error),
             )
-            self._evidence.note_crash(target.info.incarnation, parts)
+            self._evidence.note_crash(target.info.incarnation, causes)
             await self._exchange.report()
             return True
         # The engine has broken off this run alone.
--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -9,7 +9,7 @@
     "ATTEMPT_FAILED",
     "FLEET_BUSY",
     "PLACE_REFUSED",
-    "PROMPT_BLOCKED",
+    "REQUEST_BLOCKED",
     "REQUEST_ENDED",
     "REQUEST_PLACED",
     "REQUEST_REFUSED",
@@ -51,8 +51,8 @@
 ANSWER_SKIPPED = events.define(
     2106, "answer-skipped", "A response to another request was skipped."
 )
-PROMPT_BLOCKED = events.define(
-    2110, "prompt-blocked", "A generation meets a block of parts of prompts."
+REQUEST_BLOCKED = events.define(
+    2110, "request-blocked", "A request has causes that crash engines; it is refused."
 )
 TARGET_EJECTED = events.define(
     4511,
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -135,7 +135,7 @@
         f"endivesill_control_last_index {core.log.last_index}",
         f"endivesill_control_synced_index {core.log.synced_index}",
         f"endivesill_control_disk_failed {int(core.log.last_error is not None)}",
-        f"endivesill_blocked_prompt_parts {len(sync_service.crashes.evidence.blocks)}",
+        f"endivesill_blocked_crash_causes {len(sync_service.crashes.evidence.blocks)}",
         f"endivesill_list_number {engine_list.number if engine_list else 0}",
         *placement.metric_lines(),
         *disk.sync_durations.lines("endivesill_control_sync_seconds"),
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -157,7 +157,7 @@
             "target_connects_total": self._pool.connect_attempts,
             "state_version": view.version or 0,
             "engines_listed": len(view.engines),
-            "blocked_prompt_parts": len(self._sync_client.crashes.evidence.blocks),
+            "blocked_crash_causes": len(self._sync_client.crashes.evidence.blocks),
             "allowance_share": round(view.lease.share_at(now_s), 4),
             "knowledge_age_seconds": "+Inf" if math.isinf(age_s) else round(age_s, 3),
         }
--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -6,8 +6,8 @@
 from endivesill.fleet.crash_evidence import (
     BLOCK_CRASHES,
     FIRST_TRIAL_S,
-    MAX_PART_LENGTH,
-    MAX_PARTS,
+    MAX_CAUSE_LENGTH,
+    MAX_CAUSES,
     MAX_REPORTS,
     MAX_TRIAL_S,
     REPORT_TTL_S,
@@ -37,7 +37,7 @@
         self.evidence.note_sound(parts)
 
     def blocks(self):
-        return [set(block.parts) for block in self.evidence.blocks]
+        return [set(block.causes) for block in self.evidence.blocks]
 
     def is_blocked(self, *parts):
         return self.evidence.find_block(parts) is not None
@@ -259,7 +259,7 @@
             for _ in range(3):
                 source.shuffle(vms)
                 merged = self.merged(*vms, *vms)
-                verdicts.append([block.parts for block in merged.blocks])
+                verdicts.append([block.causes for block in merged.blocks])
             self.assertEqual(verdicts[:1] * 3, verdicts)
             self.assertEqual(1, len(verdicts[0]))
             self.assertIn("bad", verdicts[0][0])
@@ -293,7 +293,7 @@
     def test_listeners_learn_of_blocks_that_come_and_go(self):
         seen = []
         self.evidence.on_blocks = lambda new, gone: seen.append(
-            ([set(b.parts) for b in new], [set(b.parts) for b in gone])
+            ([set(b.causes) for b in new], [set(b.causes) for b in gone])
         )
         for _ in range(BLOCK_CRASHES + 1):
             self.crash("bad")
@@ -335,8 +335,8 @@
         self.assertEqual(numbers[-2], numbers[-1])
 
     def test_the_parts_of_a_report_are_bounded(self):
-        self.crash("x" * (MAX_PART_LENGTH + 1), *map(str, range(2 * MAX_PARTS)))
-        self.assertEqual(MAX_PARTS, len(self.evidence.rows()[0][2]))
+        self.crash("x" * (MAX_CAUSE_LENGTH + 1), *map(str, range(2 * MAX_CAUSES)))
+        self.assertEqual(MAX_CAUSES, len(self.evidence.rows()[0][2]))
 
     def test_old_reports_expire(self):
         for _ in range(BLOCK_CRASHES):
--- a/tests/test_fleet_crash_exchange.py
+++ b/tests/test_fleet_crash_exchange.py
@@ -22,7 +22,7 @@
     def blocked(self, cluster):
         """Return for each entry the blocked parts."""
         return [
-            [set(block.parts) for block in entry.sync_client.crashes.evidence.blocks]
+            [set(block.causes) for block in entry.sync_client.crashes.evidence.blocks]
             for entry in cluster.entries
         ]
 
--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -81,7 +81,7 @@
         first = self.evidence.blocks[0]
         now_s = self.timer.now_s()
         for report in self.evidence._reports.values():
-            if report.parts <= first.parts:
+            if report.causes <= first.causes:
                 report.at_s = now_s - FIRST_TRIAL_S - 1
         self.evidence.number += 1
         self.evidence._finish_change()
