Stop sending a request that has crashed three engines

A request now brings digests of itself as causes beside the parts of its prompt, one without its query and one with it. Reports, verdicts, blocks, trials and their exchange are the same for both kinds. Sound requests are remembered apart from sound parts, 4,096 of each kind. As far more runs now clear causes after a crash, reports change because of them at most every 0.25 s, and polls carry only reports that have changed.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -1,4 +1,4 @@
-"""Finds what crashes engines, such as parts of prompts.
+"""Finds what crashes engines: parts of prompts, or requests that come again.
 
 A cause that crashes each engine that begins to run it is in a run that had just begun
 at each of these crashes, and in no run that went on. Other causes of the same requests
@@ -18,6 +18,7 @@
 
 import attrs
 
+from endivesill.fleet.sound_causes import SOUND_TTL_S, SoundCauses
 from endivesill.timer import TimerService
 
 __all__ = ["Block", "CrashEvidence", "CrashReport", "Row"]
@@ -49,10 +50,9 @@
 # Parts of one report, and the length of one cause's id.
 MAX_CAUSES = 256
 MAX_CAUSE_LENGTH = 64
-# How long a cause counts as sound after a run with it has gone on, and how many of
-# these are remembered.
-SOUND_TTL_S = 60.0
-MAX_SOUND_CAUSES = 4_096
+# Least time between two changes of reports because of runs that went on. After a crash
+# there are many, and each change goes to all VMs.
+CLEAR_PERIOD_S = 0.25
 # Start of the name of a report that stands for a trial.
 TRIAL_PREFIX = "trial:"
 
@@ -68,6 +68,7 @@
       sound: those that were in a run that went on within `SOUND_TTL_S` before.
       cleared: those that were in a run that went on after the crash; they did not
         cause it.
+      number: number of the evidence at its last change.
     """
 
     name: str
@@ -75,6 +76,7 @@
     causes: set[str] = attrs.Factory(set)
     sound: set[str] = attrs.Factory(set)
     cleared: set[str] = attrs.Factory(set)
+    number: int = 0
 
     @property
     def suspects(self) -> set[str]:
@@ -134,7 +136,11 @@
     def __init__(self, timer: TimerService) -> None:
         self._timer = timer
         self._reports: dict[str, CrashReport] = {}
-        self._sound_at_s: dict[str, float] = {}
+        self._sound = SoundCauses()
+        # Suspects of all reports.
+        self._suspects: set[str] = set()
+        self._next_clear_s = float("-inf")
+        self._is_clear_due = False
         self._evaluated_number = 0
         self.number = 0
         self._found: list[Block] = []
@@ -159,23 +165,35 @@
           incarnation: the engine.
           causes: the causes of one of them.
         """
+        self._apply_sound()
         self._merge_report(incarnation, self._timer.now_s(), set(causes), set(), set())
         self._finish_change()
 
     def note_sound(self, causes: Iterable[str]) -> None:
         """Record that a run has gone on; clears its causes."""
         now_s = self._timer.now_s()
-        causes = set(causes)
-        for cause in causes:
-            self._sound_at_s.pop(cause, None)
-            self._sound_at_s[cause] = now_s
-        while len(self._sound_at_s) > MAX_SOUND_CAUSES:
-            del self._sound_at_s[next(iter(self._sound_at_s))]
-        for report in self._reports.values():
-            if cleared := causes & report.suspects:
-                self._merge_report(report.name, report.at_s, set(), set(), cleared)
+        self._sound.note(causes, now_s)
+        if self._suspects.isdisjoint(causes):
+            return
+        if now_s >= self._next_clear_s:
+            self._next_clear_s = now_s + CLEAR_PERIOD_S
+            self._is_clear_due = True
+            self._clear_sound()
+        elif not self._is_clear_due:
+            self._is_clear_due = True
+            self._timer.call_after(self._next_clear_s - now_s, self._clear_sound)
+
+    def _clear_sound(self) -> None:
+        """Clear the causes of which runs have gone on since the crashes."""
+        self._apply_sound()
         self._finish_change()
 
+    def _apply_sound(self) -> None:
+        if self._is_clear_due:
+            self._is_clear_due = False
+            for report in self._reports.values():
+                self._merge_report(report.name, report.at_s, set(), set(), set())
+
     # Verdicts.
 
     def find_block(self, causes: Iterable[str]) -> Block | None:
@@ -190,7 +208,10 @@
     def is_suspect(self, causes: Iterable[str]) -> bool:
         """Return whether one of some causes may have crashed an engine before."""
         present = set(causes)
-        return any(present & (r.suspects - r.sound) for r in self._reports.values())
+        return any(
+            (present & r.suspects) - r.sound - self._sound.since(present, r.at_s)
+            for r in self._reports.values()
+        )
 
     def try_trial(self, block: Block) -> bool:
         """Take the trial of a block if it is due; one VM decides about trials."""
@@ -203,8 +224,13 @@
 
     # Exchange with other VMs.
 
-    def rows(self) -> list[Row]:
-        """Return the reports for another VM, with their age in seconds."""
+    def rows(self, since: int = 0) -> list[Row]:
+        """Return the reports for another VM, with their age in seconds.
+
+        Args:
+          since: number of the evidence that the other VM has; reports that have not
+            changed since are left out.
+        """
         now_s = self._timer.now_s()
         return [
             [
@@ -215,6 +241,7 @@
                 sorted(report.cleared),
             ]
             for report in self._reports.values()
+            if report.number > since
         ]
 
     def blocking_rows(self) -> list[Row]:
@@ -225,6 +252,7 @@
 
     def merge(self, rows: Iterable[Row]) -> None:
         """Merge the reports of another VM."""
+        self._apply_sound()
         now_s = self._timer.now_s()
         for name, age_s, causes, sound, cleared, *_ in rows:
             at_s = now_s - max(0.0, age_s)
@@ -245,7 +273,6 @@
             if not causes or not self._make_room(at_s, causes - cleared):
                 return
             report = self._reports[name] = CrashReport(name, at_s)
-            self.number += 1
         before = (len(report.causes), len(report.sound), len(report.cleared))
         valid = sorted(p for p in causes - report.causes if len(p) <= MAX_CAUSE_LENGTH)
         report.causes.update(valid[: MAX_CAUSES - len(report.causes)])
@@ -255,12 +282,11 @@
         report.cleared |= (cleared | self._sound_since(report, 0.0)) & report.causes
         if before != (len(report.causes), len(report.sound), len(report.cleared)):
             self.number += 1
+            report.number = self.number
 
     def _sound_since(self, report: CrashReport, offset_s: float) -> set[str]:
         """Return the causes of runs that went on since an offset to the report."""
-        start_s = report.at_s + offset_s
-        known = self._sound_at_s
-        return {p for p in report.causes if p in known and known[p] > start_s}
+        return self._sound.since(report.causes, report.at_s + offset_s)
 
     def _make_room(self, at_s: float, suspects: set[str]) -> bool:
         """Return whether there is room for a report; drops another one if needed."""
@@ -298,6 +324,7 @@
             return
         self._evaluated_number = self.number
         self._found = self._find_blocks()
+        self._suspects = set().union(*(r.suspects for r in self._reports.values()))
         self.on_change()
         self._announce_blocks()
         if len(self.blocks) < len(self._found):
--- a/endivesill/fleet/crash_exchange.py
+++ b/endivesill/fleet/crash_exchange.py
@@ -102,7 +102,9 @@
         """Return the part of a reply to a sync request."""
         if not self._is_behind(message):
             return {}
-        return {"crashes": self.evidence.rows(), "crashes_stamp": self._stamp()}
+        known_id, known_number = message["crashes_stamp"] or (None, 0)
+        since = known_number if known_id == self._start_id else 0
+        return {"crashes": self.evidence.rows(since), "crashes_stamp": self._stamp()}
 
     def _stamp(self) -> list[Any]:
         return [self._start_id, self.evidence.number]
@@ -165,8 +167,9 @@
     def request_fields(self, address: str) -> Message:
         """Return the part of a sync request to a control VM."""
         fields: Message = {"crashes_stamp": self._stamps.get(address)}
-        if self._sent_numbers.get(address, 0) != self.evidence.number:
-            fields["crashes"] = self.evidence.rows()
+        sent_number = self._sent_numbers.get(address, 0)
+        if sent_number != self.evidence.number:
+            fields["crashes"] = self.evidence.rows(sent_number)
             fields["crashes_number"] = self.evidence.number
         return fields
 
--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -90,7 +90,7 @@
         return await self._exchange.request_trial(block)
 
     def _find_block(self, call: Call) -> Block | None:
-        return self._evidence.find_block(call.info.shared_parts)
+        return self._evidence.find_block(call.causes)
 
     def _log_blocked(self, call: Call, block: Block) -> None:
         events.emit(
@@ -161,7 +161,7 @@
     def note_broken(self, call: Call, target: Target) -> None:
         """Record that a run which had just begun has lost its connection."""
         if self._is_observed(call):
-            causes = call.info.shared_parts
+            causes = call.causes
             is_blocked = self._find_block(call) is not None
             call.is_suspect = is_blocked or self._evidence.is_suspect(causes)
             self._start(self._check_crash(target, causes))
@@ -178,12 +178,12 @@
         return self._timer.now_s() - first_event_s <= START_WINDOW_S
 
     def _is_observed(self, call: Call) -> bool:
-        return bool(call.info.shared_parts) and not call.has_survived
+        return bool(call.causes) and not call.has_survived
 
     def _note_survival(self, call: Call) -> None:
         if self._is_observed(call):
             call.has_survived = True
-            self._evidence.note_sound(call.info.shared_parts)
+            self._evidence.note_sound(call.causes)
 
     def _start(self, check: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.ensure_future(check)
@@ -192,7 +192,7 @@
 
     async def _check_end(self, call: Call, target: Target) -> None:
         """Count a run as survived if its engine accepts connections."""
-        if await self._check_crash(target, call.info.shared_parts) is False:
+        if await self._check_crash(target, call.causes) is False:
             self._note_survival(call)
 
     async def _check_crash(
--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -18,6 +18,7 @@
     TRIAL_FACTOR,
     CrashEvidence,
 )
+from endivesill.fleet.sound_causes import MAX_CAUSES_OF_KIND
 from endivesill.timer import ManualTimer
 
 
@@ -345,3 +346,117 @@
         self.evidence.expire()
         self.assertEqual([], self.evidence.rows())
         self.assertEqual([], self.blocks())
+
+
+class SmallServiceTest(EvidenceTestCase):
+    """Three engines that are back 3 s after a crash, under a request that comes again.
+
+    Sound requests run beside it: a few that come again and again, and ones that come
+    once and are sent to another engine after a crash.
+    """
+
+    STEP_S = 0.05
+    RESTART_S = 3.0
+
+    def start(self, seed):
+        self.source = random.Random(seed)
+        self.evidence = CrashEvidence(self.timer)
+        self.engines = [{"back_s": 0.0, "runs": {}, "start": 0} for _ in range(3)]
+        self.bad_sends = 0
+        self.refused = set()
+
+    def send(self, cause, duration_s):
+        """Start a run at a random engine that is up, unless its cause is blocked."""
+        now_s = self.timer.now_s()
+        up = [e for e in self.engines if e["back_s"] <= now_s]
+        if not up:
+            return
+        if self.is_blocked(cause):
+            self.refused.add(cause)
+            return
+        self.bad_sends += cause == "request:bad"
+        self.source.choice(up)["runs"][cause] = now_s + duration_s
+
+    def end_runs(self):
+        now_s = self.timer.now_s()
+        for number, engine in enumerate(self.engines):
+            ended = [c for c, end_s in engine["runs"].items() if end_s <= now_s]
+            for cause in ended:
+                del engine["runs"][cause]
+                if cause != "request:bad":
+                    self.evidence.note_sound([cause])
+                    continue
+                engine["start"] += 1
+                name = f"e{number}@{engine['start']}"
+                for running in ["request:bad", *engine["runs"]]:
+                    self.evidence.note_crash(name, [running])
+                lost = [c for c in engine["runs"] if c.startswith("request:once")]
+                engine["runs"] = {}
+                engine["back_s"] = now_s + self.RESTART_S
+                for once in lost:
+                    self.send(once, 0.2)
+                break
+
+    def play(self, seed):
+        self.start(seed)
+        for step in range(1_200):
+            self.timer.jump(self.STEP_S)
+            if step % 20 == 0:
+                self.send("request:bad", 0.1)
+            self.send(f"request:often{self.source.randrange(4)}", 0.2)
+            if self.source.random() < 0.3:
+                self.send(f"request:once{step}", 0.2)
+            self.end_runs()
+
+    def test_only_the_request_that_crashes_engines_is_refused(self):
+        for seed in range(30):
+            self.play(seed)
+            self.assertEqual({"request:bad"}, self.refused, seed)
+            self.assertLessEqual(self.bad_sends, BLOCK_CRASHES + 2, seed)
+
+
+class RequestCauseTest(EvidenceTestCase):
+    def test_a_prompt_that_comes_again_is_blocked_with_its_part(self):
+        for _ in range(BLOCK_CRASHES):
+            self.crash("bad", "request:1")
+        self.assertTrue(self.is_blocked("bad", "request:1"))
+        self.crash("bad", "request:2")
+        self.assertTrue(self.is_blocked("bad", "request:3"))
+
+    def test_a_request_whose_query_changes_is_blocked_without_it(self):
+        for number in range(BLOCK_CRASHES):
+            self.crash("request:path", f"request:query{number}")
+        self.assertTrue(self.is_blocked("request:path", "request:query9"))
+
+    def test_a_query_that_crashes_engines_leaves_others_of_its_path(self):
+        self.sound("request:path", "request:good")
+        for _ in range(BLOCK_CRASHES):
+            self.crash("request:path", "request:bad")
+        self.sound("request:path", "request:good")
+        self.assertTrue(self.is_blocked("request:path", "request:bad"))
+        self.assertFalse(self.is_blocked("request:path", "request:good"))
+
+    def test_sound_requests_are_remembered_in_bounded_number(self):
+        for number in range(3 * MAX_CAUSES_OF_KIND):
+            self.evidence.note_sound([f"request:{number}"])
+        self.evidence.note_sound(["part"])
+        kinds = self.evidence._sound._seen_s
+        self.assertEqual({"request", ""}, set(kinds))
+        self.assertEqual(MAX_CAUSES_OF_KIND, len(kinds["request"]))
+
+    def test_a_row_is_sent_only_after_a_change(self):
+        self.crash("a")
+        number = self.evidence.number
+        self.crash("b")
+        self.assertEqual(["e2@1"], [row[0] for row in self.evidence.rows(number)])
+        self.assertEqual([], self.evidence.rows(self.evidence.number))
+        self.sound("a")
+        self.assertIn("e1@1", [row[0] for row in self.evidence.rows(number)])
+
+    def test_many_runs_that_go_on_change_the_reports_rarely(self):
+        for _ in range(BLOCK_CRASHES):
+            self.crash(*(f"request:{number}" for number in range(100)))
+        before = self.evidence.number
+        for number in range(100):
+            self.evidence.note_sound([f"request:{number}"])
+        self.assertLessEqual(self.evidence.number - before, 2 * BLOCK_CRASHES)
--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -193,8 +193,7 @@
         await self.add_engines("llm", "e1")
         target = self.target("e1")
         for number, part in enumerate(("sound", "bad")):
-            info = types.SimpleNamespace(shared_parts=(part,))
-            call = types.SimpleNamespace(info=info, has_survived=False)
+            call = types.SimpleNamespace(causes=(part,), has_survived=False)
             guard.note_broken(call, target)
             await self.wait_until(lambda n=number: len(connects) > n)
         is_reported.set()
--- a/tests/test_forwarding_crashes.py
+++ b/tests/test_forwarding_crashes.py
@@ -162,3 +162,13 @@
         ):
             head, _ = await self.send_request(path, *headers, body=body)
             self.assertEqual(200, head.status, path)
+
+    async def test_a_request_with_another_query_each_time(self):
+        statuses = []
+        for number in range(8):
+            sent = self.send_request(f"/safe/x?n={number}", body=b"bad")
+            head, _ = await asyncio.wait_for(sent, 5)
+            statuses.append(head.status)
+            await asyncio.sleep(0.02)
+        self.assertLessEqual(self.crashes(), MAX_REQUEST_CRASHES)
+        self.assertEqual([503] * 4, statuses[-4:])
