Add a soak profile of targets that limit the rate of requests

Plain targets name limits that change and end while VMs are killed and stopped and the control VMs lose their leader.

--- a/bench/platform_soak_faults.py
+++ b/bench/platform_soak_faults.py
@@ -130,24 +130,24 @@
     return "drain_target", str(rng.randrange(100)), 3.0, ""
 
 
-@_register_for("stops", "crashes")
+@_register_for("stops", "crashes", "limits")
 def _stop_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "stop", subject, rng.uniform(0.1, 1.0), ""
 
 
-@_register_for("crashes")
+@_register_for("crashes", "limits")
 def _kill_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "kill", subject, rng.uniform(0.2, 1.0), ""
 
 
-@_register_for("crashes")
+@_register_for("crashes", "limits")
 def _kill_leader(rng: random.Random) -> tuple[str, str, float, str]:
     return "kill_leader", "control", rng.uniform(0.5, 2.0), ""
 
 
-@_register_for("crashes")
+@_register_for("crashes", "limits")
 def _kill_all_controls_long(rng: random.Random) -> tuple[str, str, float, str]:
     return "kill_all_controls", "control", rng.uniform(1.0, 3.0), ""
 
--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -17,6 +17,7 @@
 )
 from bench.platform_soak_faults import STANDARD, Fault, make_faults
 from bench.platform_soak_fleet import GRACE_S, SoakFleet
+from bench.platform_soak_limits import LimitCallers, LimitedTarget, LimitRecords
 from bench.platform_soak_stops import RecordingTarget, StopCallers, StopRecords
 from bench.platform_soak_targets import SoakTarget
 from endivesill.timer import TimerService
@@ -178,3 +179,42 @@
         """Return what broke the bounds on crashes and on sound streams."""
         findings, self.figures = self._crashes.check()
         return findings
+
+
+@_register
+class LimitProfile(Profile):
+    """Plain targets that limit the rate of requests from all entries together."""
+
+    name = "limits"
+
+    def __init__(self, timer: TimerService, seed: int) -> None:
+        super().__init__(timer, seed)
+        self._limits = LimitRecords()
+
+    def make_faults(self, duration_s: float) -> list[Fault]:
+        """Return the faults in order of time; the limits end with them."""
+        self._limits.until_s = self._timer.now_s() + duration_s
+        self.load_s = duration_s
+        return super().make_faults(duration_s)
+
+    def make_target(
+        self,
+        service: str,
+        data_centre: str,
+        run_counts: collections.Counter[str],
+        rng: random.Random,
+    ) -> SoakTarget:
+        """Return a target that names limits."""
+        return LimitedTarget(
+            self._timer, service, data_centre, run_counts, rng, self._limits
+        )
+
+    async def run(self, fleet: SoakFleet) -> None:
+        """Call until cancelled."""
+        callers = LimitCallers(self._timer, fleet, self._seed, self.records)
+        await callers.run()
+
+    def check(self) -> list[str]:
+        """Return the limits that were broken."""
+        findings, self.figures = self._limits.check()
+        return findings
--- a/bench/platform_soak_targets.py
+++ b/bench/platform_soak_targets.py
@@ -95,6 +95,7 @@
     Attributes:
       identity: its id, unique in this process.
       is_draining: whether the list and the health check report it as draining.
+      plain_headers: further headers of the responses to plain requests.
     """
 
     _created = 0
@@ -113,6 +114,7 @@
         self.service = service
         self.data_centre = data_centre
         self.is_draining = False
+        self.plain_headers: list[tuple[bytes, bytes]] = []
         self._run_counts = run_counts
         self._random = rng
 
@@ -167,7 +169,8 @@
         await asyncio.sleep(self._service_time_s(exchange, PLAIN_SERVICE_TIME_S))
         failed = self._random.random() < FAILURE_FRACTION
         body = b"" if failed else expected_body(attempt, is_stream=False)
-        exchange.respond(500 if failed else 200, [attempt_header, SEAL], body)
+        headers = [attempt_header, SEAL, *self.plain_headers]
+        exchange.respond(500 if failed else 200, headers, body)
 
     async def _stream(
         self, exchange: Exchange, attempt: str, attempt_header: tuple[bytes, bytes]
