Raise or end the limit of an engine only after half a second

A limit that changes with each response, or responses on two connections that overtake each other, made each response news for the whole fleet, and all polls of the leader returned for each. A lower limit still holds at once. Found by reading; the new test counts one change in 200 responses that name 2, 20 and no limit in turn.

--- a/endivesill/fleet/engine_limits.py
+++ b/endivesill/fleet/engine_limits.py
@@ -24,6 +24,9 @@
 # a higher one bounds nothing.
 MIN_LIMIT_PER_S = 0.25
 MAX_LIMIT_PER_S = 100_000.0
+# A limit is raised or ended only if no response has named it for this long. Responses
+# on different connections overtake each other, and each change goes to all entries.
+HOLD_S = 0.5
 
 
 @attrs.frozen
@@ -32,7 +35,7 @@
 
     Attributes:
       per_s: the limit in requests per second; None for no limit.
-      seen_s: when it said so, by this VM's clock.
+      seen_s: when it last said so, by this VM's clock.
     """
 
     per_s: float | None
@@ -59,6 +62,8 @@
     ) -> bool:
         """Record the limit that a response of an engine names.
 
+        A lower limit holds at once, a higher one or none after `HOLD_S`.
+
         Args:
           incarnation: the engine.
           per_s: requests per second; None if the response names no limit, NaN if it
@@ -69,19 +74,25 @@
           Whether the limit has changed.
         """
         known = self._observations.get(incarnation)
-        if per_s is None and (known is None or not may_end):
+        known_per_s = known.per_s if known is not None else None
+        if per_s is None and (known_per_s is None or not may_end):
             return False
+        now_s = self._timer.now_s()
         if per_s is not None and math.isnan(per_s):
-            if known is None or known.per_s is None:
+            if known_per_s is None:
                 events.emit(
                     ENGINE_LIMITED, target=incarnation, limit_per_s="unreadable"
                 )
+                return False
+            per_s = known_per_s
+        if per_s is not None:
+            per_s = min(max(per_s, MIN_LIMIT_PER_S), MAX_LIMIT_PER_S)
+        is_held = known is not None and now_s - known.seen_s < HOLD_S
+        if is_held and _is_higher(per_s, known_per_s):
             return False
-        return self._observe(incarnation, per_s, self._timer.now_s())
+        return self._observe(incarnation, per_s, now_s)
 
     def _observe(self, incarnation: str, per_s: float | None, seen_s: float) -> bool:
-        if per_s is not None:
-            per_s = min(max(per_s, MIN_LIMIT_PER_S), MAX_LIMIT_PER_S)
         known = self._observations.get(incarnation)
         is_news = per_s != (known.per_s if known else None)
         self._observations[incarnation] = _Observation(per_s, seen_s)
@@ -138,3 +149,10 @@
         if is_behind:
             self.number += 1
         return is_behind
+
+
+def _is_higher(per_s: float | None, than_per_s: float | None) -> bool:
+    """Return whether a limit is higher than another; None is no limit."""
+    if than_per_s is None:
+        return False
+    return per_s is None or per_s > than_per_s
