Let a failed request for permits not end later ones

An unexpected error in the request left its group marked as under way, and no permit would have been requested for the service again. Found by reading; not seen in a run.

--- a/endivesill/fleet/permit_client.py
+++ b/endivesill/fleet/permit_client.py
@@ -148,8 +148,10 @@
             self._next_request_s = now_s + REQUEST_PERIOD_FRACTION * period_s
             wanted, self._wanted = self._wanted, {}
             groups = set(self._pending_groups)
-            await self._request(wanted, now_s)
-            self._pending_groups -= groups
+            try:
+                await self._request(wanted, now_s)
+            finally:
+                self._pending_groups -= groups
             self.on_change()
 
     async def _request(self, wanted: dict[str, int], sent_s: float) -> None:
