Keep retries that wait for permits out of the queue of their service

A retry may not go to the engine that failed it. Where all others are limited it waited at the head of the queue, and first requests that the engine could take waited behind it. It has a queue of its own now. The new test was red before: the first request behind the retry got no response.

--- a/endivesill/forwarding/limited_targets.py
+++ b/endivesill/forwarding/limited_targets.py
@@ -28,6 +28,13 @@
         # By service: when the last refused caller was told to return.
         self._last_return_s: dict[str, float] = {}
 
+    def are_limited(self, targets: Sequence[Target]) -> bool:
+        """Return whether all of some targets have a limit."""
+        limit_per_s = self._table.permits.limit_per_s
+        return bool(targets) and all(
+            limit_per_s(t.info.incarnation) is not None for t in targets
+        )
+
     def with_permit(self, targets: Sequence[Target]) -> list[Target]:
         """Return the targets that have no limit, or a permit for one more request."""
         may_send = self._table.permits.may_send
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -121,7 +121,9 @@
         self._on_placed = on_placed
         self._random = random_source
         self._limited = LimitedTargets(timer, table)
-        self._queues: dict[str, FairQueue[_Waiter]] = {}
+        # By service, and whether the requests wait for permits of targets with a limit
+        # while the service has others.
+        self._queues: dict[tuple[str, bool], FairQueue[_Waiter]] = {}
         self._last_queued_s: dict[str, float] = {}
         # Since when a service has had no target, by its name.
         self._no_target_since_s: dict[str, float] = {}
@@ -133,7 +135,7 @@
 
     def count_ahead(self, request: PlacementRequest) -> int:
         """Return how many queued requests would be served before a request."""
-        queue = self._queues.get(request.service.name)
+        queue = self._queues.get(self._queue_key(request))
         return queue.count_ahead(_sort_key(queue, request)) if queue else 0
 
     def queue_length(self) -> int:
@@ -167,7 +169,7 @@
             limited = self._limited.requestable(service.name, targets)
             best = self._least_cost(request, limited)
             if best is not None:
-                count = 1 + len(self._queues.get(service.name, ()))
+                count = 1 + len(self._queues.get(self._queue_key(request), ()))
                 incarnation = best.info.incarnation
                 self._table.permits.request(service.name, incarnation, count)
                 return None
@@ -192,9 +194,10 @@
           NotLeaderError: `release_waiting` was called meanwhile.
         """
         service = request.service.name
-        queue = self._queues.get(service)
+        queue_key = self._queue_key(request)
+        queue = self._queues.get(queue_key)
         if queue is None:
-            queue = self._queues[service] = self._new_queue()
+            queue = self._queues[queue_key] = self._new_queue()
         sort_key = _sort_key(queue, request)
         if not queue.count_ahead(sort_key):
             target = self.try_place(request)
@@ -235,6 +238,18 @@
                 waiter.future.cancel()
             queue.remove(item)
 
+    def _queue_key(self, request: PlacementRequest) -> tuple[str, bool]:
+        """Return which queue a request waits in.
+
+        A retry whose targets are limited has a queue of its own, since it would hold up
+        requests that other targets can take.
+        """
+        service = request.service.name
+        is_limited = bool(request.excluded) and self._limited.are_limited(
+            self._table.candidates(service, request.excluded)
+        )
+        return service, is_limited
+
     def _no_target_wait_s(self, service: str) -> float:
         """Return how long to wait for the first target; infinite if there is one.
 
--- a/tests/test_forwarding_limits.py
+++ b/tests/test_forwarding_limits.py
@@ -75,6 +75,23 @@
         refusals = [f for name, f in self.lines if name == "request-refused"]
         self.assertEqual("all targets limited", refusals[0]["reason"])
 
+    async def test_a_retry_that_waits_for_a_permit_holds_up_no_other_request(self):
+        """The other engine has no limit, and the retry may not go there again."""
+        limited, free = await self.add("app", (0, 50), "p1", "p2")
+        self.permits.unlimited = {"p2@1"}
+        self.permits.expected_s = self.timer.now_s() + 0.5
+        free.statuses = [500]
+        retried = asyncio.ensure_future(self.send_request("/safe/x"))
+        await self.wait_until(lambda: free.requests)
+        for _ in range(5):
+            head, _ = await asyncio.wait_for(self.send_request("/unsafe/x"), 5)
+            self.assertEqual(200, head.status)
+        self.assertFalse(retried.done())
+        self.permits.left["p1@1"] = 1
+        self.forwarder._admission.admit_waiting()
+        head, _ = await retried
+        self.assertEqual((200, 1), (head.status, len(limited.requests)))
+
     async def start_broken_run(self, permits):
         engines = await self.add("llm", permits, "e1", "e2")
         engines[0].break_after = 3
