--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -1,7 +1,7 @@
 """Soak of the platform processes: a real fleet under injected faults.
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
-        [--profile standard|stops|crashes|limits]
+        [--profile standard|stops|crashes|requests|limits]
 
 Starts three control VMs and three entries, sends requests and configuration changes,
 injects the faults drawn from the seed, and checks what callers, operators and targets
--- a/bench/platform_soak_limits.py
+++ b/bench/platform_soak_limits.py
@@ -19,7 +19,8 @@
 __all__ = ["LimitCallers", "LimitRecords", "LimitedTarget"]
 
 LIMITS_PER_S = (0.5, 1.0, 2.4, 6.0, 20.0)
-# Longest and shortest time until a target names another limit or none.
+# Shortest and longest time until a target names its first limit, and another or none.
+FIRST_LIMIT_S = (4.0, 6.0)
 LIMIT_PERIOD_S = (7.0, 12.0)
 FREE_FRACTION = 0.25
 CALLERS = 24
@@ -112,7 +113,7 @@
         self._records = records
         self._limit_rng = random.Random(f"{rng.random()} {self.identity}")
         self._period: LimitPeriod | None = None
-        self._next_change_s = timer.now_s() + self._limit_rng.uniform(*LIMIT_PERIOD_S)
+        self._next_change_s = timer.now_s() + self._limit_rng.uniform(*FIRST_LIMIT_S)
 
     async def _run(self, exchange: Exchange) -> None:
         if self.service == "app":
--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -9,12 +9,8 @@
 import attrs
 
 from bench.platform_soak_callers import CallRecord
-from bench.platform_soak_crashes import (
-    FIRST_WAVE_S,
-    CrashCallers,
-    CrashingTarget,
-    CrashRecords,
-)
+from bench.platform_soak_crash_callers import CrashCallers
+from bench.platform_soak_crashes import FIRST_WAVE_S, CrashingTarget, CrashRecords
 from bench.platform_soak_faults import STANDARD, Fault, make_faults
 from bench.platform_soak_fleet import GRACE_S, SoakFleet
 from bench.platform_soak_limits import LimitCallers, LimitedTarget, LimitRecords
@@ -58,6 +54,8 @@
     """
 
     name = STANDARD
+    # Name of the profile whose faults are used; empty for its own.
+    faults_of = ""
     grace_s = GRACE_S
     targets_per_data_centre = 1
 
@@ -70,7 +68,7 @@
 
     def make_faults(self, duration_s: float) -> list[Fault]:
         """Return the faults in order of time."""
-        return make_faults(self._seed, duration_s, self.name)
+        return make_faults(self._seed, duration_s, self.faults_of or self.name)
 
     def make_target(
         self,
@@ -140,10 +138,11 @@
 
     name = "crashes"
     targets_per_data_centre = 4
+    is_plain = False
 
     def __init__(self, timer: TimerService, seed: int) -> None:
         super().__init__(timer, seed)
-        self._crashes = CrashRecords(timer, seed)
+        self._crashes = CrashRecords(timer, seed, is_plain=self.is_plain)
 
     def make_faults(self, duration_s: float) -> list[Fault]:
         """Return the faults in order of time."""
@@ -181,6 +180,16 @@
         return findings
 
 
+@_register
+class RequestCrashProfile(CrashProfile):
+    """Plain targets of a small service that crash on a request that comes again."""
+
+    name = "requests"
+    faults_of = CrashProfile.name
+    targets_per_data_centre = 1
+    is_plain = True
+
+
 @_register
 class LimitProfile(Profile):
     """Plain targets that limit the rate of requests from all entries together."""
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -14,12 +14,14 @@
 from bench.platform_soak_crashes import CrashRecords
 from bench.platform_soak_faults import make_faults
 from bench.platform_soak_fleet import SoakFleet
+from bench.platform_soak_limits import LimitPeriod, LimitRecords
 from bench.platform_soak_profiles import make_profile
 from bench.platform_soak_stops import StopRecords
 from endivesill.timer import ManualTimer
 
 SHORT_FAULT_S = 4.0
 SHORT_CRASH_S = 6.0
+SHORT_LIMIT_S = 8.0
 # Above the numbers of manual runs; differs between test runs on one machine.
 FLEET_NUMBER = 30_000 + os.getpid() % 30_000
 
@@ -177,6 +179,49 @@
         self.assertEqual(1, self.count_findings())
 
 
+class RequestCrashCheckTest(unittest.TestCase):
+    """A plain request that crashes targets is known by its body."""
+
+    def setUp(self):
+        self.crashes = CrashRecords(ManualTimer(), 1, is_plain=True)
+        self.wave = self.crashes.waves[0]
+
+    def test_a_request_is_known_by_its_body(self):
+        body = self.wave.part.encode()
+        self.assertIs(self.wave, self.crashes.wave_of("", body))
+        self.assertIsNone(self.crashes.wave_of(f"{self.wave.part}:80,91:20", b"order"))
+
+    def test_the_bound_holds_from_the_third_crash(self):
+        self.wave.crashes_s = [1_000.0, 1_001.0, 1_002.0]
+        self.wave.arrivals = [(1_005.1, "a")] * 3
+        self.assertEqual([], self.crashes.check()[0])
+        self.wave.arrivals.append((1_005.1, "a"))
+        self.assertEqual(1, len(self.crashes.check()[0]))
+
+
+class LimitCheckTest(unittest.TestCase):
+    """A target that names a limit of 2 requests a second from 1,000 s on."""
+
+    def setUp(self):
+        self.limits = LimitRecords()
+        self.period = LimitPeriod("app-1", 2.0, [1_000.0])
+        self.limits.periods.append(self.period)
+
+    def count_findings(self, from_s, count, interval_s):
+        self.period.arrivals_s += [from_s + n * interval_s for n in range(count)]
+        return len(self.limits.check()[0])
+
+    def test_a_limit_that_is_kept(self):
+        self.assertEqual(0, self.count_findings(1_003.0, 40, 0.5))
+
+    def test_requests_soon_after_the_limit_was_named(self):
+        self.assertEqual(0, self.count_findings(1_000.1, 100, 0.02))
+
+    def test_the_bound_of_a_window(self):
+        self.assertEqual(0, self.count_findings(1_003.0, 17, 0.1))
+        self.assertEqual(1, self.count_findings(1_004.95, 1, 0.1))
+
+
 class FleetTest(unittest.TestCase):
     def test_a_running_process_is_not_started_again(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -211,3 +256,16 @@
         self.assertGreaterEqual(figures["sound_before"][1], 20)
         self.assertGreaterEqual(figures["sound_after"][1], 20)
         self.assertEqual([], report["findings"])
+
+    async def test_a_request_that_crashes_targets_is_bounded(self):
+        report = await Soak(5, SHORT_CRASH_S, FLEET_NUMBER, "requests").run()
+        figures = report["part 1"]
+        self.assertGreaterEqual(figures["crashes"], 3)
+        self.assertGreaterEqual(figures["sent_after"], 20)
+        self.assertGreaterEqual(figures["sound_after"][1], 20)
+        self.assertEqual([], report["findings"])
+
+    async def test_targets_that_limit_the_rate_of_requests(self):
+        report = await Soak(3, SHORT_LIMIT_S, FLEET_NUMBER, "limits").run()
+        self.assertGreater(report["limits"], 0)
+        self.assertEqual([], report["findings"])
