--- a/bench/leader_cost.py
+++ b/bench/leader_cost.py
@@ -3,7 +3,8 @@
 One control replica leads and answers the sync requests of many entries, without
 sockets. The earlier way of answering (`leader_cost_baseline.py`) gets the same ones.
 The cost of a poll times the rate of polls is the leader's load, at rest and while every
-entry has generations at two engines.
+entry has generations at two engines. Beside it stands the cost of permits, while every
+entry requests some as often as it may.
 """
 
 from __future__ import annotations
@@ -18,15 +19,19 @@
 from endivesill.control import ControlReplica, ControlSettings, MemoryDisk
 from endivesill.fleet.engine_list import EngineListSource
 from endivesill.fleet.model import EngineInfo
+from endivesill.fleet.permit_client import MIN_REQUEST_PERIOD_S, REQUESTS_PER_S
+from endivesill.fleet.permit_service import PERMITS_PATH
 from endivesill.fleet.polling import addresses_digest, long_poll_s
 from endivesill.fleet.sync_service import FleetSyncService
-from endivesill.peers import MemoryNetwork, Message, encode_message
+from endivesill.peers import MemoryNetwork, Message, PeerTransport, encode_message
 from endivesill.timer import SystemTimer
 
 __all__ = ["main"]
 
 ENTRY_COUNTS = (10, 50, 200, 1_000)
 ENGINES = 30
+LIMITED_ENGINES = 3
+LIMIT_PER_S = 100.0
 POLLS = 2_000
 # HTTP heads of a request and its response between VMs.
 HEAD_BYTES = 140
@@ -47,8 +52,8 @@
         return []
 
 
-async def start_leader() -> FleetSyncService:
-    """Return the sync service of a replica that leads a cluster of its own."""
+async def start_leader() -> tuple[FleetSyncService, PeerTransport]:
+    """Return the sync service of a replica that leads a cluster, and its peer port."""
     timer = SystemTimer()
     transport = MemoryNetwork(timer).transport(LEADER)
     replica = ControlReplica(
@@ -58,7 +63,7 @@
     await replica.start()
     while not replica.is_leader:
         await timer.sleep(0.05)
-    return service
+    return service, transport
 
 
 def request(number: int, entries: int, *, is_busy: bool) -> Message:
@@ -107,7 +112,7 @@
 ) -> dict[str, tuple[float, float]]:
     """Return cores and bytes per second of the baseline and of the current leader."""
     baseline = BaselineLeader([LEADER])
-    service = await start_leader()
+    service, _ = await start_leader()
 
     async def answer_baseline(message: Message) -> str:
         return baseline.handle(message, time.monotonic())
@@ -126,9 +131,36 @@
     return loads
 
 
+async def measure_permits(entries: int) -> tuple[float, float]:
+    """Return the cores and the bytes per second of permits for limited engines."""
+    service, transport = await start_leader()
+    names = [f"i-{number:010x}@1781337530021" for number in range(LIMITED_ENGINES)]
+    for name in names:
+        service.limits.note_response(name, LIMIT_PER_S, may_end=True)
+    answer = transport.handlers[PERMITS_PATH]
+    size_bytes = 0
+    started_s = time.process_time()
+    for number in range(POLLS):
+        message = {
+            "entry": f"{number % entries:012x}",
+            "wanted": {names[number % LIMITED_ENGINES]: 1 + number % 3},
+            "limits": service.limits.rows(),
+        }
+        text = json.dumps(message, separators=(",", ":"))
+        reply = json.dumps(await answer(json.loads(text)), separators=(",", ":"))
+        size_bytes += len(text) + len(reply) + HEAD_BYTES
+    request_s = (time.process_time() - started_s) / POLLS
+    rate_per_s = min(REQUESTS_PER_S, entries / MIN_REQUEST_PERIOD_S)
+    return request_s * rate_per_s, size_bytes / POLLS * rate_per_s
+
+
 async def run() -> Report:
     """Measure all numbers of entries and return the report."""
     report = Report("leader_cost")
+    for entries in ENTRY_COUNTS:
+        cores, bytes_per_s = await measure_permits(entries)
+        report.add(f"permits, {entries} entries", cores, "cores")
+        report.add(f"permits, {entries} entries", bytes_per_s, "B/s")
     for state in ("at rest", "busy"):
         points: dict[str, list[tuple[float, float]]] = {"cores": [], "B/s": []}
         for entries in ENTRY_COUNTS:
