--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -15,6 +15,7 @@
     "EVAC",
     "FAILBACK",
     "GONE",
+    "LIMIT",
     "LOST",
     "MIXED",
     "ORDER",
