--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -47,7 +47,7 @@
 # than a message takes. Otherwise two VMs that order two old reports differently would
 # replace each other's for ever.
 MIN_AGE_DIFFERENCE_S = 1.0
-# Parts of one report, and the length of one cause's id.
+# Causes of one report, and the length of one cause's id.
 MAX_CAUSES = 256
 MAX_CAUSE_LENGTH = 64
 # Least time between two changes of reports because of runs that went on. After a crash
--- a/tests/test_fleet_crash_exchange.py
+++ b/tests/test_fleet_crash_exchange.py
@@ -6,6 +6,8 @@
 
 # From a report until it has reached all entries; the platform's bound is 3 s.
 EXCHANGE_BOUND_S = 1.0
+# Polls of an entry at rest, and those that each 0.25 s of changes may add.
+MAX_POLLS_PER_S = 15
 
 
 class ExchangeTestCase(SyncTestCase):
@@ -137,3 +139,31 @@
         for address in (None, follower):
             crashes._leader = lambda address=address: address
             self.assertFalse(await cluster.run(crashes.request_trial(block)))
+
+
+class VolumeTest(ExchangeTestCase):
+    async def test_what_entries_know_of_a_crash_reaches_the_others_in_few_messages(
+        self,
+    ):
+        """Each entry knows of another cause of the crash that runs with it went on."""
+        entries = 40
+        cluster = await self.cluster(entries=entries)
+        cluster.network.jitter_s = 0.02
+        leader = cluster.network.find(cluster.address_of(await cluster.leader()))
+        causes = [f"request:{number}" for number in range(entries)]
+        for cause, entry in zip(causes, cluster.entries, strict=True):
+            entry.sync_client.crashes.evidence.note_sound([cause])
+        calls = 0
+        handle = leader.handlers[SYNC_PATH]
+
+        async def count(message):
+            nonlocal calls
+            calls += 1
+            return await handle(message)
+
+        leader.handlers[SYNC_PATH] = count
+        await self.crash(cluster, cluster.entries[0], "e1", *causes)
+        await cluster.timer.advance(1.0)
+        self.assertLessEqual(calls, entries * MAX_POLLS_PER_S)
+        evidence = cluster.entries[-1].sync_client.crashes.evidence
+        self.assertEqual(set(causes), evidence._reports["e1@1"].sound)
