Give entries their turns only once the leader knows all of them

Places are told only when leases of the previous leader have expired, as shares are; until then entries keep the places that fit each other.

--- a/endivesill/fleet/shares.py
+++ b/endivesill/fleet/shares.py
@@ -84,7 +84,7 @@
         self._expire(now_s)
         self._end_lease(entry_id)
         if entry_id not in self._places:
-            place = min(self._free_places, default=self.place_count)
+            place = min(self._free_places, default=self._place_count)
             self._free_places.discard(place)
             self._places[entry_id] = place
         if now_s < self._previous_expired_s:
@@ -95,13 +95,19 @@
         self._granted += share
         return share
 
-    def place(self, entry_id: str) -> int:
-        """Return the place of an entry with a lease; see `EntryTurn`."""
-        return self._places[entry_id]
+    def place(self, entry_id: str, now_s: float) -> tuple[int, int] | None:
+        """Return the place of an entry with a lease, and the number of places.
+
+        Returns:
+          None while leases of the previous leader may be in force: this leader may not
+          know all entries yet, and the places that they have fit each other.
+        """
+        if now_s < self._previous_expired_s:
+            return None
+        return self._places[entry_id], self._place_count
 
     @property
-    def place_count(self) -> int:
-        """Number of places, free ones included."""
+    def _place_count(self) -> int:
         return len(self._places) + len(self._free_places)
 
     def release(self, entry_id: str) -> None:
@@ -110,8 +116,8 @@
         place = self._places.pop(entry_id, None)
         if place is not None:
             self._free_places.add(place)
-        while self._free_places and self.place_count - 1 in self._free_places:
-            self._free_places.remove(self.place_count - 1)
+        while self._free_places and self._place_count - 1 in self._free_places:
+            self._free_places.remove(self._place_count - 1)
 
     def _end_lease(self, entry_id: str) -> None:
         lease = self._leases.pop(entry_id, None)
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -226,7 +226,8 @@
 
         Returns:
           `{"leader"}` from a VM that does not lead; `{}` to an entry that leaves; else
-          `{"share", "entries", "term"}` and, where newer, `"state"`, `"evacuations"`,
+          `{"share", "entries", "term"}`, `"turn"` with place, number of places and clock
+          once all entries are known, and, where newer, `"state"`, `"evacuations"`,
           `"list"`, `"ejections"`, `"controls"`, and `"loads"` with the part of the
           entry in `"own_loads"`.
         """
@@ -356,11 +357,9 @@
         }
         reply["share"] = self._allocator.renew(entry_id, message["share"], now_s)
         reply["entries"] = self._allocator.entry_count(now_s)
-        reply["turn"] = [
-            self._allocator.place(entry_id),
-            self._allocator.place_count,
-            round(now_s, 4),
-        ]
+        place = self._allocator.place(entry_id, now_s)
+        if place is not None:
+            reply["turn"] = [*place, round(now_s, 4)]
         reply.update(self._loads_for(entry_id, message, now_s))
         controls = sorted(self._replica.core.voter_set.members.values())
         if addresses_digest(controls) != message.get("controls"):
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -114,6 +114,20 @@
         self.assert_limit_kept(limited, 2.4)
         self.assertGreaterEqual(len(limited.arrivals) - before, 0.7 * 20.0 * 2.4)
 
+    async def test_a_leader_that_entries_reach_once_gives_no_turns(self):
+        """It knows only the entries that came before the one that it answers."""
+        fleet, limited = await self.limited_fleet(entries=40)
+        first = fleet.address_of(await fleet.leader())
+        await fleet.crash(first)
+        second = fleet.address_of(await fleet.leader())
+        while any(e.sync_client.leader != second for e in fleet.entries):
+            await fleet.timer.advance(0.05)
+        await fleet.crash(second)
+        for entry in fleet.entries:
+            limited.told_s.setdefault(entry.address, fleet.timer.now_s())
+        await fleet.drive(12.0, per_s=60.0)
+        self.assert_limit_kept(limited, 2.4)
+
     async def test_no_turn_is_saved_up_without_a_leader(self):
         fleet, limited = await self.limited_fleet(entries=200)
         await self.crash_all(fleet)
