--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -1,11 +1,11 @@
 """Soak of the platform processes: a real fleet under injected faults.
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
-        [--profile standard|stops|crashes|requests|limits]
+        [--profile standard|stops|crashes|requests|limits] [--entries N]
 
-Starts three control VMs and three entries, sends requests and configuration changes,
-injects the faults drawn from the seed, and checks what callers, operators and targets
-observed. Ends only processes that it started. Logs stay in run/platform-soak.
+Starts three control VMs and three entries, or N in each data centre, sends requests and
+configuration changes, injects the faults drawn from the seed, and checks what callers,
+operators and targets observed. Ends only processes that it started. Logs stay in run/platform-soak.
 """
 
 from __future__ import annotations
@@ -60,6 +60,7 @@
       fault_s: length of the period in which faults begin.
       number: number of the fleet, unique on the machine.
       profile: name of a profile of `platform_soak_profiles`.
+      entries: entries in each data centre.
 
     Attributes:
       findings: violations found, one text each.
@@ -71,7 +72,9 @@
         fault_s: float,
         number: int = FIRST_FLEET_NUMBER,
         profile: str = STANDARD,
+        entries: int = 1,
     ) -> None:
+        self._entries = entries
         self._seed = seed
         self._fault_s = fault_s
         self._timer = SystemTimer()
@@ -100,6 +103,7 @@
             self._number,
             self._target_list.proxy.address,
             self._profile.grace_s,
+            self._entries,
         )
         self._injector = FaultInjector(
             self._timer, fleet, self._targets, self._target_list, self
@@ -212,12 +216,14 @@
         }
 
 
-def run_seed(seed: int, fault_s: float, number: int, profile: str) -> dict[str, Any]:
+def run_seed(
+    seed: int, fault_s: float, number: int, profile: str, entries: int
+) -> dict[str, Any]:
     """Run one seed in this process; return its report.
 
     A run that fails or exceeds its time limit is reported as a finding.
     """
-    soak = Soak(seed, fault_s, number, profile)
+    soak = Soak(seed, fault_s, number, profile, entries)
 
     async def run_with_timeout() -> dict[str, Any]:
         async with asyncio.timeout(fault_s + RUN_MARGIN_S):
@@ -241,6 +247,7 @@
     fault_s: float = FAULT_PERIOD_S,
     jobs: int = 1,
     profile: str = STANDARD,
+    entries: int = 1,
 ) -> int:
     """Run seeds and print a report of each as a line of JSON.
 
@@ -250,6 +257,7 @@
       fault_s: length of the period in which faults begin, for each seed.
       jobs: number of fleets that run at a time.
       profile: the faults, callers and checks.
+      entries: entries in each of the three data centres.
     """
     failed_seeds = 0
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
@@ -260,6 +268,7 @@
                 fault_s,
                 FIRST_FLEET_NUMBER + current_seed % FLEET_NUMBERS,
                 profile,
+                entries,
             )
             for current_seed in range(seed, seed + seeds)
         ]
--- a/bench/platform_soak_fleet.py
+++ b/bench/platform_soak_fleet.py
@@ -28,6 +28,11 @@
 CONTROL_PORT = 8748
 FRONT_PORT = 8740
 READY_PORT = 8749
+# Last bytes of the addresses, before the first data centre.
+CONTROL_HOST = 10
+ENTRY_HOST = 20
+# Entries in one data centre that the addresses of a fleet have room for.
+MAX_ENTRIES = 78
 GRACE_S = 4.0
 LEADER_TIMEOUT_S = 0.3
 
@@ -114,7 +119,7 @@
 
 
 class SoakFleet:
-    """Three control VMs and three entries, one of each in a data centre.
+    """A control VM and some entries in each of three data centres.
 
     Args:
       folder: folder for settings, logs and data directories; deleted first.
@@ -122,6 +127,7 @@
         its loopback addresses.
       list_address: HOST:PORT of the platform's target list.
       grace_s: time from a SIGTERM to the end of a process.
+      entries: entries in each data centre, up to `MAX_ENTRIES`.
 
     Attributes:
       grace_s: the argument.
@@ -136,6 +142,7 @@
         number: int,
         list_address: str,
         grace_s: float = GRACE_S,
+        entries: int = 1,
     ) -> None:
         self._list_address = list_address
         self.grace_s = grace_s
@@ -145,11 +152,15 @@
         self.control_proxies: dict[str, FaultProxy] = {}
         shutil.rmtree(folder, ignore_errors=True)
         for position, data_centre in enumerate(DATA_CENTRES, 1):
-            for role, host_base in (("control", 10), ("entry", 20)):
-                name = f"{role}-{data_centre}"
+            hosts = {f"control-{data_centre}": CONTROL_HOST + position}
+            for extra in range(min(entries, MAX_ENTRIES)):
+                name = f"entry-{data_centre}{extra + 1 if extra else ''}"
+                hosts[name] = ENTRY_HOST + position + extra * len(DATA_CENTRES)
+            for name, host in hosts.items():
                 process_folder = folder / name
                 process_folder.mkdir(parents=True)
-                ip = f"127.{number // 256}.{number % 256}.{host_base + position}"
+                ip = f"127.{number // 256}.{number % 256}.{host}"
+                role = name.partition("-")[0]
                 self.processes[name] = SoakProcess(
                     name, role, ip, data_centre, process_folder
                 )
