--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -5,7 +5,8 @@
 
 Starts three control VMs and three entries, or N in each data centre, sends requests and
 configuration changes, injects the faults drawn from the seed, and checks what callers,
-operators and targets observed. Ends only processes that it started. Logs stay in run/platform-soak.
+operators and targets observed. Ends only processes that it started. Logs stay in
+run/platform-soak.
 """
 
 from __future__ import annotations
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -226,10 +226,10 @@
 
         Returns:
           `{"leader"}` from a VM that does not lead; `{}` to an entry that leaves; else
-          `{"share", "entries", "term"}`, `"turn"` with place, number of places and clock
-          once all entries are known, and, where newer, `"state"`, `"evacuations"`,
-          `"list"`, `"ejections"`, `"controls"`, and `"loads"` with the part of the
-          entry in `"own_loads"`.
+          `{"share", "entries", "term"}`; once all entries are known, `"turn"` with
+          place, number of places and clock; and, where newer, `"state"`,
+          `"evacuations"`, `"list"`, `"ejections"`, `"controls"`, and `"loads"` with
+          the part of the entry in `"own_loads"`.
         """
         entry_id = message["entry"]
         if message.get("leaving"):
