--- a/endivesill/fleet/engine_limits.py
+++ b/endivesill/fleet/engine_limits.py
@@ -55,6 +55,8 @@
     def __init__(self, timer: TimerService) -> None:
         self._timer = timer
         self._observations: dict[str, _Observation] = {}
+        # Engines that have named a limit that cannot be read; logged once each.
+        self._unreadable: set[str] = set()
         self.number = 0
 
     def note_response(
@@ -79,10 +81,8 @@
             return False
         now_s = self._timer.now_s()
         if per_s is not None and math.isnan(per_s):
+            self._note_unreadable(incarnation)
             if known_per_s is None:
-                events.emit(
-                    ENGINE_LIMITED, target=incarnation, limit_per_s="unreadable"
-                )
                 return False
             per_s = known_per_s
         if per_s is not None:
@@ -92,6 +92,11 @@
             return False
         return self._observe(incarnation, per_s, now_s)
 
+    def _note_unreadable(self, incarnation: str) -> None:
+        if incarnation not in self._unreadable:
+            self._unreadable.add(incarnation)
+            events.emit(ENGINE_LIMITED, target=incarnation, limit_per_s="unreadable")
+
     def _observe(self, incarnation: str, per_s: float | None, seen_s: float) -> bool:
         known = self._observations.get(incarnation)
         is_news = per_s != (known.per_s if known else None)
@@ -117,10 +122,11 @@
         """Drop what is known of some engines."""
         for incarnation in incarnations:
             self._observations.pop(incarnation, None)
+            self._unreadable.discard(incarnation)
 
     def known(self) -> set[str]:
         """Return the incarnations that have or had a limit."""
-        return set(self._observations)
+        return self._observations.keys() | self._unreadable
 
     def rows(self) -> dict[str, LimitRow]:
         """Return the observations as JSON, by incarnation."""
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -4,6 +4,7 @@
 import math
 import unittest
 
+from endivesill import events
 from endivesill.fleet.engine_limits import HOLD_S, MIN_LIMIT_PER_S, EngineLimits
 from endivesill.fleet.permits import LeaderPermits, burst_requests
 from endivesill.timer import ManualTimer
@@ -251,6 +252,13 @@
         self.note(math.nan)
         self.assertEqual(3.0, self.limits.limit_per_s("e1@1"))
 
+    def test_an_unreadable_limit_is_logged_once(self):
+        lines = []
+        self.addCleanup(events.listen(lambda kind, fields: lines.append(kind.name)))
+        for _ in range(5):
+            self.note(math.nan)
+        self.assertEqual(["engine-limited"], lines)
+
     async def test_a_response_that_says_nothing_of_limits_does_not_end_one(self):
         self.note(3.0)
         await self.timer.advance(HOLD_S)
