--- a/bench/platform_soak_limits.py
+++ b/bench/platform_soak_limits.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import random
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -16,7 +17,14 @@
 from endivesill.http1 import ConnectionPool, Exchange, UpstreamError
 from endivesill.timer import TimerService
 
-__all__ = ["LimitCallers", "LimitRecords", "LimitedTarget"]
+__all__ = [
+    "LimitCallers",
+    "LimitPeriod",
+    "LimitRecords",
+    "LimitedTarget",
+    "allowed_in_window",
+    "most_in_window",
+]
 
 LIMITS_PER_S = (0.5, 1.0, 2.4, 6.0, 20.0)
 # Shortest and longest time until a target names its first limit, and another or none.
@@ -34,6 +42,21 @@
 MAX_EXTRA = 5
 
 
+def most_in_window(times_s: Sequence[float]) -> int:
+    """Return the most of some times, in order, that are within `WINDOW_S`."""
+    most = start = 0
+    for end, time_s in enumerate(times_s):
+        while times_s[start] < time_s - WINDOW_S:
+            start += 1
+        most = max(most, end - start + 1)
+    return most
+
+
+def allowed_in_window(limit_per_s: float) -> float:
+    """Return how many requests a target with a limit may get within `WINDOW_S`."""
+    return MAX_RATIO * limit_per_s * WINDOW_S + MAX_EXTRA
+
+
 @attrs.define
 class LimitPeriod:
     """A time in which a target names one limit.
@@ -51,13 +74,7 @@
     def most_in_window(self) -> int:
         """Return the most requests in a window once the limit must hold."""
         from_s = self.arrivals_s[0] + LIMIT_HOLDS_AFTER_S if self.arrivals_s else 0.0
-        times_s = [time_s for time_s in self.arrivals_s if time_s >= from_s]
-        most = start = 0
-        for end, time_s in enumerate(times_s):
-            while times_s[start] < time_s - WINDOW_S:
-                start += 1
-            most = max(most, end - start + 1)
-        return most
+        return most_in_window([t for t in self.arrivals_s if t >= from_s])
 
 
 class LimitRecords:
@@ -79,7 +96,7 @@
         for period in self.periods:
             most = period.most_in_window()
             arrivals += len(period.arrivals_s)
-            allowed = MAX_RATIO * period.per_s * WINDOW_S + MAX_EXTRA
+            allowed = allowed_in_window(period.per_s)
             if most > allowed:
                 findings.append(
                     f"{period.target} takes {period.per_s} requests a second and got "
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bench.platform_soak_limits import most_in_window
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.permit_client import PermitClient
 from endivesill.forwarding.targets import ResourceDemand, TargetTable
@@ -14,10 +15,6 @@
 from tests.fleet_cluster import Entry, FleetCluster
 from tests.forwarding_fakes import PLAIN, engine
 
-# The promise to an engine: requests in any window, beyond 1.5 times its limit.
-WINDOW_S = 4.0
-FACTOR = 1.5
-SLACK = 5
 # An entry that has just learnt of a limit may have requests on their way.
 TOLD_AFTER_S = 0.5
 RUN_S = 0.05
@@ -55,12 +52,7 @@
             if time_s >= since_s
             and time_s >= self.told_s.get(entry, float("inf")) + TOLD_AFTER_S
         ]
-        most = start = 0
-        for end, time_s in enumerate(times_s):
-            while times_s[start] < time_s - WINDOW_S:
-                start += 1
-            most = max(most, end - start + 1)
-        return most
+        return most_in_window(times_s)
 
 
 class LimitedEntry(Entry):
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -4,11 +4,12 @@
 import math
 import unittest
 
+from bench.platform_soak_limits import allowed_in_window
 from endivesill import events
 from endivesill.fleet.engine_limits import HOLD_S, MIN_LIMIT_PER_S, EngineLimits
 from endivesill.fleet.permits import LeaderPermits, burst_requests
 from endivesill.timer import ManualTimer
-from tests.limited_fleet import FACTOR, SLACK, WINDOW_S, LimitedFleet
+from tests.limited_fleet import LimitedFleet
 
 
 class LimitedFleetTestCase(unittest.IsolatedAsyncioTestCase):
@@ -25,8 +26,8 @@
         return fleet
 
     def assert_limit_kept(self, engine, limit_per_s, since_s=0.0):
-        allowed = FACTOR * limit_per_s * WINDOW_S + SLACK
-        self.assertLessEqual(engine.most_in_window(since_s), allowed)
+        most = engine.most_in_window(since_s)
+        self.assertLessEqual(most, allowed_in_window(limit_per_s))
 
 
 class SumOverEntriesTest(LimitedFleetTestCase):
