--- a/endivesill/fleet/permit_client.py
+++ b/endivesill/fleet/permit_client.py
@@ -1,8 +1,8 @@
 """An entry's permits to send requests to engines that limit their rate.
 
-The leader grants them. While none answers, the entries take turns by the leader's last
-clock: each interval of a limit belongs to one entry, so that the entries need not know
-of each other, and a turn that is not used is not saved up.
+The leader grants them. While none answers, the entries take turns by the clock of the
+last leader: each interval of a limit belongs to one entry, so that the entries need not
+know of each other, and a turn that is not used is not saved up.
 """
 
 from __future__ import annotations
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -70,8 +70,8 @@
       ejections: remaining seconds of these ejections, by incarnation, when they came.
       limits_stamp: stamp of the newest limits of engines.
       lease: this entry's share of the fleet-wide limits.
-      turn: its place among the entries while no leader answers; None before the first
-        lease.
+      turn: its place among the entries while no leader answers; None until a leader
+        has told one.
       entry_count: how many entries hold a lease.
       confirmed_at_s: when the view was last known to be current.
     """
