--- a/tests/test_forwarding_limits.py
+++ b/tests/test_forwarding_limits.py
@@ -3,6 +3,9 @@
 import asyncio
 import collections
 
+import attrs
+
+from endivesill.fleet.engine_limits import HOLD_S
 from endivesill.fleet.permits import SendPermits
 from endivesill.http1 import UpstreamError
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase
@@ -15,6 +18,8 @@
     def __init__(self):
         self.left = collections.Counter()
         self.taken = collections.Counter()
+        self.unlimited = set()
+        self.expected_s = float("inf")
 
     def may_send(self, incarnation):
         return self.left[incarnation] > 0
@@ -27,10 +32,10 @@
         return True
 
     def limit_per_s(self, incarnation):
-        return 2.0
+        return None if incarnation in self.unlimited else 2.0
 
     def free_at_s(self, incarnation):
-        return float("inf")
+        return self.expected_s
 
 
 class EverySendTest(ForwardingTestCase):
@@ -70,6 +75,23 @@
         refusals = [f for name, f in self.lines if name == "request-refused"]
         self.assertEqual("all targets limited", refusals[0]["reason"])
 
+    async def test_a_retry_that_waits_for_a_permit_holds_up_no_other_request(self):
+        """The other engine has no limit, and the retry may not go there again."""
+        limited, free = await self.add("app", (0, 50), "p1", "p2")
+        self.permits.unlimited = {"p2@1"}
+        self.permits.expected_s = self.timer.now_s() + 0.5
+        free.statuses = [500]
+        retried = asyncio.ensure_future(self.send_request("/safe/x"))
+        await self.wait_until(lambda: free.requests)
+        for _ in range(5):
+            head, _ = await asyncio.wait_for(self.send_request("/unsafe/x"), 5)
+            self.assertEqual(200, head.status)
+        self.assertFalse(retried.done())
+        self.permits.left["p1@1"] = 1
+        self.forwarder._admission.admit_waiting()
+        head, _ = await retried
+        self.assertEqual((200, 1), (head.status, len(limited.requests)))
+
     async def start_broken_run(self, permits):
         engines = await self.add("llm", permits, "e1", "e2")
         engines[0].break_after = 3
@@ -125,10 +147,20 @@
         return self.table.notices.limits.limit_per_s("p1@1")
 
     async def test_a_limit_holds_as_long_as_responses_name_it(self):
-        self.assertEqual(2.5, await self.limit(b"2.5"))
         self.assertEqual(3.0, await self.limit(b"3"))
+        self.assertEqual(2.5, await self.limit(b"2.5"))
+        self.age_limits()
+        self.assertEqual(3.5, await self.limit(b"3.5"))
+        self.age_limits()
         self.assertIsNone(await self.limit())
 
+    def age_limits(self):
+        """Let the time pass after which a limit may be raised or ended."""
+        observations = self.table.notices.limits._observations
+        for incarnation, known in observations.items():
+            seen_s = known.seen_s - HOLD_S
+            observations[incarnation] = attrs.evolve(known, seen_s=seen_s)
+
     async def test_a_rejection_may_name_a_limit_but_ends_none(self):
         self.assertEqual(2.5, await self.limit(b"2.5", rejects=True))
         self.assertEqual(2.5, await self.limit(rejects=True))
@@ -139,5 +171,6 @@
             self.assertEqual(4.0, await self.limit(odd), odd)
         self.assertEqual(2.0, await self.limit(b"3", b"2"))
         self.assertEqual(2.0, await self.limit(b"5, 2"))
-        self.assertEqual(100_000.0, await self.limit(b"9" * 40))
         self.assertEqual(0.25, await self.limit(b"0"))
+        self.age_limits()
+        self.assertEqual(100_000.0, await self.limit(b"9" * 40))
