--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -4,6 +4,7 @@
 import math
 import unittest
 
+from endivesill import events
 from endivesill.fleet.engine_limits import HOLD_S, MIN_LIMIT_PER_S, EngineLimits
 from endivesill.fleet.permits import LeaderPermits, burst_requests
 from endivesill.timer import ManualTimer
@@ -114,6 +115,20 @@
         self.assert_limit_kept(limited, 2.4)
         self.assertGreaterEqual(len(limited.arrivals) - before, 0.7 * 20.0 * 2.4)
 
+    async def test_a_leader_that_entries_reach_once_gives_no_turns(self):
+        """It knows only the entries that came before the one that it answers."""
+        fleet, limited = await self.limited_fleet(entries=40)
+        first = fleet.address_of(await fleet.leader())
+        await fleet.crash(first)
+        second = fleet.address_of(await fleet.leader())
+        while any(e.sync_client.leader != second for e in fleet.entries):
+            await fleet.timer.advance(0.05)
+        await fleet.crash(second)
+        for entry in fleet.entries:
+            limited.told_s.setdefault(entry.address, fleet.timer.now_s())
+        await fleet.drive(12.0, per_s=60.0)
+        self.assert_limit_kept(limited, 2.4)
+
     async def test_no_turn_is_saved_up_without_a_leader(self):
         fleet, limited = await self.limited_fleet(entries=200)
         await self.crash_all(fleet)
@@ -237,6 +252,13 @@
         self.note(math.nan)
         self.assertEqual(3.0, self.limits.limit_per_s("e1@1"))
 
+    def test_an_unreadable_limit_is_logged_once(self):
+        lines = []
+        self.addCleanup(events.listen(lambda kind, fields: lines.append(kind.name)))
+        for _ in range(5):
+            self.note(math.nan)
+        self.assertEqual(["engine-limited"], lines)
+
     async def test_a_response_that_says_nothing_of_limits_does_not_end_one(self):
         self.note(3.0)
         await self.timer.advance(HOLD_S)
