Connect to targets from the VM's own address

A VM may have several addresses, and a target, a firewall or a proxy could not tell which entry a connection came from. Entries now bind their connections to the address in their settings, at which they also listen.

--- a/endivesill/http1/pool.py
+++ b/endivesill/http1/pool.py
@@ -28,15 +28,21 @@
       timer: the timer service.
       connect_timeout_s: time limit for connecting, including the TLS handshake.
       max_idle_s: idle time from which a connection is not reused.
+      source_host: local IP address of the connections; empty for the system's choice.
 
     Attributes:
       connect_attempts: number of connection attempts so far.
     """
 
     def __init__(
-        self, timer: TimerService, connect_timeout_s: float, max_idle_s: float
+        self,
+        timer: TimerService,
+        connect_timeout_s: float,
+        max_idle_s: float,
+        source_host: str = "",
     ) -> None:
         self._timer = timer
+        self._source = (source_host, 0) if source_host else None
         self._connect_timeout_s = connect_timeout_s
         self._max_idle_s = max_idle_s
         self._idle: dict[str, list[UpstreamConnection]] = {}
@@ -75,6 +81,7 @@
             host.strip("[]"),
             int(port),
             ssl=tls,
+            local_addr=self._source,
         )
         try:
             _, connection = await self._timer.wait_for(
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -97,7 +97,9 @@
             timer, self._table, self._admission, self._sync_client, transport
         )
         self._statistics = Statistics()
-        self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, MAX_IDLE_S)
+        self._pool = ConnectionPool(
+            timer, CONNECT_TIMEOUT_S, MAX_IDLE_S, source_host=settings.ip
+        )
         budget = RetryBudget(
             timer,
             bounds.retry_ratio,
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -5,12 +5,14 @@
 import unittest
 
 from endivesill.http1 import (
+    ConnectionPool,
+    HttpListener,
     UpstreamConnection,
     UpstreamError,
     bounds_exceeded,
     strip_hop_by_hop,
 )
-from endivesill.timer import ManualTimer
+from endivesill.timer import ManualTimer, SystemTimer
 from tests.http1_fakes import FakeTransport, settle
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -127,6 +129,24 @@
         self.assertEqual(201, (await self.connection.head()).status)
 
 
+class SourceAddressTest(unittest.IsolatedAsyncioTestCase):
+    async def test_connections_come_from_the_source_address(self):
+        async def handle(exchange):
+            peer = exchange.connection.transport.get_extra_info("peername")
+            exchange.respond(200, [], peer[0].encode())
+
+        timer = SystemTimer()
+        listener = HttpListener(timer, "127.0.0.1:0", handle)
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        pool = ConnectionPool(timer, 1.0, 1.0, source_host="127.0.0.2")
+        self.addCleanup(pool.close)
+        _, body = await pool.exchange(
+            listener.address, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
+        self.assertEqual(b"127.0.0.2", body)
+
+
 class BoundsTest(ClientTestCase):
     """Peers that send bytes without end."""
 
