Show that callers of entries without links to targets are not served

The soak gets the profile `cuts`: real entries lose their links to all targets, a service or a data centre, while links of other entries stay. Socket filters drop what comes from one entry, so that connections hang, pass one way, are reset, or live on while new ones hang.

--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -7,7 +7,9 @@
 import socket
 import struct
 
-__all__ = ["FaultProxy", "LinkState"]
+from bench.source_filter import drop_packets_from
+
+__all__ = ["CutKind", "FaultProxy", "LinkState"]
 
 MAX_READ_BYTES = 65_536
 
@@ -26,6 +28,19 @@
     RESET = "reset"
 
 
+class CutKind(enum.Enum):
+    """How the link from one host to the proxy is cut; new connections hang."""
+
+    # Nothing passes in either direction.
+    HANGS = "hangs"
+    # Nothing reaches the proxy; what it sends still arrives.
+    ONE_WAY = "one-way"
+    # Existing connections are reset.
+    RESET = "reset"
+    # Existing connections live on.
+    ONLY_NEW = "only-new"
+
+
 class FaultProxy:
     """Forwards connections to one upstream address.
 
@@ -47,6 +62,9 @@
         self._delay_s = delay_s
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # The host that each connection came from, and the cut links by host.
+        self._hosts: dict[asyncio.StreamWriter, str] = {}
+        self._cuts: dict[str, CutKind] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._state_changed = asyncio.Event()
         self.state = LinkState.OPEN
@@ -81,6 +99,40 @@
             for writer in self._writers:
                 _reset(writer)
 
+    def cut(self, host: str, kind: CutKind) -> None:
+        """Cut the link from one host, also for its open connections."""
+        self._cuts[host] = kind
+        self._apply_cuts()
+        if kind is CutKind.RESET:
+            for writer, source in self._hosts.items():
+                if source == host:
+                    _reset(writer)
+
+    def heal(self, host: str) -> None:
+        """End the cut of the link from one host."""
+        self._cuts.pop(host, None)
+        self._apply_cuts()
+        self._state_changed.set()
+        self._state_changed = asyncio.Event()
+
+    def _apply_cuts(self) -> None:
+        if self._server is None:
+            return
+        for sock in self._server.sockets:
+            drop_packets_from(sock, self._cuts)
+        for writer, host in self._hosts.items():
+            self._filter(writer, host)
+
+    def _filter(self, writer: asyncio.StreamWriter, host: str) -> None:
+        """Drop what an open connection gets, or no longer drop it."""
+        sock = writer.get_extra_info("socket")
+        if sock is None or writer.transport.is_closing():
+            return
+        kind = self._cuts.get(host, CutKind.ONLY_NEW)
+        is_dropping = kind is not CutKind.ONLY_NEW
+        # The filter of the listening socket is inherited.
+        drop_packets_from(sock, [host] if is_dropping else [])
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -110,11 +162,15 @@
             host, int(port)
         )
         self._writers |= {writer, upstream_writer}
+        source = writer.get_extra_info("peername")[0]
+        self._hosts[writer] = source
+        if self._cuts:
+            self._filter(writer, source)
         request_task = asyncio.ensure_future(
-            self._forward(reader, upstream_writer, LinkState.NO_REQUESTS)
+            self._forward(reader, upstream_writer, LinkState.NO_REQUESTS, "")
         )
         response_task = asyncio.ensure_future(
-            self._forward(upstream_reader, writer, LinkState.NO_ANSWERS)
+            self._forward(upstream_reader, writer, LinkState.NO_ANSWERS, source)
         )
         try:
             await asyncio.gather(request_task, response_task)
@@ -122,6 +178,7 @@
             request_task.cancel()
             response_task.cancel()
             self._writers -= {writer, upstream_writer}
+            self._hosts.pop(writer, None)
             upstream_writer.transport.abort()
 
     async def _forward(
@@ -129,11 +186,15 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         blocking_state: LinkState,
+        receiver: str,
     ) -> None:
         while data := await reader.read(MAX_READ_BYTES):
             if self.state is LinkState.DELAYED:
                 await asyncio.sleep(self._delay_s)
-            while self.state in (blocking_state, LinkState.SILENT):
+            while (
+                self.state in (blocking_state, LinkState.SILENT)
+                or self._cuts.get(receiver) is CutKind.HANGS
+            ):
                 await self._state_changed.wait()
             writer.write(data)
             await writer.drain()
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -1,7 +1,7 @@
 """Soak of the platform processes: a real fleet under injected faults.
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
-        [--profile standard|stops|crashes|requests|limits] [--entries N]
+        [--profile standard|stops|crashes|requests|limits|cuts] [--entries N]
 
 Starts three control VMs and three entries, or N in each data centre, sends requests and
 configuration changes, injects the faults drawn from the seed, and checks what callers,
@@ -107,7 +107,12 @@
             self._entries,
         )
         self._injector = FaultInjector(
-            self._timer, fleet, self._targets, self._target_list, self
+            self._timer,
+            fleet,
+            self._targets,
+            self._target_list,
+            self,
+            self._profile.cuts,
         )
         operator = Operator(self._timer, fleet, self._seed)
         try:
--- a/bench/platform_soak_callers.py
+++ b/bench/platform_soak_callers.py
@@ -61,14 +61,15 @@
     Args:
       timer: the timer service.
       fleet: the fleet whose entries are called.
-      seed: seed of the choice of entries, routes and attempt ids.
+      seed: seed of the choice of entries, routes and attempt ids; the ids of two groups
+        of callers differ if their seeds do.
 
     Attributes:
       records: all attempts, in order of sending.
       ready_entries: names of the entries that report ready.
     """
 
-    def __init__(self, timer: TimerService, fleet: SoakFleet, seed: int) -> None:
+    def __init__(self, timer: TimerService, fleet: SoakFleet, seed: int | str) -> None:
         self._timer = timer
         self._fleet = fleet
         self._random = random.Random(seed)
--- a/bench/platform_soak_faults.py
+++ b/bench/platform_soak_faults.py
@@ -5,10 +5,11 @@
 import collections
 import random
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
-from bench.fault_proxy import LinkState
+from bench.fault_proxy import CutKind, LinkState
 from bench.platform_soak_fleet import DATA_CENTRES
 
 __all__ = ["STANDARD", "Fault", "make_faults"]
@@ -18,7 +19,9 @@
 MAX_INTERVAL_S = 1.6
 STANDARD = "standard"
 # By profile, where they differ: sound requests must be served between the faults.
-INTERVALS_S = {"crashes": (3.0, 6.0)}
+INTERVALS_S = {"crashes": (3.0, 6.0), "cuts": (1.0, 4.0)}
+# Targets that one cut takes an entry's links to: all, a service, or a data centre.
+CUT_SCOPES = ("all", "all", "all", "app", "llm", *DATA_CENTRES)
 IMPAIRED_STATES = tuple(state for state in LinkState if state is not LinkState.OPEN)
 
 
@@ -32,7 +35,8 @@
         underscore.
       subject: the VM or proxy by name, or the position of the target.
       for_s: how long it lasts.
-      link: value of the `LinkState` during the fault; empty for other faults.
+      link: value of the `LinkState` or `CutKind` during the fault; empty for others.
+      scope: targets that an entry is cut off from, of `CUT_SCOPES`.
     """
 
     at_s: float
@@ -40,9 +44,10 @@
     subject: str
     for_s: float
     link: str = ""
+    scope: str = ""
 
 
-FaultFactory = Callable[[random.Random], tuple[str, str, float, str]]
+FaultFactory = Callable[[random.Random], tuple[Any, ...]]
 # By profile.
 _FACTORIES: dict[str, list[FaultFactory]] = collections.defaultdict(list)
 
@@ -130,19 +135,19 @@
     return "drain_target", str(rng.randrange(100)), 3.0, ""
 
 
-@_register_for("stops", "crashes", "limits")
+@_register_for("stops", "crashes", "limits", "cuts")
 def _stop_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "stop", subject, rng.uniform(0.1, 1.0), ""
 
 
-@_register_for("crashes", "limits")
+@_register_for("crashes", "limits", "cuts")
 def _kill_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "kill", subject, rng.uniform(0.2, 1.0), ""
 
 
-@_register_for("crashes", "limits")
+@_register_for("crashes", "limits", "cuts")
 def _kill_leader(rng: random.Random) -> tuple[str, str, float, str]:
     return "kill_leader", "control", rng.uniform(0.5, 2.0), ""
 
@@ -152,6 +157,17 @@
     return "kill_all_controls", "control", rng.uniform(1.0, 3.0), ""
 
 
+def _cut_entry(rng: random.Random) -> tuple[str, str, float, str, str]:
+    subject = f"entry-{rng.choice(DATA_CENTRES)}"
+    kind = rng.choice(tuple(CutKind)).value
+    return "cut_entry", subject, rng.uniform(6.0, 9.0), kind, rng.choice(CUT_SCOPES)
+
+
+# Cuts are three in six of the profile's faults, so that they overlap with others.
+for _ in range(3):
+    _register(_cut_entry, ("cuts",))
+
+
 def make_faults(seed: int, duration_s: float, profile: str = STANDARD) -> list[Fault]:
     """Return the faults of a seed and a profile in order of time.
 
--- a/bench/platform_soak_injector.py
+++ b/bench/platform_soak_injector.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from bench.fault_proxy import FaultProxy, LinkState
+from bench.fault_proxy import CutKind, FaultProxy, LinkState
+from bench.platform_soak_cuts import CutRecords
 from bench.platform_soak_faults import Fault
 from bench.platform_soak_fleet import SoakFleet, SoakProcess
 from bench.platform_soak_targets import PlatformTargetList, SoakTarget
@@ -40,6 +41,7 @@
       targets: the listed targets; changed.
       target_list: the platform's target list.
       run: adds targets and records stops.
+      cuts: records the cuts of entries.
 
     Attributes:
       skipped: number of faults that were not injected since their process was down,
@@ -53,12 +55,14 @@
         targets: list[SoakTarget],
         target_list: PlatformTargetList,
         run: _Run,
+        cuts: CutRecords,
     ) -> None:
         self._timer = timer
         self._fleet = fleet
         self._targets = targets
         self._target_list = target_list
         self._run = run
+        self._cuts = cuts
         self._tasks: set[asyncio.Task[None]] = set()
         self._repair_until_s = 0.0
         self.skipped = 0
@@ -171,6 +175,27 @@
     async def _impair_list_link(self, fault: Fault) -> None:
         await self._impair(self._target_list.proxy, fault)
 
+    async def _cut_entry(self, fault: Fault) -> None:
+        """Cut an entry's links to targets, unless no other entry would have its own."""
+        entries = {process.name for process in self._fleet.with_role("entry")}
+        others = entries - {fault.subject}
+        if self._cuts.is_cut(fault.subject) or all(map(self._cuts.is_cut, others)):
+            self.skipped += 1
+            return
+        host = self._fleet.processes[fault.subject].ip
+        targets = [
+            target
+            for target in self._targets
+            if fault.scope in ("all", target.service, target.data_centre)
+        ]
+        self._cuts.note_cut(fault.subject)
+        for target in targets:
+            target.proxy.cut(host, CutKind(fault.link))
+        await self._timer.sleep(fault.for_s)
+        for target in targets:
+            target.proxy.heal(host)
+        self._cuts.note_healed(fault.subject)
+
     def _target(self, fault: Fault) -> SoakTarget:
         return self._targets[int(fault.subject) % len(self._targets)]
 
--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 import random
 from typing import Any
 
 import attrs
 
-from bench.platform_soak_callers import CallRecord
+from bench.fault_proxy import CutKind
+from bench.platform_soak_callers import Callers, CallRecord
 from bench.platform_soak_crash_callers import CrashCallers
 from bench.platform_soak_crashes import FIRST_WAVE_S, CrashingTarget, CrashRecords
+from bench.platform_soak_cuts import CutRecords
 from bench.platform_soak_faults import STANDARD, Fault, make_faults
 from bench.platform_soak_fleet import GRACE_S, SoakFleet
 from bench.platform_soak_limits import LimitCallers, LimitedTarget, LimitRecords
@@ -51,6 +54,7 @@
       records: attempts of the profile's callers that the usual checks apply to.
       load_s: shortest time from the start of the load to the end of the faults.
       figures: counts for the report.
+      cuts: records the cuts of entries.
     """
 
     name = STANDARD
@@ -65,6 +69,7 @@
         self.records: list[CallRecord] = []
         self.load_s = 0.0
         self.figures: dict[str, Any] = {}
+        self.cuts = CutRecords(timer)
 
     def make_faults(self, duration_s: float) -> list[Fault]:
         """Return the faults in order of time."""
@@ -227,3 +232,29 @@
         """Return the limits that were broken."""
         findings, self.figures = self._limits.check()
         return findings
+
+
+@_register
+class CutProfile(Profile):
+    """Entries that lose their links to all or some targets while others keep theirs."""
+
+    name = "cuts"
+    targets_per_data_centre = 2
+
+    def make_faults(self, duration_s: float) -> list[Fault]:
+        """Return the faults in order of time; the first one cuts an entry off."""
+        self.load_s = duration_s
+        faults = super().make_faults(duration_s)
+        first = Fault(0.5, "cut_entry", "entry-a", 8.0, CutKind.HANGS.value, "all")
+        return [first, *(attrs.evolve(f, at_s=f.at_s + 1.0) for f in faults)]
+
+    async def run(self, fleet: SoakFleet) -> None:
+        """Call until cancelled."""
+        callers = Callers(self._timer, fleet, f"{self._seed} cuts")
+        self.records = callers.records
+        await asyncio.gather(callers.run(), self.cuts.watch(fleet))
+
+    def check(self) -> list[str]:
+        """Return whether callers of entries that were cut off were served worse."""
+        findings, self.figures = self.cuts.check(self.records)
+        return findings
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -4,10 +4,10 @@
 import contextlib
 import unittest
 
-from bench.fault_proxy import FaultProxy, LinkState
+from bench.fault_proxy import CutKind, FaultProxy, LinkState
 
 
-class FaultProxyTest(unittest.IsolatedAsyncioTestCase):
+class ProxyTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         async def echo(reader, writer):
             while data := await reader.read(100):
@@ -24,10 +24,12 @@
         await self.proxy.stop()
         self.server.close()
 
-    async def connect(self):
+    async def connect(self, source="127.0.0.1"):
         host, _, port = self.proxy.address.rpartition(":")
-        return await asyncio.open_connection(host, int(port))
+        return await asyncio.open_connection(host, int(port), local_addr=(source, 0))
 
+
+class FaultProxyTest(ProxyTestCase):
     async def test_open_link_forwards_both_directions(self):
         reader, writer = await self.connect()
         writer.write(b"one")
@@ -63,3 +65,45 @@
         reader, writer = await self.connect()
         writer.write(b"three")
         self.assertEqual(b"three", await reader.readexactly(5))
+
+
+class CutTest(ProxyTestCase):
+    """The link from 127.0.0.2 is cut; the one from 127.0.0.1 is not."""
+
+    async def echo(self, connection):
+        reader, writer = connection
+        writer.write(b"one")
+        return await reader.readexactly(3)
+
+    async def assert_hangs(self, awaitable):
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(awaitable, 0.1)
+
+    async def test_a_cut_holds_new_connections_of_one_host(self):
+        for kind in CutKind:
+            self.proxy.cut("127.0.0.2", kind)
+            await self.assert_hangs(self.connect("127.0.0.2"))
+            self.assertEqual(b"one", await self.echo(await self.connect()))
+            self.proxy.heal("127.0.0.2")
+            self.assertEqual(b"one", await self.echo(await self.connect("127.0.0.2")))
+
+    async def test_open_connections_hang(self):
+        for kind in (CutKind.HANGS, CutKind.ONE_WAY):
+            connection = await self.connect("127.0.0.2")
+            await self.echo(connection)
+            self.proxy.cut("127.0.0.2", kind)
+            await self.assert_hangs(self.echo(connection))
+            self.proxy.heal("127.0.0.2")
+
+    async def test_open_connections_live_on(self):
+        connection = await self.connect("127.0.0.2")
+        await self.echo(connection)
+        self.proxy.cut("127.0.0.2", CutKind.ONLY_NEW)
+        self.assertEqual(b"one", await self.echo(connection))
+
+    async def test_open_connections_are_reset(self):
+        connection = await self.connect("127.0.0.2")
+        await self.echo(connection)
+        self.proxy.cut("127.0.0.2", CutKind.RESET)
+        with self.assertRaises(ConnectionResetError):
+            await self.echo(connection)
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -12,6 +12,7 @@
 from bench.platform_soak import Soak
 from bench.platform_soak_callers import CallRecord
 from bench.platform_soak_crashes import CrashRecords
+from bench.platform_soak_cuts import CUT, DOWN, SOUND, CutRecords
 from bench.platform_soak_faults import make_faults
 from bench.platform_soak_fleet import SoakFleet
 from bench.platform_soak_limits import LimitPeriod, LimitRecords
@@ -22,6 +23,7 @@
 SHORT_FAULT_S = 4.0
 SHORT_CRASH_S = 6.0
 SHORT_LIMIT_S = 8.0
+SHORT_CUT_S = 9.0
 # Above the numbers of manual runs; differs between test runs on one machine.
 FLEET_NUMBER = 30_000 + os.getpid() % 30_000
 
@@ -222,6 +224,57 @@
         self.assertEqual(1, self.count_findings(1_004.95, 1, 0.1))
 
 
+class CutCheckTest(unittest.TestCase):
+    """Entry a is cut off from 1,000 s to 1,020 s; entry b is sound until 1,015 s."""
+
+    def setUp(self):
+        timer = ManualTimer(900.0)
+        self.cuts = CutRecords(timer)
+        self.records = []
+        for time_s, entry, state in (
+            (900.0, "a", SOUND),
+            (900.0, "b", SOUND),
+            (1_000.0, "a", CUT),
+            (1_015.0, "b", DOWN),
+            (1_020.0, "a", SOUND),
+        ):
+            timer.jump(time_s - timer.now_s())
+            self.cuts.note_state(entry, state)
+
+    def add(self, entry, sent_s, count, status):
+        for number in range(count):
+            at_s = sent_s + number * 0.001
+            self.records.append(
+                CallRecord("a1", "safe", entry, at_s, at_s + 0.1, status)
+            )
+
+    def count_findings(self):
+        return len(self.cuts.check(self.records)[0])
+
+    def test_entries_that_are_cut_off_serve_much_less(self):
+        self.add("b", 1_005.0, 40, 200)
+        self.add("a", 1_005.0, 20, 200)
+        self.add("a", 1_005.0, 11, 503)
+        self.assertEqual(0, self.count_findings())
+        self.add("a", 1_005.0, 1, 503)
+        self.assertEqual(1, self.count_findings())
+
+    def test_failures_of_all_entries(self):
+        self.add("b", 1_005.0, 40, 503)
+        self.add("a", 1_005.0, 40, 503)
+        self.assertEqual(0, self.count_findings())
+
+    def test_requests_soon_after_the_cut(self):
+        self.add("b", 1_005.0, 40, 200)
+        self.add("a", 1_002.8, 40, 503)
+        self.assertEqual(0, self.count_findings())
+
+    def test_requests_while_no_entry_is_sound(self):
+        self.add("b", 1_005.0, 40, 200)
+        self.add("a", 1_016.0, 40, 503)
+        self.assertEqual(0, self.count_findings())
+
+
 class FleetTest(unittest.TestCase):
     def test_a_running_process_is_not_started_again(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -269,3 +322,9 @@
         report = await Soak(3, SHORT_LIMIT_S, FLEET_NUMBER, "limits").run()
         self.assertGreater(report["limits"], 0)
         self.assertEqual([], report["findings"])
+
+    async def test_callers_of_entries_without_links_to_targets_are_served(self):
+        report = await Soak(1, SHORT_CUT_S, FLEET_NUMBER, "cuts").run()
+        self.assertGreaterEqual(report["cut_requests"][0], 20)
+        self.assertGreaterEqual(report["sound_requests"][0], 20)
+        self.assertEqual([], report["findings"])
