--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -32,9 +32,13 @@
 from endivesill.forwarding.events import request_failed
 from endivesill.forwarding.forwarder import Forwarder
 from endivesill.forwarding.placer import Placer
+from endivesill.forwarding.proxy_client import ProxyClient
+from endivesill.forwarding.proxy_peers import ProxyPeers
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable
 from endivesill.forwarding.statistics import Statistics
+from endivesill.forwarding.target_client import TargetClient
+from endivesill.forwarding.target_links import TargetLinks
 from endivesill.forwarding.targets import TargetTable
 from endivesill.forwarding.waiting import AdmissionQueue
 from endivesill.http1 import (
@@ -92,13 +96,17 @@
             lambda request, target: target.reserve(request.demand),
             random.Random(1),
         )
+        pool = ConnectionPool(timer, 0.5, 3.0)
+        peers = ProxyPeers(timer, "a", random.Random(1))
+        proxy = ProxyClient(timer, pool, peers)
+        client = TargetClient(timer, pool, TargetLinks(timer, pool), proxy)
         forwarder = Forwarder(
             timer,
             table,
             admission,
             Placer(timer, table, admission, sync_client, transport),
             RetryBudget(timer, 0.2, 50, 10.0, lambda: 1.0),
-            ConnectionPool(timer, 0.5, 3.0),
+            client,
             PlatformProtocol(),
             sync_client.crashes,
             CallLog(timer, Statistics(), lambda: 0.0),
--- /dev/null
+++ b/endivesill/fleet/entry_peers.py
@@ -0,0 +1,249 @@
+"""Which entries can send requests to targets that another entry does not reach.
+
+Entries tell the leader their address and the targets to which they have lost the link.
+The leader names each entry a few others, nearest first, that have lost as few of the
+same links as possible. An entry keeps them while no leader answers.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from endivesill.peers import Message
+from endivesill.timer import TimerService
+
+__all__ = ["EntryDirectory", "EntryPeer", "EntryPeers"]
+
+# Entries named to one entry: the nearer half from its own data centre, if it has them.
+PEER_COUNT = 8
+# Entries of one data centre that are looked at for that, so that the leader's cost does
+# not grow with the fleet.
+SAMPLE_SIZE = 16
+# Age from which an entry that has not synchronised is not named; as long as a lease.
+MAX_SILENCE_S = 4.0
+# Time after which an entry asks for other peers. The addresses are those of VMs, which
+# stay the same when processes start again.
+REFRESH_S = 30.0
+# Shortest time between two requests of one entry for peers.
+MIN_REQUEST_PERIOD_S = 1.0
+# Longest list of lost targets in a message; of more, `MANY` says so.
+MAX_LOST_TARGETS = 64
+MANY = "*"
+
+
+@attrs.frozen
+class EntryPeer:
+    """Where an entry listens for other entries.
+
+    Attributes:
+      address: HOST:PORT.
+      data_centre: its data centre.
+      region: region of the data centre; may be empty.
+    """
+
+    address: str
+    data_centre: str
+    region: str
+
+
+@attrs.define
+class _Row:
+    """What the leader knows of an entry.
+
+    Attributes:
+      entry_id: identifies its start.
+      peer: where it listens.
+      lost: incarnations that it does not reach, or `MANY`.
+      seen_s: when it last synchronised.
+    """
+
+    entry_id: str
+    peer: EntryPeer
+    lost: frozenset[str]
+    seen_s: float
+
+    def overlap(self, other: _Row) -> float:
+        """Return how many of the targets that another entry has lost it lacks too."""
+        if MANY in self.lost:
+            return float("inf")
+        if MANY in other.lost:
+            return len(self.lost)
+        return len(self.lost & other.lost)
+
+
+class EntryDirectory:
+    """The leader's list of entries.
+
+    Args:
+      timer: the timer service.
+      random_source: chooses among equally good entries.
+    """
+
+    def __init__(self, timer: TimerService, random_source: random.Random) -> None:
+        self._timer = timer
+        self._random = random_source
+        self._rows: dict[str, _Row] = {}
+        self._addresses: dict[str, str] = {}
+        # Addresses by data centre; those of entries that are gone are dropped when they
+        # are drawn.
+        self._by_data_centre: dict[str, list[str]] = {}
+
+    def record(self, message: Message) -> None:
+        """Record what an entry's message says of itself.
+
+        Args:
+          message: `{"entry", "reach"}`, where `"reach"` may be absent and has
+            `"address"`, `"data_centre"`, `"region"` and the incarnations in `"lost"`.
+        """
+        now_s = self._timer.now_s()
+        entry_id = message["entry"]
+        reach = message.get("reach")
+        if reach is None:
+            row = self._row_of(entry_id)
+            if row is not None:
+                row.seen_s = now_s
+            return
+        peer = EntryPeer(reach["address"], reach["data_centre"], reach["region"])
+        known = self._rows.get(peer.address)
+        if known is None:
+            self._by_data_centre.setdefault(peer.data_centre, []).append(peer.address)
+        elif known.entry_id != entry_id:
+            self._addresses.pop(known.entry_id, None)
+        self._rows[peer.address] = _Row(entry_id, peer, frozenset(reach["lost"]), now_s)
+        self._addresses[entry_id] = peer.address
+
+    def remove(self, entry_id: str) -> None:
+        """Remove an entry that stops."""
+        address = self._addresses.pop(entry_id, None)
+        if address is not None:
+            self._rows.pop(address, None)
+
+    def reply_fields(self, message: Message) -> Message:
+        """Return the part of a reply to an entry's message.
+
+        Returns:
+          `{"introduce"}` if its address is not known; `{"peers"}` if it asks for them,
+          with address, data centre and region of each.
+        """
+        row = self._row_of(message["entry"])
+        if row is None:
+            return {"introduce": True}
+        if not message.get("peers_wanted"):
+            return {}
+        return {"peers": [attrs.astuple(peer) for peer in self._choose(row)]}
+
+    def _row_of(self, entry_id: str) -> _Row | None:
+        return self._rows.get(self._addresses.get(entry_id, ""))
+
+    def _choose(self, asker: _Row) -> list[EntryPeer]:
+        """Return entries that may send for another one, the nearest first.
+
+        Requests stay in the region of the entry, since routes and organisations may be
+        bound to it.
+        """
+        own = asker.peer.data_centre
+        near = self._draw(own, asker)
+        far = [
+            row
+            for data_centre in self._by_data_centre
+            if data_centre != own
+            for row in self._draw(data_centre, asker)
+            if row.peer.region == asker.peer.region
+        ]
+        self._random.shuffle(far)
+        for rows in (near, far):
+            rows.sort(key=lambda row: row.overlap(asker))
+        near_count = max(PEER_COUNT // 2, PEER_COUNT - len(far))
+        chosen = near[:near_count]
+        return [row.peer for row in chosen + far[: PEER_COUNT - len(chosen)]]
+
+    def _draw(self, data_centre: str, asker: _Row) -> list[_Row]:
+        """Return some entries of a data centre, without the one that asks."""
+        addresses = self._by_data_centre[data_centre]
+        drawn = self._random.sample(addresses, min(SAMPLE_SIZE, len(addresses)))
+        oldest_s = self._timer.now_s() - MAX_SILENCE_S
+        rows = []
+        for address in drawn:
+            row = self._rows.get(address)
+            if row is None or row.seen_s < oldest_s:
+                self._drop(data_centre, address)
+            elif row is not asker:
+                rows.append(row)
+        return rows
+
+    def _drop(self, data_centre: str, address: str) -> None:
+        self._by_data_centre[data_centre].remove(address)
+        row = self._rows.pop(address, None)
+        if row is not None:
+            self._addresses.pop(row.entry_id, None)
+
+
+class EntryPeers:
+    """An entry's side: what it tells the leader, and the peers that it is named.
+
+    Args:
+      timer: the timer service.
+
+    Attributes:
+      own: where this entry listens; None if it sends nothing for others.
+      peers: the entries that may send its requests.
+      on_peers: called when they have changed.
+    """
+
+    def __init__(self, timer: TimerService) -> None:
+        self._timer = timer
+        self.own: EntryPeer | None = None
+        self.peers: list[EntryPeer] = []
+        self.on_peers: Callable[[], None] = lambda: None
+        self._lost: list[str] = []
+        # Counts changes of what is reported, and what the leader has of it.
+        self._number = 0
+        self._reported: tuple[str | None, int] = (None, 0)
+        self._next_request_s = float("-inf")
+        self._last_request_s = float("-inf")
+
+    def set_lost(self, incarnations: Iterable[str]) -> None:
+        """Set the targets to which this entry has lost its link."""
+        lost = sorted(incarnations)
+        lost = [MANY] if len(lost) > MAX_LOST_TARGETS else lost
+        if lost == self._lost:
+            return
+        if len(lost) > len(self._lost):
+            self.request_peers()
+        self._lost = lost
+        self._number += 1
+
+    def request_peers(self) -> None:
+        """Ask for other peers with the next message."""
+        earliest_s = self._last_request_s + MIN_REQUEST_PERIOD_S
+        self._next_request_s = min(self._next_request_s, earliest_s)
+
+    def request_fields(self, address: str) -> Message:
+        """Return the part of a message to a control VM."""
+        if self.own is None:
+            return {}
+        fields: Message = {"entry_number": self._number}
+        if self._reported != (address, self._number):
+            fields["reach"] = {**attrs.asdict(self.own), "lost": self._lost}
+        now_s = self._timer.now_s()
+        if now_s >= self._next_request_s:
+            self._last_request_s = now_s
+            self._next_request_s = now_s + MIN_REQUEST_PERIOD_S
+            fields["peers_wanted"] = True
+        return fields
+
+    def apply_reply(self, address: str, request: Message, reply: Message) -> None:
+        """Apply the leader's reply to a message."""
+        if reply.get("introduce"):
+            self._reported = (None, 0)
+        elif "reach" in request:
+            self._reported = (address, request["entry_number"])
+        if "peers" not in reply:
+            return
+        if reply["peers"]:
+            self._next_request_s = self._timer.now_s() + REFRESH_S
+        self.peers = [EntryPeer(*row) for row in reply["peers"]]
+        self.on_peers()
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -12,6 +12,7 @@
 from endivesill import errors, events
 from endivesill.fleet.crash_exchange import CrashExchange
 from endivesill.fleet.engine_limits import EngineLimits, LimitRow
+from endivesill.fleet.entry_peers import EntryPeers
 from endivesill.fleet.events import (
     ENGINES_UNREPORTED,
     LEADER_LOST,
@@ -92,6 +93,10 @@
     entry_count: int = 1
     confirmed_at_s: float = float("-inf")
 
+    def age_s(self, now_s: float) -> float:
+        """Return the time since it was last confirmed as current; may be infinite."""
+        return now_s - self.confirmed_at_s
+
 
 class FleetSyncClient:
     """Keeps a `FleetView` up to date by long-polling the leader.
@@ -113,6 +118,7 @@
       outcomes: outcomes of requests for the next report.
       crashes: exchanges reports of crashes with the control VMs.
       limits: the request rates to which engines limit all entries together.
+      entry_peers: the entries that may send requests of this one.
     """
 
     def __init__(
@@ -142,6 +148,7 @@
             timer, transport, self._known_controls, lambda: self.leader
         )
         self.limits = EngineLimits(timer)
+        self.entry_peers = EntryPeers(timer)
         # The leader that has the limits, and their number.
         self._limits_reported: tuple[str | None, int] = (None, 0)
         # Whether `report_engines` is running, and was called since its last report.
@@ -159,7 +166,11 @@
         while True:
             address = self.leader or self._next_address()
             sent_s = self._timer.now_s()
-            request = {**self._sync_request(), **self.crashes.request_fields(address)}
+            request = {
+                **self._sync_request(),
+                **self.crashes.request_fields(address),
+                **self.entry_peers.request_fields(address),
+            }
             try:
                 reply = await self._transport.call(
                     address, SYNC_PATH, request, self._sync_timeout_s()
@@ -175,6 +186,7 @@
             if "share" in reply:
                 retry_s = RETRY_S
                 self._limits_reported = (address, request["limits_number"])
+                self.entry_peers.apply_reply(address, request, reply)
                 self._apply(address, reply, sent_s)
                 continue
             self.outcomes.restore(request["outcomes"])
@@ -197,7 +209,7 @@
         }
 
     async def report_engines(self) -> None:
-        """Report leaving engines and outcomes to the leader at once.
+        """Report leaving engines, outcomes and lost links to the leader at once.
 
         The running poll may last as long as the leader holds it. After a failure, the
         next poll reports them.
@@ -220,10 +232,15 @@
             "departures": self._departures(),
             "outcomes": outcomes,
             "limits": self._unreported_limits(leader),
+            "entry": self.entry_id,
+            **self.entry_peers.request_fields(leader),
         }
         try:
-            await self._transport.call(leader, ENGINES_PATH, message, SYNC_TIMEOUT_S)
+            reply = await self._transport.call(
+                leader, ENGINES_PATH, message, SYNC_TIMEOUT_S
+            )
             self._limits_reported = (leader, number)
+            self.entry_peers.apply_reply(leader, message, reply)
         except errors.PeerUnreachableError as error:
             self.outcomes.restore(outcomes)
             events.emit(ENGINES_UNREPORTED, leader=leader, reason=str(error))
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import Callable, Iterable
 
 from endivesill import errors
@@ -16,6 +17,7 @@
 from endivesill.control.leadership import Leadership
 from endivesill.fleet.crash_exchange import CrashService
 from endivesill.fleet.engine_list import EngineListReader, EngineListSource
+from endivesill.fleet.entry_peers import EntryDirectory
 from endivesill.fleet.list_updates import ListUpdates
 from endivesill.fleet.load import FleetLoads, loads_to_rows
 from endivesill.fleet.model import EngineInfo
@@ -74,6 +76,7 @@
         self._list_updates = ListUpdates()
         self._loads_version = -1
         self._encoded_loads = EncodedValue("{}")
+        self._entries = EntryDirectory(timer, random.Random())
         self._on_change: Callable[[], None] = lambda: None
         self._on_loads: Callable[[], None] = lambda: None
         self._on_outcomes: Callable[[dict[str, list[int]]], None] = lambda rows: None
@@ -218,23 +221,23 @@
           message: `{"entry", "version", "evacuations", "list", "share", "loads",
             "grants_seen", "departures", "outcomes", "ejections", "limits",
             "limits_stamp", "loads_stamp", "controls", "crashes", "crashes_stamp",
-            "wait_s", "leaving"}`: the entry, the versions and the share that it has,
-            its load by incarnation, the last grant included in it, the engines that
-            have told it that they leave, the outcomes of its requests by incarnation,
-            the limits that engines have told it, its reports of crashes, and how long
-            to wait for updates.
+            "wait_s", "leaving", "reach", "peers_wanted"}`: the entry, the versions and
+            the share that it has, its load by incarnation, the last grant included in
+            it, what it knows of engines (see `_handle_engines`), its reports of
+            crashes, and how long to wait for updates.
 
         Returns:
           `{"leader"}` from a VM that does not lead; `{}` to an entry that leaves; else
           `{"share", "entries", "term"}`; once all entries are known, `"turn"` with
           place, number of places and clock; and, where newer, `"state"`,
           `"evacuations"`, `"list"`, `"ejections"`, `"controls"`, and `"loads"` with
-          the part of the entry in `"own_loads"`.
+          the part of the entry in `"own_loads"`, and the fields of `EntryDirectory`.
         """
         entry_id = message["entry"]
         if message.get("leaving"):
             if self._allocator is not None:
                 self._allocator.release(entry_id)
+            self._entries.remove(entry_id)
             self.loads.remove(entry_id)
             return {}
         self.loads.record_report(
@@ -254,11 +257,18 @@
         """Record what an entry reports about engines.
 
         Args:
-          message: `{"departures", "outcomes"}`: the incarnations that the entry knows
-            as leaving, and rows of `OutcomeCounts`.
+          message: `{"departures", "outcomes", "limits", "entry", "reach"}`: the
+            incarnations that the entry knows as leaving, rows of `OutcomeCounts`, the
+            limits that engines have told it, and what `EntryDirectory` records.
+
+        Returns:
+          The fields of `EntryDirectory` for the entry.
         """
         self._record_engines(message)
-        return {}
+        # Entries of earlier versions do not say who they are.
+        if not self.leads() or "entry_number" not in message:
+            return {}
+        return self._entries.reply_fields(message)
 
     def _record_engines(self, message: Message) -> None:
         if not self.leads():
@@ -267,6 +277,8 @@
             self.note_departures(message["departures"], "entry")
         if message.get("outcomes"):
             self._on_outcomes(message["outcomes"])
+        if "entry" in message:
+            self._entries.record(message)
         self._record_limits(message)
 
     def _record_limits(self, message: Message) -> None:
@@ -294,7 +306,7 @@
 
     def _has_updates(self, message: Message) -> bool:
         return (
-            bool(self._updates_for(message))
+            bool(self._updates_for(message) or message.get("peers_wanted"))
             or self.crashes.has_updates(message)
             or self._replica.core.leadership is None
         )
@@ -365,6 +377,8 @@
         if addresses_digest(controls) != message.get("controls"):
             reply["controls"] = controls
         reply.update(self.crashes.reply_fields(message))
+        if "entry_number" in message:
+            reply.update(self._entries.reply_fields(message))
         reply["term"] = self._term
         return reply
 
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -10,21 +10,14 @@
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.events import ANSWER_SKIPPED
 from endivesill.forwarding.protocol import Dispatch, EngineProtocol, ResponseInfo
+from endivesill.forwarding.proxy_messages import ProxyLostError
+from endivesill.forwarding.target_client import ResponseBody, SendOptions, TargetClient
 from endivesill.forwarding.targets import Target, TargetTable
-from endivesill.http1 import (
-    ConnectionPool,
-    ResponseHead,
-    SendError,
-    SendFailure,
-    UpstreamConnection,
-    send_request,
-)
+from endivesill.http1 import ResponseHead, SendError, SendFailure
 from endivesill.timer import TimerService
 
-__all__ = ["Attempt", "AttemptError", "Failure", "Sender"]
+__all__ = ["Attempt", "AttemptError", "Failure", "Sender", "is_proxy_lost"]
 
-# Responses to other requests skipped on one connection.
-MAX_SKIPPED_RESPONSES = 2
 # A connection idle for longer may be half-open or forgotten by the target, and a
 # request that cannot be retried would be lost on it.
 NON_IDEMPOTENT_MAX_IDLE_S = 0.25
@@ -40,6 +33,7 @@
     BROKEN = "broken"
     NO_ANSWER = "no-answer"
     FOREIGN_RESPONSE = "foreign-answer"
+    PROXY_LOST = "proxy-lost"
 
     @property
     def not_run(self) -> bool:
@@ -48,6 +42,7 @@
             Failure.BROKEN,
             Failure.NO_ANSWER,
             Failure.FOREIGN_RESPONSE,
+            Failure.PROXY_LOST,
         )
 
     @property
@@ -78,19 +73,26 @@
         self.detail = detail
 
 
+def is_proxy_lost(error: errors.EndivesillError) -> bool:
+    """Return whether a run ended because its proxy failed."""
+    if isinstance(error, AttemptError):
+        return error.failure is Failure.PROXY_LOST
+    return isinstance(error, ProxyLostError)
+
+
 @attrs.define(eq=False)
 class Attempt:
     """A request whose response has begun.
 
     Attributes:
       target: the target that runs it.
-      connection: the connection to read the body from; to be released.
+      body: the body of the response; to be released.
       head: the head of the response.
       response: what routing needs of the head.
     """
 
     target: Target
-    connection: UpstreamConnection
+    body: ResponseBody
     head: ResponseHead
     response: ResponseInfo
 
@@ -100,7 +102,7 @@
 
     Args:
       timer: the timer service.
-      pool: connections to targets.
+      client: sends requests to targets.
       table: the targets.
       protocol: encodes and decodes heads.
     """
@@ -108,12 +110,12 @@
     def __init__(
         self,
         timer: TimerService,
-        pool: ConnectionPool,
+        client: TargetClient,
         table: TargetTable,
         protocol: EngineProtocol,
     ) -> None:
         self._timer = timer
-        self._pool = pool
+        self._client = client
         self._table = table
         self._protocol = protocol
 
@@ -138,33 +140,38 @@
         Raises:
           AttemptError: there is no usable response.
         """
+        options = SendOptions(
+            deadline_s=call.deadline_s,
+            attempt_id=call.info.attempt_id,
+            max_idle_s=None if call.is_idempotent else NON_IDEMPOTENT_MAX_IDLE_S,
+            # The target may have left the list during connection set-up.
+            may_start=lambda: self._table.accepts_requests(target),
+            on_started=call.note_sent,
+            is_own_response=lambda head: self._is_response_to(call, target, head),
+            on_head=lambda head: self._note_announcements(target, head),
+            no_body=call.exchange.method == "HEAD",
+        )
         try:
-            connection, head = await send_request(
-                self._pool,
-                target.info.address,
+            body, head = await self._client.send(
+                target.info,
                 lambda: self._encode(call, target, backup, resume_from, last_event_id),
-                max_idle_s=None if call.is_idempotent else NON_IDEMPOTENT_MAX_IDLE_S,
-                # The target may have left the list during connection set-up.
-                may_start=lambda: self._table.accepts_requests(target),
-                on_started=call.note_sent,
-                is_own_response=lambda head: self._is_response_to(call, target, head),
-                max_foreign_responses=MAX_SKIPPED_RESPONSES,
-                on_head=lambda head: self._note_announcements(target, head),
-                no_body=call.exchange.method == "HEAD",
+                options,
             )
         except SendError as error:
             raise AttemptError(FAILURES[error.failure], str(error)) from None
+        except ProxyLostError as error:
+            raise AttemptError(Failure.PROXY_LOST, str(error)) from None
         response = self._protocol.decode_response(head)
         if not response.wrong_target:
             self._table.note_limit(
                 target, response.limit_per_s, may_end=not response.not_run
             )
         if response.wrong_target or response.not_run:
-            self._pool.release(connection)
+            body.release()
             is_wrong_target = response.wrong_target
             failure = Failure.WRONG_TARGET if is_wrong_target else Failure.REJECTED
             raise AttemptError(failure, str(response.status))
-        return Attempt(target, connection, head, response)
+        return Attempt(target, body, head, response)
 
     def _note_announcements(self, target: Target, head: ResponseHead) -> None:
         """Record what a target announces in any response, also in a skipped one."""
--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -17,8 +17,8 @@
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.events import REQUEST_BLOCKED
 from endivesill.forwarding.running_calls import RunningCalls
+from endivesill.forwarding.target_client import TargetClient
 from endivesill.forwarding.targets import Target
-from endivesill.http1 import ConnectionPool, UpstreamError
 from endivesill.timer import TimerService
 
 __all__ = ["BLOCKED", "CrashGuard"]
@@ -40,7 +40,7 @@
     Args:
       timer: the timer service.
       exchange: exchanges reports of crashes with the control VMs.
-      pool: connections to targets.
+      client: connects to targets.
       running: the requests of this process.
     """
 
@@ -48,14 +48,14 @@
         self,
         timer: TimerService,
         exchange: CrashExchange,
-        pool: ConnectionPool,
+        client: TargetClient,
         running: RunningCalls,
     ) -> None:
         self._timer = timer
         self._exchange = exchange
         self._evidence = exchange.evidence
         self._evidence.on_blocks = self._apply_blocks
-        self._pool = pool
+        self._client = client
         self._running = running
         # No trial is requested until then, as the last one was not granted.
         self._next_trial_s = float("-inf")
@@ -203,20 +203,16 @@
         Returns:
           Whether the engine has crashed; None if it cannot be reached.
         """
-        try:
-            connection = await self._pool.acquire(target.info.address, 0)
-        except UpstreamError as error:
-            if not error.is_refused:
-                return None
-            events.emit(
-                ENGINE_CRASHED,
-                target=target.info.identity,
-                causes=causes,
-                reason=str(error),
-            )
-            self._evidence.note_crash(target.info.incarnation, causes)
-            await self._exchange.report()
-            return True
-        # The engine has broken off this run alone.
-        self._pool.release(connection)
-        return False
+        accepts = await self._client.check(target.info)
+        if accepts is None or accepts:
+            # If it accepts connections, it has broken off this run alone.
+            return None if accepts is None else False
+        events.emit(
+            ENGINE_CRASHED,
+            target=target.info.identity,
+            causes=causes,
+            reason="connections are refused",
+        )
+        self._evidence.note_crash(target.info.incarnation, causes)
+        await self._exchange.report()
+        return True
--- /dev/null
+++ b/endivesill/forwarding/entry_network.py
@@ -0,0 +1,96 @@
+"""How one entry reaches targets: its own links, and other entries as proxies."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Container
+
+from endivesill.fleet.entry_peers import EntryPeer
+from endivesill.fleet.sync_client import FleetSyncClient
+from endivesill.forwarding.protocol import EngineProtocol
+from endivesill.forwarding.proxy_client import ProxyClient
+from endivesill.forwarding.proxy_peers import ProxyPeers
+from endivesill.forwarding.proxy_service import ProxyService
+from endivesill.forwarding.target_client import TargetClient
+from endivesill.forwarding.target_links import TargetLinks
+from endivesill.forwarding.targets import TargetTable
+from endivesill.http1 import ConnectionPool
+from endivesill.timer import TimerService
+
+__all__ = ["EntryNetwork"]
+
+# Connecting to an engine takes a few milliseconds. A longer time means a lost
+# packet, and another engine is tried.
+CONNECT_TIMEOUT_S = 0.3
+# Idle connections are closed before the engine would close them.
+MAX_IDLE_S = 3.0
+PRUNE_PERIOD_S = 0.5
+
+
+class EntryNetwork:
+    """Connects the parts that send requests to targets with the fleet's exchange.
+
+    Args:
+      timer: the timer service.
+      own: where this entry listens for others; its connections come from this host.
+      table: the targets.
+      protocol: decodes heads of responses.
+      sync_client: exchanges lost links and entries with the leader.
+      random_source: chooses among equally good entries.
+
+    Attributes:
+      client: sends this entry's requests.
+      links: the targets that this entry reaches.
+      service: sends requests of other entries.
+    """
+
+    def __init__(
+        self,
+        timer: TimerService,
+        own: EntryPeer,
+        table: TargetTable,
+        protocol: EngineProtocol,
+        sync_client: FleetSyncClient,
+        random_source: random.Random,
+    ) -> None:
+        self._timer = timer
+        self._table = table
+        host = own.address.rpartition(":")[0]
+        pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, MAX_IDLE_S, source_host=host)
+        self._pool = pool
+        self._entry_peers = sync_client.entry_peers
+        self._entry_peers.own = own
+        self._entry_peers.on_peers = self._update_peers
+        self._peers = ProxyPeers(timer, own.data_centre, random_source)
+        self._proxy = ProxyClient(timer, pool, self._peers)
+        self.links = TargetLinks(timer, pool)
+        self.links.on_change = self._report_links
+        self.client = TargetClient(timer, pool, self.links, self._proxy)
+        self.service = ProxyService(
+            timer, own.address, table, pool, self.links, protocol
+        )
+
+    async def start(self) -> None:
+        """Start listening for other entries."""
+        await self.service.listener.start()
+        self._timer.call_every(PRUNE_PERIOD_S, self._pool.prune)
+
+    def _update_peers(self) -> None:
+        self._peers.update(self._entry_peers.peers)
+
+    def _report_links(self) -> None:
+        self._entry_peers.set_lost(self.links.lost)
+        self._table.on_broken()
+
+    def retain(self, incarnations: Container[str]) -> None:
+        """Forget the targets that are not among these."""
+        self.links.retain(incarnations)
+
+    def gauges(self) -> dict[str, int]:
+        """Return the metrics by name."""
+        return {
+            "target_connects_total": self._pool.connect_attempts,
+            "target_links_lost": len(self.links.lost),
+            "proxied_by_others_total": self._proxy.proxied,
+            "proxied_for_others_total": self.service.proxied,
+        }
--- a/endivesill/forwarding/entry_stop.py
+++ b/endivesill/forwarding/entry_stop.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from endivesill.forwarding.forwarder import Forwarder
+from endivesill.forwarding.proxy_service import ProxyService
 from endivesill.http1 import HttpListener, close_listener
 from endivesill.timer import TimerService
 
@@ -23,6 +26,7 @@
     timer: TimerService,
     listener: HttpListener,
     forwarder: Forwarder,
+    proxy: ProxyService,
     stop_received_s: float,
     grace_s: float,
 ) -> int:
@@ -36,6 +40,7 @@
       timer: the timer service.
       listener: the callers' listener.
       forwarder: handles its requests.
+      proxy: sends requests of other entries.
       stop_received_s: when the stop signal came.
       grace_s: time from the signal to the end of the process by force.
 
@@ -47,6 +52,7 @@
     accepting_end_s = stop_received_s + ACCEPTING_FRACTION * grace_s
     serving_end_s = stop_received_s + SERVING_FRACTION * grace_s
     forwarder.stop_deadline.end_s = serving_end_s
+    draining = asyncio.ensure_future(proxy.drain(serving_end_s))
     is_accepting = True
     while (now_s := timer.now_s()) < serving_end_s:
         if now_s > balancer_lag_end_s:
@@ -60,4 +66,5 @@
         forwarder.end_waiting()
         await timer.sleep(STOP_POLL_PERIOD_S)
     forwarder.end_all()
+    await draining
     return await close_listener(listener, FLUSH_FRACTION * grace_s)
--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -15,8 +15,12 @@
     "REQUEST_REFUSED",
     "RUN_COPIED",
     "STREAM_RESUMED",
+    "REQUEST_PROXIED",
     "TARGET_EJECTED",
+    "TARGET_LINK_LOST",
+    "TARGET_LINK_REGAINED",
     "TARGET_READMITTED",
+    "TARGET_UNCHECKED",
     "request_failed",
 ]
 
@@ -54,6 +58,9 @@
 REQUEST_BLOCKED = events.define(
     2110, "request-blocked", "A request has causes that crash engines; it is refused."
 )
+REQUEST_PROXIED = events.define(
+    2111, "request-proxied", "A request of another entry was sent to its target."
+)
 TARGET_EJECTED = events.define(
     4511,
     "target-ejected",
@@ -62,6 +69,19 @@
 TARGET_READMITTED = events.define(
     4512, "target-readmitted", "An ejected target has passed its probation."
 )
+TARGET_LINK_LOST = events.define(
+    4517,
+    "target-link-lost",
+    "This entry cannot connect to a target; its requests go through other entries.",
+)
+TARGET_LINK_REGAINED = events.define(
+    4518, "target-link-regained", "This entry can connect to a target again."
+)
+TARGET_UNCHECKED = events.define(
+    4519,
+    "target-unchecked",
+    "No other entry said whether a target accepts connections.",
+)
 
 FAILURES = {kind.number for kind in (REQUEST_REFUSED, ATTEMPT_FAILED, PLACE_REFUSED)}
 
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 from endivesill.forwarding.placement import estimate_demand
 from endivesill.forwarding.placer import Placement, Placer
 from endivesill.forwarding.protocol import EngineProtocol, RequestInfo
+from endivesill.forwarding.proxy_messages import ProxyLostError
 from endivesill.forwarding.refusals import cap_retry_after_s, jittered_s
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.retry_policy import RetryPolicy
@@ -30,14 +31,10 @@
 from endivesill.forwarding.running_calls import CallEndedError, RunningCalls
 from endivesill.forwarding.stop_deadline import StopDeadline
 from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
+from endivesill.forwarding.target_client import TargetClient
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.forwarding.waiting import AdmissionQueue, NoRoomError
-from endivesill.http1 import (
-    ConnectionPool,
-    Exchange,
-    UpstreamError,
-    strip_hop_by_hop,
-)
+from endivesill.http1 import Exchange, UpstreamError, strip_hop_by_hop
 from endivesill.timer import TimerService
 
 __all__ = ["Forwarder"]
@@ -62,7 +59,7 @@
       admission: places requests locally.
       placer: places requests.
       budget: limits retries.
-      pool: connections to targets.
+      client: sends requests to targets.
       protocol: decodes and encodes heads.
       crashes: exchanges reports of crashes.
       log: logs each decision.
@@ -79,7 +76,7 @@
         admission: AdmissionQueue,
         placer: Placer,
         budget: RetryBudget,
-        pool: ConnectionPool,
+        client: TargetClient,
         protocol: EngineProtocol,
         crashes: CrashExchange,
         log: CallLog,
@@ -92,16 +89,16 @@
         self._budget = budget
         self.stop_deadline = StopDeadline(timer)
         self._retries = RetryPolicy(timer, table, budget, self.stop_deadline)
-        self._pool = pool
+        self._client = client
         self._protocol = protocol
         self._log = log
         self._random = random_source
-        self._sender = Sender(timer, pool, table, protocol)
-        self._copier = RunCopier(timer, pool, table, protocol)
+        self._sender = Sender(timer, client, table, protocol)
+        self._copier = RunCopier(timer, client, table, protocol)
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
         self._running = RunningCalls(timer)
-        self._guard = CrashGuard(timer, crashes, pool, self._running)
+        self._guard = CrashGuard(timer, crashes, client, self._running)
 
     @property
     def routes(self) -> RouteTable | None:
@@ -269,11 +266,13 @@
         async def exchange() -> tuple[Attempt, bytes]:
             attempt = await self._sender.send(call, target)
             try:
-                return attempt, await attempt.connection.read_all()
+                return attempt, await attempt.body.read_all()
+            except ProxyLostError as error:
+                raise AttemptError(Failure.PROXY_LOST, str(error)) from None
             except UpstreamError as error:
                 raise AttemptError(Failure.BROKEN, str(error)) from None
             finally:
-                self._pool.release(attempt.connection)
+                attempt.body.release()
 
         remaining_s = call.deadline_s - self._timer.now_s()
         if call.is_idempotent and call.runs + 1 < call.route.max_attempts:
@@ -301,7 +300,6 @@
         relay = StreamRelay(
             self._timer,
             self._sender,
-            self._pool,
             self._table,
             self._placer,
             self._copier,
@@ -328,12 +326,12 @@
             )
             return
         try:
-            body = await attempt.connection.read_all()
+            body = await attempt.body.read_all()
         except UpstreamError as error:
             self._finish_failed(call, 502, str(error))
             return
         finally:
-            self._pool.release(attempt.connection)
+            attempt.body.release()
         self._table.note_outcome(target, succeeded=attempt.response.status < 500)
         self._forward_response(call, attempt, body)
 
@@ -343,11 +341,11 @@
         failure = error.failure
         if failure is Failure.NO_CONNECTION:
             self._table.note_no_connection(target, str(error))
-            self._pool.close_idle(target.info.address)
+            self._client.close_idle(target.info)
         elif failure is Failure.WRONG_TARGET:
             self._table.note_replaced(target)
-            self._pool.close_idle(target.info.address)
-        elif failure is not Failure.TARGET_LEFT:
+            self._client.close_idle(target.info)
+        elif failure not in (Failure.TARGET_LEFT, Failure.PROXY_LOST):
             self._table.note_outcome(target, succeeded=False)
             if failure is Failure.BROKEN:
                 self._table.note_broken(target)
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -13,8 +13,9 @@
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.events import RUN_COPIED
 from endivesill.forwarding.protocol import EngineProtocol
+from endivesill.forwarding.target_client import SendOptions, TargetClient
 from endivesill.forwarding.targets import Target, TargetTable
-from endivesill.http1 import ConnectionPool, ResponseHead, UpstreamError
+from endivesill.http1 import ResponseHead, UpstreamError
 from endivesill.timer import TimerService
 
 __all__ = ["CopyRefusedError", "RunCopy", "RunCopier"]
@@ -39,7 +40,7 @@
 
     Args:
       timer: the timer service.
-      pool: connections to targets.
+      client: sends the orders.
       table: the targets; records what engines announce.
       protocol: encodes and decodes the orders.
     """
@@ -47,12 +48,12 @@
     def __init__(
         self,
         timer: TimerService,
-        pool: ConnectionPool,
+        client: TargetClient,
         table: TargetTable,
         protocol: EngineProtocol,
     ) -> None:
         self.timer = timer
-        self._pool = pool
+        self._client = client
         self._table = table
         self._protocol = protocol
 
@@ -102,9 +103,12 @@
             )
             self._table.note_limit(source, response.limit_per_s, may_end=False)
 
-        exchange = self._pool.exchange(
-            source.info.address, order, on_head=note_announcements
+        options = SendOptions(
+            deadline_s=self.timer.now_s() + timeout_s,
+            is_order=True,
+            on_head=note_announcements,
         )
+        exchange = self._client.exchange(source.info, order, options)
         try:
             head, body = await self.timer.wait_for(exchange, timeout_s)
         except (UpstreamError, errors.DeadlineExceededError) as error:
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -10,7 +10,12 @@
 import attrs
 
 from endivesill import errors, events
-from endivesill.forwarding.attempt import Attempt, AttemptError, Sender
+from endivesill.forwarding.attempt import (
+    Attempt,
+    AttemptError,
+    Sender,
+    is_proxy_lost,
+)
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.crash_guard import CrashGuard
 from endivesill.forwarding.event_stream import EventSplitter, StreamEvent
@@ -18,7 +23,7 @@
 from endivesill.forwarding.placer import Placement, Placer
 from endivesill.forwarding.run_copy import RunCopier, RunCopy
 from endivesill.forwarding.targets import Target, TargetTable
-from endivesill.http1 import ConnectionPool, UpstreamError, strip_hop_by_hop
+from endivesill.http1 import UpstreamError, strip_hop_by_hop
 from endivesill.timer import TimerService
 
 __all__ = ["StreamBrokenError", "StreamRelay"]
@@ -73,7 +78,6 @@
     Args:
       timer: the timer service.
       sender: sends requests.
-      pool: connections to targets.
       table: the targets.
       placer: places copies.
       copier: orders copies of runs.
@@ -92,7 +96,6 @@
         self,
         timer: TimerService,
         sender: Sender,
-        pool: ConnectionPool,
         table: TargetTable,
         placer: Placer,
         copier: RunCopier,
@@ -101,7 +104,6 @@
     ) -> None:
         self._timer = timer
         self._sender = sender
-        self._pool = pool
         self._table = table
         self._placer = placer
         self._copier = copier
@@ -186,7 +188,7 @@
           StreamBrokenError: the caller has received part of a stream already.
         """
         if self._call.exchange.head_sent:
-            self._pool.release(attempt.connection)
+            attempt.body.release()
             raise StreamBrokenError(f"status {attempt.response.status} on a resume")
         return attempt
 
@@ -198,7 +200,7 @@
         if run.backup is not None:
             run.backup.release_copy(demand)
         if run.attempt is not None and run.attempt.response.status == 200:
-            self._pool.release(run.attempt.connection)
+            run.attempt.body.release()
 
     def _next_run(
         self, run: _Run, error: errors.EndivesillError, *, was_resumed: bool
@@ -225,15 +227,14 @@
         not_run = isinstance(error, AttemptError) and error.failure.not_run
         if not_run and not was_resumed:
             raise error
-        if not run.is_moving and self._guard.has_just_begun(
-            run.head_s, run.first_event_s
-        ):
+        is_own_end = run.is_moving or is_proxy_lost(error)
+        if not is_own_end and self._guard.has_just_begun(run.head_s, run.first_event_s):
             self._guard.note_broken(call, run.target)
         target, copy = self._find_copy(run)
         if target is None or not_run or call.is_suspect or self.resumes >= MAX_RESUMES:
             raise StreamBrokenError(str(error)) from None
         self.resumes += 1
-        if not run.is_moving and self._table.accepts_requests(run.target):
+        if not is_own_end and self._table.accepts_requests(run.target):
             # An engine that leaves ends its runs; one that stays has failed.
             self._table.note_outcome(run.target, succeeded=False)
         events.emit(
@@ -277,7 +278,7 @@
         )
         idle_s = self._timer.now_s() - self._last_event_s
         if idle_s > STALL_TIMEOUT_S and (has_backup or has_copy):
-            run.attempt.connection.abort()
+            run.attempt.body.abort()
         elif run.copy is not None and (
             run.copy.has_failed or not has_copy or not self._may_end_soon(run.target)
         ):
@@ -298,7 +299,7 @@
         """
         assert run.attempt is not None
         run.is_moving = True
-        run.attempt.connection.abort()
+        run.attempt.body.abort()
 
     def _start_copy(self, run: _Run) -> None:
         """Copy a run whose engine may shut down before it ends.
@@ -339,7 +340,7 @@
         if not exchange.head_sent:
             exchange.start(200, strip_hop_by_hop(attempt.head.headers))
         splitter = EventSplitter()
-        while data := await attempt.connection.read():
+        while data := await attempt.body.read():
             new_events = self._drop_duplicates(splitter.feed(data))
             if not new_events:
                 continue
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -93,6 +93,7 @@
       headers: the headers received so far.
       field_count: number of header and trailer fields, interim responses included.
       head: the head; None until it is complete.
+      trailers: the trailer fields received so far.
       body_parts: received parts of the body that have not been read.
       buffered_bytes: total length of the body parts.
       is_complete: whether the response has ended as its framing specifies.
@@ -101,6 +102,7 @@
     headers: Headers = attrs.Factory(list)
     field_count: int = 0
     head: ResponseHead | None = None
+    trailers: Headers = attrs.Factory(list)
     body_parts: collections.deque[bytes] = attrs.Factory(collections.deque)
     buffered_bytes: int = 0
     is_complete: bool = False
@@ -225,7 +227,7 @@
         self._responses.append(_Response())
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; trailer fields are dropped.
+        """Add a header or a trailer field.
 
         Raises:
           UpstreamError: too many fields; ends the parsing.
@@ -234,8 +236,8 @@
         response.field_count += 1
         if response.field_count > MAX_HEADER_FIELDS:
             raise self._exceed("header fields")
-        if response.head is None:
-            response.headers.append((name, value))
+        fields = response.headers if response.head is None else response.trailers
+        fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Store the head; an interim response (1xx) is dropped."""
@@ -330,6 +332,10 @@
         response.buffered_bytes = 0
         return data
 
+    def trailer(self, name: bytes) -> bytes:
+        """Return a trailer field (name in lower case) of the response read so far."""
+        return header_value(self._responses[0].trailers, name)
+
     async def _wait_for_more(self) -> None:
         if self._failure is not None:
             raise UpstreamError(self._failure, sent=True)
--- a/endivesill/http1/exchange.py
+++ b/endivesill/http1/exchange.py
@@ -97,9 +97,9 @@
         if data:
             self._write(b"%x\r\n%b\r\n" % (len(data), data))
 
-    def finish(self) -> None:
-        """Write the last chunk of a chunked response."""
-        self._write(b"0\r\n\r\n")
+    def finish(self, trailers: Headers | None = None) -> None:
+        """Write the last chunk of a chunked response, and trailer fields."""
+        self._write(encode_head(b"0", trailers or []))
         self.finished = True
 
     def abort(self) -> None:
--- a/endivesill/http1/pool.py
+++ b/endivesill/http1/pool.py
@@ -50,7 +50,10 @@
         self.connect_attempts = 0
 
     async def acquire(
-        self, address: str, max_idle_s: float | None = None
+        self,
+        address: str,
+        max_idle_s: float | None = None,
+        connect_timeout_s: float | None = None,
     ) -> UpstreamConnection:
         """Return an idle or a new connection to a peer.
 
@@ -58,6 +61,7 @@
           address: the peer's HOST:PORT, or `https://HOST:PORT` for TLS.
           max_idle_s: a connection that has been idle for longer is not used, but
             stays in the pool; 0 for a new connection, None for the pool's limit.
+          connect_timeout_s: time limit for connecting; None for the pool's limit.
 
         Raises:
           UpstreamError: connecting failed or timed out; nothing was sent.
@@ -69,9 +73,11 @@
             idle.pop().abort()
         if idle and idle[-1].is_usable(limit_s):
             return idle.pop()
-        return await self._connect(address)
+        return await self._connect(address, connect_timeout_s)
 
-    async def _connect(self, address: str) -> UpstreamConnection:
+    async def _connect(
+        self, address: str, connect_timeout_s: float | None
+    ) -> UpstreamConnection:
         tls = self._tls_context() if address.startswith(TLS_PREFIX) else None
         host, _, port = address.removeprefix(TLS_PREFIX).rpartition(":")
         self.connect_attempts += 1
@@ -85,7 +91,7 @@
         )
         try:
             _, connection = await self._timer.wait_for(
-                connecting, self._connect_timeout_s
+                connecting, connect_timeout_s or self._connect_timeout_s
             )
         except (OSError, errors.DeadlineExceededError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
--- a/endivesill/http1/sending.py
+++ b/endivesill/http1/sending.py
@@ -41,8 +41,10 @@
       failure: the kind of failure.
     """
 
-    def __init__(self, failure: SendFailure, detail: str) -> None:
-        super().__init__(detail, sent=not failure.not_run)
+    def __init__(
+        self, failure: SendFailure, detail: str, *, is_refused: bool = False
+    ) -> None:
+        super().__init__(detail, sent=not failure.not_run, is_refused=is_refused)
         self.failure = failure
 
 
@@ -58,6 +60,7 @@
     max_foreign_responses: int = 0,
     on_head: Callable[[ResponseHead], None] = ignore_head,
     no_body: bool = False,
+    connect_timeout_s: float | None = None,
 ) -> tuple[UpstreamConnection, ResponseHead]:
     """Send a request and wait for the head of its response.
 
@@ -76,6 +79,7 @@
         are skipped.
       on_head: called with the head of each response, also of one to another request.
       no_body: whether the response has no body, regardless of its head (HEAD).
+      connect_timeout_s: time limit for connecting; None for the pool's limit.
 
     Returns:
       The connection, with the body of the response unread, and the head. The
@@ -85,9 +89,11 @@
       SendError: there is no response.
     """
     try:
-        connection = await pool.acquire(address, max_idle_s)
+        connection = await pool.acquire(address, max_idle_s, connect_timeout_s)
     except UpstreamError as error:
-        raise SendError(SendFailure.NO_CONNECTION, str(error)) from None
+        raise SendError(
+            SendFailure.NO_CONNECTION, str(error), is_refused=error.is_refused
+        ) from None
     try:
         if not may_start():
             raise SendError(SendFailure.NOT_STARTED, address)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -8,22 +8,23 @@
 from typing import Any
 
 from endivesill import errors, events
+from endivesill.fleet.entry_peers import EntryPeer
 from endivesill.fleet.events import CONFIGURATION_IN_FORCE
 from endivesill.fleet.load import EngineLoad
-from endivesill.fleet.model import Service
 from endivesill.fleet.permit_client import PermitClient
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.call_log import CallLog
+from endivesill.forwarding.cold_allowance import ColdAllowance
+from endivesill.forwarding.entry_network import EntryNetwork
 from endivesill.forwarding.entry_stop import stop_serving
 from endivesill.forwarding.forwarder import Forwarder
-from endivesill.forwarding.placement_service import LEADER_COLD_FRACTION
 from endivesill.forwarding.placer import Placer
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable
 from endivesill.forwarding.statistics import Statistics
 from endivesill.forwarding.targets import TargetTable
 from endivesill.forwarding.waiting import AdmissionQueue
-from endivesill.http1 import ConnectionLimits, ConnectionPool, Exchange, HttpListener
+from endivesill.http1 import ConnectionLimits, Exchange, HttpListener
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import PlatformProtocol
@@ -35,17 +36,8 @@
 
 __all__ = ["EntryProcess"]
 
-# Connecting to an engine takes a few milliseconds. A longer time means a lost
-# packet, and another engine is tried.
-CONNECT_TIMEOUT_S = 0.3
-# Idle connections are closed before the engine would close them.
-MAX_IDLE_S = 3.0
-PRUNE_PERIOD_S = 0.5
 # Longest time between two attempts to admit queued requests.
 ADMISSION_PERIOD_S = 0.02
-# Fraction of the request rate of cold targets that the entries may use without
-# the leader; the leader allocates the rest.
-ENTRY_COLD_FRACTION = 1 - LEADER_COLD_FRACTION
 # Longest time between two checks whether a stream needs a new backup copy.
 REVIEW_PERIOD_S = 0.5
 # With an older view of the fleet the entry reports that it is not ready, so
@@ -87,7 +79,9 @@
         self._admission = AdmissionQueue(
             timer,
             self._table,
-            self._cold_allowance,
+            ColdAllowance(
+                timer, view, bounds.cold_factor, bounds.cold_slack
+            ).requests_per_s,
             lambda request, target: target.reserve(request.demand),
             random_source,
             on_abandoned=lambda request, target: target.release(request.demand),
@@ -97,8 +91,15 @@
             timer, self._table, self._admission, self._sync_client, transport
         )
         self._statistics = Statistics()
-        self._pool = ConnectionPool(
-            timer, CONNECT_TIMEOUT_S, MAX_IDLE_S, source_host=settings.ip
+        protocol = PlatformProtocol()
+        own = EntryPeer(settings.peer_address, settings.data_centre, settings.region)
+        self._network = EntryNetwork(
+            timer,
+            own,
+            self._table,
+            protocol,
+            self._sync_client,
+            random_source,
         )
         budget = RetryBudget(
             timer,
@@ -113,8 +114,8 @@
             self._admission,
             placer,
             budget,
-            self._pool,
-            PlatformProtocol(),
+            self._network.client,
+            protocol,
             self._sync_client.crashes,
             CallLog(timer, self._statistics, self._view_age_s),
             random_source,
@@ -134,10 +135,10 @@
             self._timer, lambda s: self._sync_client.use_seeds(s.seed_peers)
         )
         await self._readiness.start()
+        await self._network.start()
         await self._front.start()
         await self._metrics.start()
         task = supervise(self._timer, "fleet-follower", self._sync_client.run)
-        self._timer.call_every(PRUNE_PERIOD_S, self._pool.prune)
         self._timer.call_every(REVIEW_PERIOD_S, self._table.notify)
         self._timer.call_every(ADMISSION_PERIOD_S, self._admission.admit_waiting)
         events.emit(events.PROCESS_STARTED, vm=self._settings.vm, role="entry")
@@ -156,11 +157,11 @@
             "active_requests": self._front.active_exchanges,
             "waiting_requests": self._admission.queue_length(),
             "caller_connections": len(self._front.connections),
-            "target_connects_total": self._pool.connect_attempts,
             "state_version": view.version or 0,
             "engines_listed": len(view.engines),
             "blocked_crash_causes": len(self._sync_client.crashes.evidence.blocks),
             "allowance_share": round(view.lease.share_at(now_s), 4),
+            **self._network.gauges(),
             "knowledge_age_seconds": "+Inf" if math.isinf(age_s) else round(age_s, 3),
         }
         lines = [f"endivesill_{name} {value}" for name, value in gauges.items()]
@@ -174,18 +175,13 @@
     def _report_engines(self) -> None:
         asyncio.ensure_future(self._sync_client.report_engines())
 
-    def _cold_allowance(self, service: Service) -> float:
-        bounds = self._settings.bounds
-        share = self._sync_client.view.lease.share_at(self._timer.now_s())
-        rate = bounds.cold_factor * service.cold_requests_per_s + bounds.cold_slack
-        return ENTRY_COLD_FRACTION * share * rate
-
     def _apply_updates(self, updates: set[str]) -> None:
         view = self._sync_client.view
         if "state" in updates:
             self._apply_configuration(view.document)
         if "engines" in updates:
             self._table.update_engines()
+            self._network.retain(view.engines)
         if "ejections" in updates:
             self._table.apply_ejections(view.ejections)
         self._table.update_loads(view.remote_loads)
@@ -218,8 +214,7 @@
     # Readiness and drain.
 
     def _view_age_s(self) -> float:
-        """Return the time since the fleet view was last confirmed as current."""
-        return self._timer.now_s() - self._sync_client.view.confirmed_at_s
+        return self._sync_client.view.age_s(self._timer.now_s())
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this entry."""
@@ -246,6 +241,7 @@
             self._timer,
             self._front,
             self._forwarder,
+            self._network.service,
             stop_received_s,
             self._settings.bounds.grace_s,
         )
--- a/endivesill/platform/settings.py
+++ b/endivesill/platform/settings.py
@@ -45,6 +45,7 @@
       serves: what the process serves: `front`, `control` or both.
       ip: the VM's IP address.
       data_centre: the VM's data centre.
+      region: region of the data centre; may be empty.
       peer_port: port of the peer protocol, the same on all VMs.
       seeds: hosts of some control VMs, without ports.
       is_first_start: whether the whole system starts with empty disks.
@@ -62,6 +63,7 @@
     serves: tuple[str, ...]
     ip: str
     data_centre: str
+    region: str
     peer_port: int
     seeds: tuple[str, ...]
     is_first_start: bool
@@ -122,6 +124,7 @@
         serves=tuple(fields.read("texts", "serves", [])),
         ip=fields.read("text", "ip", ""),
         data_centre=fields.read("text", "zone", ""),
+        region=fields.read("text", "region", "", ""),
         peer_port=_peer_port(fields),
         seeds=tuple(seed.rpartition(":")[0] for seed in seeds),
         is_first_start=fields.read("flag", "bootstrap", False, False),
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -18,9 +18,13 @@
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.forwarder import Forwarder
 from endivesill.forwarding.placer import Placer
+from endivesill.forwarding.proxy_client import ProxyClient
+from endivesill.forwarding.proxy_peers import ProxyPeers
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable
 from endivesill.forwarding.statistics import Statistics
+from endivesill.forwarding.target_client import TargetClient
+from endivesill.forwarding.target_links import TargetLinks
 from endivesill.forwarding.targets import TargetTable
 from endivesill.forwarding.waiting import AdmissionQueue
 from endivesill.http1 import (
@@ -74,6 +78,10 @@
             source,
         )
         self.pool = ConnectionPool(self.timer, 0.5, 3.0)
+        self.links = TargetLinks(self.timer, self.pool)
+        self.peers = ProxyPeers(self.timer, "a", source)
+        proxy = ProxyClient(self.timer, self.pool, self.peers)
+        self.client = TargetClient(self.timer, self.pool, self.links, proxy)
         placer = Placer(self.timer, self.table, admission, self.sync_client, transport)
         budget = RetryBudget(self.timer, 0.2, 54, 10.0, lambda: 1.0)
         self.forwarder = Forwarder(
@@ -82,7 +90,7 @@
             admission,
             placer,
             budget,
-            self.pool,
+            self.client,
             PlatformProtocol(),
             self.sync_client.crashes,
             CallLog(self.timer, Statistics(), lambda: 0.0),
--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -162,10 +162,10 @@
             await asyncio.sleep(0.01)
             exchange.abort()
 
-        async def acquire(address, max_idle_s=None, own=self.pool.acquire):
+        async def acquire(address, max_idle_s=None, *args, own=self.pool.acquire):
             if max_idle_s == 0:
                 raise UpstreamError("no result within 0.5 s", sent=False)
-            return await own(address, max_idle_s)
+            return await own(address, max_idle_s, *args)
 
         self.pool.acquire = acquire
         engine._respond_stream = respond_stream
@@ -181,15 +181,15 @@
         async def report():
             await is_reported.wait()
 
-        async def acquire(address, max_idle_s):
-            connects.append(address)
+        async def check(info):
+            connects.append(info.address)
             if len(connects) > 1:
                 await may_connect.wait()
-            raise UpstreamError("refused", sent=False, is_refused=True)
+            return False
 
         exchange = types.SimpleNamespace(evidence=evidence, report=report)
-        pool = types.SimpleNamespace(acquire=acquire)
-        guard = CrashGuard(self.timer, exchange, pool, None)
+        client = types.SimpleNamespace(check=check)
+        guard = CrashGuard(self.timer, exchange, client, None)
         await self.add_engines("llm", "e1")
         target = self.target("e1")
         for number, part in enumerate(("sound", "bad")):
--- a/tests/test_forwarding_crashes.py
+++ b/tests/test_forwarding_crashes.py
@@ -86,13 +86,12 @@
         """Its packets may be lost on the way."""
         acquire = self.pool.acquire
 
-        async def time_out(address, max_idle_s=None):
+        async def time_out(address, max_idle_s=None, *args):
             if max_idle_s == 0:
                 raise UpstreamError(f"{address}: timeout", sent=False)
-            return await acquire(address, max_idle_s)
+            return await acquire(address, max_idle_s, *args)
 
         self.pool.acquire = time_out
-        self.forwarder._guard._pool = self.pool
         await self.break_runs()
         self.assertEqual([], self.sync_client.crashes.evidence.rows())
 
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -248,7 +248,7 @@
     async def test_a_paused_engine_gets_no_orders_to_copy_runs(self):
         (engine,) = await self.add_engines("llm", "m1")
         self.table.note_announcements(self.target("m1"), is_leaving=False, pause_s=60.0)
-        copier = RunCopier(self.timer, self.pool, self.table, PlatformProtocol())
+        copier = RunCopier(self.timer, self.client, self.table, PlatformProtocol())
         with self.assertRaises(CopyRefusedError):
             await copier.release(self.target("m1"), "h1")
         self.assertEqual([], engine.copy_releases)
@@ -259,8 +259,8 @@
         one, two = await self.add_engines("app", "p1", "p2")
         acquire = self.pool.acquire
 
-        async def acquire_slowly(address, idle_s=None):
-            connection = await acquire(address, idle_s)
+        async def acquire_slowly(address, *args):
+            connection = await acquire(address, *args)
             for info in list(self.view.engines.values()):
                 if info.address == address and address == one.address:
                     del self.view.engines[info.incarnation]
