Read which engines say that they are brittle, and tell all entries

Engines may say that they fall over when they reject more than N requests a second for want of room; nothing read it. It is decoded, logged and shared like the limits on rates.

--- a/endivesill/fleet/engine_limits.py
+++ b/endivesill/fleet/engine_limits.py
@@ -1,4 +1,7 @@
-"""Request rates to which engines limit all entries together.
+"""Request rates to which engines limit all entries together, and brittle engines.
+
+A brittle engine falls over when it has to reject too many requests, so that no more may
+be under way to it than it can run at once.
 
 Entries learn of a limit from the engine's own responses, at different times. Each
 observation has its time, and the newest one of an engine holds.
@@ -12,7 +15,12 @@
 import attrs
 
 from endivesill import events
-from endivesill.fleet.events import ENGINE_LIMITED, ENGINE_UNLIMITED
+from endivesill.fleet.events import (
+    ENGINE_BRITTLE,
+    ENGINE_LIMITED,
+    ENGINE_NOT_BRITTLE,
+    ENGINE_UNLIMITED,
+)
 from endivesill.timer import TimerService
 
 __all__ = ["EngineLimits", "LimitRow"]
@@ -27,6 +35,9 @@
 # A limit is raised or ended only if no response has named it for this long. Responses
 # on different connections overtake each other, and each change goes to all entries.
 HOLD_S = 0.5
+# Ending of the keys under which it is kept that an engine is brittle. VMs of earlier
+# versions take it for an engine that they do not know.
+BRITTLE_KEY = "/brittle"
 
 
 @attrs.frozen
@@ -92,6 +103,25 @@
             return False
         return self._observe(incarnation, per_s, now_s)
 
+    def note_brittle(
+        self, incarnation: str, per_s: float | None, *, may_end: bool
+    ) -> bool:
+        """Record whether a response of an engine says that it is brittle.
+
+        Args:
+          incarnation: the engine.
+          per_s: rejections a second that it bears; None if it is not brittle.
+          may_end: whether a response that does not say so ends it.
+
+        Returns:
+          Whether this has changed.
+        """
+        return self.note_response(incarnation + BRITTLE_KEY, per_s, may_end=may_end)
+
+    def is_brittle(self, incarnation: str) -> bool:
+        """Return whether an engine falls over when it rejects too many requests."""
+        return self.limit_per_s(incarnation + BRITTLE_KEY) is not None
+
     def _note_unreadable(self, incarnation: str) -> None:
         if incarnation not in self._unreadable:
             self._unreadable.add(incarnation)
@@ -103,10 +133,7 @@
         self._observations[incarnation] = _Observation(per_s, seen_s)
         if is_news:
             self.number += 1
-            if per_s is None:
-                events.emit(ENGINE_UNLIMITED, target=incarnation)
-            else:
-                events.emit(ENGINE_LIMITED, target=incarnation, limit_per_s=per_s)
+            _log_news(incarnation, per_s)
         return is_news
 
     def limit_per_s(self, incarnation: str) -> float | None:
@@ -115,18 +142,21 @@
         return known.per_s if known else None
 
     def limited(self) -> list[str]:
-        """Return the incarnations that have a limit."""
-        return [key for key, o in self._observations.items() if o.per_s is not None]
+        """Return the incarnations that have a limit or are brittle."""
+        keys = [key for key, o in self._observations.items() if o.per_s is not None]
+        return list({key.removesuffix(BRITTLE_KEY) for key in keys})
 
     def forget(self, incarnations: Iterable[str]) -> None:
         """Drop what is known of some engines."""
         for incarnation in incarnations:
             self._observations.pop(incarnation, None)
+            self._observations.pop(incarnation + BRITTLE_KEY, None)
             self._unreadable.discard(incarnation)
 
     def known(self) -> set[str]:
-        """Return the incarnations that have or had a limit."""
-        return self._observations.keys() | self._unreadable
+        """Return the incarnations that have or had a limit, or are or were brittle."""
+        keys = {key.removesuffix(BRITTLE_KEY) for key in self._observations}
+        return keys | self._unreadable
 
     def rows(self) -> dict[str, LimitRow]:
         """Return the observations as JSON, by incarnation."""
@@ -157,6 +187,17 @@
         return is_behind
 
 
+def _log_news(key: str, per_s: float | None) -> None:
+    incarnation = key.removesuffix(BRITTLE_KEY)
+    if incarnation != key:
+        kind = ENGINE_NOT_BRITTLE if per_s is None else ENGINE_BRITTLE
+        events.emit(kind, target=incarnation, rejections_per_s=per_s)
+    elif per_s is None:
+        events.emit(ENGINE_UNLIMITED, target=incarnation)
+    else:
+        events.emit(ENGINE_LIMITED, target=incarnation, limit_per_s=per_s)
+
+
 def _is_higher(per_s: float | None, than_per_s: float | None) -> bool:
     """Return whether a limit is higher than another; None is no limit."""
     if than_per_s is None:
--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -80,6 +80,14 @@
 ENGINE_UNLIMITED = events.define(
     4515, "engine-unlimited", "An engine no longer limits the rate of requests."
 )
+ENGINE_BRITTLE = events.define(
+    4520,
+    "engine-brittle",
+    "An engine falls over when it has to reject too many requests for want of room.",
+)
+ENGINE_NOT_BRITTLE = events.define(
+    4521, "engine-not-brittle", "An engine no longer says that it is brittle."
+)
 PERMITS_UNANSWERED = events.define(
     4516,
     "permits-unanswered",
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -45,6 +45,9 @@
 SYNC_TIMEOUT_S = 0.25
 RETRY_S = 0.05
 MAX_RETRY_S = 0.2
+# With an older view an entry reports that it is not ready, so that callers are sent to
+# other entries.
+MAX_READY_VIEW_AGE_S = 6.0
 # Time without a reply after which the loss of the leader is logged.
 LEADER_LOST_AFTER_S = 1.0
 
@@ -93,6 +96,10 @@
     entry_count: int = 1
     confirmed_at_s: float = float("-inf")
 
+    def is_usable(self, now_s: float) -> bool:
+        """Return whether it has engines and is recent."""
+        return bool(self.engines) and self.age_s(now_s) < MAX_READY_VIEW_AGE_S
+
     def age_s(self, now_s: float) -> float:
         """Return the time since it was last confirmed as current; may be infinite."""
         return now_s - self.confirmed_at_s
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -140,11 +140,12 @@
         is_leaving: bool,
         pause_s: float | None,
         limit_per_s: float | None,
+        brittle_per_s: float | None = None,
     ) -> None:
         """Record what an engine announces in its response to a poll of this VM.
 
-        See `EngineNotices` for the arguments. A response to a poll without a limit does
-        not end one.
+        See `EngineNotices` and `EngineLimits` for the arguments. A response to a poll
+        ends nothing that it does not name.
         """
         notices = self.reader.notices
         if is_leaving and not notices.is_leaving(engine.incarnation):
@@ -152,6 +153,7 @@
         if pause_s is not None:
             notices.note_pause(engine, pause_s)
         self.limits.note_response(engine.incarnation, limit_per_s, may_end=False)
+        self.limits.note_brittle(engine.incarnation, brittle_per_s, may_end=False)
         self._publish_limits()
 
     def may_poll(self, engine: EngineInfo) -> bool:
@@ -257,15 +259,13 @@
         """Record what an entry reports about engines.
 
         Args:
-          message: `{"departures", "outcomes", "limits", "entry", "reach"}`: the
-            incarnations that the entry knows as leaving, rows of `OutcomeCounts`, the
-            limits that engines have told it, and what `EntryDirectory` records.
+          message: `{"departures", "outcomes", "limits", "entry", "reach"}`: leaving
+            incarnations, rows of `OutcomeCounts` and `EngineLimits`, and the entry.
 
         Returns:
           The fields of `EntryDirectory` for the entry.
         """
         self._record_engines(message)
-        # Entries of earlier versions do not say who they are.
         if not self.leads() or "entry_number" not in message:
             return {}
         return self._entries.reply_fields(message)
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -164,7 +164,10 @@
         response = self._protocol.decode_response(head)
         if not response.wrong_target:
             self._table.note_limit(
-                target, response.limit_per_s, may_end=not response.not_run
+                target,
+                response.limit_per_s,
+                response.brittle_per_s,
+                may_end=not response.not_run,
             )
         if response.wrong_target or response.not_run:
             body.release()
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -85,6 +85,8 @@
         NaN if it asks for one that cannot be read.
       limit_per_s: requests per second that the engine takes from all VMs together;
         None for no limit, NaN for one that cannot be read.
+      brittle_per_s: rejections a second beyond which the engine falls over; None if it
+        is not brittle.
     """
 
     status: int
@@ -93,6 +95,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = None
+    brittle_per_s: float | None = None
 
 
 class EngineProtocol(Protocol):
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -101,7 +101,9 @@
             self._table.note_announcements(
                 source, is_leaving=response.is_leaving, pause_s=response.pause_s
             )
-            self._table.note_limit(source, response.limit_per_s, may_end=False)
+            self._table.note_limit(
+                source, response.limit_per_s, response.brittle_per_s, may_end=False
+            )
 
         options = SendOptions(
             deadline_s=self.timer.now_s() + timeout_s,
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -184,14 +184,20 @@
         self.permits = permits
 
     def note_limit(
-        self, target: Target, limit_per_s: float | None, *, may_end: bool
+        self,
+        target: Target,
+        limit_per_s: float | None,
+        brittle_per_s: float | None = None,
+        *,
+        may_end: bool,
     ) -> None:
-        """Record the limit that a response of a target names.
+        """Record the limit that a response names, and whether its target is brittle.
 
-        See `EngineLimits.note_response` for the arguments.
+        See `EngineLimits` for the arguments.
         """
-        limits = self.notices.limits
-        if limits.note_response(target.info.incarnation, limit_per_s, may_end=may_end):
+        limits, key = self.notices.limits, target.info.incarnation
+        is_news = limits.note_response(key, limit_per_s, may_end=may_end)
+        if limits.note_brittle(key, brittle_per_s, may_end=may_end) or is_news:
             self.on_limit()
 
     def unlisted_departures(self) -> list[str]:
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -13,6 +13,7 @@
 from endivesill.forwarding.protocol import Dispatch, RequestInfo, ResponseInfo
 from endivesill.http1 import Headers, ResponseHead, header_value
 from endivesill.http1.head import encode_head, header_values, strip_hop_by_hop
+from endivesill.http1.numbers import lowest_decimal
 from endivesill.json_text import parse_json
 from endivesill.platform import wire
 from endivesill.platform.decode import Reader
@@ -20,6 +21,7 @@
 __all__ = [
     "ListPage",
     "PlatformProtocol",
+    "decode_brittle_per_s",
     "decode_leaving",
     "decode_limit_per_s",
     "decode_list_page",
@@ -28,8 +30,6 @@
 
 MS_PER_S = 1_000.0
 SECONDS_PATTERN = re.compile(rb"-?[0-9]{1,18}(\.[0-9]{0,18})?")
-# Digits beyond these would only make a limit larger than any that bounds something.
-LIMIT_PATTERN = re.compile(rb"[0-9]{1,64}(\.[0-9]{0,64})?")
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -118,15 +118,16 @@
 
     Of several values the lowest counts. If none is a decimal number, the result is NaN.
     """
-    values = [
-        value.strip()
-        for field in header_values(head.headers, wire.SERVER_LIMIT)
-        for value in field.split(b",")
-    ]
-    if not values:
-        return None
-    limits = [float(value) for value in values if LIMIT_PATTERN.fullmatch(value)]
-    return min(limits, default=math.nan)
+    return lowest_decimal(head.headers, wire.SERVER_LIMIT)
+
+
+def decode_brittle_per_s(head: ResponseHead) -> float | None:
+    """Return the rejections a second that a brittle engine bears; else None.
+
+    One that names no decimal number bears none.
+    """
+    per_s = lowest_decimal(head.headers, wire.SERVER_BRITTLE)
+    return 0.0 if per_s is not None and math.isnan(per_s) else per_s
 
 
 class PlatformProtocol:
@@ -177,6 +178,7 @@
             is_leaving=decode_leaving(head),
             pause_s=decode_pause_s(head),
             limit_per_s=decode_limit_per_s(head),
+            brittle_per_s=decode_brittle_per_s(head),
         )
 
     def encode_copy_order(
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -40,9 +40,6 @@
 ADMISSION_PERIOD_S = 0.02
 # Longest time between two checks whether a stream needs a new backup copy.
 REVIEW_PERIOD_S = 0.5
-# With an older view of the fleet the entry reports that it is not ready, so
-# that callers are sent to other entries.
-MAX_READY_VIEW_AGE_S = 6.0
 
 
 class EntryProcess:
@@ -218,13 +215,9 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this entry."""
-        view = self._sync_client.view
-        return (
-            not self._stopping
-            and self._forwarder.routes is not None
-            and bool(view.engines)
-            and self._view_age_s() < MAX_READY_VIEW_AGE_S
-        )
+        is_configured = self._forwarder.routes is not None
+        is_usable = self._sync_client.view.is_usable(self._timer.now_s())
+        return is_configured and is_usable and not self._stopping
 
     async def _handle_readiness(self, exchange: Exchange) -> None:
         exchange.respond(200 if self.is_ready() else 503, [])
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/platform/leader_placement.py
@@ -19,6 +19,7 @@
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import (
+    decode_brittle_per_s,
     decode_leaving,
     decode_limit_per_s,
     decode_pause_s,
@@ -124,6 +125,7 @@
             is_leaving=decode_leaving(head),
             pause_s=decode_pause_s(head),
             limit_per_s=decode_limit_per_s(head),
+            brittle_per_s=decode_brittle_per_s(head),
         )
 
     def _health_path(self, service: str) -> str:
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -36,6 +36,9 @@
 # In responses of an engine in need: requests per second that it takes from all VMs
 # together, for as long as its responses have the header.
 SERVER_LIMIT = b"server-limit"
+# In responses of an engine that falls over when it has to reject more requests a second
+# than this, from all VMs together, for want of room.
+SERVER_BRITTLE = b"server-brittle"
 # In the response to a health check: identity of the responding engine.
 INSTANCE_ID = b"x-endivesill-instance-id"
 
