Send brittle engines no more requests than they have slots

What callers saw: brittle engines that bear N rejections a second would fall over; with 3 to 1,000 entries, 96 to 997 were rejected in one second. Cause: room is a sum over all entries, and each entry placed plain requests by loads that are up to a second old. Orders to copy a run take no slot.

--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -101,6 +101,11 @@
         self.current: EngineListSnapshot | None = None
         self.notices = EngineNotices(timer)
 
+    def slots_of(self, incarnation: str) -> int:
+        """Return the slots of an engine; 0 if it is not listed."""
+        engines = self.current.engines if self.current is not None else {}
+        return engines[incarnation].slots if incarnation in engines else 0
+
     def use_departure_sources(
         self,
         leaving: Callable[[], frozenset[str]],
--- a/endivesill/fleet/permit_service.py
+++ b/endivesill/fleet/permit_service.py
@@ -45,13 +45,15 @@
         """Grant permits.
 
         Args:
-          message: `{"entry", "wanted", "limits"}`: the entry, the permits that it wants
-            by incarnation, and rows of `EngineLimits` that this VM may lack.
+          message: `{"entry", "loads", "grants_seen", "wanted", "limits"}`: the entry
+            and its load, the permits that it wants by incarnation, and rows of
+            `EngineLimits` that this VM may lack.
 
         Returns:
-          `{"granted", "wait_s", "entries"}`: the permits granted and the expected time
-          until the next one, by incarnation, and how many entries wait for some;
-          `{"leader": None}` from a VM that does not lead.
+          `{"granted", "wait_s", "entries", "number"}`: the permits granted and the
+          expected time until the next one, by incarnation, how many entries wait for
+          some, and the number of a grant of slots; `{"leader": None}` from a VM that
+          does not lead.
         """
         if not await self._confirm_leadership():
             return {"leader": None}
@@ -65,4 +67,9 @@
             )
             wait_s[incarnation] = round(wait, 4)
             entries = max(entries, self._permits.waiting_entries(incarnation))
-        return {"granted": granted, "wait_s": wait_s, "entries": entries}
+        return {
+            "granted": granted,
+            "wait_s": wait_s,
+            "entries": entries,
+            "number": self._permits.take_number(message["entry"]),
+        }
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -120,6 +120,7 @@
     Attributes:
       view: the view of the fleet.
       entry_id: identifies this start of the entry.
+      own_loads: returns this entry's load by incarnation.
       leader: peer address of the leader; None while unknown.
       leader_lost: notified when the leader does not reply.
       outcomes: outcomes of requests for the next report.
@@ -141,7 +142,7 @@
         self._transport = transport
         self._seeds = seeds
         self._control_addresses: list[str] = []
-        self._own_loads = own_loads
+        self.own_loads = own_loads
         self._on_update = on_update
         self._departures = departures
         self._grants_seen = 0
@@ -212,7 +213,7 @@
         return {
             "entry": self.entry_id,
             "grants_seen": self._grants_seen,
-            "loads": loads_to_rows(self._own_loads()),
+            "loads": loads_to_rows(self.own_loads()),
         }
 
     async def report_engines(self) -> None:
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -19,7 +19,8 @@
 from endivesill.fleet.engine_list import EngineListReader, EngineListSource
 from endivesill.fleet.entry_peers import EntryDirectory
 from endivesill.fleet.list_updates import ListUpdates
-from endivesill.fleet.load import FleetLoads, loads_to_rows
+from endivesill.fleet.load import FleetLoads
+from endivesill.fleet.load_replies import LoadReplies
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.outcomes import Ejections
 from endivesill.fleet.packing import pack_document
@@ -74,8 +75,6 @@
         self._packed_version: int | None = None
         self._packed_state = EncodedValue("")
         self._list_updates = ListUpdates()
-        self._loads_version = -1
-        self._encoded_loads = EncodedValue("{}")
         self._entries = EntryDirectory(timer, random.Random())
         self._on_change: Callable[[], None] = lambda: None
         self._on_loads: Callable[[], None] = lambda: None
@@ -83,8 +82,11 @@
         self._ejections = Ejections(timer)
         self.reader = EngineListReader(timer, source)
         self.loads = FleetLoads()
+        self._load_replies = LoadReplies(self.loads)
         self.limits = self.reader.notices.limits
-        self.permits = LeaderPermits(timer, self.limits)
+        self.permits = LeaderPermits(
+            timer, self.limits, self.loads, self.reader.slots_of
+        )
         PermitService(
             timer,
             transport,
@@ -242,9 +244,7 @@
             self._entries.remove(entry_id)
             self.loads.remove(entry_id)
             return {}
-        self.loads.record_report(
-            entry_id, message["loads"], message["grants_seen"], self._timer.now_s()
-        )
+        self._record_load(message)
         self._record_engines(message)
         self.crashes.record(message)
         self._on_loads()
@@ -281,8 +281,15 @@
             self._entries.record(message)
         self._record_limits(message)
 
+    def _record_load(self, message: Message) -> None:
+        loads, grants_seen = message["loads"], message["grants_seen"]
+        now_s = self._timer.now_s()
+        self.loads.record_report(message["entry"], loads, grants_seen, now_s)
+
     def _record_limits(self, message: Message) -> None:
         """Merge the limits that an entry has learnt of."""
+        if "wanted" in message and "loads" in message:
+            self._record_load(message)
         if message.get("limits"):
             self.limits.merge(message["limits"])
             self._publish_limits()
@@ -353,14 +360,6 @@
             self._packed_state = EncodedValue(text)
         return self._packed_state
 
-    def _encode_loads(self, now_s: float) -> EncodedValue:
-        """Return the totals of all entries, encoded once a change."""
-        rows = self.loads.rows(now_s)
-        if self._loads_version != self.loads.version:
-            self._loads_version = self.loads.version
-            self._encoded_loads = EncodedValue(json.dumps(rows, separators=(",", ":")))
-        return self._encoded_loads
-
     def _build_reply(self, entry_id: str, message: Message) -> Message:
         now_s = self._timer.now_s()
         assert self._allocator is not None
@@ -372,7 +371,7 @@
         place = self._allocator.place(entry_id, now_s)
         if place is not None:
             reply["turn"] = [*place, round(now_s, 4)]
-        reply.update(self._loads_for(entry_id, message, now_s))
+        reply.update(self._load_replies.fields(message, self._term, now_s))
         controls = sorted(self._replica.core.voter_set.members.values())
         if addresses_digest(controls) != message.get("controls"):
             reply["controls"] = controls
@@ -381,19 +380,3 @@
             reply.update(self._entries.reply_fields(message))
         reply["term"] = self._term
         return reply
-
-    def _loads_for(self, entry_id: str, message: Message, now_s: float) -> Message:
-        """Return the loads for a reply, if they have changed since the entry's last."""
-        if "loads_stamp" not in message:
-            # Entries of earlier versions expect the load of the other entries.
-            totals = self.loads.totals(now_s, excluding=entry_id)
-            return {"loads": loads_to_rows(totals)}
-        loads = self._encode_loads(now_s)
-        stamp = [self._term, self._loads_version]
-        if stamp == message["loads_stamp"]:
-            return {}
-        return {
-            "loads": loads,
-            "loads_stamp": stamp,
-            "own_loads": self.loads.own_rows(entry_id),
-        }
--- a/endivesill/forwarding/limited_targets.py
+++ b/endivesill/forwarding/limited_targets.py
@@ -61,7 +61,8 @@
           None if a target has no limit or a permit, or if it isn't known yet.
         """
         permits = self._table.permits
-        if not targets or self.with_permit(targets):
+        # Nothing tells when a slot of a brittle engine without a limit is free.
+        if not self.are_limited(targets) or self.with_permit(targets):
             return None
         free_at_s = [permits.free_at_s(t.info.incarnation) for t in targets]
         known_s = [time_s for time_s in free_at_s if time_s is not None]
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -91,7 +91,10 @@
         if self._table.notices.is_paused(source.info):
             raise CopyRefusedError("the engine wants no requests now")
         incarnation = source.info.incarnation
-        if not await self._table.permits.acquire(
+        permits = self._table.permits
+        # An order takes no slot, so that brittle engines get it without a permit.
+        is_limited = permits.limit_per_s(incarnation) is not None
+        if is_limited and not await permits.acquire(
             self.timer, incarnation, PERMIT_TIMEOUT_S
         ):
             raise CopyRefusedError("the engine's limit leaves no room")
--- a/endivesill/forwarding/target.py
+++ b/endivesill/forwarding/target.py
@@ -150,6 +150,7 @@
             self.send_times_s.popleft()
         return len(self.send_times_s) < max(1, int(allowance))
 
-    def load(self) -> EngineLoad:
-        """Return this entry's own load."""
-        return EngineLoad(self.requests, self.reserved_tokens, self.prefill_tokens)
+    def load(self, unused_permits: int = 0) -> EngineLoad:
+        """Return this entry's own load; permits that hold a slot count as requests."""
+        requests = self.requests + unused_permits
+        return EngineLoad(requests, self.reserved_tokens, self.prefill_tokens)
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -145,10 +145,11 @@
 
     def own_loads(self) -> dict[str, EngineLoad]:
         """Return this entry's load by incarnation, without idle targets."""
+        unused = self.permits.unused()
         return {
-            incarnation: target.load()
+            incarnation: target.load(unused.get(incarnation, 0))
             for incarnation, target in self._targets.items()
-            if target.requests or target.reserved_tokens
+            if target.requests or target.reserved_tokens or incarnation in unused
         }
 
     def accepts_requests(self, target: Target) -> bool:
@@ -191,10 +192,7 @@
         *,
         may_end: bool,
     ) -> None:
-        """Record the limit that a response names, and whether its target is brittle.
-
-        See `EngineLimits` for the arguments.
-        """
+        """Record the limit that a response names; see `EngineLimits`."""
         limits, key = self.notices.limits, target.info.incarnation
         is_news = limits.note_response(key, limit_per_s, may_end=may_end)
         if limits.note_brittle(key, brittle_per_s, may_end=may_end) or is_news:
--- a/tests/test_fleet_brittle.py
+++ b/tests/test_fleet_brittle.py
@@ -63,6 +63,10 @@
 
 
 class BrittleEntry(LimitedEntry):
+    def __init__(self, cluster, address) -> None:
+        super().__init__(cluster, address)
+        self.sync_client.own_loads = self.table.own_loads
+
     async def send(self, patience_s: float = 1.0) -> None:
         request = PlacementRequest(
             PLAIN, ResourceDemand(), 1, self.timer.now_s() + patience_s
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -7,6 +7,7 @@
 from bench.platform_soak_limits import allowed_in_window
 from endivesill import events
 from endivesill.fleet.engine_limits import HOLD_S, MIN_LIMIT_PER_S, EngineLimits
+from endivesill.fleet.load import FleetLoads
 from endivesill.fleet.permits import LeaderPermits, burst_requests
 from endivesill.timer import ManualTimer
 from tests.limited_fleet import LimitedFleet
@@ -291,7 +292,9 @@
         self.timer = ManualTimer()
         self.limits = EngineLimits(self.timer)
         self.limits.note_response("e1@1", 10.0, may_end=True)
-        self.permits = LeaderPermits(self.timer, self.limits)
+        self.permits = LeaderPermits(
+            self.timer, self.limits, FleetLoads(), lambda incarnation: 0
+        )
 
     async def test_a_bucket_starts_empty_and_saves_up_a_short_burst(self):
         self.assertEqual(0, self.permits.grant("a", "e1@1", 100)[0])
