Show that runs of engines that fall silent for a time are moved

A sound engine may send nothing for a second or more and go on. The run is then resumed from its copy while its engine, which reads the close only when it wakes, may still work on it.

--- a/tests/test_forwarding_streams.py
+++ b/tests/test_forwarding_streams.py
@@ -1,9 +1,11 @@
 """Tests of relaying, resuming and moving generations."""
 
 import asyncio
+from unittest import mock
 
 import attrs
 
+from endivesill.forwarding import streams
 from endivesill.forwarding.streams import NOTICE_LAG_S
 from endivesill.http1 import UpstreamError
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
@@ -233,3 +235,48 @@
         head, _ = await self.stream()
         self.assertEqual(503, head.status)
         self.assertEqual([], engine.requests)
+
+
+class SilentEngineTest(ForwardingTestCase):
+    """An engine sends nothing for some time, and there is a copy of its run."""
+
+    async def stream_with_silence(self, silence_s):
+        engines = await self.add_engines("llm", "e1", "e2")
+        for engine in engines:
+            engine.copies = {"a1"}
+            engine.events = 2
+            engine.event_pause_s = silence_s
+        reviewing = asyncio.ensure_future(self.review())
+        try:
+            with mock.patch.object(streams, "STALL_TIMEOUT_S", 0.1):
+                _, body = await self.send_request("/stream/x", *STREAM_HEADERS)
+        finally:
+            reviewing.cancel()
+        self.assertEqual([1, 2], numbers(body))
+        return [r[2] for e in engines for r in e.requests]
+
+    async def review(self):
+        while True:
+            self.table.notify()
+            await asyncio.sleep(0.02)
+
+    async def test_an_engine_that_accepts_connections_keeps_its_run(self):
+        (headers,) = await self.stream_with_silence(0.5)
+        self.assertNotIn(b"kv-from", headers)
+
+    async def test_an_engine_that_cannot_be_connected_to_loses_its_run(self):
+        acquire = self.pool.acquire
+
+        async def time_out(address, max_idle_s=None, *args):
+            if max_idle_s == 0:
+                raise UpstreamError(f"{address}: timeout", sent=False)
+            return await acquire(address, max_idle_s, *args)
+
+        self.pool.acquire = time_out
+        _, resumed, *_ = await self.stream_with_silence(0.5)
+        self.assertIn(b"kv-from", resumed)
+
+    async def test_an_engine_that_is_silent_for_long_loses_its_run(self):
+        with mock.patch.object(streams, "MAX_SILENCE_S", 0.2, create=True):
+            _, resumed, *_ = await self.stream_with_silence(0.5)
+        self.assertIn(b"kv-from", resumed)
