Keep runs of engines that are silent for a second or two

Cause: after 1.5 s without an event a stream was resumed from its copy whatever the engine's state, so that two engines could work on it. Change: before that, the engine is connected to. Only if that fails is the run resumed after 1.5 s, else after 3 s. The user timeout of TCP, which also ends connections whose keep-alive probes are not answered, is as long as all probes take; a test holds it to that. The state of a run has a module of its own.

--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -176,6 +176,16 @@
             raise AttemptError(failure, str(response.status))
         return Attempt(target, body, head, response)
 
+    def check_silent(self, attempt: Attempt, since_s: float) -> None:
+        """Try to connect to a target that has sent nothing since a time."""
+        if not attempt.body.is_proxied:
+            self._client.links.check_silent(attempt.target.info, since_s)
+
+    def is_unreachable(self, attempt: Attempt) -> bool:
+        """Return whether this entry, which has the response, has lost its link."""
+        is_lost = self._client.links.is_lost(attempt.target.info)
+        return is_lost and not attempt.body.is_proxied
+
     def _note_announcements(self, target: Target, head: ResponseHead) -> None:
         """Record what a target announces in any response, also in a skipped one."""
         response = self._protocol.decode_response(head)
--- a/endivesill/forwarding/proxy_client.py
+++ b/endivesill/forwarding/proxy_client.py
@@ -50,6 +50,8 @@
       on_released: called when the body is released.
     """
 
+    is_proxied = True
+
     def __init__(
         self,
         pool: ConnectionPool,
--- /dev/null
+++ b/endivesill/forwarding/stream_run.py
@@ -0,0 +1,38 @@
+"""One run of a generation at one engine."""
+
+from __future__ import annotations
+
+import attrs
+
+from endivesill.forwarding.attempt import Attempt
+from endivesill.forwarding.run_copy import RunCopy
+from endivesill.forwarding.targets import Target
+
+__all__ = ["StreamRun"]
+
+
+@attrs.define(eq=False)
+class StreamRun:
+    """One run of a generation at one engine.
+
+    Attributes:
+      target: the engine.
+      backup: receives a live copy of the run's KV cache.
+      attempt: the response, once it has begun.
+      head_s: when its head came; None before.
+      events: events that came from this run.
+      first_event_s: when the first of them came; None before.
+      prefill_done: whether the prompt was counted as prefilled.
+      copy: a copy on demand, made because the backup cannot be used.
+      is_moving: whether it was stopped in order to resume from its copy.
+    """
+
+    target: Target
+    backup: Target | None
+    attempt: Attempt | None = None
+    head_s: float | None = None
+    events: int = 0
+    first_event_s: float | None = None
+    prefill_done: bool = False
+    copy: RunCopy | None = None
+    is_moving: bool = False
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -7,8 +7,6 @@
 
 import asyncio
 
-import attrs
-
 from endivesill import errors, events
 from endivesill.forwarding.attempt import (
     Attempt,
@@ -22,6 +20,7 @@
 from endivesill.forwarding.events import ATTEMPT_FAILED, STREAM_RESUMED
 from endivesill.forwarding.placer import Placement, Placer
 from endivesill.forwarding.run_copy import RunCopier, RunCopy
+from endivesill.forwarding.stream_run import StreamRun
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.http1 import UpstreamError, strip_hop_by_hop
 from endivesill.timer import TimerService
@@ -34,9 +33,12 @@
 # notice: reports are up to 0.7 s old and are read every 0.35 s.
 NOTICE_LAG_S = 1.2
 # Engines emit an event every few hundredths of a second. After this long without one,
-# the stream is resumed elsewhere if there is a copy; preempted generations resume
-# sooner.
+# the stream is resumed elsewhere if there is a copy and the engine cannot be connected
+# to; preempted generations resume sooner.
 STALL_TIMEOUT_S = 1.5
+# The same for an engine that accepts connections: it may go on after a second or two,
+# and reads only then that the stream was closed.
+MAX_SILENCE_S = 3.0
 # Parts of a prompt in one log line.
 MAX_LOGGED_PARTS = 16
 
@@ -45,33 +47,6 @@
     """A stream that cannot be continued."""
 
 
-@attrs.define(eq=False)
-class _Run:
-    """One run of a generation at one engine.
-
-    Attributes:
-      target: the engine.
-      backup: receives a live copy of the run's KV cache.
-      attempt: the response, once it has begun.
-      head_s: when its head came; None before.
-      events: events that came from this run.
-      first_event_s: when the first of them came; None before.
-      prefill_done: whether the prompt was counted as prefilled.
-      copy: a copy on demand, made because the backup cannot be used.
-      is_moving: whether it was stopped in order to resume from its copy.
-    """
-
-    target: Target
-    backup: Target | None
-    attempt: Attempt | None = None
-    head_s: float | None = None
-    events: int = 0
-    first_event_s: float | None = None
-    prefill_done: bool = False
-    copy: RunCopy | None = None
-    is_moving: bool = False
-
-
 class StreamRelay:
     """Relays one generation, resuming it at another engine where necessary.
 
@@ -110,7 +85,7 @@
         self._guard = guard
         self._copy_task: asyncio.Task[None] | None = None
         self._call = call
-        self._run: _Run | None = None
+        self._run: StreamRun | None = None
         self._last_event_id: int | None = None
         self.events = 0
         self.first_event_s = 0.0
@@ -130,7 +105,7 @@
           AttemptError: the first attempt has no response and there is no copy.
           StreamBrokenError: the stream has begun and cannot be continued.
         """
-        run = self._run = _Run(placement.target, placement.backup)
+        run = self._run = StreamRun(placement.target, placement.backup)
         self._table.watchers.add(self._check_run)
         try:
             return await self._relay_runs(run)
@@ -138,7 +113,7 @@
             self._run = None
             self._table.watchers.discard(self._check_run)
 
-    async def _relay_runs(self, run: _Run) -> Attempt | None:
+    async def _relay_runs(self, run: StreamRun) -> Attempt | None:
         """Relay one run after another."""
         resume_from = ""
         while True:
@@ -155,7 +130,7 @@
             run, resume_from = next_run
             self._run = run
 
-    async def _send(self, run: _Run, resume_from: str) -> Attempt:
+    async def _send(self, run: StreamRun, resume_from: str) -> Attempt:
         self.target = run.target
         if resume_from:
             await self._wait_for_permit(run.target)
@@ -192,7 +167,7 @@
             raise StreamBrokenError(f"status {attempt.response.status} on a resume")
         return attempt
 
-    def _release_run(self, run: _Run) -> None:
+    def _release_run(self, run: StreamRun) -> None:
         demand = self._call.demand
         run.target.release(demand, prefill_done=run.prefill_done)
         if run.copy is not None:
@@ -203,8 +178,8 @@
             run.attempt.body.release()
 
     def _next_run(
-        self, run: _Run, error: errors.EndivesillError, *, was_resumed: bool
-    ) -> tuple[_Run, str]:
+        self, run: StreamRun, error: errors.EndivesillError, *, was_resumed: bool
+    ) -> tuple[StreamRun, str]:
         """Return the run that continues the stream and the copy it resumes from.
 
         Raises:
@@ -244,15 +219,15 @@
             after_event=self._last_event_id,
         )
         target.reserve(call.demand)
-        return _Run(target, self._placer.reserve_backup(call, target)), copy
+        return StreamRun(target, self._placer.reserve_backup(call, target)), copy
 
-    def _head_age_s(self, run: _Run) -> float | None:
+    def _head_age_s(self, run: StreamRun) -> float | None:
         """Return the time since the head of a run's response; None without one."""
         if run.head_s is None:
             return None
         return round(self._timer.now_s() - run.head_s, 4)
 
-    def _find_copy(self, run: _Run) -> tuple[Target | None, str]:
+    def _find_copy(self, run: StreamRun) -> tuple[Target | None, str]:
         """Return the target that has a copy of an ended run, and the copy's name."""
         if run.backup is not None and self._table.accepts_requests(run.backup):
             address = run.backup.info.address
@@ -277,7 +252,7 @@
             run.copy.destination
         )
         idle_s = self._timer.now_s() - self._last_event_s
-        if idle_s > STALL_TIMEOUT_S and (has_backup or has_copy):
+        if (has_backup or has_copy) and self._is_stalled(run.attempt, idle_s):
             run.attempt.body.abort()
         elif run.copy is not None and (
             run.copy.has_failed or not has_copy or not self._may_end_soon(run.target)
@@ -291,7 +266,15 @@
         elif run.copy.name and run.target.info.has_notice:
             self._move(run)
 
-    def _move(self, run: _Run) -> None:
+    def _is_stalled(self, attempt: Attempt, idle_s: float) -> bool:
+        """Return whether a run is to be resumed, as its engine sends nothing."""
+        if idle_s > STALL_TIMEOUT_S / 2:
+            self._sender.check_silent(attempt, self._last_event_s)
+        if idle_s > STALL_TIMEOUT_S and self._sender.is_unreachable(attempt):
+            return True
+        return idle_s > MAX_SILENCE_S
+
+    def _move(self, run: StreamRun) -> None:
         """Stop a run so that it resumes from its copy before its engine shuts down.
 
         If all runs of an engine resumed only when it shuts down, they would delay each
@@ -301,7 +284,7 @@
         run.is_moving = True
         run.attempt.body.abort()
 
-    def _start_copy(self, run: _Run) -> None:
+    def _start_copy(self, run: StreamRun) -> None:
         """Copy a run whose engine may shut down before it ends.
 
         Other runs get no copy, since copies take KV cache that queued requests need.
@@ -324,7 +307,7 @@
             return False
         return self._timer.now_s() - since_s < NOTICE_LAG_S
 
-    async def _place_and_copy(self, run: _Run) -> None:
+    async def _place_and_copy(self, run: StreamRun) -> None:
         call = self._call
         destination = await self._placer.place_copy(call, run.target)
         if destination is None:
@@ -335,7 +318,7 @@
         run.copy = RunCopy(self._copier, call, run.target, destination, self._check_run)
         run.copy.start()
 
-    async def _relay(self, run: _Run, attempt: Attempt) -> None:
+    async def _relay(self, run: StreamRun, attempt: Attempt) -> None:
         exchange = self._call.exchange
         if not exchange.head_sent:
             exchange.start(200, strip_hop_by_hop(attempt.head.headers))
--- a/endivesill/forwarding/target_client.py
+++ b/endivesill/forwarding/target_client.py
@@ -32,7 +32,13 @@
 
 
 class ResponseBody(Protocol):
-    """The body of a target's response."""
+    """The body of a target's response.
+
+    Attributes:
+      is_proxied: whether it comes through another entry.
+    """
+
+    is_proxied: bool
 
     async def read(self) -> bytes:
         """Return the next part; empty bytes at the end of a complete body."""
@@ -50,6 +56,8 @@
 class _DirectBody:
     """The body of a response on an own connection."""
 
+    is_proxied = False
+
     def __init__(
         self,
         pool: ConnectionPool,
@@ -110,6 +118,9 @@
       pool: connections to targets.
       links: the targets that this entry reaches.
       proxy: hands requests to other entries.
+
+    Attributes:
+      links: the links.
     """
 
     def __init__(
@@ -121,7 +132,7 @@
     ) -> None:
         self._timer = timer
         self._pool = pool
-        self._links = links
+        self.links = links
         self._proxy = proxy
 
     async def send(
@@ -154,7 +165,7 @@
             if error.failure is not SendFailure.NO_CONNECTION:
                 raise
             # A refusal is known at once, while a time-out takes time from the caller.
-            if not (error.is_refused or self._links.may_be_alone()):
+            if not (error.is_refused or self.links.may_be_alone()):
                 raise
             direct_error = error
         try:
@@ -164,10 +175,10 @@
 
     def _prefers_proxy(self, info: EngineInfo) -> bool:
         """Return whether another entry is asked first; tries the own link beside it."""
-        is_lost = self._links.is_lost(info)
-        if not (is_lost or self._links.is_network_suspect()):
+        is_lost = self.links.is_lost(info)
+        if not (is_lost or self.links.is_network_suspect()):
             return False
-        self._links.try_again(info)
+        self.links.try_again(info)
         return self._proxy.peers.has_usable()
 
     async def _send_direct(
@@ -175,11 +186,11 @@
     ) -> tuple[ResponseBody, ResponseHead]:
         sent_s = self._timer.now_s()
         check = self._timer.call_after(
-            SILENCE_S, lambda: self._links.check_silent(info, sent_s)
+            SILENCE_S, lambda: self.links.check_silent(info, sent_s)
         )
 
         def on_head(head: ResponseHead) -> None:
-            self._links.note_heard(info)
+            self.links.note_heard(info)
             options.on_head(head)
 
         try:
@@ -197,11 +208,11 @@
             )
         except SendError as error:
             if error.failure is SendFailure.NO_CONNECTION:
-                self._links.note_lost(info, str(error))
+                self.links.note_lost(info, str(error))
             raise
         finally:
             check.cancel()
-        body = _DirectBody(self._pool, connection, lambda: self._links.note_heard(info))
+        body = _DirectBody(self._pool, connection, lambda: self.links.note_heard(info))
         return body, head
 
     async def _send_by_proxy(
@@ -249,7 +260,7 @@
         try:
             connection = await self._pool.acquire(info.address, 0)
         except UpstreamError as error:
-            self._links.note_lost(info, str(error))
+            self.links.note_lost(info, str(error))
             is_refused = error.is_refused
         else:
             self._pool.release(connection)
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -10,6 +10,7 @@
     UpstreamConnection,
     UpstreamError,
     bounds_exceeded,
+    sockets,
     strip_hop_by_hop,
 )
 from endivesill.timer import ManualTimer, SystemTimer
@@ -129,6 +130,15 @@
         self.assertEqual(201, (await self.connection.head()).status)
 
 
+class SocketOptionsTest(unittest.TestCase):
+    def test_the_user_timeout_leaves_all_keep_alive_probes_their_time(self):
+        """On Linux it also ends a connection whose probes are not answered."""
+        probing_s = sockets.KEEPALIVE_IDLE_S + (
+            sockets.KEEPALIVE_PERIOD_S * sockets.KEEPALIVE_PROBES
+        )
+        self.assertGreaterEqual(sockets.USER_TIMEOUT_MS, 1_000 * probing_s)
+
+
 class SourceAddressTest(unittest.IsolatedAsyncioTestCase):
     async def test_connections_come_from_the_source_address(self):
         async def handle(exchange):
