Keep the entries that send for others through an election

Cause: a leader that has just been elected knows few entries, and its short or empty list replaced a good one for 30 s. Change: an empty list replaces nothing, and a short one is renewed after 3 s. Two tests show both.

--- a/endivesill/fleet/entry_peers.py
+++ b/endivesill/fleet/entry_peers.py
@@ -27,6 +27,9 @@
 # Time after which an entry asks for other peers. The addresses are those of VMs, which
 # stay the same when processes start again.
 REFRESH_S = 30.0
+# The same while there are fewer of them, as after an election, when the leader does not
+# know all entries yet.
+FEW_REFRESH_S = 3.0
 # Shortest time between two requests of one entry for peers.
 MIN_REQUEST_PERIOD_S = 1.0
 # Longest list of lost targets in a message; of more, `MANY` says so.
@@ -241,9 +244,10 @@
             self._reported = (None, 0)
         elif "reach" in request:
             self._reported = (address, request["entry_number"])
-        if "peers" not in reply:
+        if not reply.get("peers"):
             return
-        if reply["peers"]:
-            self._next_request_s = self._timer.now_s() + REFRESH_S
+        is_few = len(reply["peers"]) < PEER_COUNT
+        refresh_s = FEW_REFRESH_S if is_few else REFRESH_S
+        self._next_request_s = self._timer.now_s() + refresh_s
         self.peers = [EntryPeer(*row) for row in reply["peers"]]
         self.on_peers()
--- a/tests/test_fleet_entry_peers.py
+++ b/tests/test_fleet_entry_peers.py
@@ -134,6 +134,18 @@
         self.assertLessEqual(wanted, 11)
 
     def test_peers_are_asked_for_again_after_a_time(self):
+        row = ["10.0.0.2:7520", "a", "r"]
+        for count, refresh_s in (
+            (1, entry_peers.FEW_REFRESH_S),
+            (entry_peers.PEER_COUNT, entry_peers.REFRESH_S),
+        ):
+            self.exchange({"peers": [row] * count})
+            self.timer.jump(refresh_s - 1)
+            self.assertNotIn("peers_wanted", self.exchange({}))
+            self.timer.jump(1)
+            self.assertTrue(self.exchange({})["peers_wanted"])
+
+    def test_a_leader_that_knows_no_entry_yet_takes_none_away(self):
         self.exchange({"peers": [["10.0.0.2:7520", "a", "r"]]})
-        self.timer.jump(entry_peers.REFRESH_S)
-        self.assertTrue(self.exchange({})["peers_wanted"])
+        self.exchange({"peers": []}, "new leader")
+        self.assertEqual(1, len(self.client.peers))
