--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -45,6 +45,7 @@
     route(RequestKind.STREAMING, name="stream", path_prefix="/stream/"),
     route(name="keyed", path_prefix="/keyed/", is_public=False),
     route(name="short", path_prefix="/short/", timeout_s=0.2),
+    route(RequestKind.SAFE, name="soon", path_prefix="/soon/", timeout_s=0.5),
 )
 STREAM_HEADERS = [
     (b"X-Endivesill-Token-Counts", b"1000,80"),
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import unittest
 
 import attrs
 
@@ -140,3 +141,21 @@
             for entry in entries:
                 if entry.admission.queue_length():
                     entry.admission.admit_waiting()
+
+
+class FleetTestCase(unittest.IsolatedAsyncioTestCase):
+    """Starts fleets of `fleet_class`."""
+
+    fleet_class = LimitedFleet
+
+    async def fleet(self, entries, *names):
+        # Debug mode slows a fleet down about ten times.
+        asyncio.get_running_loop().set_debug(False)
+        fleet = self.fleet_class(*names)
+        self.addAsyncCleanup(fleet.close)
+        await fleet.start()
+        for _ in range(entries):
+            fleet.add_entry()
+        # The leases of an earlier leader may be in force for 4 s.
+        await fleet.timer.advance(6.0)
+        return fleet
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -23,6 +23,7 @@
       sends_foreign_response: whether a response to another request comes first.
       omits_length: whether responses have no length and end with the connection.
       response_headers: further headers of all responses to requests and copy orders.
+      run_s: how long plain requests run.
       is_hanging: whether requests are never answered.
       crashing_part: part of prompts, but for their last part, whose runs crash the
         engine as they begin to write; None for no part.
@@ -47,6 +48,7 @@
         self.sends_foreign_response = False
         self.omits_length = False
         self.response_headers: list[tuple[bytes, bytes]] = []
+        self.run_s = 0.0
         self.is_hanging = False
         self.crashing_part: bytes | None = None
         self.crashing_body: bytes | None = None
@@ -126,6 +128,8 @@
         elif b"x-endivesill-token-counts" in headers:
             await self._respond_stream(exchange, headers, attempt)
         else:
+            if self.run_s:
+                await asyncio.sleep(self.run_s)
             self._respond_plain(exchange, attempt)
 
     def _respond_plain(self, exchange: Exchange, attempt) -> None:
--- a/tests/test_fleet_brittle.py
+++ b/tests/test_fleet_brittle.py
@@ -1,8 +1,6 @@
 """Tests of engines that fall over when they reject too many requests."""
 
-import asyncio
 import collections
-import unittest
 
 import attrs
 
@@ -10,7 +8,12 @@
 from endivesill.forwarding.targets import ResourceDemand
 from endivesill.forwarding.waiting import NoRoomError, PlacementRequest
 from tests.forwarding_fakes import PLAIN, engine
-from tests.limited_fleet import RUN_S, LimitedEntry, LimitedFleet
+from tests.limited_fleet import (
+    RUN_S,
+    FleetTestCase,
+    LimitedEntry,
+    LimitedFleet,
+)
 
 SLOTS = 4
 REJECTIONS_PER_S = 3.0
@@ -111,18 +114,8 @@
         return sum(entry.served for entry in self.entries)
 
 
-class BrittleFleetTestCase(unittest.IsolatedAsyncioTestCase):
-    async def fleet(self, entries, *names):
-        # Debug mode slows a fleet down about ten times.
-        asyncio.get_running_loop().set_debug(False)
-        fleet = BrittleFleet(*names)
-        self.addAsyncCleanup(fleet.close)
-        await fleet.start()
-        for _ in range(entries):
-            fleet.add_entry()
-        # The leases of an earlier leader may be in force for 4 s.
-        await fleet.timer.advance(6.0)
-        return fleet
+class BrittleFleetTestCase(FleetTestCase):
+    fleet_class = BrittleFleet
 
     def assert_stands(self, fleet):
         for brittle in fleet.engines.values():
--- a/tests/test_fleet_limits.py
+++ b/tests/test_fleet_limits.py
@@ -1,6 +1,5 @@
 """Tests of engines that limit the rate of requests from all entries together."""
 
-import asyncio
 import math
 import unittest
 
@@ -10,22 +9,10 @@
 from endivesill.fleet.load import FleetLoads
 from endivesill.fleet.permits import LeaderPermits, burst_requests
 from endivesill.timer import ManualTimer
-from tests.limited_fleet import LimitedFleet
-
-
-class LimitedFleetTestCase(unittest.IsolatedAsyncioTestCase):
-    async def fleet(self, entries, *names):
-        # Debug mode slows a fleet down about ten times.
-        asyncio.get_running_loop().set_debug(False)
-        fleet = LimitedFleet(*names)
-        self.addAsyncCleanup(fleet.close)
-        await fleet.start()
-        for _ in range(entries):
-            fleet.add_entry()
-        # The leases of an earlier leader may be in force for 4 s.
-        await fleet.timer.advance(6.0)
-        return fleet
+from tests.limited_fleet import FleetTestCase
 
+
+class LimitedFleetTestCase(FleetTestCase):
     def assert_limit_kept(self, engine, limit_per_s, since_s=0.0):
         most = engine.most_in_window(since_s)
         self.assertLessEqual(most, allowed_in_window(limit_per_s))
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -173,6 +173,16 @@
         self.assertEqual((200, b"p1"), (head.status, body))
 
 
+class SlowRunTest(ForwardingTestCase):
+    """Plain requests need much of their time at targets without a fault."""
+
+    async def test_a_safe_request_that_needs_most_of_its_time(self):
+        for engine in await self.add_engines("app", "p1", "p2"):
+            engine.run_s = 0.3
+        head, _ = await self.send_request("/soon/x", method="GET", body=b"")
+        self.assertEqual(200, head.status)
+
+
 class AnnouncementTest(ForwardingTestCase):
     async def test_an_engine_that_says_it_leaves_gets_no_further_request(self):
         leaving, _ = await self.add_engines("app", "p1", "p2")
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import tempfile
+import types
 import unittest
 
 from hypothesis import example, given, settings
@@ -18,6 +19,7 @@
 from endivesill import errors
 from endivesill.control.records import decode_file, encode_record, read_records
 from endivesill.fleet.packing import pack_document, unpack_document
+from endivesill.forwarding import proxy_messages
 from endivesill.forwarding.event_stream import EventSplitter
 from endivesill.http1 import (
     ConnectionLimits,
@@ -26,6 +28,7 @@
     ServerConnection,
     UpstreamConnection,
     UpstreamError,
+    header_value,
 )
 from endivesill.membership.messages import decode_datagram
 from endivesill.platform.configuration import decode_configuration
@@ -208,6 +211,48 @@
         protocol.decode_response(ResponseHead(status, headers, True))
 
 
+class ProxyMessageTest(unittest.TestCase):
+    FIELDS = st.sampled_from(
+        [
+            proxy_messages.ADDRESS,
+            proxy_messages.INCARNATION,
+            proxy_messages.TIMEOUT_MS,
+            proxy_messages.MAX_IDLE_MS,
+            proxy_messages.FLAGS,
+            proxy_messages.STATUS,
+            proxy_messages.FRAMED,
+            proxy_messages.FAILURE,
+        ]
+    )
+    VALUES = HEADER_VALUES | st.sampled_from(
+        [b"0", b"200", b"9" * 40, b"-1", b"1.5", b"10.0.0.1:80", b"unavailable"]
+    )
+    HEADERS = st.lists(st.tuples(FIELDS, VALUES), max_size=8)
+
+    @PROFILE
+    @given(HEADERS, st.integers(200, 599))
+    def test_responses_of_proxies(self, headers, status):
+        head = ResponseHead(status, headers, framed=True)
+        try:
+            decoded = proxy_messages.decode_proxy_head(head)
+        except UpstreamError:
+            return
+        self.assertTrue(100 <= decoded.status <= 999)
+
+    @PROFILE
+    @given(HEADERS)
+    def test_requests_to_proxies(self, headers):
+        exchange = types.SimpleNamespace(
+            method="POST",
+            target=proxy_messages.PROXY_PATH,
+            header=lambda name: header_value(headers, name),
+        )
+        request = proxy_messages.decode_proxy_request(exchange)
+        if request is not None:
+            self.assertLessEqual(request.timeout_s, 3_600.0)
+            self.assertTrue(request.address and request.incarnation)
+
+
 class PeerMessageTest(unittest.TestCase):
     @settings(PROFILE)
     @given(JSON)
