--- a/endivesill/platform/configuration.py
+++ b/endivesill/platform/configuration.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from endivesill import errors
+from endivesill.document_reader import Reader
 from endivesill.fleet.model import (
     FleetConfiguration,
     ModelEngineSpec,
@@ -14,7 +15,6 @@
     Service,
     WeightedService,
 )
-from endivesill.platform.decode import Reader
 
 __all__ = ["decode_configuration"]
 
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -9,6 +9,7 @@
 import attrs
 
 from endivesill import errors, events
+from endivesill.document_reader import Reader
 from endivesill.fleet.model import EngineInfo
 from endivesill.forwarding.protocol import Dispatch, RequestInfo, ResponseInfo
 from endivesill.http1 import Headers, ResponseHead, header_value
@@ -16,7 +17,6 @@
 from endivesill.http1.numbers import lowest_decimal
 from endivesill.json_text import parse_json
 from endivesill.platform import wire
-from endivesill.platform.decode import Reader
 
 __all__ = [
     "ListPage",
--- a/endivesill/platform/reports.py
+++ b/endivesill/platform/reports.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 
 from endivesill import errors
+from endivesill.document_reader import Reader
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.reports import REPORT_TIMEOUT_S, EngineReport, ReportSource
 from endivesill.http1 import ResponseHead
 from endivesill.json_text import parse_json
 from endivesill.platform import wire
 from endivesill.platform.client import PlatformClient
-from endivesill.platform.decode import Reader
 from endivesill.timer import TimerService
 
 __all__ = ["PlatformReports", "decode_report"]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -6,6 +6,7 @@
 
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "endivesill"
 FOUNDATIONS = {
+    "document_reader",
     "errors",
     "events",
     "findings",
