Log the age of an operator's connection, and show evacuations as a metric

Change: change-answered has connection_age_s and caller_left; the control VMs serve endivesill_evacuated{data_centre=...}.

--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 from endivesill import events
 from endivesill.control import ControlReplica, ControlSettings, TimedDisk
+from endivesill.fleet.state import evacuations
 from endivesill.fleet.sync_service import FleetSyncService
 from endivesill.http1 import ConnectionLimits, HttpListener, close_listener
 from endivesill.link_peers import LinkPeerTransport
@@ -137,6 +139,10 @@
         f"endivesill_control_disk_failed {int(core.log.last_error is not None)}",
         f"endivesill_blocked_crash_causes {len(sync_service.crashes.evidence.blocks)}",
         f"endivesill_list_number {engine_list.number if engine_list else 0}",
+        *(
+            f"endivesill_evacuated{{data_centre={json.dumps(name)}}} 1"
+            for name in evacuations(replica.state)[1]
+        ),
         *placement.metric_lines(),
         *disk.sync_durations.lines("endivesill_control_sync_seconds"),
     ]
--- a/endivesill/platform/operators.py
+++ b/endivesill/platform/operators.py
@@ -58,6 +58,10 @@
             status=status,
             detail=document.get("error", ""),
             version=document.get("version"),
+            connection_age_s=round(
+                exchange.received_s - exchange.connection.opened_s, 4
+            ),
+            caller_left=exchange.disconnected.is_set(),
             elapsed_s=round(self._timer.now_s() - exchange.received_s, 4),
         )
 
