Stop an order to evacuate that may be older than an opposite one

Cause: an order has no number, and each VM that reads a copy of it proposes it as a new one. A control VM that had been suspended carried out a copy that its operator had given up, after the newer order. Its log line has status 200 and caller_left true, 2.4 s after the line of the newer order; the logs have a single election, so that no leader with an old state took part. Change: the VM adds the log index that it had applied before the order's connection was opened (http1/opening_stamp.py). The leader does not append an order if its log has an opposite one after that index (control/admission.py); the caller gets 307 with an index to confirm it. Why it works: all entries before a new one are fixed when it is appended, so the verdict holds at its place however late the order or any VM is.

--- a/endivesill/control/__init__.py
+++ b/endivesill/control/__init__.py
@@ -1,5 +1,6 @@
 """The replicated state of the control VMs: a state machine over a Raft log."""
 
+from endivesill.control.admission import CommandHistory, admission
 from endivesill.control.client import ControlClient, LocalControl
 from endivesill.control.commands import CommandContext, State, command, query
 from endivesill.control.disk import Disk, FileDisk
@@ -18,6 +19,7 @@
     "ChangeResult",
     "ClusterStatus",
     "CommandContext",
+    "CommandHistory",
     "ControlClient",
     "ControlReplica",
     "ControlSettings",
@@ -30,6 +32,7 @@
     "State",
     "TimedDisk",
     "VoterOperations",
+    "admission",
     "command",
     "query",
 ]
--- a/endivesill/control/entries.py
+++ b/endivesill/control/entries.py
@@ -13,6 +13,9 @@
 
 __all__ = ["EntryKind", "LogEntry", "Proposal"]
 
+# `Proposal.to_text` writes the command first.
+_COMMAND_PREFIX = '{"command":%s,'
+
 
 class EntryKind(enum.Enum):
     """Kind of a log entry.
@@ -83,6 +86,11 @@
         """Return the proposal of a COMMAND entry."""
         return Proposal(**json.loads(self.body))
 
+    def holds_command(self, name: str) -> bool:
+        """Return whether this is the command of a name, without parsing the body."""
+        prefix = _COMMAND_PREFIX % json.dumps(name)
+        return self.kind is EntryKind.COMMAND and self.body.startswith(prefix)
+
     def voter_set(self) -> VoterSet:
         """Return the voter set of a VOTERS entry."""
         return VoterSet.from_document(json.loads(self.body))
--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from endivesill import errors, events
+from endivesill.control.admission import result_without_entry
 from endivesill.control.core import ReplicaCore
 from endivesill.control.entries import EntryKind, LogEntry, Proposal
 from endivesill.control.events import LEADERSHIP_TRANSFER
@@ -69,6 +70,8 @@
     async def propose(self, proposal: Proposal, timeout_s: float) -> Message:
         """Append a proposal and return its outcome; see StateMachine.apply.
 
+        A proposal that its command's admission check stops has an outcome but no entry.
+
         Raises:
           UnavailableError: the proposal was not committed and will not be.
           OutcomeUnknownError: the proposal may still be committed.
@@ -80,6 +83,9 @@
             raise errors.UnavailableError("too few voters yet")
         if core.log.last_index - core.commit_index > MAX_UNCOMMITTED_ENTRIES:
             raise errors.UnavailableError("too many proposals wait for a commit")
+        result = result_without_entry(core, proposal)
+        if result is not None:
+            return {"result": result}
         entry = self._append(EntryKind.COMMAND, proposal.to_text())
         return await self._wait_for_outcome(entry, timeout_s)
 
--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -118,6 +118,18 @@
     """An operator's change conflicts with an earlier one; nothing was changed."""
 
 
+class OvertakenError(EndivesillError):
+    """An opposite order may be newer than an operator's; nothing was changed.
+
+    Attributes:
+      index: a committed index of the log, with which the operator confirms the order.
+    """
+
+    def __init__(self, index: int) -> None:
+        super().__init__(f"an opposite order may be newer (index {index})")
+        self.index = index
+
+
 class StorageError(EndivesillError):
     """A write or sync to disk failed."""
 
--- a/endivesill/fleet/state.py
+++ b/endivesill/fleet/state.py
@@ -11,11 +11,19 @@
 import json
 from typing import Any
 
-from endivesill.control import CommandContext, State, command, query
+from endivesill.control import (
+    CommandContext,
+    CommandHistory,
+    State,
+    admission,
+    command,
+    query,
+)
 from endivesill.peers import Message
 
 __all__ = [
     "CURRENT",
+    "OVERTAKEN",
     "REPLACE",
     "SET_EVACUATION",
     "STORE_CRASHES",
@@ -31,6 +39,9 @@
 STORE_CRASHES = "fleet.store_crashes"
 CURRENT = "fleet.current_configuration"
 
+# Outcome of an order to which an opposite one may be newer.
+OVERTAKEN = "overtaken"
+
 CONFIGURATION_SECTION = "fleet_configuration"
 EVACUATION_SECTION = "evacuations"
 CRASHES_SECTION = "crashes"
@@ -85,7 +96,7 @@
 
     Args:
       state: the replicated state.
-      message: `{"data_centre", "evacuated"}`.
+      message: `{"data_centre", "evacuated"}`; see also `check_evacuation`.
       context: the position of the command in the log.
     """
     section = state.section(EVACUATION_SECTION)
@@ -98,6 +109,55 @@
     return {}
 
 
+@admission(SET_EVACUATION)
+def check_evacuation(
+    state: State, message: Message, history: CommandHistory
+) -> Message | None:
+    """Stop an order that may be older than an opposite one in the log.
+
+    An order has no number of its own. It may reach a VM long after its operator has
+    given it up and sent the next one. The VM that receives it adds an index of the log
+    that it knew before the order can have been sent: an order in the log up to there is
+    older. An order that repeats the last one is appended like any other.
+
+    Args:
+      state: the replicated state.
+      message: `{"data_centre", "evacuated", "known_index"}`; without an index, from a
+        VM of an earlier build, the order is not checked.
+      history: the orders in the log.
+
+    Returns:
+      None, or `{"outcome", "index"}`: OVERTAKEN and a committed index. An operator that
+      still wants the order confirms it by sending it again with this index.
+    """
+    known_index = message.get("known_index")
+    if known_index is None:
+        return None
+    last = _last_order(state, message["data_centre"], known_index, history)
+    if last is None or last == message["evacuated"]:
+        return None
+    return {"outcome": OVERTAKEN, "index": history.commit_index}
+
+
+def _last_order(
+    state: State, data_centre: str, known_index: int, history: CommandHistory
+) -> bool | None:
+    """Return whether the last order after an index evacuated; None without one."""
+    for message in history.messages_after(known_index):
+        if message["data_centre"] == data_centre:
+            return message["evacuated"]
+    if known_index >= history.base_index:
+        return None
+    # The log no longer holds all orders after the index. The state has the last order
+    # of evacuated data centres, and the last one of all others together.
+    section = state.sections.get(EVACUATION_SECTION, {})
+    index = section.get("data_centres", {}).get(data_centre)
+    is_evacuated = index is not None
+    if not is_evacuated:
+        index = section.get("index", 0)
+    return is_evacuated if index > known_index else None
+
+
 @command(STORE_CRASHES)
 def store_crashes(state: State, message: Message, context: CommandContext) -> Message:
     """Replace the stored reports of crashes.
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import select
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -16,6 +17,7 @@
 from endivesill import errors, events
 from endivesill.http1.exchange import ConnectionLimits, Exchange, check_framing
 from endivesill.http1.head import Headers, encode_head, header_value, status_line
+from endivesill.http1.opening_stamp import OpeningStamp
 from endivesill.http1.sockets import set_socket_options
 from endivesill.timer import TimerHandle, TimerService
 
@@ -46,6 +48,7 @@
 
     Attributes:
       opened_s: when the connection was accepted.
+      stamp: value of the listener's `opening_stamp` when it was accepted.
       writable: set unless the transport has paused writing.
       current: the exchange that is being handled; None between requests.
       idle_since_s: when the last exchange ended, or the connection started.
@@ -60,6 +63,7 @@
         self.writable.set()
         self.current: Exchange | None = None
         self.opened_s = self.idle_since_s = listener.timer.now_s()
+        self.stamp = listener.opening_stamp.value
         self.head_started_s: float | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._pending: collections.deque[Exchange] = collections.deque()
@@ -320,6 +324,7 @@
       connections: the open connections.
       active_exchanges: number of exchanges that are being handled.
       closing: whether connections are closed after their next response.
+      opening_stamp: value with which new connections are stamped.
     """
 
     def __init__(
@@ -335,6 +340,7 @@
         self.connections: set[ServerConnection] = set()
         self.active_exchanges = 0
         self.closing = False
+        self.opening_stamp = OpeningStamp(self._has_waiting_connections)
         self._address = address
         self._server: asyncio.Server | None = None
         self._sweep_timer: TimerHandle | None = None
@@ -357,6 +363,14 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    def _has_waiting_connections(self) -> bool:
+        if self._server is None or not self._server.sockets:
+            return False
+        poll = select.poll()
+        for listening_socket in self._server.sockets:
+            poll.register(listening_socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _sweep(self) -> None:
         now_s = self.timer.now_s()
         for connection in list(self.connections):
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -7,6 +7,7 @@
 
 from endivesill import events
 from endivesill.control import ControlReplica, ControlSettings, TimedDisk
+from endivesill.fleet.changes import FleetChanges
 from endivesill.fleet.state import evacuations
 from endivesill.fleet.sync_service import FleetSyncService
 from endivesill.http1 import ConnectionLimits, HttpListener, close_listener
@@ -14,7 +15,7 @@
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.leader_placement import LeaderPlacement
 from endivesill.platform.metrics_port import MetricsListener
-from endivesill.platform.operators import OperatorHandler
+from endivesill.platform.operators import RESPONSE_TIMEOUT_S, OperatorHandler
 from endivesill.platform.process import SettingsWatcher, StopSignal
 from endivesill.platform.provider import PlatformEngineList
 from endivesill.platform.settings import NodeSettings
@@ -82,10 +83,14 @@
     placement = LeaderPlacement(
         settings, timer, replica, sync_service, transport, client
     )
-    operators = OperatorHandler(timer, replica)
+    changes = FleetChanges(replica, RESPONSE_TIMEOUT_S)
+    operators = OperatorHandler(timer, changes, settings.control_address)
     listener = HttpListener(
         timer, settings.control_address, operators.handle, OPERATOR_LIMITS
     )
+    replica.subscribe_applied(
+        lambda applied: listener.opening_stamp.note(applied.index)
+    )
     metrics = MetricsListener(
         timer, settings, lambda: _metric_lines(replica, sync_service, placement, disk)
     )
--- a/endivesill/platform/operators.py
+++ b/endivesill/platform/operators.py
@@ -2,30 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import re
 import urllib.parse
 from typing import Any
 
 from endivesill import errors, events
-from endivesill.control import ControlReplica
+from endivesill.fleet.changes import FleetChanges
 from endivesill.fleet.events import CHANGE_ANSWERED
-from endivesill.fleet.state import (
-    CURRENT,
-    REPLACE,
-    SET_EVACUATION,
-    ReplaceOutcome,
-    document_digest,
-)
-from endivesill.http1 import Exchange
+from endivesill.http1 import Exchange, Headers
 from endivesill.json_text import parse_json
 from endivesill.platform import wire
 from endivesill.platform.configuration import decode_configuration
 from endivesill.timer import TimerService
 
-__all__ = ["OperatorHandler"]
+__all__ = ["RESPONSE_TIMEOUT_S", "OperatorHandler"]
 
 # Operators try another node after one second without a response.
 RESPONSE_TIMEOUT_S = 0.85
+CONFIRMATION_PATTERN = re.compile(wire.CONFIRMED_INDEX_PARAMETER + rb"=([0-9]{1,18})")
 
 
 class OperatorHandler:
@@ -33,31 +29,42 @@
 
     Args:
       timer: the timer service.
-      replica: this VM's control replica.
+      changes: proposes the operators' changes.
+      address: HOST:PORT of this VM for operators.
     """
 
-    def __init__(self, timer: TimerService, replica: ControlReplica) -> None:
+    def __init__(
+        self, timer: TimerService, changes: FleetChanges, address: str
+    ) -> None:
         self._timer = timer
-        self._replica = replica
+        self._changes = changes
+        self._address = address
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one call: 400 invalid, 409 conflict, 503 failed or outcome unknown."""
-        path = exchange.target.partition(b"?")[0]
+        """Answer one call: 307 to confirm, 400 invalid, 409 conflict, 503 failed."""
+        path, _, query = exchange.target.partition(b"?")
+        headers: Headers = [(b"Content-Type", b"application/json")]
         try:
-            status, document = await self._dispatch(exchange, path)
+            status, document = await self._dispatch(exchange, path, query)
+        except errors.OvertakenError as error:
+            status, document = 307, {"error": str(error)}
+            headers.append((b"Location", self._confirmation_url(path, error.index)))
+            exchange.closes_connection = True
         except errors.DocumentError as error:
             status, document = 400, {"error": str(error)}
         except errors.ConflictError as error:
             status, document = 409, {"error": str(error)}
         except errors.EndivesillError as error:
             status, document = 503, {"error": str(error)}
-        self._send_response(exchange, status, document)
+        body = json.dumps(document, separators=(",", ":")).encode()
+        exchange.respond(status, headers, body)
         events.emit(
             CHANGE_ANSWERED,
-            call=path.decode("latin-1"),
+            call=exchange.target.decode("latin-1"),
             status=status,
             detail=document.get("error", ""),
             version=document.get("version"),
+            connection_index=exchange.connection.stamp,
             connection_age_s=round(
                 exchange.received_s - exchange.connection.opened_s, 4
             ),
@@ -65,20 +72,19 @@
             elapsed_s=round(self._timer.now_s() - exchange.received_s, 4),
         )
 
-    async def _dispatch(self, exchange: Exchange, path: bytes) -> tuple[int, Any]:
-        method = exchange.method
-        if method == "POST" and path == wire.REPLACE_CONFIGURATION_PATH:
+    async def _dispatch(
+        self, exchange: Exchange, path: bytes, query: bytes
+    ) -> tuple[int, Any]:
+        call = exchange.method, path
+        if call == ("POST", wire.REPLACE_CONFIGURATION_PATH):
             return 200, await self._replace_configuration(exchange.body)
-        if method == "GET" and path == wire.GET_CONFIGURATION_PATH:
-            return await self._read_configuration()
-        if method == "POST" and path.startswith(wire.START_EVACUATION_PREFIX):
-            return 200, await self._set_evacuation(
-                path, wire.START_EVACUATION_PREFIX, True
-            )
-        if method == "POST" and path.startswith(wire.END_EVACUATION_PREFIX):
-            return 200, await self._set_evacuation(
-                path, wire.END_EVACUATION_PREFIX, False
-            )
+        if call == ("GET", wire.GET_CONFIGURATION_PATH):
+            return 200, await self._changes.read_configuration()
+        for prefix, evacuated in wire.EVACUATION_PREFIXES.items():
+            if exchange.method == "POST" and path.startswith(prefix):
+                name = urllib.parse.unquote(path[len(prefix) :].decode("latin-1"))
+                await self._set_evacuation(exchange, name, evacuated, query)
+                return 200, {}
         return 404, {"error": "no such call"}
 
     async def _replace_configuration(self, body: bytes) -> dict[str, Any]:
@@ -87,30 +93,26 @@
         except ValueError as error:
             raise errors.DocumentError(str(error)) from None
         version = decode_configuration(document).version
-        message = {
-            "version": version,
-            "digest": document_digest(document),
-            "document": document,
-        }
-        result = await self._replica.propose(REPLACE, message, RESPONSE_TIMEOUT_S)
-        if result["outcome"] == ReplaceOutcome.CONFLICT.value:
-            raise errors.ConflictError(f"version {version} has other content")
-        return {"version": result["version"]}
-
-    async def _read_configuration(self) -> tuple[int, Any]:
-        current = await self._replica.query(CURRENT, {}, RESPONSE_TIMEOUT_S)
-        if not current:
-            return 503, {"error": "no configuration yet"}
-        return 200, current["document"]
+        return {"version": await self._changes.replace_configuration(version, document)}
 
     async def _set_evacuation(
-        self, path: bytes, prefix: bytes, evacuated: bool
-    ) -> dict[str, Any]:
-        data_centre = urllib.parse.unquote(path[len(prefix) :].decode("latin-1"))
-        message = {"data_centre": data_centre, "evacuated": evacuated}
-        await self._replica.propose(SET_EVACUATION, message, RESPONSE_TIMEOUT_S)
-        return {}
-
-    def _send_response(self, exchange: Exchange, status: int, document: Any) -> None:
-        body = json.dumps(document, separators=(",", ":")).encode()
-        exchange.respond(status, [(b"Content-Type", b"application/json")], body)
+        self, exchange: Exchange, name: str, evacuated: bool, query: bytes
+    ) -> None:
+        # A close that came with the order is read in the next iteration of the loop.
+        await asyncio.sleep(0)
+        if exchange.disconnected.is_set():
+            raise errors.CallerGoneError
+        # The order was sent after its connection was accepted, and a confirmation after
+        # the response that asks for it.
+        known_index = max(exchange.connection.stamp, _confirmed_index(query))
+        await self._changes.set_evacuation(name, evacuated, known_index)
+
+    def _confirmation_url(self, path: bytes, index: int) -> bytes:
+        parameter = b"%s=%d" % (wire.CONFIRMED_INDEX_PARAMETER, index)
+        return b"http://%s%s?%s" % (self._address.encode(), path, parameter)
+
+
+def _confirmed_index(query: bytes) -> int:
+    """Return the index with which an order is confirmed; 0 without one."""
+    match = CONFIRMATION_PATTERN.fullmatch(query)
+    return int(match[1]) if match else 0
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -62,8 +62,10 @@
 # Paths of the operators' calls to this system.
 REPLACE_CONFIGURATION_PATH = b"/Configuration.Replace"
 GET_CONFIGURATION_PATH = b"/Configuration.Get"
-START_EVACUATION_PREFIX = b"/Evacuation.Start/"
-END_EVACUATION_PREFIX = b"/Evacuation.End/"
+# Whether a data centre is evacuated after a call, by prefix of the call's path.
+EVACUATION_PREFIXES = {b"/Evacuation.Start/": True, b"/Evacuation.End/": False}
+# Of an evacuation call, in the URL to which this system redirects a doubtful one.
+CONFIRMED_INDEX_PARAMETER = b"confirmed-index"
 
 # Paths of this system's calls to the platform and to engines.
 ENGINE_LIST_PATH = "/instances"
--- /dev/null
+++ b/tests/test_platform_operators.py
@@ -0,0 +1,84 @@
+"""Tests of the calls of operators, over real connections on loopback."""
+
+import asyncio
+import unittest
+
+from endivesill import errors
+from endivesill.http1 import ConnectionPool, HttpListener
+from endivesill.platform.operators import OperatorHandler
+from endivesill.timer import SystemTimer
+
+ADDRESS = "10.0.0.4:8748"
+
+
+class FakeChanges:
+    """Records orders; one that is sent over a connection of index 0 is overtaken."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def set_evacuation(self, data_centre, evacuated, known_index):
+        self.orders.append((data_centre, evacuated, known_index))
+        if known_index == 0:
+            raise errors.OvertakenError(12)
+
+    async def read_configuration(self):
+        raise errors.UnavailableError("no configuration yet")
+
+
+class OperatorHandlerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        timer = SystemTimer()
+        self.changes = FakeChanges()
+        handler = OperatorHandler(timer, self.changes, ADDRESS)
+        self.listener = HttpListener(timer, "127.0.0.1:0", handler.handle)
+        await self.listener.start()
+        self.addAsyncCleanup(self.listener.stop)
+        self.pool = ConnectionPool(timer, 1.0, 10.0)
+        self.addCleanup(self.pool.close)
+
+    async def call(self, method, target):
+        request = f"{method} {target} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+        return await self.pool.exchange(self.listener.address, request.encode())
+
+    async def test_an_order_that_may_be_old_must_be_confirmed(self):
+        head, _ = await self.call("POST", "/Evacuation.End/zone%20a")
+        self.assertEqual(307, head.status)
+        self.assertEqual(b"close", head.header(b"connection"))
+        url = head.header(b"location").decode()
+        target = url.removeprefix(f"http://{ADDRESS}")
+        self.assertEqual("/Evacuation.End/zone%20a?confirmed-index=12", target)
+        head, body = await self.call("POST", target)
+        self.assertEqual((200, b"{}"), (head.status, body))
+        orders = [("zone a", False, 0), ("zone a", False, 12)]
+        self.assertEqual(orders, self.changes.orders)
+
+    async def test_the_index_of_the_connection_counts(self):
+        self.listener.opening_stamp.value = 30
+        head, _ = await self.call("POST", "/Evacuation.Start/a?confirmed-index=12")
+        self.assertEqual(200, head.status)
+        self.assertEqual([("a", True, 30)], self.changes.orders)
+
+    async def test_an_index_that_is_no_number_confirms_nothing(self):
+        for query in ("", "confirmed-index=", "confirmed-index=-5", "a&b=%"):
+            head, _ = await self.call("POST", f"/Evacuation.Start/a?{query}")
+            self.assertEqual(307, head.status)
+        head, _ = await self.call(
+            "POST", "/Evacuation.Start/a?confirmed-index=" + "9" * 5_000
+        )
+        self.assertEqual(307, head.status)
+
+    async def test_an_order_whose_caller_has_left_is_not_carried_out(self):
+        host, _, port = self.listener.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        request = b"POST /Evacuation.End/a HTTP/1.1\r\nHost: a\r\n\r\n"
+        writer.write(request)
+        writer.write_eof()
+        writer.close()
+        await writer.wait_closed()
+        await self.call("GET", "/Configuration.Get")
+        self.assertEqual([], self.changes.orders)
+
+    async def test_a_read_before_the_first_configuration(self):
+        head, _ = await self.call("GET", "/Configuration.Get")
+        self.assertEqual(503, head.status)
