Name the module of admission checks apart from its decorator

Cause: endivesill.control.admission was both a module and the decorator that the package exports. Change: the module is control/admission_checks.py; nothing else changes. Measured: tests of changes, layers and promises pass.

--- a/endivesill/control/__init__.py
+++ b/endivesill/control/__init__.py
@@ -1,6 +1,6 @@
 """The replicated state of the control VMs: a state machine over a Raft log."""
 
-from endivesill.control.admission import CommandHistory, admission
+from endivesill.control.admission_checks import CommandHistory, admission
 from endivesill.control.client import ControlClient, LocalControl
 from endivesill.control.commands import CommandContext, State, command, query
 from endivesill.control.disk import Disk, FileDisk
--- a/endivesill/control/leadership.py
+++ b/endivesill/control/leadership.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from endivesill import errors, events
-from endivesill.control.admission import result_without_entry
+from endivesill.control.admission_checks import result_without_entry
 from endivesill.control.core import ReplicaCore
 from endivesill.control.entries import EntryKind, LogEntry, Proposal
 from endivesill.control.events import LEADERSHIP_TRANSFER
