Believe a response without an attempt id only on a new connection

Seen: nothing in operation; operators of a similar system report it. A faulty engine writes an earlier refusal once more on a kept connection. Callers are told that a request did not run while the engine runs it, or it runs at a second engine. Cause: a response that names no attempt was taken for the response to the request that was sent last. One that names another attempt was skipped already. Change: on a connection that has carried a request before, a response without an attempt id is skipped, by the entry that has the caller and by one that proxies. Why it works: on its first request a connection has no earlier response to repeat; on later ones only a response with the right id can be told apart.

--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -16,7 +16,14 @@
 from endivesill.http1 import ResponseHead, SendError, SendFailure
 from endivesill.timer import TimerService
 
-__all__ = ["Attempt", "AttemptError", "Failure", "Sender", "is_proxy_lost"]
+__all__ = [
+    "Attempt",
+    "AttemptError",
+    "Failure",
+    "Sender",
+    "is_proxy_lost",
+    "is_response_to",
+]
 
 # A connection idle for longer may be half-open or forgotten by the target, and a
 # request that cannot be retried would be lost on it.
@@ -147,7 +154,9 @@
             # The target may have left the list during connection set-up.
             may_start=lambda: self._table.accepts_requests(target),
             on_started=call.note_sent,
-            is_own_response=lambda head: self._is_response_to(call, target, head),
+            is_own_response=lambda head, is_first: self._is_response_to(
+                call, target, head, is_first
+            ),
             on_head=lambda head: self._note_announcements(target, head),
             no_body=call.exchange.method == "HEAD",
         )
@@ -219,13 +228,15 @@
         )
         return head + exchange.body
 
-    def _is_response_to(self, call: Call, target: Target, head: ResponseHead) -> bool:
+    def _is_response_to(
+        self, call: Call, target: Target, head: ResponseHead, is_first: bool
+    ) -> bool:
         """Return whether a response belongs to the call.
 
-        A late response to an earlier request may arrive first on a connection.
+        A response to an earlier request may arrive late, or once more, on a connection.
         """
         answered_id = self._protocol.response_attempt_id(head)
-        if answered_id in ("", call.info.attempt_id):
+        if is_response_to(answered_id, call.info.attempt_id, is_first=is_first):
             return True
         events.emit(
             ANSWER_SKIPPED,
@@ -236,6 +247,20 @@
         return False
 
 
+def is_response_to(answered_id: str, attempt_id: str, *, is_first: bool) -> bool:
+    """Return whether a response belongs to an attempt.
+
+    Args:
+      answered_id: the attempt that the response names; empty if it names none.
+      attempt_id: the attempt; empty if its caller has sent no id.
+      is_first: whether the connection carries its first request. A response that names
+        no attempt can belong to no other request then.
+    """
+    if answered_id:
+        return answered_id == attempt_id
+    return is_first or not attempt_id
+
+
 def urgency(call: Call) -> int | None:
     """Return the engine's urgency of a generation, 0 highest; None for the default."""
     if call.service.model_engine is None:
--- a/endivesill/forwarding/proxy_service.py
+++ b/endivesill/forwarding/proxy_service.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from endivesill import errors, events
+from endivesill.forwarding.attempt import is_response_to
 from endivesill.forwarding.events import REQUEST_PROXIED
 from endivesill.forwarding.protocol import EngineProtocol
 from endivesill.forwarding.proxy_messages import (
@@ -143,7 +144,9 @@
                 lambda: exchange.body,
                 max_idle_s=request.max_idle_s,
                 may_start=lambda: self._may_start(request, target),
-                is_own_response=lambda head: self._is_own(request, head),
+                is_own_response=lambda head, is_first: self._is_own(
+                    request, head, is_first
+                ),
                 max_foreign_responses=MAX_SKIPPED_RESPONSES,
                 on_head=lambda head: self._note_head(target, head),
                 no_body=request.no_body,
@@ -191,9 +194,14 @@
         exchange.start(200, response_headers(ResponseHead(204, [], True)))
         exchange.finish(complete_trailer())
 
-    def _is_own(self, request: ProxyRequest, head: ResponseHead) -> bool:
+    def _is_own(
+        self, request: ProxyRequest, head: ResponseHead, is_first: bool
+    ) -> bool:
+        # Orders to engines have no attempt id.
+        if not request.attempt_id:
+            return True
         answered_id = self._protocol.response_attempt_id(head)
-        return not request.attempt_id or answered_id in ("", request.attempt_id)
+        return is_response_to(answered_id, request.attempt_id, is_first=is_first)
 
     def _note_head(self, target: Target, head: ResponseHead) -> None:
         """Record what a target announces; it counts for requests of this entry too."""
--- a/endivesill/forwarding/target_client.py
+++ b/endivesill/forwarding/target_client.py
@@ -21,6 +21,7 @@
     send_request,
 )
 from endivesill.http1.client import ignore_head
+from endivesill.http1.sending import IsOwnResponse
 from endivesill.timer import TimerService
 
 __all__ = ["ResponseBody", "SendOptions", "TargetClient"]
@@ -83,7 +84,7 @@
         self._pool.release(self._connection)
 
 
-def _any_response(head: ResponseHead) -> bool:
+def _any_response(head: ResponseHead, is_first: bool) -> bool:
     return True
 
 
@@ -106,7 +107,7 @@
     no_body: bool = False
     may_start: Callable[[], bool] = lambda: True
     on_started: Callable[[], None] = lambda: None
-    is_own_response: Callable[[ResponseHead], bool] = _any_response
+    is_own_response: IsOwnResponse = _any_response
     on_head: Callable[[ResponseHead], None] = ignore_head
 
 
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -117,6 +117,7 @@
 
     Attributes:
       reusable: False once something rules out another request.
+      requests: number of requests sent.
       idle_since_s: when the last exchange ended.
       peer_idle_timeout_s: idle timeout that the peer announced, less a margin;
         infinite without one.
@@ -128,6 +129,7 @@
         self.address = address
         self.transport: Any = None
         self.reusable = True
+        self.requests = 0
         self.idle_since_s = timer.now_s()
         self.peer_idle_timeout_s = float("inf")
         self.on_head: Callable[[ResponseHead], None] = ignore_head
@@ -301,6 +303,7 @@
         self._reset()
         self._expects_no_body = no_body
         self._in_exchange = True
+        self.requests += 1
         self.transport.write(data)
 
     async def head(self) -> ResponseHead:
--- a/endivesill/http1/sending.py
+++ b/endivesill/http1/sending.py
@@ -17,7 +17,9 @@
 )
 from endivesill.http1.pool import ConnectionPool
 
-__all__ = ["SendError", "SendFailure", "send_request"]
+__all__ = ["IsOwnResponse", "SendError", "SendFailure", "send_request"]
+
+IsOwnResponse = Callable[[ResponseHead, bool], bool]
 
 
 class SendFailure(enum.Enum):
@@ -56,7 +58,7 @@
     max_idle_s: float | None = None,
     may_start: Callable[[], bool] = lambda: True,
     on_started: Callable[[], None] = lambda: None,
-    is_own_response: Callable[[ResponseHead], bool] = lambda head: True,
+    is_own_response: IsOwnResponse = lambda head, is_first: True,
     max_foreign_responses: int = 0,
     on_head: Callable[[ResponseHead], None] = ignore_head,
     no_body: bool = False,
@@ -74,7 +76,8 @@
         cancels the request.
       on_started: called after the request was handed to the connection; from then
         on it may have reached the peer.
-      is_own_response: returns whether a response belongs to this request.
+      is_own_response: returns whether a response belongs to this request, given its
+        head and whether the connection carries its first request.
       max_foreign_responses: number of complete responses to other requests that
         are skipped.
       on_head: called with the head of each response, also of one to another request.
@@ -114,7 +117,7 @@
 
 async def _read_own_head(
     connection: UpstreamConnection,
-    is_own_response: Callable[[ResponseHead], bool],
+    is_own_response: IsOwnResponse,
     max_foreign_responses: int,
 ) -> ResponseHead:
     """Read the head of this request's response; skip late ones to other requests."""
@@ -122,7 +125,7 @@
     while True:
         try:
             head = await connection.head()
-            if is_own_response(head):
+            if is_own_response(head, connection.requests == 1):
                 return head
             if skipped == max_foreign_responses:
                 detail = f"{skipped + 1} answers to other requests"
--- /dev/null
+++ b/tests/test_forwarding_faulty_engines.py
@@ -0,0 +1,127 @@
+"""Tests of engines that repeat a refusal."""
+
+import asyncio
+
+from endivesill.fleet.model import EngineInfo
+from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
+
+REFUSAL = (
+    b"HTTP/1.1 503 Full\r\n%bX-Endivesill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+ATTEMPT_ID = "X-Endivesill-Request-Attempt-Id"
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Endivesill-Request-Attempt-Id: %b\r\n"
+    b"X-Endivesill-Response-Seal: 1.2.3\r\n%b\r\n"
+)
+EVENTS = b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"
+
+
+class ScriptedEngine:
+    """An engine that writes the bytes of a script.
+
+    Args:
+      script: returns what it writes for a request, given the number of the request on
+        its connection and the attempt id.
+
+    Attributes:
+      connections: number of connections that it has accepted.
+      runs: attempt ids of the requests that it has run.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.connections = 0
+        self.runs = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        number = 0
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines = dict(
+                    line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:-2]
+                )
+                await reader.readexactly(int(lines.get(b"content-length", b"0")))
+                number += 1
+                attempt_id = lines[ATTEMPT_ID.lower().encode()]
+                writer.write(self.script(number, attempt_id))
+        except asyncio.IncompleteReadError:
+            return
+        finally:
+            writer.close()
+
+
+class FaultyEngineTestCase(ForwardingTestCase):
+    async def add_scripted(self, service, script):
+        engine = ScriptedEngine(script)
+        address = await engine.start()
+        self.addCleanup(engine.server.close)
+        name = f"s{len(self.view.engines)}"
+        info = EngineInfo(name, f"{name}@1", service, address, "a", 24, False, 0.0)
+        self.view.engines[info.incarnation] = info
+        self.table.update_engines()
+        return engine
+
+    async def send(self, path, attempt_id):
+        headers = STREAM_HEADERS if path == "/stream/x" else []
+        connection = await self.connect()
+        connection.send(request(path, *headers).replace(b"a1", attempt_id, 1))
+        return await connection.head(), await connection.read_all()
+
+
+class RepeatedRefusalTest(FaultyEngineTestCase):
+    """Guards against the refusal of an earlier request that is taken for a new one.
+
+    On a kept connection, the engine writes the refusal of an earlier request once more
+    and then runs the request.
+    """
+
+    async def add_engine(self, service, body, *, names_attempt):
+        line = f"{ATTEMPT_ID}: earlier\r\n".encode() if names_attempt else b""
+
+        def respond(number, attempt_id):
+            engine.runs.append(attempt_id)
+            response = HEAD % (attempt_id, b"Content-Length: %d\r\n" % len(body)) + body
+            return response if number == 1 else REFUSAL % line + response
+
+        engine = await self.add_scripted(service, respond)
+        return engine
+
+    async def check(self, path, service, body, *, names_attempt):
+        engine = await self.add_engine(service, body, names_attempt=names_attempt)
+        for attempt_id in (b"first", b"second"):
+            head, received = await self.send(path, attempt_id)
+            self.assertEqual((200, body), (head.status, received))
+        self.assertEqual([b"first", b"second"], engine.runs)
+        self.assertEqual(1, engine.connections)
+
+    async def test_an_unsafe_request(self):
+        await self.check("/unsafe/x", "app", b"ok", names_attempt=True)
+
+    async def test_an_unsafe_request_and_a_refusal_that_names_none(self):
+        await self.check("/unsafe/x", "app", b"ok", names_attempt=False)
+
+    async def test_a_safe_request_and_a_refusal_that_names_none(self):
+        await self.check("/safe/x", "app", b"ok", names_attempt=False)
+
+    async def test_a_stream(self):
+        await self.check("/stream/x", "llm", EVENTS, names_attempt=True)
+
+    async def test_a_stream_and_a_refusal_that_names_none(self):
+        await self.check("/stream/x", "llm", EVENTS, names_attempt=False)
+
+    async def test_a_request_runs_at_one_engine_only(self):
+        """The other engine would get the request if the refusal counted."""
+        engines = [
+            await self.add_engine("app", b"ok", names_attempt=False) for _ in range(2)
+        ]
+        for number in range(20):
+            await self.send("/unsafe/x", b"n%d" % number)
+        runs = engines[0].runs + engines[1].runs
+        self.assertEqual(sorted(b"n%d" % number for number in range(20)), sorted(runs))
--- a/tests/test_http1_sending.py
+++ b/tests/test_http1_sending.py
@@ -47,7 +47,7 @@
             changes.pop("address", self.listener.address),
             lambda: REQUEST,
             on_started=self.count_start,
-            is_own_response=lambda head: head.header(b"x-name") == b"own",
+            is_own_response=lambda head, is_first: head.header(b"x-name") == b"own",
             **changes,
         )
 
