Show that a response which is cut off anywhere is not taken for a whole one

Cause: operators of a similar system report clients that got a 200 with an empty or short body after an engine had stopped in the middle of a head. Change: tests only.

--- a/tests/test_forwarding_faulty_engines.py
+++ b/tests/test_forwarding_faulty_engines.py
@@ -1,4 +1,4 @@
-"""Tests of engines that repeat a refusal."""
+"""Tests of engines that repeat a refusal, or stop in the head of a response."""
 
 import asyncio
 
@@ -13,6 +13,8 @@
     b"HTTP/1.1 200 OK\r\nX-Endivesill-Request-Attempt-Id: %b\r\n"
     b"X-Endivesill-Response-Seal: 1.2.3\r\n%b\r\n"
 )
+LENGTH = b"Content-Length: 2\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
 EVENTS = b"id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n"
 
 
@@ -26,12 +28,14 @@
     Attributes:
       connections: number of connections that it has accepted.
       runs: attempt ids of the requests that it has run.
+      closes: whether it closes each connection after its first response.
     """
 
     def __init__(self, script):
         self.script = script
         self.connections = 0
         self.runs = []
+        self.closes = False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -51,6 +55,8 @@
                 number += 1
                 attempt_id = lines[ATTEMPT_ID.lower().encode()]
                 writer.write(self.script(number, attempt_id))
+                if self.closes:
+                    return
         except asyncio.IncompleteReadError:
             return
         finally:
@@ -125,3 +131,33 @@
             await self.send("/unsafe/x", b"n%d" % number)
         runs = engines[0].runs + engines[1].runs
         self.assertEqual(sorted(b"n%d" % number for number in range(20)), sorted(runs))
+
+
+class TruncatedHeadTest(FaultyEngineTestCase):
+    """Guards against a head that is cut off and passes for a whole response."""
+
+    async def check(self, path, service, framing, body):
+        whole = HEAD % (b"cut", framing) + body
+        head_bytes = len(whole) - len(body)
+        length = 0
+
+        engine = await self.add_scripted(service, lambda *_: whole[:length])
+        engine.closes = True
+        for length in range(0, head_bytes, 7):
+            head, _ = await self.send(path, b"cut")
+            self.assertEqual(502, head.status, whole[:length])
+        length = head_bytes - 1
+        head, _ = await self.send(path, b"cut")
+        self.assertEqual(502, head.status)
+
+    async def test_a_response_with_a_length(self):
+        await self.check("/unsafe/x", "app", LENGTH, b"ok")
+
+    async def test_a_response_in_chunks(self):
+        await self.check("/unsafe/x", "app", CHUNKED, b"2\r\nok\r\n0\r\n\r\n")
+
+    async def test_a_response_without_a_length(self):
+        await self.check("/unsafe/x", "app", b"", b"ok")
+
+    async def test_a_stream(self):
+        await self.check("/stream/x", "llm", b"", EVENTS)
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -91,6 +91,43 @@
         self.assertTrue(self.transport.aborted)
 
 
+class TruncationTest(ClientTestCase):
+    """Guards against a response that is cut off anywhere and passes for a whole one."""
+
+    async def check_prefixes(self, response, first_whole_bytes):
+        for length in range(first_whole_bytes):
+            for ends_with_reset in (False, True):
+                self.setUp()
+                self.send_request()
+                self.connection.data_received(response[:length])
+                if ends_with_reset:
+                    self.connection.connection_lost(ConnectionResetError())
+                else:
+                    self.connection.eof_received()
+                with self.assertRaises(UpstreamError, msg=response[:length]):
+                    await self.connection.head()
+                    await self.connection.read_all()
+                self.assertFalse(self.connection.end_exchange())
+
+    async def test_a_response_with_a_length(self):
+        await self.check_prefixes(RESPONSE, len(RESPONSE))
+
+    async def test_a_response_in_chunks_with_trailers(self):
+        response = (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\nX-Seal: 1\r\n\r\n"
+        )
+        await self.check_prefixes(response, len(response))
+
+    async def test_a_response_without_a_length(self):
+        head = b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\n\r\n"
+        await self.check_prefixes(head + b"all of it", len(head))
+
+    async def test_a_response_after_an_interim_one(self):
+        response = b"HTTP/1.1 102 Processing\r\nX-Part: 1\r\n\r\n" + RESPONSE
+        await self.check_prefixes(response, len(response))
+
+
 class ReuseTest(ClientTestCase):
     async def test_a_second_response_closes_the_connection(self):
         _, body = await self.exchange(RESPONSE + RESPONSE)
