--- a/endivesill/platform/operators.py
+++ b/endivesill/platform/operators.py
@@ -12,7 +12,7 @@
 from endivesill.fleet.changes import FleetChanges
 from endivesill.fleet.events import CHANGE_ANSWERED
 from endivesill.http1 import Exchange, Headers
-from endivesill.json_text import parse_json
+from endivesill.json_text import check_nesting, parse_document
 from endivesill.platform import wire
 from endivesill.platform.configuration import decode_configuration
 from endivesill.timer import TimerService
@@ -89,7 +89,8 @@
 
     async def _replace_configuration(self, body: bytes) -> dict[str, Any]:
         try:
-            document = parse_json(body)
+            document = parse_document(body)
+            check_nesting(document)
         except ValueError as error:
             raise errors.DocumentError(str(error)) from None
         version = decode_configuration(document).version
--- a/tests/test_platform_operators.py
+++ b/tests/test_platform_operators.py
@@ -16,6 +16,11 @@
 
     def __init__(self):
         self.orders = []
+        self.configurations = []
+
+    async def replace_configuration(self, version, document):
+        self.configurations.append(document)
+        return version
 
     async def set_evacuation(self, data_centre, evacuated, known_index):
         self.orders.append((data_centre, evacuated, known_index))
@@ -26,7 +31,9 @@
         raise errors.UnavailableError("no configuration yet")
 
 
-class OperatorHandlerTest(unittest.IsolatedAsyncioTestCase):
+class OperatorHandlerTestCase(unittest.IsolatedAsyncioTestCase):
+    """A handler behind a listener on loopback."""
+
     async def asyncSetUp(self):
         timer = SystemTimer()
         self.changes = FakeChanges()
@@ -37,10 +44,13 @@
         self.pool = ConnectionPool(timer, 1.0, 10.0)
         self.addCleanup(self.pool.close)
 
-    async def call(self, method, target):
-        request = f"{method} {target} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
-        return await self.pool.exchange(self.listener.address, request.encode())
+    async def call(self, method, target, body=b""):
+        head = f"{method} {target} HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}"
+        request = head.encode() + b"\r\n\r\n" + body
+        return await self.pool.exchange(self.listener.address, request)
+
 
+class EvacuationTest(OperatorHandlerTestCase):
     async def test_an_order_that_may_be_old_must_be_confirmed(self):
         head, _ = await self.call("POST", "/Evacuation.End/zone%20a")
         self.assertEqual(307, head.status)
@@ -82,3 +92,38 @@
     async def test_a_read_before_the_first_configuration(self):
         head, _ = await self.call("GET", "/Configuration.Get")
         self.assertEqual(503, head.status)
+
+
+class UnreadableConfigurationTest(OperatorHandlerTestCase):
+    """Guards against documents that are no JSON, or that cannot be passed on."""
+
+    async def check(self, timeout_ms, other=b"1"):
+        body = b'{"version":1,"services":[{"name":"s"}],"other":%b,"routes":[%b]}'
+        route = (
+            b'{"name":"r","host":"h","path_prefix":"/","kind":"safe","service":"s",'
+            b'"timeout_ms":%b}' % timeout_ms
+        )
+        head, _ = await self.call(
+            "POST", "/Configuration.Replace", body % (other, route)
+        )
+        return head.status
+
+    async def test_a_sound_document(self):
+        self.assertEqual(200, await self.check(b"5"))
+        self.assertEqual(1, len(self.changes.configurations))
+
+    async def test_numbers_that_are_not_finite(self):
+        for number in (b"NaN", b"Infinity", b"-Infinity", b"1e999", b"9" * 5_000):
+            self.assertEqual(400, await self.check(number))
+            self.assertEqual(400, await self.check(b"5", number))
+        self.assertEqual([], self.changes.configurations)
+
+    async def test_text_that_is_no_unicode(self):
+        for text in (b'"\\ud800"', b'"\xff"', b'"\xed\xa0\x80"'):
+            self.assertEqual(400, await self.check(b"5", text))
+
+    async def test_deep_nesting(self):
+        for depth in (70, 900, 100_000):
+            nested = b"[" * depth + b"]" * depth
+            self.assertEqual(400, await self.check(b"5", nested))
+        self.assertEqual(200, await self.check(b"5", b"[" * 60 + b"]" * 60))
