Decode the entries of the list one by one, and use only complete ones

Operators of a similar system report processes that end again and again on an entry that is deeply nested, has too large a number or a port out of range. Cause: a page was one JSON text, and an entry was read with defaults and without ranges, so that values failed later, for all engines at once. Change: json_array.py decodes the elements of a damaged page one by one; each documented field must be there, have its type and lie in its range; errors and log lines are bounded; so are pages and their number. Why it works: no entry is decoded together with another, and nothing that a later step cannot use leaves the decoder.

--- a/endivesill/document_reader.py
+++ b/endivesill/document_reader.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import functools
+import ipaddress
 from typing import Any
 
 from endivesill import errors
+from endivesill.value_checks import MAXIMUM_PORT
 
 __all__ = ["Reader"]
 
 MISSING = object()
+# Names are used in headers, log lines and the replicated state.
+MAX_NAME_CHARACTERS = 256
+# Whole numbers that 64 bits hold, so that all arithmetic with them is in range.
+MAX_INTEGER = 2**63 - 1
+MAX_SHOWN_CHARACTERS = 60
 
 
 class Reader:
@@ -41,20 +49,68 @@
         if not isinstance(value, kinds) or (
             isinstance(value, bool) and bool not in kinds
         ):
-            raise errors.DocumentError(f"{self._location}.{name}: {value!r} has no use")
+            raise self._error(name, value)
         return value
 
+    def _error(self, name: str, value: Any) -> errors.DocumentError:
+        """Return the error for a value; its text is short whatever the value is."""
+        shown = type(value).__name__
+        if isinstance(value, str):
+            shown = ascii(value[:MAX_SHOWN_CHARACTERS])
+        elif isinstance(value, float) or (
+            isinstance(value, int) and abs(value) <= MAX_INTEGER
+        ):
+            shown = repr(value)
+        return errors.DocumentError(f"{self._location}.{name}: {shown} has no use")
+
     def text(self, name: str, default: Any = MISSING) -> str:
         """Return a string field."""
         return self._get(name, (str,), default)
 
-    def integer(self, name: str, default: Any = MISSING) -> int:
-        """Return an integer field; a boolean is rejected."""
-        return self._get(name, (int,), default)
+    def name(self, name: str) -> str:
+        """Return a required name, which is printable and not too long."""
+        value = self.text(name)
+        if (
+            not 0 < len(value) <= MAX_NAME_CHARACTERS
+            or not value.isprintable()
+            or value != value.strip()
+        ):
+            raise self._error(name, value)
+        return value
 
-    def number(self, name: str, default: Any = MISSING) -> float:
-        """Return an integer or float field; a boolean is rejected."""
-        return self._get(name, (int, float), default)
+    def ip_address(self, name: str) -> str:
+        """Return a required IPv4 address with a port."""
+        value = self.text(name)
+        if not _is_ip_address(value):
+            raise self._error(name, value)
+        return value
+
+    def integer(
+        self,
+        name: str,
+        default: Any = MISSING,
+        minimum: int = -MAX_INTEGER,
+        maximum: int = MAX_INTEGER,
+    ) -> int:
+        """Return an integer field within bounds; a boolean is rejected."""
+        value = self._get(name, (int,), default)
+        if value is not default and not minimum <= value <= maximum:
+            raise self._error(name, value)
+        return value
+
+    def number(
+        self,
+        name: str,
+        default: Any = MISSING,
+        minimum: float = -MAX_INTEGER,
+        maximum: float = MAX_INTEGER,
+    ) -> float:
+        """Return an integer or float field within bounds; a boolean is rejected."""
+        value = self._get(name, (int, float), default)
+        # NaN is within no bounds.
+        if value is not default and not minimum <= value <= maximum:
+            raise self._error(name, value)
+        return value
 
     def flag(self, name: str, default: Any = MISSING) -> bool:
         """Return a boolean field."""
@@ -93,3 +149,15 @@
     def has(self, name: str) -> bool:
         """Return whether the field is present and not null."""
         return self._document.get(name) is not None
+
+
+# The same addresses are read again and again.
+@functools.lru_cache(maxsize=8_192)
+def _is_ip_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= len("65535")
+    return is_number and 0 < int(port) <= MAXIMUM_PORT
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -72,14 +72,10 @@
         desired_voters=2 * settings.tolerated_losses + 1,
     )
     client = PlatformClient(timer)
-    sync_service = FleetSyncService(
-        timer,
-        replica,
-        transport,
-        PlatformEngineList(
-            client, settings.engine_list_address, settings.engine_list_calls_per_s
-        ),
+    source = PlatformEngineList(
+        client, settings.engine_list_address, settings.engine_list_calls_per_s
     )
+    sync_service = FleetSyncService(timer, replica, transport, source)
     placement = LeaderPlacement(
         settings, timer, replica, sync_service, transport, client
     )
@@ -92,7 +88,9 @@
         lambda applied: listener.opening_stamp.note(applied.index)
     )
     metrics = MetricsListener(
-        timer, settings, lambda: _metric_lines(replica, sync_service, placement, disk)
+        timer,
+        settings,
+        lambda: _metric_lines(replica, sync_service, source, placement, disk),
     )
     await replica.start()
     await transport.start()
@@ -127,6 +125,7 @@
 def _metric_lines(
     replica: ControlReplica,
     sync_service: FleetSyncService,
+    source: PlatformEngineList,
     placement: LeaderPlacement,
     disk: TimedDisk,
 ) -> list[str]:
@@ -144,6 +143,7 @@
         f"endivesill_control_disk_failed {int(core.log.last_error is not None)}",
         f"endivesill_blocked_crash_causes {len(sync_service.crashes.evidence.blocks)}",
         f"endivesill_list_number {engine_list.number if engine_list else 0}",
+        f"endivesill_list_entries_skipped {source.skipped_entries}",
         *(
             f"endivesill_evacuated{{data_centre={json.dumps(name)}}} 1"
             for name in evacuations(replica.state)[1]
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -5,6 +5,7 @@
 import json
 import math
 import re
+from typing import Any
 
 import attrs
 
@@ -15,7 +16,8 @@
 from endivesill.http1 import Headers, ResponseHead, header_value
 from endivesill.http1.head import encode_head, header_values, strip_hop_by_hop
 from endivesill.http1.numbers import lowest_decimal
-from endivesill.json_text import parse_json
+from endivesill.json_array import decode_array_document
+from endivesill.json_text import parse_document
 from endivesill.platform import wire
 
 __all__ = [
@@ -29,6 +31,10 @@
 ]
 
 MS_PER_S = 1_000.0
+# Far above what engines have; they keep sums and times in range.
+MAX_SLOTS = 65_536
+MAX_COLD_MS = 86_400_000
+MAX_TOKEN_CHARACTERS = 1_024
 SECONDS_PATTERN = re.compile(rb"-?[0-9]{1,18}(\.[0-9]{0,18})?")
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -55,38 +61,39 @@
       DocumentError: the page itself is invalid.
     """
     try:
-        reader = Reader(parse_json(body), "list")
+        fields, engines, skipped = decode_array_document(
+            body, "instances", _decode_engine
+        )
     except ValueError as error:
         raise errors.DocumentError(f"list of engines: {error}") from None
-    engines = []
-    skipped = []
-    for position, entry in enumerate(reader.items("instances")):
-        try:
-            engines.append(_decode_engine(Reader(entry, f"list[{position}]")))
-        except errors.DocumentError as error:
-            skipped.append(str(error))
-    return ListPage(engines, skipped, reader.text("next", ""))
+    token = Reader(fields, "list").text("next", "")
+    if len(token) > MAX_TOKEN_CHARACTERS:
+        raise errors.DocumentError("list.next: too long")
+    return ListPage(engines, skipped, token)
 
 
-def _decode_engine(reader: Reader) -> EngineInfo:
+def _decode_engine(entry: Any) -> EngineInfo:
+    """Decode an entry; all fields that the platform documents must be valid."""
+    reader = Reader(entry, "entry")
     state = reader.text("state")
     if state not in IS_DRAINING_BY_STATE:
-        raise errors.DocumentError(f"no state {state!r}")
-    address = reader.text("address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise errors.DocumentError(f"no address {address!r}")
+        raise errors.DocumentError("entry.state: no known state")
+    identity = reader.name("id")
     # A restarted engine keeps its identity; `born` distinguishes its incarnations.
-    born = reader.integer("born", 0)
+    born = reader.integer("born", 0, 0)
+    reader.name("version")
+    reader.text("stage", "")
+    reader.objects("models", ())
     return EngineInfo(
-        identity=reader.text("id"),
-        incarnation=f"{reader.text('id')}@{born}",
-        service=reader.text("service"),
-        address=address,
-        data_centre=reader.text("zone", ""),
-        slots=reader.integer("slots", 1),
+        identity=identity,
+        incarnation=f"{identity}@{born}",
+        service=reader.name("service"),
+        address=reader.ip_address("address"),
+        data_centre=reader.name("zone"),
+        slots=reader.integer("slots", minimum=1, maximum=MAX_SLOTS),
         is_draining=IS_DRAINING_BY_STATE[state],
-        cold_s=reader.number("cold_remaining_ms", 0) / MS_PER_S,
+        cold_s=reader.number("cold_remaining_ms", minimum=0, maximum=MAX_COLD_MS)
+        / MS_PER_S,
     )
 
 
@@ -198,7 +205,7 @@
     def decode_copy_name(self, body: bytes) -> str:
         """Return the handle of a copy; empty if the response has none."""
         try:
-            return Reader(parse_json(body), "copy").text("handle")
+            return Reader(parse_document(body), "copy").text("handle")
         except (ValueError, errors.DocumentError) as error:
             events.emit(events.TASK_FAILED, task="decode-copy", error=str(error))
             return ""
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/platform/leader_placement.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
+from endivesill import errors, events
 from endivesill.control import ControlReplica
 from endivesill.fleet.departures import DepartureDetector
 from endivesill.fleet.model import EngineInfo, Service
@@ -151,6 +153,15 @@
             )
         self._placement.update()
 
+    def _apply_services(self, document: Any) -> None:
+        try:
+            self._services = decode_configuration(document).services
+        except errors.DocumentError as error:
+            # A control VM of an earlier build may have accepted it.
+            events.emit(
+                events.TASK_FAILED, task="fleet-configuration", error=str(error)
+            )
+
     def _admit_waiting(self) -> None:
         """Place queued requests after a load report; without any, nothing is due."""
         if self._placement.queue_length():
@@ -163,7 +174,7 @@
         configuration = current_configuration(self._replica.state)
         if configuration is not None and configuration["version"] != self._view.version:
             self._view.version = configuration["version"]
-            self._services = decode_configuration(configuration["document"]).services
+            self._apply_services(configuration["document"])
         index, data_centres = evacuations(self._replica.state)
         if index != self._view.evacuation_index:
             self._view.evacuation_index = index
--- a/endivesill/platform/provider.py
+++ b/endivesill/platform/provider.py
@@ -15,6 +15,12 @@
 __all__ = ["PlatformEngineList"]
 
 PAGE_TIMEOUT_S = 1.0
+# A page with entries of other writers may be larger than other responses.
+MAX_PAGE_BYTES = 8_388_608
+# Far above the pages of the largest fleets; ends a list that refers to itself.
+MAX_PAGES = 500
+# Reasons for skipped entries in the log, for each read of the list.
+MAX_LOGGED_REASONS = 20
 # Fraction of the permitted call rate that one reader uses. Two VMs may read for a
 # moment, until a replaced leader notices that it no longer leads.
 CALL_RATE_FRACTION = 0.4
@@ -27,6 +33,9 @@
       client: sends the calls.
       address: HOST:PORT that serves the engine list.
       calls_per_s: call rate that the platform permits to all VMs together.
+
+    Attributes:
+      skipped_entries: number of entries that the last read has skipped.
     """
 
     def __init__(
@@ -35,6 +44,7 @@
         self._client = client
         self._calls_per_s = calls_per_s
         self._logged_reasons: set[str] = set()
+        self.skipped_entries = 0
         self._address = address
 
     async def read(self) -> list[EngineInfo]:
@@ -47,15 +57,18 @@
             page_count += 1
             try:
                 body = await self._client.get(
-                    self._address, _page_path(token), PAGE_TIMEOUT_S
+                    self._address, _page_path(token), PAGE_TIMEOUT_S, MAX_PAGE_BYTES
                 )
                 page = decode_list_page(body)
             except errors.DocumentError as error:
-                raise errors.UnavailableError(f"list of engines: {error}") from None
+                raise errors.UnavailableError(str(error)) from None
             engines += page.engines
             skipped += page.skipped
             token = page.next_token
+            if token and page_count == MAX_PAGES:
+                raise errors.UnavailableError("list of engines: too many pages")
             if not token:
+                engines = _merge(engines, skipped)
                 self._log_skipped(skipped)
                 self.min_period_s = page_count / (
                     CALL_RATE_FRACTION * self._calls_per_s
@@ -64,9 +77,27 @@
 
     def _log_skipped(self, reasons: list[str]) -> None:
         """Log skipped entries; a reason of the previous read is not repeated."""
-        for reason in set(reasons) - self._logged_reasons:
-            events.emit(LIST_ENTRY_SKIPPED, reason=reason)
-        self._logged_reasons = set(reasons)
+        self.skipped_entries = len(reasons)
+        current = set(sorted(set(reasons))[:MAX_LOGGED_REASONS])
+        for reason in sorted(current - self._logged_reasons):
+            events.emit(LIST_ENTRY_SKIPPED, reason=reason, entries=len(reasons))
+        self._logged_reasons = current
+
+
+def _merge(engines: list[EngineInfo], skipped: list[str]) -> list[EngineInfo]:
+    """Return each engine once; one entry that says it drains counts.
+
+    An entry may be on two pages if the list changes between their reads. One that names
+    a listed engine with another address or service is skipped.
+    """
+    merged: dict[str, EngineInfo] = {}
+    for engine in engines:
+        first = merged.setdefault(engine.incarnation, engine)
+        if (first.address, first.service) != (engine.address, engine.service):
+            skipped.append("entry.id: listed twice with different fields")
+        elif engine.is_draining:
+            merged[engine.incarnation] = engine
+    return list(merged.values())
 
 
 def _page_path(token: str) -> str:
--- a/endivesill/platform/reports.py
+++ b/endivesill/platform/reports.py
@@ -9,7 +9,7 @@
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.reports import REPORT_TIMEOUT_S, EngineReport, ReportSource
 from endivesill.http1 import ResponseHead
-from endivesill.json_text import parse_json
+from endivesill.json_text import parse_document
 from endivesill.platform import wire
 from endivesill.platform.client import PlatformClient
 from endivesill.timer import TimerService
@@ -24,12 +24,12 @@
       DocumentError: the body is not a valid report.
     """
     try:
-        reader = Reader(parse_json(body), "report")
+        reader = Reader(parse_document(body), "report")
     except ValueError as error:
         raise errors.DocumentError(f"report: {error}") from None
     return EngineReport(
-        used_tokens=reader.integer("kv_used"),
-        queued_requests=reader.integer("queued_requests"),
+        used_tokens=reader.integer("kv_used", minimum=0),
+        queued_requests=reader.integer("queued_requests", minimum=0),
         is_leaving=reader.text("state", "") == "draining",
         has_notice=reader.has("leaves_ms"),
         read_s=read_s,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -138,6 +138,7 @@
             "service": "llm",
             "address": "10.0.0.9:8080",
             "zone": "a",
+            "version": "v1",
             "slots": 24,
             "state": "ready",
             "cold_remaining_ms": 1500,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,6 +15,7 @@
     "http_peers",
     "ini",
     "kernel",
+    "json_array",
     "json_log",
     "json_text",
     "keys",
