--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -1,7 +1,8 @@
 """Soak of the platform processes: a real fleet under injected faults.
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
-        [--profile standard|stops|crashes|requests|limits|cuts] [--entries N]
+        [--profile standard|stops|crashes|requests|limits|cuts|orders|entries]
+        [--entries N]
 
 Starts three control VMs and three entries, or N in each data centre, sends requests and
 configuration changes, injects the faults drawn from the seed, and checks what callers,
@@ -29,7 +30,7 @@
 from bench.platform_soak_fleet import DATA_CENTRES, SoakFleet
 from bench.platform_soak_injector import FaultInjector
 from bench.platform_soak_profiles import make_profile
-from bench.platform_soak_targets import PlatformTargetList, SoakTarget
+from bench.platform_soak_targets import SoakTarget
 from endivesill.timer import SystemTimer
 
 __all__ = ["Soak", "main"]
@@ -83,9 +84,9 @@
         self._run_counts: collections.Counter[str] = collections.Counter()
         self._targets: list[SoakTarget] = []
         self._all_targets: list[SoakTarget] = []
-        self._target_list = PlatformTargetList(self._timer, self._targets)
         self._folder = RUN_FOLDER / f"seed-{seed}-{number}"
         self._profile = make_profile(profile, self._timer, seed)
+        self._target_list = self._profile.make_target_list(self._targets)
         self._number = number
         self.findings: list[str] = []
 
--- a/bench/platform_soak_faults.py
+++ b/bench/platform_soak_faults.py
@@ -106,7 +106,7 @@
     return "impair_entry_link", subject, rng.uniform(0.3, 2.0), link
 
 
-@_register
+@_register_for(STANDARD, "orders")
 def _impair_control_link(rng: random.Random) -> tuple[str, str, float, str]:
     link = rng.choice(IMPAIRED_STATES).value
     subject = f"control-{rng.choice(DATA_CENTRES)}"
@@ -125,7 +125,7 @@
     return "impair_list_link", "list", rng.uniform(0.5, 3.0), link
 
 
-@_register
+@_register_for(STANDARD, "entries")
 def _crash_target(rng: random.Random) -> tuple[str, str, float, str]:
     return "crash_target", str(rng.randrange(100)), rng.uniform(0.5, 1.5), ""
 
@@ -135,6 +135,30 @@
     return "drain_target", str(rng.randrange(100)), 3.0, ""
 
 
+@_register_for("entries")
+def _drain_target_long(rng: random.Random) -> tuple[str, str, float, str]:
+    return "drain_target", str(rng.randrange(100)), 6.0, ""
+
+
+def _pause_control(rng: random.Random) -> tuple[str, str, float, str]:
+    return "pause", f"control-{rng.choice(DATA_CENTRES)}", rng.uniform(0.5, 4.0), ""
+
+
+# Half of the profile's faults.
+for _ in range(4):
+    _register(_pause_control, ("orders",))
+
+
+@_register_for("orders")
+def _kill_control(rng: random.Random) -> tuple[str, str, float, str]:
+    return "kill", f"control-{rng.choice(DATA_CENTRES)}", rng.uniform(0.2, 2.0), ""
+
+
+@_register_for("orders")
+def _stop_control(rng: random.Random) -> tuple[str, str, float, str]:
+    return "stop", f"control-{rng.choice(DATA_CENTRES)}", rng.uniform(0.1, 1.0), ""
+
+
 @_register_for("stops", "crashes", "limits", "cuts")
 def _stop_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
@@ -147,7 +171,7 @@
     return "kill", subject, rng.uniform(0.2, 1.0), ""
 
 
-@_register_for("crashes", "limits", "cuts")
+@_register_for("crashes", "limits", "cuts", "orders")
 def _kill_leader(rng: random.Random) -> tuple[str, str, float, str]:
     return "kill_leader", "control", rng.uniform(0.5, 2.0), ""
 
--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -17,8 +17,10 @@
 from bench.platform_soak_faults import STANDARD, Fault, make_faults
 from bench.platform_soak_fleet import GRACE_S, SoakFleet
 from bench.platform_soak_limits import LimitCallers, LimitedTarget, LimitRecords
+from bench.platform_soak_odd_entries import DepartingTarget, OddTargetList
+from bench.platform_soak_orders import OrderOperators
 from bench.platform_soak_stops import RecordingTarget, StopCallers, StopRecords
-from bench.platform_soak_targets import SoakTarget
+from bench.platform_soak_targets import PlatformTargetList, SoakTarget
 from endivesill.timer import TimerService
 
 __all__ = ["Profile", "make_profile"]
@@ -85,6 +87,10 @@
         """Return a target that is not started."""
         return SoakTarget(self._timer, service, data_centre, run_counts, rng)
 
+    def make_target_list(self, targets: list[SoakTarget]) -> PlatformTargetList:
+        """Return the platform's list of targets, which is not started."""
+        return PlatformTargetList(self._timer, targets)
+
     async def run(self, fleet: SoakFleet) -> None:
         """Call until cancelled."""
 
@@ -258,3 +264,65 @@
         """Return whether callers of entries that were cut off were served worse."""
         findings, self.figures = self.cuts.check(self.records)
         return findings
+
+
+@_register
+class OrderProfile(Profile):
+    """Operators that evacuate data centres while control VMs are suspended."""
+
+    name = "orders"
+
+    def __init__(self, timer: TimerService, seed: int) -> None:
+        super().__init__(timer, seed)
+        self._operators = OrderOperators(timer, seed)
+        self._fleet: SoakFleet | None = None
+        self._findings: list[str] = []
+
+    def make_faults(self, duration_s: float) -> list[Fault]:
+        """Return the faults in order of time; the orders end with them."""
+        self._operators.until_s = self._timer.now_s() + duration_s
+        self.load_s = duration_s
+        return super().make_faults(duration_s)
+
+    async def run(self, fleet: SoakFleet) -> None:
+        """Send orders until the faults end."""
+        self._fleet = fleet
+        await self._operators.run(fleet)
+
+    async def stop(self) -> None:
+        """Check the orders in force, while the fleet still runs."""
+        self._operators.close()
+        if self._fleet is not None:
+            self._findings = await self._operators.check(self._fleet)
+
+    def check(self) -> list[str]:
+        """Return where an old order is in force."""
+        self.figures = self._operators.figures()
+        return self._findings
+
+
+@_register
+class EntryProfile(Profile):
+    """Entries of other writers in the list, while targets come and go."""
+
+    name = "entries"
+
+    def make_target_list(self, targets: list[SoakTarget]) -> PlatformTargetList:
+        """Return a list with odd entries."""
+        self._list = OddTargetList(self._timer, targets, self._seed)
+        return self._list
+
+    def make_target(
+        self,
+        service: str,
+        data_centre: str,
+        run_counts: collections.Counter[str],
+        rng: random.Random,
+    ) -> SoakTarget:
+        """Return a target that records requests after its departure was listed."""
+        return DepartingTarget(self._timer, service, data_centre, run_counts, rng)
+
+    def check(self) -> list[str]:
+        """Return the targets that got requests long after they were listed to leave."""
+        self.figures = {"odd_pages": self._list.odd_pages}
+        return self._list.findings()
--- a/bench/platform_soak_targets.py
+++ b/bench/platform_soak_targets.py
@@ -20,6 +20,7 @@
     "SoakTarget",
     "configuration",
     "expected_body",
+    "list_page",
 ]
 
 SEAL = (b"X-Endivesill-Response-Seal", b"soak")
@@ -201,9 +202,13 @@
         self._targets = targets
 
     async def _handle(self, exchange: Exchange) -> None:
-        entries = [target.list_entry() for target in self._targets]
-        document = {"instances": entries, "next": None}
-        exchange.respond(200, [], json.dumps(document).encode())
+        rows = [json.dumps(target.list_entry()).encode() for target in self._targets]
+        exchange.respond(200, [], list_page(rows))
+
+
+def list_page(rows: list[bytes]) -> bytes:
+    """Return a page of the list with encoded entries."""
+    return b'{"instances":[' + b",".join(rows) + b'],"next":null}'
 
 
 def configuration(version: int) -> dict[str, Any]:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -16,6 +16,7 @@
 from bench.platform_soak_faults import make_faults
 from bench.platform_soak_fleet import SoakFleet
 from bench.platform_soak_limits import LimitPeriod, LimitRecords
+from bench.platform_soak_orders import OrderRecord
 from bench.platform_soak_profiles import make_profile
 from bench.platform_soak_stops import StopRecords
 from endivesill.timer import ManualTimer
@@ -24,6 +25,8 @@
 SHORT_CRASH_S = 6.0
 SHORT_LIMIT_S = 8.0
 SHORT_CUT_S = 9.0
+SHORT_ORDER_S = 8.0
+SHORT_ENTRY_S = 6.0
 # Above the numbers of manual runs; differs between test runs on one machine.
 FLEET_NUMBER = 30_000 + os.getpid() % 30_000
 
@@ -275,6 +278,17 @@
         self.assertEqual(0, self.count_findings())
 
 
+class OrderCheckTest(unittest.TestCase):
+    def test_the_last_order_that_was_acknowledged_is_in_force(self):
+        self.assertEqual("", OrderRecord(True).finding("vm", "x", True))
+        self.assertNotEqual("", OrderRecord(True).finding("vm", "x", False))
+        self.assertNotEqual("", OrderRecord(False).finding("vm", "x", True))
+
+    def test_an_order_that_was_given_up_may_be_in_force(self):
+        self.assertEqual("", OrderRecord(True, False).finding("vm", "x", False))
+        self.assertEqual("", OrderRecord().finding("vm", "x", True))
+
+
 class FleetTest(unittest.TestCase):
     def test_a_running_process_is_not_started_again(self):
         with tempfile.TemporaryDirectory() as folder:
@@ -328,3 +342,13 @@
         self.assertGreaterEqual(report["cut_requests"][0], 20)
         self.assertGreaterEqual(report["sound_requests"][0], 20)
         self.assertEqual([], report["findings"])
+
+    async def test_late_copies_of_orders_take_no_effect(self):
+        report = await Soak(2, SHORT_ORDER_S, FLEET_NUMBER, "orders").run()
+        self.assertGreater(report["orders"]["acknowledged"], 0)
+        self.assertEqual([], report["findings"])
+
+    async def test_odd_entries_of_the_list_change_nothing(self):
+        report = await Soak(1, SHORT_ENTRY_S, FLEET_NUMBER, "entries").run()
+        self.assertGreater(report["odd_pages"], 0)
+        self.assertEqual([], report["findings"])
