--- a/endivesill/http1/opening_stamp.py
+++ b/endivesill/http1/opening_stamp.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from endivesill.timer import TimerService
+
 __all__ = ["OpeningStamp"]
 
 # Iterations of the event loop after which a connection that was taken from the accept
@@ -23,13 +25,17 @@
     sent.
 
     Args:
+      timer: the timer service.
       has_waiting_connections: returns whether connections wait to be accepted.
 
     Attributes:
       value: the value.
     """
 
-    def __init__(self, has_waiting_connections: Callable[[], bool]) -> None:
+    def __init__(
+        self, timer: TimerService, has_waiting_connections: Callable[[], bool]
+    ) -> None:
+        self._timer = timer
         self._has_waiting_connections = has_waiting_connections
         self._newest = 0
         self._is_pending = False
@@ -43,11 +49,10 @@
             self._check(value)
 
     def _check(self, value: int) -> None:
-        loop = asyncio.get_running_loop()
         if self._has_waiting_connections():
-            loop.call_later(CHECK_PERIOD_S, self._check, value)
+            self._timer.call_after(CHECK_PERIOD_S, lambda: self._check(value))
         else:
-            loop.call_soon(self._settle, value, SETUP_ITERATIONS)
+            self._settle(value, SETUP_ITERATIONS)
 
     def _settle(self, value: int, iterations: int) -> None:
         if iterations:
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -340,7 +340,7 @@
         self.connections: set[ServerConnection] = set()
         self.active_exchanges = 0
         self.closing = False
-        self.opening_stamp = OpeningStamp(self._has_waiting_connections)
+        self.opening_stamp = OpeningStamp(timer, self._has_waiting_connections)
         self._address = address
         self._server: asyncio.Server | None = None
         self._sweep_timer: TimerHandle | None = None
--- a/tests/test_http1_opening_stamp.py
+++ b/tests/test_http1_opening_stamp.py
@@ -89,7 +89,7 @@
             await asyncio.sleep(0)
 
     async def test_a_value_counts_after_some_iterations(self):
-        stamp = OpeningStamp(lambda: False)
+        stamp = OpeningStamp(SystemTimer(), lambda: False)
         stamp.note(5)
         await self.pass_iterations(1)
         self.assertEqual(0, stamp.value)
@@ -98,13 +98,13 @@
 
     async def test_no_value_counts_while_connections_wait(self):
         waiting = [True]
-        stamp = OpeningStamp(lambda: waiting[0])
+        stamp = OpeningStamp(SystemTimer(), lambda: waiting[0])
         stamp.note(5)
         await self.pass_iterations(20)
         self.assertEqual(0, stamp.value)
 
     async def test_the_newest_of_many_values_counts_in_the_end(self):
-        stamp = OpeningStamp(lambda: False)
+        stamp = OpeningStamp(SystemTimer(), lambda: False)
         for value in range(1, 40):
             stamp.note(value)
             await self.pass_iterations(1)
