Reject names of copies that cannot be sent on

Seen: nothing; found by reading, as the same question as odd entries of the list. Cause: the name that an engine gives to a copy of a run goes into a header and a path of later requests. One with the end of a line added lines there. Change: a name is printable, without spaces and 256 characters at most. Measured: tests.test_platform_engines.CopyNameTest failed on the code before for the names with line ends, spaces and a lone surrogate, and passes.

--- a/endivesill/document_reader.py
+++ b/endivesill/document_reader.py
@@ -78,6 +78,13 @@
             raise self._error(name, value)
         return value
 
+    def token(self, name: str) -> str:
+        """Return a required name without any space."""
+        value = self.name(name)
+        if " " in value:
+            raise self._error(name, value)
+        return value
+
     def ip_address(self, name: str) -> str:
         """Return a required IPv4 address with a port."""
         value = self.text(name)
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -205,7 +205,8 @@
     def decode_copy_name(self, body: bytes) -> str:
         """Return the handle of a copy; empty if the response has none."""
         try:
-            return Reader(parse_document(body), "copy").text("handle")
+            # Sent on in a header and in a path.
+            return Reader(parse_document(body), "copy").token("handle")
         except (ValueError, errors.DocumentError) as error:
             events.emit(events.TASK_FAILED, task="decode-copy", error=str(error))
             return ""
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -84,6 +84,22 @@
                 decode_report(body, 0.0)
 
 
+class CopyNameTest(unittest.TestCase):
+    """Guards against the name of a copy that adds lines to a later request."""
+
+    def decode(self, name):
+        return PlatformProtocol().decode_copy_name(
+            json.dumps({"handle": name}).encode()
+        )
+
+    def test_a_name_is_decoded(self):
+        self.assertEqual("h-1/2", self.decode("h-1/2"))
+
+    def test_names_that_cannot_be_sent_on(self):
+        for name in ("", "h\r\nX-Other: 1", "h 1", "h\x00", "h" * 300, "\ud800", 7):
+            self.assertEqual("", self.decode(name))
+
+
 class AnnouncementTest(unittest.TestCase):
     def decode(self, status, *headers):
         return PlatformProtocol().decode_response(ResponseHead(status, headers, True))
