Bound the entries of an append request by bytes

Cause: a request was bounded by the number of its entries only. Change: the setting batch_bytes, 1 MiB; a larger entry is sent alone. Why it works: a request is below the receiver's 16 MiB unless a single entry is not, and at most four are under way for each follower. Measured: three tests of tests.test_control_replication.CatchUpTest, with members that reject larger messages, failed before (the follower stayed at its second entry) and pass.

--- a/endivesill/control/replication.py
+++ b/endivesill/control/replication.py
@@ -8,6 +8,7 @@
 
 from endivesill import errors
 from endivesill.control.core import ReplicaCore
+from endivesill.control.entries import LogEntry
 from endivesill.control.messages import (
     APPEND_PATH,
     CHUNK_PATH,
@@ -117,8 +118,7 @@
 
     def _send_entries(self) -> None:
         core = self._core
-        last = self._next_index + core.settings.batch_entries - 1
-        entries = core.log.entries(self._next_index, min(last, core.log.last_index))
+        entries = self._next_entries()
         previous_index = self._next_index - 1
         request = AppendRequest(
             cluster=core.cluster,
@@ -139,6 +139,18 @@
         self._last_sent_commit_index = core.commit_index
         self._leadership.run_task(self._send_append(request))
 
+    def _next_entries(self) -> list[LogEntry]:
+        """Return the entries of the next request, within its bounds."""
+        core = self._core
+        last = self._next_index + core.settings.batch_entries - 1
+        entries = core.log.entries(self._next_index, min(last, core.log.last_index))
+        size_bytes = 0
+        for count, entry in enumerate(entries):
+            size_bytes += len(entry.body)
+            if count and size_bytes > core.settings.batch_bytes:
+                return entries[:count]
+        return entries
+
     async def _send_append(self, request: AppendRequest) -> None:
         core = self._core
         sent_s = core.timer.now_s()
--- a/endivesill/control/settings.py
+++ b/endivesill/control/settings.py
@@ -38,6 +38,12 @@
     batch_entries: int = schema.field(
         "maximum number of log entries in one append request", default=256, minimum=1
     )
+    batch_bytes: int = schema.field(
+        "maximum size of the log entries in one append request; a larger entry is sent "
+        "alone",
+        default=1_048_576,
+        minimum=4_096,
+    )
     minimum_voters: int = schema.field(
         "number of voters below which all proposals are refused", default=1, minimum=1
     )
--- a/tests/test_control_replication.py
+++ b/tests/test_control_replication.py
@@ -5,7 +5,7 @@
 import attrs
 
 from endivesill import errors
-from endivesill.control import ControlReplica, MemoryDisk
+from endivesill.control import ControlReplica, ControlSettings, MemoryDisk
 from endivesill.control.core import Role
 from endivesill.control.entries import LogEntry, Proposal
 from endivesill.control.messages import (
@@ -280,6 +280,66 @@
         await alone.halt()
 
 
+class CatchUpTest(ClusterTestCase):
+    """Guards against a follower whose missing entries are sent in one message."""
+
+    ENTRY_BYTES = 3_000
+    ENTRIES = 60
+    LIMIT_BYTES = 16_000
+
+    async def start_limited(self):
+        """Start a cluster whose members reject messages over a limit."""
+        settings = ControlSettings(snapshot_entries=1_000_000, batch_bytes=10_000)
+        cluster = await self.start(3, settings)
+        self.largest_bytes = 0
+        deliver = cluster.network.deliver
+
+        async def deliver_within_limit(source, destination, size):
+            self.largest_bytes = max(self.largest_bytes, size)
+            return await deliver(source, destination, size) and size < self.LIMIT_BYTES
+
+        cluster.network.deliver = deliver_within_limit
+        return cluster
+
+    async def check(self, cluster, address):
+        leader = await cluster.leader()
+        await cluster.timer.advance(5.0)
+        self.assertEqual(leader.applied_index, cluster.replicas[address].applied_index)
+        self.assert_equal_states(cluster)
+        self.assertLess(self.largest_bytes, self.LIMIT_BYTES)
+
+    async def write(self, cluster):
+        client = cluster.client()
+        for number in range(self.ENTRIES):
+            await cluster.put(client, f"key-{number}", "x" * self.ENTRY_BYTES)
+
+    async def test_a_follower_that_was_down(self):
+        cluster = await self.start_limited()
+        address = cluster.followers()[0]
+        await cluster.crash(address)
+        await self.write(cluster)
+        await cluster.boot(address)
+        await self.check(cluster, address)
+
+    async def test_a_follower_that_was_cut_off(self):
+        cluster = await self.start_limited()
+        address = cluster.followers()[0]
+        cluster.network.isolate(address)
+        await self.write(cluster)
+        cluster.network.heal()
+        await self.check(cluster, address)
+
+    async def test_an_entry_over_the_bound_is_sent_alone(self):
+        cluster = await self.start_limited()
+        address = cluster.followers()[0]
+        await cluster.crash(address)
+        client = cluster.client()
+        for number in range(5):
+            await cluster.put(client, f"key-{number}", "x" * 12_000)
+        await cluster.boot(address)
+        await self.check(cluster, address)
+
+
 class ClockTest(ClusterTestCase):
     async def test_a_leader_holds_no_lease_after_a_suspension(self):
         cluster = await self.start()
