Give callers in the tests of an entry time to connect

Change: the caller of the tests may take 10 s to connect. No test checks how long that takes; what the tests check is as strict as before.

--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -47,6 +47,8 @@
     route(name="short", path_prefix="/short/", timeout_s=0.2),
     route(RequestKind.SAFE, name="soon", path_prefix="/soon/", timeout_s=0.5),
 )
+# Caller and listener share a process, which may not be scheduled for a second.
+CALLER_CONNECT_TIMEOUT_S = 10.0
 STREAM_HEADERS = [
     (b"X-Endivesill-Token-Counts", b"1000,80"),
     (b"X-Endivesill-Prompt-Prefix", b"5c:800,91:200"),
@@ -134,7 +136,7 @@
         return self.table.find_all([f"{name}@1"])[0]
 
     async def connect(self) -> UpstreamConnection:
-        pool = ConnectionPool(self.timer, 0.5, 10.0)
+        pool = ConnectionPool(self.timer, CALLER_CONNECT_TIMEOUT_S, 10.0)
         return await pool.acquire(self.listener.address)
 
     async def send_request(
