Add a soak of many entries that lose their links at once

Cause: the profile cuts has three entries and cuts one at a time, with callers that send each entry several requests a second. Change: a profile cuts groups of a fleet of any size, one after the other: a share, most, a data centre, half after half. The goal is 0.95 of the success at other entries.

--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -6,6 +6,7 @@
 import enum
 import socket
 import struct
+from collections.abc import Collection
 
 from bench.source_filter import drop_packets_from
 
@@ -99,18 +100,19 @@
             for writer in self._writers:
                 _reset(writer)
 
-    def cut(self, host: str, kind: CutKind) -> None:
-        """Cut the link from one host, also for its open connections."""
-        self._cuts[host] = kind
+    def cut(self, hosts: Collection[str], kind: CutKind) -> None:
+        """Cut the links from some hosts, also for their open connections."""
+        self._cuts.update(dict.fromkeys(hosts, kind))
         self._apply_cuts()
         if kind is CutKind.RESET:
             for writer, source in self._hosts.items():
-                if source == host:
+                if source in hosts:
                     _reset(writer)
 
-    def heal(self, host: str) -> None:
-        """End the cut of the link from one host."""
-        self._cuts.pop(host, None)
+    def heal(self, hosts: Collection[str]) -> None:
+        """End the cuts of the links from some hosts."""
+        for host in hosts:
+            self._cuts.pop(host, None)
         self._apply_cuts()
         self._state_changed.set()
         self._state_changed = asyncio.Event()
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -1,7 +1,7 @@
 """Soak of the platform processes: a real fleet under injected faults.
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
-        [--profile standard|stops|crashes|requests|limits|cuts|orders|entries]
+        [--profile standard|stops|crashes|requests|limits|cuts|mass-cuts|orders|entries]
         [--entries N]
 
 Starts three control VMs and three entries, or N in each data centre, sends requests and
--- a/bench/platform_soak_callers.py
+++ b/bench/platform_soak_callers.py
@@ -10,18 +10,18 @@
 
 import attrs
 
-from bench.fault_proxy import FaultProxy
 from bench.platform_soak_fleet import READY_PORT, SoakFleet
 from bench.platform_soak_targets import configuration, expected_body
 from endivesill import errors
 from endivesill.http1 import ConnectionPool, UpstreamError, encode_head
 from endivesill.timer import TimerService
 
-__all__ = ["CallRecord", "Callers", "Operator", "encode_request"]
+__all__ = ["CallRecord", "Callers", "Operator", "call_entry", "encode_request"]
 
 ROUTE_KINDS = ("unsafe", "safe", "streaming")
 CALLERS = 12
 CALL_PAUSE_S = 0.08
+DEADLINE_S = 5.0
 CALL_TIMEOUT_S = 6.0
 CONNECT_TIMEOUT_S = 1.0
 READINESS_PERIOD_S = 0.5
@@ -115,7 +115,8 @@
             proxy = self._fleet.entry_proxies[entry]
             try:
                 await self._timer.wait_for(
-                    self._call(pool, proxy, record), CALL_TIMEOUT_S
+                    call_entry(pool, proxy.address, record, DEADLINE_S),
+                    CALL_TIMEOUT_S,
                 )
             except (UpstreamError, errors.DeadlineExceededError):
                 # No complete response: the record keeps status 0.
@@ -123,26 +124,38 @@
             record.ended_s = self._timer.now_s()
             await self._timer.sleep(CALL_PAUSE_S)
 
-    async def _call(
-        self, pool: ConnectionPool, proxy: FaultProxy, record: CallRecord
-    ) -> None:
-        is_stream = record.kind == "streaming"
-        headers = [
-            ("X-Endivesill-Request-Attempt-Id", record.attempt_id),
-            ("X-Endivesill-Deadline-Remaining", "5000"),
-            ("Api-Key", "key-1"),
-        ]
-        if is_stream:
-            headers.append(("X-Endivesill-Token-Counts", "100,60"))
-            headers.append(("X-Endivesill-Prompt-Prefix", "5c:80,91:20"))
-        method = "GET" if record.kind == "safe" else "POST"
-        body = b"" if method == "GET" else b"order"
-        request = encode_request(method, f"/{record.kind}/x", headers, body)
-        head, response_body = await pool.exchange(proxy.address, request)
-        record.status = head.status
-        expected = expected_body(record.attempt_id, is_stream=is_stream)
-        is_sealed = bool(head.header(b"x-endivesill-response-seal"))
-        record.is_correct = is_sealed and response_body == expected
+
+async def call_entry(
+    pool: ConnectionPool, address: str, record: CallRecord, deadline_s: float
+) -> None:
+    """Send a request to an entry and record its response.
+
+    Args:
+      pool: connections to entries.
+      address: HOST:PORT of the entry, or of the proxy before it.
+      record: the attempt; updated.
+      deadline_s: time in which the caller wants the response.
+
+    Raises:
+      UpstreamError: there is no complete response.
+    """
+    is_stream = record.kind == "streaming"
+    headers = [
+        ("X-Endivesill-Request-Attempt-Id", record.attempt_id),
+        ("X-Endivesill-Deadline-Remaining", str(round(1_000 * deadline_s))),
+        ("Api-Key", "key-1"),
+    ]
+    if is_stream:
+        headers.append(("X-Endivesill-Token-Counts", "100,60"))
+        headers.append(("X-Endivesill-Prompt-Prefix", "5c:80,91:20"))
+    method = "GET" if record.kind == "safe" else "POST"
+    body = b"" if method == "GET" else b"order"
+    request = encode_request(method, f"/{record.kind}/x", headers, body)
+    head, response_body = await pool.exchange(address, request)
+    record.status = head.status
+    expected = expected_body(record.attempt_id, is_stream=is_stream)
+    is_sealed = bool(head.header(b"x-endivesill-response-seal"))
+    record.is_correct = is_sealed and response_body == expected
 
 
 class Operator:
--- a/bench/platform_soak_cuts.py
+++ b/bench/platform_soak_cuts.py
@@ -6,15 +6,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
 
 from bench.platform_soak_callers import CallRecord
-from bench.platform_soak_fleet import SoakFleet
+from bench.platform_soak_fleet import SoakFleet, SoakProcess
 from endivesill.timer import TimerService
 
-__all__ = ["CUT", "DOWN", "SOUND", "CutRecords"]
+__all__ = ["CUT", "DOWN", "SERVED_AFTER_S", "SOUND", "CutRecords", "entry_group"]
 
 SAMPLE_PERIOD_S = 0.05
 # Time from the start of a cut until callers must be served again.
@@ -28,11 +29,36 @@
 # A response of a target, good or bad.
 ANSWERED_STATUSES = (200, 500)
 
+# Entries that are not cut in the group `MOST`, and those that are in `SHARE`: one in.
+SOUND_PERIOD = 10
+SHARE_PERIOD = 3
+# Groups of entries that are cut off at once; a data centre's name stands for its own.
+MOST = "most"
+SHARE = "share"
+EVEN = "even"
+ODD = "odd"
+
 SOUND = "sound"
 CUT = "cut"
 DOWN = "down"
 
 
+def entry_group(name: str, entries: Sequence[SoakProcess]) -> list[SoakProcess]:
+    """Return the entries of a group.
+
+    Args:
+      name: one of the groups above, or the name of a data centre.
+      entries: the entries of the fleet.
+    """
+    if name == MOST:
+        return [e for i, e in enumerate(entries) if i % SOUND_PERIOD]
+    if name == SHARE:
+        return list(entries[::SHARE_PERIOD])
+    if name in (EVEN, ODD):
+        return list(entries[name == ODD :: 2])
+    return [e for e in entries if e.data_centre == name]
+
+
 @attrs.define
 class _Period:
     """A time in which the state of an entry did not change.
@@ -53,10 +79,12 @@
 
     Args:
       timer: the timer service.
+      min_ratio: least part of the others' success.
     """
 
-    def __init__(self, timer: TimerService) -> None:
+    def __init__(self, timer: TimerService, min_ratio: float = MIN_RATIO) -> None:
         self._timer = timer
+        self._min_ratio = min_ratio
         self._periods: dict[str, list[_Period]] = {}
         self._cut_entries: dict[str, int] = {}
 
@@ -74,6 +102,13 @@
         """Return whether a cut of an entry's links is in effect."""
         return self._cut_entries.get(entry, 0) > 0
 
+    def is_served_cut(self, entry: str) -> bool:
+        """Return whether a cut has lasted so long that callers must be served."""
+        periods = self._periods.get(entry)
+        if not periods or periods[-1].state != CUT:
+            return False
+        return periods[-1].from_s + SERVED_AFTER_S <= self._timer.now_s()
+
     async def watch(self, fleet: SoakFleet) -> None:
         """Record the states of the entries until cancelled."""
         while True:
@@ -106,16 +141,19 @@
           The findings, and counts of requests and served ones.
         """
         counts = {SOUND: [0, 0], CUT: [0, 0]}
+        figures: dict[str, Any] = {}
         for record in records:
             state = self._state_of(record)
             if state in counts and record.ended_s:
-                counts[state][0] += 1
-                counts[state][1] += record.status in ANSWERED_STATUSES
-        figures = {f"{state}_requests": tuple(c) for state, c in counts.items()}
+                kind_counts = figures.setdefault(f"{state}_{record.kind}", [0, 0])
+                for count in (counts[state], kind_counts):
+                    count[0] += 1
+                    count[1] += record.status in ANSWERED_STATUSES
+        figures |= {f"{state}_requests": tuple(c) for state, c in counts.items()}
         (sound, sound_served), (cut, cut_served) = counts[SOUND], counts[CUT]
         failed = cut - cut_served
         allowed = MAX_FAILURES + MAX_FAILURE_FRACTION * (sound + cut)
-        is_worse = cut_served * sound < MIN_RATIO * sound_served * cut
+        is_worse = cut_served * sound < self._min_ratio * sound_served * cut
         if failed > allowed and is_worse:
             finding = (
                 f"entries that were cut off served {cut_served} of {cut} requests, "
--- a/bench/platform_soak_faults.py
+++ b/bench/platform_soak_faults.py
@@ -19,7 +19,7 @@
 MAX_INTERVAL_S = 1.6
 STANDARD = "standard"
 # By profile, where they differ: sound requests must be served between the faults.
-INTERVALS_S = {"crashes": (3.0, 6.0), "cuts": (1.0, 4.0)}
+INTERVALS_S = {"crashes": (3.0, 6.0), "cuts": (1.0, 4.0), "mass-cuts": (4.0, 8.0)}
 # Targets that one cut takes an entry's links to: all, a service, or a data centre.
 CUT_SCOPES = ("all", "all", "all", "app", "llm", *DATA_CENTRES)
 IMPAIRED_STATES = tuple(state for state in LinkState if state is not LinkState.OPEN)
@@ -159,19 +159,19 @@
     return "stop", f"control-{rng.choice(DATA_CENTRES)}", rng.uniform(0.1, 1.0), ""
 
 
-@_register_for("stops", "crashes", "limits", "cuts")
+@_register_for("stops", "crashes", "limits", "cuts", "mass-cuts")
 def _stop_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "stop", subject, rng.uniform(0.1, 1.0), ""
 
 
-@_register_for("crashes", "limits", "cuts")
+@_register_for("crashes", "limits", "cuts", "mass-cuts")
 def _kill_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "kill", subject, rng.uniform(0.2, 1.0), ""
 
 
-@_register_for("crashes", "limits", "cuts", "orders")
+@_register_for("crashes", "limits", "cuts", "mass-cuts", "orders")
 def _kill_leader(rng: random.Random) -> tuple[str, str, float, str]:
     return "kill_leader", "control", rng.uniform(0.5, 2.0), ""
 
--- a/bench/platform_soak_injector.py
+++ b/bench/platform_soak_injector.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bench.fault_proxy import CutKind, FaultProxy, LinkState
-from bench.platform_soak_cuts import CutRecords
+from bench.platform_soak_cuts import CutRecords, entry_group
 from bench.platform_soak_faults import Fault
 from bench.platform_soak_fleet import SoakFleet, SoakProcess
 from bench.platform_soak_targets import PlatformTargetList, SoakTarget
@@ -182,19 +182,29 @@
         if self._cuts.is_cut(fault.subject) or all(map(self._cuts.is_cut, others)):
             self.skipped += 1
             return
-        host = self._fleet.processes[fault.subject].ip
+        await self._cut([self._fleet.processes[fault.subject]], fault)
+
+    async def _cut_entries(self, fault: Fault) -> None:
+        """Cut the links of a group of entries at once."""
+        entries = entry_group(fault.subject, self._fleet.with_role("entry"))
+        await self._cut(entries, fault)
+
+    async def _cut(self, entries: list[SoakProcess], fault: Fault) -> None:
+        hosts = [entry.ip for entry in entries]
         targets = [
             target
             for target in self._targets
             if fault.scope in ("all", target.service, target.data_centre)
         ]
-        self._cuts.note_cut(fault.subject)
+        for entry in entries:
+            self._cuts.note_cut(entry.name)
         for target in targets:
-            target.proxy.cut(host, CutKind(fault.link))
+            target.proxy.cut(hosts, CutKind(fault.link))
         await self._timer.sleep(fault.for_s)
         for target in targets:
-            target.proxy.heal(host)
-        self._cuts.note_healed(fault.subject)
+            target.proxy.heal(hosts)
+        for entry in entries:
+            self._cuts.note_healed(entry.name)
 
     def _target(self, fault: Fault) -> SoakTarget:
         return self._targets[int(fault.subject) % len(self._targets)]
--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -17,6 +17,7 @@
 from bench.platform_soak_faults import STANDARD, Fault, make_faults
 from bench.platform_soak_fleet import GRACE_S, SoakFleet
 from bench.platform_soak_limits import LimitCallers, LimitedTarget, LimitRecords
+from bench.platform_soak_mass_cuts import EntryCallers, mass_cuts
 from bench.platform_soak_odd_entries import DepartingTarget, OddTargetList
 from bench.platform_soak_orders import OrderOperators
 from bench.platform_soak_stops import RecordingTarget, StopCallers, StopRecords
@@ -26,6 +27,8 @@
 __all__ = ["Profile", "make_profile"]
 
 LONG_GRACE_S = 8.0
+# Part of the success at other entries that those which are cut off are to reach.
+MIN_MASS_CUT_RATIO = 0.95
 
 _PROFILES: dict[str, type[Profile]] = {}
 
@@ -266,6 +269,34 @@
         return findings
 
 
+@_register
+class MassCutProfile(CutProfile):
+    """Many entries of a large fleet that lose their links to targets at once."""
+
+    name = "mass-cuts"
+    targets_per_data_centre = 6
+
+    def __init__(self, timer: TimerService, seed: int) -> None:
+        super().__init__(timer, seed)
+        self.cuts = CutRecords(timer, MIN_MASS_CUT_RATIO)
+        self._callers = EntryCallers(timer, seed, self.cuts)
+        self.records = self._callers.records
+
+    def make_faults(self, duration_s: float) -> list[Fault]:
+        """Return the faults in order of time."""
+        self.load_s = duration_s
+        faults = make_faults(self._seed, duration_s, self.name)
+        return sorted([*mass_cuts(self._seed, duration_s), *faults])
+
+    async def run(self, fleet: SoakFleet) -> None:
+        """Call until cancelled."""
+        await asyncio.gather(self._callers.run(fleet), self.cuts.watch(fleet))
+
+    async def stop(self) -> None:
+        """Stop the requests that are under way."""
+        self._callers.stop()
+
+
 @_register
 class OrderProfile(Profile):
     """Operators that evacuate data centres while control VMs are suspended."""
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -81,29 +81,29 @@
 
     async def test_a_cut_holds_new_connections_of_one_host(self):
         for kind in CutKind:
-            self.proxy.cut("127.0.0.2", kind)
+            self.proxy.cut(["127.0.0.2"], kind)
             await self.assert_hangs(self.connect("127.0.0.2"))
             self.assertEqual(b"one", await self.echo(await self.connect()))
-            self.proxy.heal("127.0.0.2")
+            self.proxy.heal(["127.0.0.2"])
             self.assertEqual(b"one", await self.echo(await self.connect("127.0.0.2")))
 
     async def test_open_connections_hang(self):
         for kind in (CutKind.HANGS, CutKind.ONE_WAY):
             connection = await self.connect("127.0.0.2")
             await self.echo(connection)
-            self.proxy.cut("127.0.0.2", kind)
+            self.proxy.cut(["127.0.0.2"], kind)
             await self.assert_hangs(self.echo(connection))
-            self.proxy.heal("127.0.0.2")
+            self.proxy.heal(["127.0.0.2"])
 
     async def test_open_connections_live_on(self):
         connection = await self.connect("127.0.0.2")
         await self.echo(connection)
-        self.proxy.cut("127.0.0.2", CutKind.ONLY_NEW)
+        self.proxy.cut(["127.0.0.2"], CutKind.ONLY_NEW)
         self.assertEqual(b"one", await self.echo(connection))
 
     async def test_open_connections_are_reset(self):
         connection = await self.connect("127.0.0.2")
         await self.echo(connection)
-        self.proxy.cut("127.0.0.2", CutKind.RESET)
+        self.proxy.cut(["127.0.0.2"], CutKind.RESET)
         with self.assertRaises(ConnectionResetError):
             await self.echo(connection)
