Log which entries could not send a request, and the age of their list

Cause: the log of an entry that has lost its links did not say which other entries it asked, how long each took, and how old its list of them was, so the hypotheses of the incident could not be told apart. Change: event proxy-failed and gauge endivesill_proxy_peers_age_seconds.

--- a/endivesill/forwarding/entry_network.py
+++ b/endivesill/forwarding/entry_network.py
@@ -86,11 +86,12 @@
         """Forget the targets that are not among these."""
         self.links.retain(incarnations)
 
-    def gauges(self) -> dict[str, int]:
+    def gauges(self) -> dict[str, float]:
         """Return the metrics by name."""
         return {
             "target_connects_total": self._pool.connect_attempts,
             "target_links_lost": len(self.links.lost),
+            "proxy_peers_age_seconds": self._peers.age_s(),
             "proxied_by_others_total": self._proxy.proxied,
             "proxied_for_others_total": self.service.proxied,
         }
--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -11,6 +11,7 @@
     "PLACE_REFUSED",
     "REQUEST_BLOCKED",
     "REQUEST_ENDED",
+    "PROXY_FAILED",
     "REQUEST_PLACED",
     "REQUEST_REFUSED",
     "RUN_COPIED",
@@ -61,6 +62,9 @@
 REQUEST_PROXIED = events.define(
     2111, "request-proxied", "A request of another entry was sent to its target."
 )
+PROXY_FAILED = events.define(
+    2112, "proxy-failed", "Another entry could not send a request for this one."
+)
 TARGET_EJECTED = events.define(
     4511,
     "target-ejected",
--- a/endivesill/forwarding/proxy_client.py
+++ b/endivesill/forwarding/proxy_client.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from endivesill import errors, events
-from endivesill.forwarding.events import TARGET_UNCHECKED
+from endivesill.forwarding.events import PROXY_FAILED, TARGET_UNCHECKED
 from endivesill.forwarding.proxy_messages import (
     COMPLETE,
     END_TRAILER,
@@ -154,6 +154,7 @@
             if peer is None:
                 break
             tried.append(peer)
+            tried_s = self._timer.now_s()
             try:
                 result = await self._send_to(
                     peer, request, encode, may_start, on_started
@@ -171,6 +172,15 @@
                 for other in tried[:-1]:
                     self.peers.avoid(other)
                 return result
+            events.emit(
+                PROXY_FAILED,
+                request_id=request.attempt_id,
+                peer=peer,
+                target=request.incarnation,
+                reason=str(failure),
+                duration_s=round(self._timer.now_s() - tried_s, 3),
+                peers_age_s=self.peers.age_s(),
+            )
             if self._timer.now_s() - started_s > MAX_TRY_S:
                 # Its link may hang as well.
                 self.peers.avoid(peer)
--- a/endivesill/forwarding/proxy_peers.py
+++ b/endivesill/forwarding/proxy_peers.py
@@ -39,6 +39,7 @@
         self._data_centre = data_centre
         self._random = random_source
         self._peers: list[EntryPeer] = []
+        self._updated_s = float("-inf")
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._avoid_until_s: dict[str, float] = {}
         self._down_until_s: dict[str, float] = {}
@@ -46,6 +47,7 @@
     def update(self, peers: Iterable[EntryPeer]) -> None:
         """Replace the entries."""
         self._peers = list(peers)
+        self._updated_s = self._timer.now_s()
         known = {peer.address for peer in self._peers}
         for kept in (self._avoid_until_s, self._down_until_s):
             for address in kept.keys() - known:
@@ -66,6 +68,12 @@
 
         return min(peers, key=rank).address
 
+    def age_s(self) -> float:
+        """Return the time since the entries were named; -1 before that."""
+        if not self._peers:
+            return -1.0
+        return round(self._timer.now_s() - self._updated_s, 3)
+
     def is_empty(self) -> bool:
         """Return whether no other entry is known."""
         return not self._peers
