Name entries that reach targets where most have lost their links

Change: entries are kept by data centre and by whether they have reported more than two lost links; sound ones are drawn and named first. Drawing and moving an entry takes constant time. Messages keep their form. Peers are refreshed every 3 s while an entry has lost links.

--- a/endivesill/fleet/entry_peers.py
+++ b/endivesill/fleet/entry_peers.py
@@ -28,13 +28,15 @@
 # stay the same when processes start again.
 REFRESH_S = 30.0
 # The same while there are fewer of them, as after an election, when the leader does not
-# know all entries yet.
+# know all entries yet, and while this entry has lost links.
 FEW_REFRESH_S = 3.0
 # Shortest time between two requests of one entry for peers.
 MIN_REQUEST_PERIOD_S = 1.0
 # Longest list of lost targets in a message; of more, `MANY` says so.
 MAX_LOST_TARGETS = 64
 MANY = "*"
+# Lost links up to which an entry counts as sound. Some targets may be down for all.
+MAX_SOUND_LOST = 2
 
 
 @attrs.frozen
@@ -68,6 +70,11 @@
     lost: frozenset[str]
     seen_s: float
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether the entry reaches most targets, as far as it has reported."""
+        return len(self.lost) <= MAX_SOUND_LOST and MANY not in self.lost
+
     def overlap(self, other: _Row) -> float:
         """Return how many of the targets that another entry has lost it lacks too."""
         if MANY in self.lost:
@@ -77,6 +84,52 @@
         return len(self.lost & other.lost)
 
 
+class _Sample:
+    """A set of addresses that is drawn from in constant time."""
+
+    def __init__(self) -> None:
+        self._addresses: list[str] = []
+        self._positions: dict[str, int] = {}
+
+    def add(self, address: str) -> None:
+        if address not in self._positions:
+            self._positions[address] = len(self._addresses)
+            self._addresses.append(address)
+
+    def discard(self, address: str) -> None:
+        position = self._positions.pop(address, None)
+        if position is None:
+            return
+        last = self._addresses.pop()
+        if last != address:
+            self._addresses[position] = last
+            self._positions[last] = position
+
+    def draw(self, random_source: random.Random, count: int) -> list[str]:
+        size = min(count, len(self._addresses))
+        return random_source.sample(self._addresses, size)
+
+
+class _Addresses:
+    """Addresses of the entries of one data centre, by what they reach."""
+
+    def __init__(self) -> None:
+        self._sound = _Sample()
+        self._impaired = _Sample()
+
+    def put(self, address: str, *, is_sound: bool) -> None:
+        self.remove(address)
+        (self._sound if is_sound else self._impaired).add(address)
+
+    def remove(self, address: str) -> None:
+        self._sound.discard(address)
+        self._impaired.discard(address)
+
+    def draw(self, random_source: random.Random, count: int) -> list[str]:
+        drawn = self._sound.draw(random_source, count)
+        return drawn + self._impaired.draw(random_source, count - len(drawn))
+
+
 class EntryDirectory:
     """The leader's list of entries.
 
@@ -90,9 +143,8 @@
         self._random = random_source
         self._rows: dict[str, _Row] = {}
         self._addresses: dict[str, str] = {}
-        # Addresses by data centre; those of entries that are gone are dropped when they
-        # are drawn.
-        self._by_data_centre: dict[str, list[str]] = {}
+        # By data centre; entries that are gone are dropped when they are drawn.
+        self._by_data_centre: dict[str, _Addresses] = {}
 
     def record(self, message: Message) -> None:
         """Record what an entry's message says of itself.
@@ -111,12 +163,15 @@
             return
         peer = EntryPeer(reach["address"], reach["data_centre"], reach["region"])
         known = self._rows.get(peer.address)
-        if known is None:
-            self._by_data_centre.setdefault(peer.data_centre, []).append(peer.address)
-        elif known.entry_id != entry_id:
+        if known is not None and known.entry_id != entry_id:
             self._addresses.pop(known.entry_id, None)
-        self._rows[peer.address] = _Row(entry_id, peer, frozenset(reach["lost"]), now_s)
+        row = _Row(entry_id, peer, frozenset(reach["lost"]), now_s)
+        self._rows[peer.address] = row
         self._addresses[entry_id] = peer.address
+        addresses = self._by_data_centre.get(peer.data_centre)
+        if addresses is None:
+            addresses = self._by_data_centre[peer.data_centre] = _Addresses()
+        addresses.put(peer.address, is_sound=row.is_sound)
 
     def remove(self, entry_id: str) -> None:
         """Remove an entry that stops."""
@@ -159,14 +214,22 @@
         self._random.shuffle(far)
         for rows in (near, far):
             rows.sort(key=lambda row: row.overlap(asker))
-        near_count = max(PEER_COUNT // 2, PEER_COUNT - len(far))
-        chosen = near[:near_count]
-        return [row.peer for row in chosen + far[: PEER_COUNT - len(chosen)]]
+        chosen: list[_Row] = []
+        for is_sound in (True, False):
+            chosen += _pick(
+                [row for row in near if row.is_sound is is_sound],
+                [row for row in far if row.is_sound is is_sound],
+                PEER_COUNT - len(chosen),
+            )
+        return [row.peer for row in chosen]
 
     def _draw(self, data_centre: str, asker: _Row) -> list[_Row]:
-        """Return some entries of a data centre, without the one that asks."""
-        addresses = self._by_data_centre[data_centre]
-        drawn = self._random.sample(addresses, min(SAMPLE_SIZE, len(addresses)))
+        """Return some entries of a data centre, without the one that asks.
+
+        Sound ones come first: where most entries have lost their links, a sample of all
+        would hold few of the others, or none.
+        """
+        drawn = self._by_data_centre[data_centre].draw(self._random, SAMPLE_SIZE)
         oldest_s = self._timer.now_s() - MAX_SILENCE_S
         rows = []
         for address in drawn:
@@ -184,6 +247,12 @@
             self._addresses.pop(row.entry_id, None)
 
 
+def _pick(near: list[_Row], far: list[_Row], count: int) -> list[_Row]:
+    """Return some rows, half of them near ones if there are enough of both."""
+    chosen = near[: max(count // 2, count - len(far))]
+    return chosen + far[: count - len(chosen)]
+
+
 class EntryPeers:
     """An entry's side: what it tells the leader, and the peers that it is named.
 
@@ -208,21 +277,23 @@
         self._next_request_s = float("-inf")
         self._last_request_s = float("-inf")
 
-    def set_lost(self, incarnations: Iterable[str]) -> None:
-        """Set the targets to which this entry has lost its link."""
+    def set_lost(self, incarnations: Iterable[str]) -> bool:
+        """Set the targets to which this entry has lost its link; return if changed."""
         lost = sorted(incarnations)
         lost = [MANY] if len(lost) > MAX_LOST_TARGETS else lost
         if lost == self._lost:
-            return
+            return False
         if len(lost) > len(self._lost):
             self.request_peers()
         self._lost = lost
         self._number += 1
+        return True
 
-    def request_peers(self) -> None:
-        """Ask for other peers with the next message."""
+    def request_peers(self) -> bool:
+        """Ask for other peers with the next message; return if that may be now."""
         earliest_s = self._last_request_s + MIN_REQUEST_PERIOD_S
         self._next_request_s = min(self._next_request_s, earliest_s)
+        return self._next_request_s <= self._timer.now_s()
 
     def request_fields(self, address: str) -> Message:
         """Return the part of a message to a control VM."""
@@ -247,7 +318,8 @@
         if not reply.get("peers"):
             return
         is_few = len(reply["peers"]) < PEER_COUNT
-        refresh_s = FEW_REFRESH_S if is_few else REFRESH_S
+        is_impaired = len(self._lost) > MAX_SOUND_LOST or MANY in self._lost
+        refresh_s = FEW_REFRESH_S if is_few or is_impaired else REFRESH_S
         self._next_request_s = self._timer.now_s() + refresh_s
         self.peers = [EntryPeer(*row) for row in reply["peers"]]
         self.on_peers()
--- a/tests/test_fleet_entry_peers.py
+++ b/tests/test_fleet_entry_peers.py
@@ -90,6 +90,22 @@
             seen.update(peers)
         self.assertGreater(len(seen), 300)
 
+    def test_sound_entries_are_found_among_many_that_are_not(self):
+        """All but one entry in fifty of each data centre have lost their links."""
+        for count in (200, 1_000):
+            self.setUp()
+            sound = set()
+            for name in range(count):
+                is_sound = name % 150 < 3
+                self.add(
+                    name, data_centre="abc"[name % 3], lost=[] if is_sound else ["*"]
+                )
+                sound |= {f"10.0.0.{name}"} if is_sound else set()
+            for _ in range(20):
+                named = set(self.peers_of(5))
+                wanted = min(len(sound), entry_peers.PEER_COUNT)
+                self.assertGreaterEqual(len(named & sound), wanted // 2)
+
 
 class PeersTest(unittest.TestCase):
     def setUp(self):
