Find an entry that reaches a target by asking several at a time

Cause: knowledge that only requests corrected. An entry learnt of its own cut one target at a time, and not at all without requests; so it went on being named and asked. What it learnt of another entry it forgot after 1 s, the time between two of its requests. After a cut each link stayed lost until a request came for it. Beside that, an entry whose own network refuses connections confirmed crashes of targets to others, and ejected targets for its own lost links. Change: links are looked at by service, by data centre and as a whole; one lost link has a few others tried, quiet entries try one link each 1.5 s, and lost links are tried without requests. An entry that has just reached a target is used again; else up to twelve are asked, four at a time, whether they can connect to it, while the leader is asked for others. Late answers count as well. A target that none reaches is refused at once for 0.5 s. Only an entry whose network is not suspect says that a target refuses connections. Connecting takes at most a quarter of the time left. Messages keep their form. In test_forwarding_proxy time limits are long now, as all entries and targets of a test share a process that may stand still; one test uses an entry that is known to reach targets, so that its 0.2 s are for the target alone.

--- a/endivesill/forwarding/entry_network.py
+++ b/endivesill/forwarding/entry_network.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Container
+from collections.abc import Mapping
 
 from endivesill.fleet.entry_peers import EntryPeer
+from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.protocol import EngineProtocol
 from endivesill.forwarding.proxy_client import ProxyClient
 from endivesill.forwarding.proxy_peers import ProxyPeers
 from endivesill.forwarding.proxy_service import ProxyService
 from endivesill.forwarding.target_client import TargetClient
-from endivesill.forwarding.target_links import TargetLinks
+from endivesill.forwarding.target_links import CHECK_PERIOD_S, TargetLinks
 from endivesill.forwarding.targets import TargetTable
 from endivesill.http1 import ConnectionPool
 from endivesill.timer import TimerService
@@ -63,7 +64,8 @@
         self._entry_peers.on_peers = self._update_peers
         self._peers = ProxyPeers(timer, own.data_centre, random_source)
         self._proxy = ProxyClient(timer, pool, self._peers)
-        self.links = TargetLinks(timer, pool)
+        self._proxy.search.on_search = self._request_peers
+        self.links = TargetLinks(timer, pool, random_source)
         self.links.on_change = self._report_links
         self.client = TargetClient(timer, pool, self.links, self._proxy)
         self.service = ProxyService(
@@ -74,17 +76,22 @@
         """Start listening for other entries."""
         await self.service.listener.start()
         self._timer.call_every(PRUNE_PERIOD_S, self._pool.prune)
+        self._timer.call_every(CHECK_PERIOD_S, self.links.check)
 
     def _update_peers(self) -> None:
         self._peers.update(self._entry_peers.peers)
 
     def _report_links(self) -> None:
-        self._entry_peers.set_lost(self.links.lost)
-        self._table.on_broken()
+        if self._entry_peers.set_lost(self.links.unreached()):
+            self._table.on_broken()
 
-    def retain(self, incarnations: Container[str]) -> None:
-        """Forget the targets that are not among these."""
-        self.links.retain(incarnations)
+    def _request_peers(self) -> None:
+        if self._entry_peers.request_peers():
+            self._table.on_broken()
+
+    def update(self, engines: Mapping[str, EngineInfo]) -> None:
+        """Replace the listed targets."""
+        self.links.update(engines)
 
     def gauges(self) -> dict[str, float]:
         """Return the metrics by name."""
@@ -92,6 +99,7 @@
             "target_connects_total": self._pool.connect_attempts,
             "target_links_lost": len(self.links.lost),
             "proxy_peers_age_seconds": self._peers.age_s(),
+            "proxy_searches_total": self._proxy.search.searches,
             "proxied_by_others_total": self._proxy.proxied,
             "proxied_for_others_total": self.service.proxied,
         }
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -340,7 +340,9 @@
     def _record_failure(self, call: Call, target: Target, error: AttemptError) -> None:
         failure = error.failure
         if failure is Failure.NO_CONNECTION:
-            self._table.note_no_connection(target, str(error))
+            # Where the own network is the cause, the target is as good as others.
+            if not self._client.links.is_network_suspect(target.info):
+                self._table.note_no_connection(target, str(error))
             self._client.close_idle(target.info)
         elif failure is Failure.WRONG_TARGET:
             self._table.note_replaced(target)
--- a/endivesill/forwarding/proxy_client.py
+++ b/endivesill/forwarding/proxy_client.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from endivesill import errors, events
 from endivesill.forwarding.events import PROXY_FAILED, TARGET_UNCHECKED
 from endivesill.forwarding.proxy_messages import (
@@ -16,6 +18,7 @@
     encode_proxy_request,
 )
 from endivesill.forwarding.proxy_peers import ProxyPeers
+from endivesill.forwarding.proxy_search import Answer, ProxySearch, SearchResult
 from endivesill.http1 import (
     ConnectionPool,
     ResponseHead,
@@ -29,16 +32,13 @@
 
 __all__ = ["ProxyClient", "ProxiedBody"]
 
-# Entries that one request is handed to, one after the other. The first one may have
-# lost its links as well.
+# Entries that one request is handed to, one after the other. One that has reached a
+# target a few seconds ago may have lost its links since.
 MAX_PEERS = 3
-# Time after which no further entry is tried: each may need its time to find that its
-# own link hangs, and the caller may be better served by another target.
-MAX_TRY_S = 0.1
 # Connecting to another VM takes a few milliseconds.
 CONNECT_TIMEOUT_S = 0.15
 # Time that the check of a target through one entry may take.
-CHECK_TIMEOUT_S = 0.5
+CHECK_TIMEOUT_S = 0.4
 
 
 class ProxiedBody:
@@ -110,6 +110,8 @@
       peers: the entries.
 
     Attributes:
+      peers: the argument.
+      search: finds entries that reach a target.
       proxied: number of requests handed over so far.
     """
 
@@ -119,6 +121,7 @@
         self._timer = timer
         self._pool = pool
         self.peers = peers
+        self.search = ProxySearch(timer, peers, self.ask)
         self.proxied = 0
 
     async def send(
@@ -130,7 +133,8 @@
     ) -> tuple[ProxiedBody, ResponseHead]:
         """Send a request and wait for the head of its response.
 
-        An entry that has not sent the request is followed by another one.
+        It goes to an entry that has just reached a target, or else to one that says it
+        reaches this one. An entry that has not sent it is followed by another one.
 
         Args:
           request: the target and what the proxy must know.
@@ -146,15 +150,23 @@
           ProxyLostError: the proxy failed; the target may run the request.
           SendError: the target has not responded, as far as the entry knows.
         """
-        started_s = self._timer.now_s()
+        ends_s = self._timer.now_s() + request.timeout_s
         tried: list[str] = []
         failure: UpstreamError = ProxyUnavailableError("no other entry", sent=False)
         while len(tried) < MAX_PEERS:
             peer = self.peers.choose(tried)
+            if peer is None:
+                found = await self.search.find(
+                    request.address, request.incarnation, tried
+                )
+                peer = found.peer
+                if peer is None and found.is_answered:
+                    failure = _not_reached(found)
             if peer is None:
                 break
             tried.append(peer)
             tried_s = self._timer.now_s()
+            request = attrs.evolve(request, timeout_s=max(0.0, ends_s - tried_s))
             try:
                 result = await self._send_to(
                     peer, request, encode, may_start, on_started
@@ -166,27 +178,27 @@
             except SendError as error:
                 if error.failure is not SendFailure.NO_CONNECTION:
                     raise
+                self.peers.avoid(peer)
                 failure = error
             else:
-                # What these did not reach, another entry does.
-                for other in tried[:-1]:
-                    self.peers.avoid(other)
+                self.peers.note_reached(peer)
                 return result
-            events.emit(
-                PROXY_FAILED,
-                request_id=request.attempt_id,
-                peer=peer,
-                target=request.incarnation,
-                reason=str(failure),
-                duration_s=round(self._timer.now_s() - tried_s, 3),
-                peers_age_s=self.peers.age_s(),
-            )
-            if self._timer.now_s() - started_s > MAX_TRY_S:
-                # Its link may hang as well.
-                self.peers.avoid(peer)
-                break
+            self._log_failed(peer, request, failure, tried_s)
         raise failure
 
+    def _log_failed(
+        self, peer: str, request: ProxyRequest, failure: UpstreamError, tried_s: float
+    ) -> None:
+        events.emit(
+            PROXY_FAILED,
+            request_id=request.attempt_id,
+            peer=peer,
+            target=request.incarnation,
+            reason=str(failure),
+            duration_s=round(self._timer.now_s() - tried_s, 3),
+            peers_age_s=self.peers.age_s(),
+        )
+
     async def _send_to(
         self,
         peer: str,
@@ -226,22 +238,40 @@
         self.proxied += 1
         return body, target_head
 
-    async def check(self, address: str, incarnation: str) -> bool | None:
-        """Return whether another entry can connect to a target.
-
-        Returns:
-          False if the target's host refuses the connection; None if it is not known.
-        """
+    async def ask(self, peer: str, address: str, incarnation: str) -> Answer:
+        """Ask an entry whether it can connect to a target."""
         request = ProxyRequest(
             address, incarnation, "", 0.0, CHECK_TIMEOUT_S, is_order=True, is_check=True
         )
-        sending = self.send(request, bytes, lambda: True, lambda: None)
+        sending = self._send_to(peer, request, bytes, lambda: True, lambda: None)
         try:
             body, _ = await self._timer.wait_for(sending, CHECK_TIMEOUT_S)
         except SendError as error:
-            return False if error.is_refused else None
+            return Answer.REFUSED if error.is_refused else Answer.UNREACHED
         except (UpstreamError, errors.DeadlineExceededError) as error:
-            events.emit(TARGET_UNCHECKED, target=incarnation, reason=str(error))
-            return None
+            events.emit(
+                TARGET_UNCHECKED, target=incarnation, peer=peer, reason=str(error)
+            )
+            return Answer.UNAVAILABLE
         body.release()
-        return True
+        return Answer.REACHED
+
+    async def check(self, address: str, incarnation: str) -> bool | None:
+        """Return whether another entry can connect to a target.
+
+        Returns:
+          False if the target's host refuses the connection; None if it is not known.
+        """
+        result = await self.search.find(address, incarnation)
+        if result.peer is not None:
+            return True
+        return False if result.is_refused else None
+
+
+def _not_reached(result: SearchResult) -> SendError:
+    """Return the error for a target that no other entry reaches either."""
+    return SendError(
+        SendFailure.NO_CONNECTION,
+        "no other entry reaches the target",
+        is_refused=result.is_refused,
+    )
--- a/endivesill/forwarding/proxy_service.py
+++ b/endivesill/forwarding/proxy_service.py
@@ -102,9 +102,6 @@
             self._fail(exchange, request, None)
         elif not self._may_start(request, target):
             self._fail(exchange, request, SendFailure.NOT_STARTED)
-        elif self._links.is_lost(target.info) and not request.is_check:
-            self._links.try_again(target.info)
-            self._fail(exchange, request, SendFailure.NO_CONNECTION)
         else:
             task = asyncio.current_task()
             assert task is not None
@@ -137,6 +134,9 @@
         if request.is_check:
             await self._check(exchange, request, target)
             return
+        if not await self._links.is_reached(target.info):
+            self._fail(exchange, request, SendFailure.NO_CONNECTION)
+            return
         try:
             connection, head = await send_request(
                 self._pool,
@@ -181,16 +181,16 @@
     async def _check(
         self, exchange: Exchange, request: ProxyRequest, target: Target
     ) -> None:
-        """Say whether a new connection to a target can be established."""
-        try:
-            connection = await self._pool.acquire(
-                target.info.address, 0, CONNECT_TIMEOUT_S
-            )
-        except UpstreamError as error:
+        """Say whether a connection to a target can be established."""
+        info = target.info
+        error = await self._links.connect(info)
+        if error is not None:
+            # Where this VM's network refuses, the target may well run.
+            is_alone = not self._links.is_network_suspect(info)
             failure = SendFailure.NO_CONNECTION
-            self._fail(exchange, request, failure, is_refused=error.is_refused)
+            is_refused = error.is_refused and is_alone
+            self._fail(exchange, request, failure, is_refused=is_refused)
             return
-        self._pool.release(connection)
         exchange.start(200, response_headers(ResponseHead(204, [], True)))
         exchange.finish(complete_trailer())
 
--- a/endivesill/forwarding/target_client.py
+++ b/endivesill/forwarding/target_client.py
@@ -30,6 +30,9 @@
 MAX_SKIPPED_RESPONSES = 2
 # Time without a byte of a target after which its link is tried with a new connection.
 SILENCE_S = 0.25
+# Part of the time left in which a connection must be established, and its least value.
+MAX_CONNECT_FRACTION = 0.25
+MIN_CONNECT_TIMEOUT_S = 0.1
 
 
 class ResponseBody(Protocol):
@@ -176,8 +179,7 @@
 
     def _prefers_proxy(self, info: EngineInfo) -> bool:
         """Return whether another entry is asked first; tries the own link beside it."""
-        is_lost = self.links.is_lost(info)
-        if not (is_lost or self.links.is_network_suspect()):
+        if not self.links.is_suspect(info):
             return False
         self.links.try_again(info)
         return self._proxy.peers.has_usable()
@@ -206,6 +208,7 @@
                 max_foreign_responses=MAX_SKIPPED_RESPONSES,
                 on_head=on_head,
                 no_body=options.no_body,
+                connect_timeout_s=self._connect_timeout_s(options),
             )
         except SendError as error:
             if error.failure is SendFailure.NO_CONNECTION:
@@ -216,6 +219,12 @@
         body = _DirectBody(self._pool, connection, lambda: self.links.note_heard(info))
         return body, head
 
+    def _connect_timeout_s(self, options: SendOptions) -> float:
+        """Return how long to wait for a connection; other ways need time as well."""
+        remaining_s = options.deadline_s - self._timer.now_s()
+        share_s = max(MIN_CONNECT_TIMEOUT_S, MAX_CONNECT_FRACTION * remaining_s)
+        return min(self._pool.connect_timeout_s, share_s)
+
     async def _send_by_proxy(
         self, info: EngineInfo, encode: Callable[[], bytes], options: SendOptions
     ) -> tuple[ResponseBody, ResponseHead]:
--- a/endivesill/forwarding/target_links.py
+++ b/endivesill/forwarding/target_links.py
@@ -1,13 +1,17 @@
-"""Which targets this entry reaches over its own connections, learnt from traffic.
+"""Which targets this entry reaches over its own connections.
 
-A link is lost once a connection to its target fails. While requests for the target
-come, new connections are tried beside them until one succeeds.
+A link is lost once a connection to its target fails. Links of one service, of one data
+centre, or all of them are often lost together, so two lost links make the others of
+such a group suspect until one of its targets sends something. Requests show most of
+this; where there are none, connections are tried, so that what is known is never older
+than a few seconds.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Container
+import random
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -17,15 +21,29 @@
 from endivesill.http1 import ConnectionPool, UpstreamError
 from endivesill.timer import TimerService
 
-__all__ = ["TargetLinks"]
+__all__ = ["CHECK_PERIOD_S", "TargetLinks"]
 
 # Shortest time between two trials of a link.
 TRIAL_PERIOD_S = 0.5
-# Links lost, with no byte from any target since the first of them, from which on the
-# cause is this entry's network and not the targets.
+# Longest time between two trials of a lost link for which no request comes. The target
+# itself may be down.
+MAX_TRIAL_PERIOD_S = 4.0
+# Links lost, with no byte from any target of the group since the first of them, from
+# which on the cause is this entry's network and not the targets.
 MIN_LOST_LINKS = 2
 # A byte from any target within this time shows that this entry's network works.
 FRESH_S = 0.25
+# Period of `check`.
+CHECK_PERIOD_S = 0.5
+# Time without a byte from any target after which a link is tried without requests.
+QUIET_S = 1.5
+# Lost links that are tried at a time without requests.
+MAX_TRIALS = 4
+# Mean time from a regained link to the trial of the next one. Many entries regain their
+# links at the same time, and a target takes about a millisecond for a new connection.
+REGAIN_INTERVAL_S = 0.1
+# Links that are tried when one was lost, to learn whether it is alone.
+CONFIRMING_TRIALS = 4
 
 
 @attrs.define
@@ -33,14 +51,36 @@
     """A link that is lost.
 
     Attributes:
-      identity: the target, for logs.
+      info: the target.
       since_s: when it was lost.
-      next_trial_s: when a connection may be tried again.
+      next_trial_s: when a connection may be tried again for a request.
+      next_check_s: when one is tried again without a request.
+      failed_trials: trials that have failed since it was lost.
     """
 
-    identity: str
+    info: EngineInfo
     since_s: float
     next_trial_s: float
+    next_check_s: float
+    failed_trials: int = 0
+
+
+@attrs.define(eq=False)
+class _Group:
+    """Links that may be lost together.
+
+    Attributes:
+      lost: how many of them are lost.
+      losing_since_s: when the first of those was lost.
+      heard_s: when the last byte came from any of its targets.
+    """
+
+    lost: int = 0
+    losing_since_s: float = float("-inf")
+    heard_s: float = float("-inf")
+
+    def is_suspect(self) -> bool:
+        return self.lost >= MIN_LOST_LINKS and self.heard_s < self.losing_since_s
 
 
 class TargetLinks:
@@ -49,51 +89,117 @@
     Args:
       timer: the timer service.
       pool: connections to targets.
+      random_source: chooses links to try.
 
     Attributes:
-      on_change: called when a link was lost or regained.
+      on_change: called when what `unreached` returns may have changed.
     """
 
-    def __init__(self, timer: TimerService, pool: ConnectionPool) -> None:
+    def __init__(
+        self,
+        timer: TimerService,
+        pool: ConnectionPool,
+        random_source: random.Random | None = None,
+    ) -> None:
         self._timer = timer
         self._pool = pool
+        self._random = random_source or random.Random()
+        self._targets: dict[str, EngineInfo] = {}
         self._lost: dict[str, _LostLink] = {}
         self._heard_s: dict[str, float] = {}
-        self._last_heard_s = float("-inf")
-        # When the first of the links that are lost now was lost.
-        self._losing_since_s = float("-inf")
+        self._all = _Group()
+        self._services: dict[str, _Group] = {}
+        self._data_centres: dict[str, _Group] = {}
         # Trials of links that are not known as lost: when the next one may start.
         self._next_check_s: dict[str, float] = {}
-        self._trials: dict[str, asyncio.Task[None]] = {}
+        self._trials: dict[str, asyncio.Task[UpstreamError | None]] = {}
         self.on_change: Callable[[], None] = lambda: None
 
+    def update(self, engines: Mapping[str, EngineInfo]) -> None:
+        """Replace the listed targets; what is known of others is forgotten."""
+        self._targets = dict(engines)
+        for kept in (self._heard_s, self._next_check_s):
+            for incarnation in kept.keys() - engines.keys():
+                del kept[incarnation]
+        gone = self._lost.keys() - engines.keys()
+        for incarnation in gone:
+            self._remove(incarnation)
+        if gone:
+            self.on_change()
+
+    def _groups(self, info: EngineInfo) -> tuple[_Group, _Group, _Group]:
+        """Return the groups of a target: its service, its data centre, and all."""
+        service = self._services.get(info.service)
+        if service is None:
+            service = self._services[info.service] = _Group()
+        data_centre = self._data_centres.get(info.data_centre)
+        if data_centre is None:
+            data_centre = self._data_centres[info.data_centre] = _Group()
+        return service, data_centre, self._all
+
+    # State.
+
     @property
     def lost(self) -> list[str]:
         """The incarnations to which the link is lost."""
         return list(self._lost)
 
-    def retain(self, incarnations: Container[str]) -> None:
-        """Forget the targets that are not among these."""
-        for kept in (self._lost, self._heard_s, self._next_check_s):
-            for incarnation in [key for key in kept if key not in incarnations]:
-                del kept[incarnation]
+    def unreached(self) -> list[str]:
+        """Return the listed incarnations to which the link is lost or suspect."""
+        if not self._lost:
+            return []
+        return [key for key, info in self._targets.items() if self.is_suspect(info)]
+
+    def is_lost(self, info: EngineInfo) -> bool:
+        """Return whether the link to a target is lost."""
+        return info.incarnation in self._lost
+
+    def is_suspect(self, info: EngineInfo) -> bool:
+        """Return whether the link to a target is lost, or likely to be."""
+        if info.incarnation in self._lost:
+            return True
+        return bool(self._lost) and self.is_network_suspect(info)
+
+    def is_network_suspect(self, info: EngineInfo) -> bool:
+        """Return whether this entry's network is the likely cause of lost links.
+
+        Args:
+          info: a target; its service, its data centre and all targets are looked at.
+        """
+        return any(group.is_suspect() for group in self._groups(info))
+
+    def may_be_alone(self) -> bool:
+        """Return whether other entries may reach what this one does not.
+
+        Not so if targets answer this entry and just one of them does not.
+        """
+        is_fresh = self._timer.now_s() - self._all.heard_s < FRESH_S
+        return len(self._lost) >= MIN_LOST_LINKS or not is_fresh
+
+    # Observations.
 
     def note_heard(self, info: EngineInfo) -> None:
         """Record bytes of a target on a connection of this entry."""
-        self._last_heard_s = self._timer.now_s()
-        self._heard_s[info.incarnation] = self._last_heard_s
+        now_s = self._timer.now_s()
+        self._heard_s[info.incarnation] = now_s
+        for group in self._groups(info):
+            group.heard_s = now_s
 
     def note_lost(self, info: EngineInfo, reason: str) -> None:
         """Record that no connection to a target can be established."""
         now_s = self._timer.now_s()
-        next_trial_s = now_s + TRIAL_PERIOD_S
         link = self._lost.get(info.incarnation)
         if link is not None:
-            link.next_trial_s = next_trial_s
+            link.failed_trials += 1
+            link.next_trial_s = now_s + TRIAL_PERIOD_S
+            link.next_check_s = now_s + self._check_period_s(link)
             return
-        if not self._lost:
-            self._losing_since_s = now_s
-        self._lost[info.incarnation] = _LostLink(info.identity, now_s, next_trial_s)
+        next_s = now_s + TRIAL_PERIOD_S
+        self._lost[info.incarnation] = _LostLink(info, now_s, next_s, next_s)
+        for group in self._groups(info):
+            if not group.lost:
+                group.losing_since_s = now_s
+            group.lost += 1
         self._pool.close_idle(info.address)
         events.emit(
             TARGET_LINK_LOST,
@@ -102,64 +208,141 @@
             lost=len(self._lost),
             heard_age_s=self._heard_age_s(),
         )
+        for other in self._confirming(info):
+            self.try_again(other)
         self.on_change()
 
+    def _check_period_s(self, link: _LostLink) -> float:
+        if self.is_network_suspect(link.info):
+            return TRIAL_PERIOD_S
+        return min(MAX_TRIAL_PERIOD_S, TRIAL_PERIOD_S * 2**link.failed_trials)
+
+    def _remove(self, incarnation: str) -> None:
+        link = self._lost.pop(incarnation)
+        for group in self._groups(link.info):
+            group.lost -= 1
+
     def _heard_age_s(self) -> float | None:
         """Return the time since the last byte of any target; None without one."""
-        age_s = self._timer.now_s() - self._last_heard_s
+        age_s = self._timer.now_s() - self._all.heard_s
         return None if age_s == float("inf") else round(age_s, 3)
 
-    def is_lost(self, info: EngineInfo) -> bool:
-        """Return whether the link to a target is lost."""
-        return info.incarnation in self._lost
-
-    def is_network_suspect(self) -> bool:
-        """Return whether the cause of lost links is likely this entry's network."""
-        return (
-            len(self._lost) >= MIN_LOST_LINKS
-            and self._last_heard_s < self._losing_since_s
-        )
-
-    def may_be_alone(self) -> bool:
-        """Return whether other entries may reach what this one does not.
-
-        Not so if targets answer this entry and just one of them does not.
-        """
-        is_fresh = self._timer.now_s() - self._last_heard_s < FRESH_S
-        return len(self._lost) >= MIN_LOST_LINKS or not is_fresh
-
     def check_silent(self, info: EngineInfo, since_s: float) -> None:
         """Try a new connection to a target that has sent nothing since a time."""
         if self._heard_s.get(info.incarnation, float("-inf")) < since_s:
             self.try_again(info)
 
+    # Trials.
+
+    def check(self) -> None:
+        """Try links that no request tries; called periodically."""
+        now_s = self._timer.now_s()
+        due = [link for link in self._lost.values() if link.next_check_s <= now_s]
+        for link in sorted(due, key=lambda link: link.next_check_s)[:MAX_TRIALS]:
+            self._start_trial(link.info)
+        is_quiet = now_s - self._all.heard_s >= QUIET_S
+        if is_quiet and not self._lost and self._targets:
+            self.try_again(self._random.choice(list(self._targets.values())))
+
+    def _confirming(self, info: EngineInfo) -> list[EngineInfo]:
+        """Return targets that show whether a lost link is alone.
+
+        They are of groups from which nothing has come lately: first of the service of
+        the lost one, and if that is so for all targets, of any.
+        """
+        oldest_s = self._timer.now_s() - FRESH_S
+        service, _, every = self._groups(info)
+        others = [
+            other
+            for key, other in self._targets.items()
+            if key not in self._lost and key not in self._trials
+        ]
+        self._random.shuffle(others)
+        of_service = [other for other in others if other.service == info.service]
+        chosen: list[EngineInfo] = []
+        if service.heard_s < oldest_s:
+            chosen = of_service[: CONFIRMING_TRIALS // 2]
+        if every.heard_s < oldest_s:
+            rest = [other for other in others if other not in chosen]
+            chosen += rest[: CONFIRMING_TRIALS - len(chosen)]
+        return chosen
+
     def try_again(self, info: EngineInfo) -> None:
         """Try a new connection to a target, unless one was tried just now."""
+        if self._is_trial_due(info):
+            self._start_trial(info)
+
+    def _is_trial_due(self, info: EngineInfo) -> bool:
         key = info.incarnation
-        now_s = self._timer.now_s()
         link = self._lost.get(key)
         due_s = self._next_check_s.get(key, 0.0) if link is None else link.next_trial_s
-        if key in self._trials or now_s < due_s:
-            return
-        self._next_check_s[key] = now_s + TRIAL_PERIOD_S
+        return self._timer.now_s() >= due_s
+
+    def _start_trial(self, info: EngineInfo) -> asyncio.Task[UpstreamError | None]:
+        key = info.incarnation
+        running = self._trials.get(key)
+        if running is not None:
+            return running
+        self._next_check_s[key] = self._timer.now_s() + TRIAL_PERIOD_S
         task = asyncio.ensure_future(self._try(info))
         self._trials[key] = task
         task.add_done_callback(lambda task: self._trials.pop(key, None))
+        return task
+
+    async def is_reached(self, info: EngineInfo) -> bool:
+        """Return whether a target is likely reached; a suspect link is tried first."""
+        if not self.is_suspect(info):
+            return True
+        if info.incarnation not in self._trials and not self._is_trial_due(info):
+            return False
+        return await asyncio.shield(self._start_trial(info)) is None
+
+    async def connect(self, info: EngineInfo) -> UpstreamError | None:
+        """Try a new connection to a target now; return why that has failed.
+
+        Where a host refuses the connection, other links are tried as well, so that
+        `is_network_suspect` tells whether the refusal comes from the network.
+        """
+        error = await asyncio.shield(self._start_trial(info))
+        if error is not None and error.is_refused:
+            others = self._confirming(info)
+            await asyncio.gather(
+                *(asyncio.shield(self._start_trial(other)) for other in others)
+            )
+        return error
 
-    async def _try(self, info: EngineInfo) -> None:
+    async def _try(self, info: EngineInfo) -> UpstreamError | None:
         try:
             connection = await self._pool.acquire(info.address, 0)
         except UpstreamError as error:
             self.note_lost(info, str(error))
-            return
+            return error
         self._pool.release(connection)
+        self._note_connected(info)
+        return None
+
+    def _note_connected(self, info: EngineInfo) -> None:
         self.note_heard(info)
-        link = self._lost.pop(info.incarnation, None)
+        if not self._lost:
+            return
+        link = self._lost.get(info.incarnation)
         if link is not None:
+            self._remove(info.incarnation)
             events.emit(
                 TARGET_LINK_REGAINED,
-                target=link.identity,
+                target=info.identity,
                 lost_s=round(self._timer.now_s() - link.since_s, 3),
                 lost=len(self._lost),
             )
-            self.on_change()
+            # Links that were lost together come back together.
+            delay_s = self._random.uniform(0.5, 1.5) * REGAIN_INTERVAL_S
+            self._timer.call_after(delay_s, lambda: self._try_next(info))
+        self.on_change()
+
+    def _try_next(self, regained: EngineInfo) -> None:
+        """Try the lost link that is likeliest to be back, if there is one."""
+        links = [link for key, link in self._lost.items() if key not in self._trials]
+        if links:
+            service = regained.service
+            next_link = min(links, key=lambda k: (k.info.service != service, k.since_s))
+            self._start_trial(next_link.info)
--- a/endivesill/http1/pool.py
+++ b/endivesill/http1/pool.py
@@ -31,6 +31,7 @@
       source_host: local IP address of the connections; empty for the system's choice.
 
     Attributes:
+      connect_timeout_s: the argument.
       connect_attempts: number of connection attempts so far.
     """
 
@@ -43,7 +44,7 @@
     ) -> None:
         self._timer = timer
         self._source = (source_host, 0) if source_host else None
-        self._connect_timeout_s = connect_timeout_s
+        self.connect_timeout_s = connect_timeout_s
         self._max_idle_s = max_idle_s
         self._idle: dict[str, list[UpstreamConnection]] = {}
         self._tls: ssl.SSLContext | None = None
@@ -91,7 +92,7 @@
         )
         try:
             _, connection = await self._timer.wait_for(
-                connecting, connect_timeout_s or self._connect_timeout_s
+                connecting, connect_timeout_s or self.connect_timeout_s
             )
         except (OSError, errors.DeadlineExceededError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -178,7 +178,7 @@
             self._apply_configuration(view.document)
         if "engines" in updates:
             self._table.update_engines()
-            self._network.retain(view.engines)
+            self._network.update(view.engines)
         if "ejections" in updates:
             self._table.apply_ejections(view.ejections)
         self._table.update_loads(view.remote_loads)
--- a/tests/test_forwarding_proxy.py
+++ b/tests/test_forwarding_proxy.py
@@ -1,11 +1,12 @@
 """Tests of requests to targets that this entry does not reach."""
 
 import asyncio
+from unittest import mock
 
 from endivesill.fleet.entry_peers import EntryPeer
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.sync_client import FleetView
-from endivesill.forwarding import target_links
+from endivesill.forwarding import proxy_client, proxy_search, target_links
 from endivesill.forwarding.proxy_messages import ProxyRequest, encode_proxy_request
 from endivesill.forwarding.proxy_service import ProxyService
 from endivesill.forwarding.target_links import TargetLinks
@@ -14,6 +15,11 @@
 from endivesill.platform.engines import PlatformProtocol
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 
+# All entries and targets share a process, which may not be scheduled for a second.
+PATIENCE_S = 10.0
+# Time after which connecting to a target that does not answer has failed.
+HANG_S = 0.1
+
 
 class CutPool(ConnectionPool):
     """Connections of an entry that has no links to some addresses.
@@ -26,7 +32,7 @@
     """
 
     def __init__(self, timer) -> None:
-        super().__init__(timer, 0.1, 3.0)
+        super().__init__(timer, PATIENCE_S, 3.0)
         self.refused: set[str] = set()
         self.hanging: set[str] = set()
         self.silent: set[str] = set()
@@ -37,11 +43,11 @@
         if address in self.refused:
             raise UpstreamError(f"{address}: refused", sent=False, is_refused=True)
         if address in self.hanging:
-            await asyncio.sleep(connect_timeout_s or 0.1)
+            await asyncio.sleep(HANG_S)
             raise UpstreamError(f"{address}: timeout", sent=False)
         if address in self.silent:
             await asyncio.Event().wait()
-        return await super()._connect(address, connect_timeout_s)
+        return await super()._connect(address, PATIENCE_S)
 
 
 class OtherEntry:
@@ -80,6 +86,14 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
+        for module, name in (
+            (proxy_client, "CONNECT_TIMEOUT_S"),
+            (proxy_client, "CHECK_TIMEOUT_S"),
+            (proxy_search, "MAX_SEARCH_S"),
+        ):
+            patch = mock.patch.object(module, name, PATIENCE_S)
+            patch.start()
+            self.addCleanup(patch.stop)
         self.pool.close()
         self.pool = CutPool(self.timer)
         self.links._pool = self.client._pool = self.client._proxy._pool = self.pool
@@ -185,6 +199,9 @@
         await self.wait_until(lambda: self.app.cancelled_requests)
 
     async def test_the_end_of_the_deadline_reaches_the_target(self):
+        # The other entry is known to reach targets, so that only the target takes time.
+        await self.send_plain()
+        self.app.requests.clear()
         self.app.is_hanging = True
         self.assertEqual(504, (await self.send_plain("/short/x"))[0])
         await self.wait_until(lambda: self.app.cancelled_requests)
