Write on after a lack of space that is reported late

What operators of a similar system saw: disks of control VMs were full for seconds each, one after another; long after, changes were refused or stayed unanswered. Cause: only a failed write was taken for a lack of space. At a sync, in cutting off an incomplete record, in adding or removing a file, and under a size limit it ended all writing of a replica until its restart, so that each disk in turn cost one more voter. Change: the log cleans up before the next write, and a lack of space there delays it; what was not synced is written again from memory. EFBIG counts as a lack of space. The form of the files stays.

--- a/endivesill/control/disk.py
+++ b/endivesill/control/disk.py
@@ -24,6 +24,8 @@
 LOCK_NAME = "lock"
 TEMPORARY_SUFFIX = ".tmp"
 FILE_MODE = 0o600
+# No space left, quota used up, and file larger than its limit.
+NO_SPACE_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
 class Disk:
@@ -221,12 +223,12 @@
     """Call a function and convert its OSError to a StorageError.
 
     Raises:
-      DiskFullError: there is no space or the quota is used up.
+      DiskFullError: there is no space, or a quota or size limit is used up.
       StorageError: any other error of the operating system.
     """
     try:
         return function()
     except OSError as error:
-        if error.errno in (errno.ENOSPC, errno.EDQUOT):
+        if error.errno in NO_SPACE_ERRORS:
             raise errors.DiskFullError(f"{name}: {error}") from error
         raise errors.StorageError(f"{name}: {error}") from error
--- a/endivesill/control/log.py
+++ b/endivesill/control/log.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -71,6 +71,10 @@
         self._segment_bytes = segment_bytes
         self._entries: list[LogEntry] = []
         self._segments: list[_Segment] = []
+        # Files that are no longer part of the log, and whether the last segment may
+        # have bytes after its last synced record; see `_clean_up`.
+        self._leftovers: list[str] = []
+        self._is_unclean = False
         self._lock = asyncio.Lock()
         self._dirty = asyncio.Event()
         self._changed = Signal()
@@ -171,29 +175,43 @@
         batch = self.entries(self.synced_index + 1, self.last_index)
         if not batch:
             return
+        await self._clean_up()
         segment = await self._open_segment(batch[0].index)
         data, offsets = _encode_batch(batch, segment.size_bytes)
         try:
             self._disk.append(segment.name, data)
+            await self._disk.sync(segment.name)
         except errors.DiskFullError:
-            # Part of the batch may have been written; the file must end with a
-            # complete record.
-            await self._fatal_on_error(
-                self._disk.truncate(segment.name, segment.size_bytes)
-            )
+            # Part of the batch may have been written, or not synced.
+            self._is_unclean = True
+            await self._clean_up()
             raise
         except errors.StorageError as error:
             self.fatal_error = error
             raise
-        await self._fatal_on_error(self._disk.sync(segment.name))
         segment.offsets.extend(offsets)
         segment.size_bytes += len(data)
         self.synced_index = batch[-1].index
 
-    async def _fatal_on_error(self, operation: Awaitable[None]) -> None:
-        """Await an operation whose failure leaves the files in an unknown state."""
+    async def _clean_up(self) -> None:
+        """Remove files and bytes that are not part of the log.
+
+        The content of a file is unknown after its last synced record once a write or
+        sync has failed; that part is cut off, and written again from memory.
+
+        Raises:
+          DiskFullError: nothing may be written before this has succeeded.
+        """
         try:
-            await operation
+            while self._leftovers:
+                await self._disk.remove(self._leftovers[0])
+                del self._leftovers[0]
+            if self._is_unclean and self._segments:
+                segment = self._segments[-1]
+                await self._disk.truncate(segment.name, segment.size_bytes)
+            self._is_unclean = False
+        except errors.DiskFullError:
+            raise
         except errors.StorageError as error:
             self.fatal_error = error
             raise
@@ -205,7 +223,8 @@
         try:
             await self._disk.create(segment.name)
         except errors.StorageError:
-            await self._fatal_on_error(self._disk.remove(segment.name))
+            self._leftovers.append(segment.name)
+            await self._clean_up()
             raise
         self._segments.append(segment)
         return segment
@@ -214,25 +233,28 @@
         """Remove the entry at an index and all later ones, in memory and on disk.
 
         Raises:
-          StorageError: the files could not be truncated.
+          StorageError: the files could not be truncated. After a lack of space, this
+            is done before the next write.
         """
         async with self._lock:
             del self._entries[index - self.base_index - 1 :]
             if self.synced_index >= index:
                 self.synced_index = index - 1
-                await self._fatal_on_error(self._truncate_files(index))
+                self._truncate_segments(index)
+                await self._clean_up()
         self._notify_listeners()
 
-    async def _truncate_files(self, index: int) -> None:
+    def _truncate_segments(self, index: int) -> None:
+        # Last segment first, so that a crash leaves no gap.
         while self._segments and self._segments[-1].first_index >= index:
-            await self._disk.remove(self._segments.pop().name)
+            self._leftovers.append(self._segments.pop().name)
         if not self._segments or self._segments[-1].last_index < index:
             return
         segment = self._segments[-1]
         position = index - segment.first_index
         segment.size_bytes = segment.offsets[position]
         del segment.offsets[position:]
-        await self._disk.truncate(segment.name, segment.size_bytes)
+        self._is_unclean = True
 
     async def compact_to(self, index: int) -> None:
         """Discard synced entries up to an index that a snapshot includes.
@@ -251,8 +273,8 @@
             del self._entries[: index - self.base_index]
             self.base_index, self.base_term = index, term
             while len(self._segments) > 1 and self._segments[0].last_index <= index:
-                await self._fatal_on_error(self._disk.remove(self._segments[0].name))
-                del self._segments[0]
+                self._leftovers.append(self._segments.pop(0).name)
+            await self._clean_up()
 
     async def reset(self, index: int, term: int) -> None:
         """Discard all entries; the next entry has the index after the given one.
@@ -266,8 +288,8 @@
             self.synced_index = index
             while self._segments:
                 # Last segment first, so that a crash leaves no gap.
-                name = self._segments.pop().name
-                await self._fatal_on_error(self._disk.remove(name))
+                self._leftovers.append(self._segments.pop().name)
+            await self._clean_up()
         self._notify_listeners()
 
     async def recover(self, snapshot_index: int, snapshot_term: int) -> None:
--- a/endivesill/control/memory_disk.py
+++ b/endivesill/control/memory_disk.py
@@ -36,6 +36,7 @@
       boundaries: the number of operations started.
       stop_at_boundary: the boundary at which to stop, or None.
       full: whether writes fail with DiskFullError.
+      full_at_sync: whether syncs do, as with space that is allocated late.
       syncs: the number of completed syncs.
     """
 
@@ -48,6 +49,7 @@
         self.boundaries = 0
         self.stop_at_boundary: int | None = None
         self.full = False
+        self.full_at_sync = False
         self.syncs = 0
 
     def crash(self, seed: int | None = None) -> MemoryDisk:
@@ -103,6 +105,7 @@
         """Sync a file; see the base class."""
         if not self._enter_boundary():
             raise self._stop_error()
+        self._check_space_at_sync(name)
         self.syncs += 1
         file = self._open(name)
         file.durable = bytes(file.data)
@@ -141,9 +144,14 @@
         if self.full:
             raise errors.DiskFullError(f"{name}: no space")
 
+    def _check_space_at_sync(self, name: str) -> None:
+        if self.full_at_sync:
+            raise errors.DiskFullError(f"{name}: no space at the sync")
+
     def _sync_names(self) -> None:
         if not self._enter_boundary():
             raise self._stop_error()
+        self._check_space_at_sync("folder")
         self._durable_names = dict(self._files)
 
     def _enter_boundary(self) -> bool:
--- a/tests/test_control_recovery.py
+++ b/tests/test_control_recovery.py
@@ -198,6 +198,22 @@
         await cluster.timer.advance(3.0)
         self.assert_equal_states(cluster)
 
+    async def test_disks_that_are_full_one_after_another(self):
+        """Space is missing at a write or at a sync, never on two disks at once."""
+        for attribute in ("full", "full_at_sync"):
+            cluster = await self.start()
+            client = cluster.client()
+            await cluster.put(client, "a", 0)
+            for number, disk in enumerate(cluster.disks.values(), 1):
+                setattr(disk, attribute, True)
+                await cluster.put(client, "a", number)
+                await cluster.timer.advance(3.0)
+                setattr(disk, attribute, False)
+                await cluster.timer.advance(3.0)
+            await cluster.put(client, "last", attribute)
+            await cluster.timer.advance(3.0)
+            self.assert_equal_states(cluster)
+
     async def test_a_leader_with_an_unreadable_snapshot_gives_up_leadership(self):
         settings = attrs.evolve(SETTINGS, snapshot_entries=10, trailing_entries=0)
         cluster = await self.start(settings=settings)
--- a/tests/test_control_storage.py
+++ b/tests/test_control_storage.py
@@ -240,6 +240,37 @@
         records = read_records("log", after.read(names[0]), may_be_torn=False)
         self.assertEqual(4, len(records))
 
+    async def test_files_are_clean_after_each_lack_of_space(self):
+        """The disk is full at a sync, while files are added, cut off and removed."""
+        for step in ("append", "truncate", "reset"):
+            disk = MemoryDisk()
+            storage = ReplicaStorage(disk, SEGMENT_BYTES)
+            await storage.load()
+            log = storage.log
+            task = asyncio.ensure_future(log.run())
+            log.append(entries(1, *range(1, 31)))
+            await log.wait_synced(30)
+            disk.full_at_sync = True
+            with self.assertRaises(errors.DiskFullError):
+                if step == "truncate":
+                    await log.truncate_from(9)
+                elif step == "reset":
+                    await log.reset(40, 1)
+                else:
+                    log.append(entries(1, *range(31, 61)))
+                    await log.wait_synced(60)
+            disk.full_at_sync = False
+            first = log.last_index + 1
+            log.append(entries(2, *range(first, first + 30)))
+            await log.wait_synced(first + 29)
+            kept = log.entries(log.first_index, log.last_index)
+            task.cancel()
+            again = ReplicaStorage(disk.crash(), SEGMENT_BYTES)
+            await again.log.recover(*((40, 1) if step == "reset" else (0, 0)))
+            found = again.log.entries(again.log.first_index, again.log.last_index)
+            self.assertEqual(kept[-len(found) :], found)
+            self.assertGreaterEqual(len(found), 29)
+
 
 class GroupCommitTest(unittest.IsolatedAsyncioTestCase):
     async def test_entries_that_arrive_during_a_sync_share_the_next_one(self):
