--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -12,10 +12,11 @@
 from bench.platform_soak import Soak
 from bench.platform_soak_callers import CallRecord
 from bench.platform_soak_crashes import CrashRecords
-from bench.platform_soak_cuts import CUT, DOWN, SOUND, CutRecords
+from bench.platform_soak_cuts import CUT, DOWN, SOUND, CutRecords, entry_group
 from bench.platform_soak_faults import make_faults
 from bench.platform_soak_fleet import SoakFleet
 from bench.platform_soak_limits import LimitPeriod, LimitRecords
+from bench.platform_soak_mass_cuts import mass_cuts
 from bench.platform_soak_orders import OrderRecord
 from bench.platform_soak_profiles import make_profile
 from bench.platform_soak_stops import StopRecords
@@ -25,6 +26,7 @@
 SHORT_CRASH_S = 6.0
 SHORT_LIMIT_S = 8.0
 SHORT_CUT_S = 9.0
+SHORT_MASS_CUT_S = 10.0
 SHORT_ORDER_S = 8.0
 SHORT_ENTRY_S = 6.0
 # Above the numbers of manual runs; differs between test runs on one machine.
@@ -58,6 +60,49 @@
         self.assertEqual({"stop", "kill", "kill_leader", "kill_all_controls"}, actions)
 
 
+class MassCutScheduleTest(unittest.TestCase):
+    """Cuts of groups of 60 entries."""
+
+    def setUp(self):
+        fleet = SoakFleet(
+            pathlib.Path(self.enterContext(tempfile.TemporaryDirectory())) / "fleet",
+            FLEET_NUMBER,
+            "",
+            entries=20,
+        )
+        self.entries = fleet.with_role("entry")
+
+    def test_groups_leave_sound_entries(self):
+        for name, size in (("most", 54), ("share", 20), ("a", 20), ("even", 30)):
+            self.assertEqual(size, len(entry_group(name, self.entries)))
+
+    def test_the_halves_make_up_the_fleet(self):
+        halves = [entry_group(name, self.entries) for name in ("even", "odd")]
+        names = {entry.name for half in halves for entry in half}
+        self.assertEqual([30, 30, 60], [*map(len, halves), len(names)])
+
+    def test_each_group_is_cut_and_one_half_after_the_other(self):
+        faults = mass_cuts(3, 60.0)
+        self.assertEqual(faults, mass_cuts(3, 60.0))
+        subjects = [fault.subject for fault in faults]
+        self.assertLessEqual({"most", "share", "even", "odd"}, set(subjects))
+        even = faults[subjects.index("even")]
+        odd = faults[subjects.index("odd")]
+        self.assertEqual(even.at_s + even.for_s, odd.at_s)
+
+    def test_a_goal_above_the_bound_of_single_cuts(self):
+        cuts = CutRecords(ManualTimer(100.0), 0.95)
+        for entry, state in (("entry-a", CUT), ("entry-b", SOUND)):
+            cuts.note_state(entry, state)
+        records = [
+            CallRecord(str(n), "safe", entry, 110.0, 110.1, 200 if n % 5 else 503)
+            for entry in ("entry-a", "entry-b")
+            for n in range(100)
+            if entry == "entry-a" or n % 5
+        ]
+        self.assertEqual(1, len(cuts.check(records)[0]))
+
+
 class CheckTest(unittest.TestCase):
     def setUp(self):
         self.soak = Soak(1, 1.0)
@@ -343,6 +388,11 @@
         self.assertGreaterEqual(report["sound_requests"][0], 20)
         self.assertEqual([], report["findings"])
 
+    async def test_callers_of_many_entries_without_links_are_served(self):
+        report = await Soak(1, SHORT_MASS_CUT_S, FLEET_NUMBER, "mass-cuts", 4).run()
+        self.assertGreaterEqual(report["cut_requests"][0], 5)
+        self.assertEqual([], report["findings"])
+
     async def test_late_copies_of_orders_take_no_effect(self):
         report = await Soak(2, SHORT_ORDER_S, FLEET_NUMBER, "orders").run()
         self.assertGreater(report["orders"]["acknowledged"], 0)
