Bound the doubling of pauses after failed connections

Cause: a pause doubled without a bound on the exponent; after 1,024 failed connections in a row the float overflows, in a callback or in a request's task. A target that stays listed and refuses connections gets there in little over an hour. Change: at most three doublings, which is where the longest pause is reached.

--- a/endivesill/forwarding/target_links.py
+++ b/endivesill/forwarding/target_links.py
@@ -31,6 +31,8 @@
 # Links lost, with no byte from any target of the group since the first of them, from
 # which on the cause is this entry's network and not the targets.
 MIN_LOST_LINKS = 2
+# Doublings after which the longest time is reached.
+MAX_DOUBLINGS = 3
 # A byte from any target within this time shows that this entry's network works.
 FRESH_S = 0.25
 # Period of `check`.
@@ -219,7 +221,8 @@
     def _check_period_s(self, link: _LostLink) -> float:
         if self.is_network_suspect(link.info):
             return TRIAL_PERIOD_S
-        return min(MAX_TRIAL_PERIOD_S, TRIAL_PERIOD_S * 2**link.failed_trials)
+        doublings = min(link.failed_trials, MAX_DOUBLINGS)
+        return min(MAX_TRIAL_PERIOD_S, TRIAL_PERIOD_S * 2**doublings)
 
     def _remove(self, incarnation: str) -> None:
         link = self._lost.pop(incarnation)
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -25,6 +25,7 @@
 CONNECT_EJECTION_S = 0.5
 # The ejection doubles with each consecutive refused connection, up to this.
 MAX_CONNECT_EJECTION_S = 4.0
+MAX_CONNECT_DOUBLINGS = 3
 # Largest fraction of a service's targets that may be ejected at a time.
 MAX_EJECTED_FRACTION = 0.5
 
@@ -327,7 +328,8 @@
 
     def note_no_connection(self, target: Target, reason: str) -> None:
         """Eject a target that cannot be connected to."""
-        ejection_s = CONNECT_EJECTION_S * 2**target.refused_connections
+        doublings = min(target.refused_connections, MAX_CONNECT_DOUBLINGS)
+        ejection_s = CONNECT_EJECTION_S * 2**doublings
         target.refused_connections += 1
         if self._may_eject(target):
             ejection_s = min(ejection_s, MAX_CONNECT_EJECTION_S)
--- a/tests/test_forwarding_targets.py
+++ b/tests/test_forwarding_targets.py
@@ -266,6 +266,12 @@
         self.table.note_no_connection(target, "refused")
         self.assertEqual(0.5, target.ejected_until_s - self.timer.now_s())
 
+    def test_a_target_that_refuses_connections_for_hours(self):
+        target = self.targets[0]
+        for _ in range(2_000):
+            self.table.note_no_connection(target, "refused")
+        self.assertEqual(4.0, target.ejected_until_s - self.timer.now_s())
+
     def test_an_engine_without_reports_is_ejected(self):
         self.table.update_reports(lambda incarnation: None, {"p1@1"})
         self.assertEqual(["p1"], self.ejected())
