Tell a target that is down for all from a lost network at once

Cause: with the search among entries, a request for a target that is down waited for its own connection, for up to three entries that had reached others, and for the longest search. Change: after a failed connection, the trials that show whether it is alone are waited for, 0.02 s at most. One entry that has reached another target is tried, then a search, of 0.1 s unless the network is suspect. Entries that have just tried a lost link say so at once, with the reason. Entries that have not answered a search count as not reaching the target.

--- a/endivesill/forwarding/proxy_client.py
+++ b/endivesill/forwarding/proxy_client.py
@@ -18,7 +18,12 @@
     encode_proxy_request,
 )
 from endivesill.forwarding.proxy_peers import ProxyPeers
-from endivesill.forwarding.proxy_search import Answer, ProxySearch, SearchResult
+from endivesill.forwarding.proxy_search import (
+    MAX_SEARCH_S,
+    Answer,
+    ProxySearch,
+    SearchResult,
+)
 from endivesill.http1 import (
     ConnectionPool,
     ResponseHead,
@@ -130,6 +135,8 @@
         encode: Callable[[], bytes],
         may_start: Callable[[], bool],
         on_started: Callable[[], None],
+        *,
+        search_s: float = MAX_SEARCH_S,
     ) -> tuple[ProxiedBody, ResponseHead]:
         """Send a request and wait for the head of its response.
 
@@ -141,6 +148,7 @@
           encode: returns the encoded request for the target.
           may_start: checked before each hand-over; False cancels the request.
           on_started: called once, when the request was first handed over.
+          search_s: longest time of a search for an entry that reaches the target.
 
         Returns:
           The body, which the caller releases, and the head of the target's response.
@@ -154,10 +162,11 @@
         tried: list[str] = []
         failure: UpstreamError = ProxyUnavailableError("no other entry", sent=False)
         while len(tried) < MAX_PEERS:
-            peer = self.peers.choose(tried)
+            # If one that has reached another target fails, this target may be down.
+            peer = None if tried else self.peers.choose(tried)
             if peer is None:
                 found = await self.search.find(
-                    request.address, request.incarnation, tried
+                    request.address, request.incarnation, tried, longest_s=search_s
                 )
                 peer = found.peer
                 if peer is None and found.is_answered:
@@ -178,9 +187,11 @@
             except SendError as error:
                 if error.failure is not SendFailure.NO_CONNECTION:
                     raise
-                self.peers.avoid(peer)
                 failure = error
             else:
+                # What these did not reach, another entry does.
+                for other in tried[:-1]:
+                    self.peers.avoid(other)
                 self.peers.note_reached(peer)
                 return result
             self._log_failed(peer, request, failure, tried_s)
--- a/endivesill/forwarding/proxy_search.py
+++ b/endivesill/forwarding/proxy_search.py
@@ -16,7 +16,13 @@
 from endivesill.forwarding.proxy_peers import ProxyPeers
 from endivesill.timer import TimerService
 
-__all__ = ["Answer", "ProxySearch", "SearchResult"]
+__all__ = [
+    "MAX_SEARCH_S",
+    "SHORT_SEARCH_S",
+    "Answer",
+    "ProxySearch",
+    "SearchResult",
+]
 
 # Entries that are asked at a time, and at most.
 WAVE_SIZE = 4
@@ -27,8 +33,9 @@
 # Time for answers of further entries after the first one that reaches the target, so
 # that requests are spread over them.
 SETTLE_S = 0.005
-# Longest time of a search.
+# Longest time of a search, and of one for a target that is likely down.
 MAX_SEARCH_S = 0.3
+SHORT_SEARCH_S = 0.1
 # How long no search is made for a target that none has reached.
 UNREACHED_S = 0.5
 # Questions of one entry at a time; a burst of requests asks no more.
@@ -52,7 +59,7 @@
 
     Attributes:
       peer: an entry that reaches the target; None without one.
-      is_answered: whether an entry has said that it does not reach it.
+      is_answered: whether an entry that was asked does not reach it, or still tries.
       is_refused: whether the target's host refuses connections.
     """
 
@@ -92,7 +99,12 @@
         self.searches = 0
 
     async def find(
-        self, address: str, incarnation: str, excluded: Iterable[str] = ()
+        self,
+        address: str,
+        incarnation: str,
+        excluded: Iterable[str] = (),
+        *,
+        longest_s: float = MAX_SEARCH_S,
     ) -> SearchResult:
         """Return an entry that reaches a target.
 
@@ -100,6 +112,7 @@
           address: HOST:PORT of the target.
           incarnation: the target.
           excluded: entries that are not asked.
+          longest_s: longest time of the search.
         """
         now_s = self._timer.now_s()
         until_s, last = self._unreached.get(incarnation, (now_s, None))
@@ -107,7 +120,9 @@
             return last
         task = self._running.get(incarnation)
         if task is None:
-            task = asyncio.ensure_future(self._run(address, incarnation, set(excluded)))
+            task = asyncio.ensure_future(
+                self._run(address, incarnation, set(excluded), longest_s)
+            )
             self._running[incarnation] = task
             task.add_done_callback(lambda task: self._running.pop(incarnation))
         result = await asyncio.shield(task)
@@ -122,11 +137,11 @@
             del self._unreached[incarnation]
 
     async def _run(
-        self, address: str, incarnation: str, excluded: set[str]
+        self, address: str, incarnation: str, excluded: set[str], longest_s: float
     ) -> SearchResult:
         self.searches += 1
         self.on_search()
-        result = await self._ask_in_waves(address, incarnation, excluded)
+        result = await self._ask_in_waves(address, incarnation, excluded, longest_s)
         if result.peer is None:
             self._forget_old()
             until_s = self._timer.now_s() + UNREACHED_S
@@ -134,9 +149,9 @@
         return result
 
     async def _ask_in_waves(
-        self, address: str, incarnation: str, excluded: set[str]
+        self, address: str, incarnation: str, excluded: set[str], longest_s: float
     ) -> SearchResult:
-        ends_s = self._timer.now_s() + MAX_SEARCH_S
+        ends_s = self._timer.now_s() + longest_s
         answers: asyncio.Queue[tuple[str, Answer]] = asyncio.Queue()
         asked: list[str] = []
         seen: list[Answer] = []
@@ -151,8 +166,9 @@
             found = await self._read_answers(answers, seen, len(asked), wave_ends_s)
             if found is not None:
                 return SearchResult(found)
-        is_refused = Answer.REFUSED in seen
-        return SearchResult(None, is_refused or Answer.UNREACHED in seen, is_refused)
+        # Those that have not answered yet try links that hang.
+        is_answered = seen.count(Answer.UNAVAILABLE) < len(asked)
+        return SearchResult(None, is_answered, Answer.REFUSED in seen)
 
     async def _read_answers(
         self,
--- a/endivesill/forwarding/proxy_service.py
+++ b/endivesill/forwarding/proxy_service.py
@@ -154,7 +154,7 @@
             )
         except SendError as error:
             if error.failure is SendFailure.NO_CONNECTION:
-                self._links.note_lost(target.info, str(error))
+                self._links.note_lost(target.info, error)
             self._fail(exchange, request, error.failure, is_refused=error.is_refused)
             return
         self.proxied += 1
--- a/endivesill/forwarding/target_client.py
+++ b/endivesill/forwarding/target_client.py
@@ -10,6 +10,7 @@
 from endivesill.fleet.model import EngineInfo
 from endivesill.forwarding.proxy_client import ProxyClient
 from endivesill.forwarding.proxy_messages import ProxyRequest, ProxyUnavailableError
+from endivesill.forwarding.proxy_search import MAX_SEARCH_S, SHORT_SEARCH_S
 from endivesill.forwarding.target_links import TargetLinks
 from endivesill.http1 import (
     ConnectionPool,
@@ -168,10 +169,12 @@
         except SendError as error:
             if error.failure is not SendFailure.NO_CONNECTION:
                 raise
-            # A refusal is known at once, while a time-out takes time from the caller.
-            if not (error.is_refused or self.links.may_be_alone()):
-                raise
             direct_error = error
+        # A refusal is known at once, while a time-out has taken time from the caller.
+        if not direct_error.is_refused:
+            await self.links.settle()
+            if not self.links.may_be_alone():
+                raise direct_error
         try:
             return await self._send_by_proxy(info, encode, options)
         except ProxyUnavailableError:
@@ -212,13 +215,22 @@
             )
         except SendError as error:
             if error.failure is SendFailure.NO_CONNECTION:
-                self.links.note_lost(info, str(error))
+                self.links.note_lost(info, error)
             raise
         finally:
             check.cancel()
         body = _DirectBody(self._pool, connection, lambda: self.links.note_heard(info))
         return body, head
 
+    def _search_s(self, info: EngineInfo) -> float:
+        """Return how long to look for an entry that reaches a target.
+
+        Where the own network is sound, the target is likely down.
+        """
+        if self.links.is_network_suspect(info):
+            return MAX_SEARCH_S
+        return SHORT_SEARCH_S
+
     def _connect_timeout_s(self, options: SendOptions) -> float:
         """Return how long to wait for a connection; other ways need time as well."""
         remaining_s = options.deadline_s - self._timer.now_s()
@@ -238,7 +250,11 @@
             no_body=options.no_body,
         )
         body, head = await self._proxy.send(
-            request, encode, options.may_start, options.on_started
+            request,
+            encode,
+            options.may_start,
+            options.on_started,
+            search_s=self._search_s(info),
         )
         options.on_head(head)
         return body, head
@@ -270,7 +286,7 @@
         try:
             connection = await self._pool.acquire(info.address, 0)
         except UpstreamError as error:
-            self.links.note_lost(info, str(error))
+            self.links.note_lost(info, error)
             is_refused = error.is_refused
         else:
             self._pool.release(connection)
--- a/endivesill/forwarding/target_links.py
+++ b/endivesill/forwarding/target_links.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from endivesill import events
+from endivesill import errors, events
 from endivesill.fleet.model import EngineInfo
 from endivesill.forwarding.events import TARGET_LINK_LOST, TARGET_LINK_REGAINED
 from endivesill.http1 import ConnectionPool, UpstreamError
@@ -44,6 +44,8 @@
 # Mean time from a regained link to the trial of the next one. Many entries regain their
 # links at the same time, and a target takes about a millisecond for a new connection.
 REGAIN_INTERVAL_S = 0.1
+# Time in which a trial over a sound link ends.
+SETTLE_S = 0.02
 # Links that are tried when one was lost, to learn whether it is alone.
 CONFIRMING_TRIALS = 4
 
@@ -57,6 +59,7 @@
       since_s: when it was lost.
       next_trial_s: when a connection may be tried again for a request.
       next_check_s: when one is tried again without a request.
+      error: why the last connection has failed.
       failed_trials: trials that have failed since it was lost.
     """
 
@@ -64,6 +67,7 @@
     since_s: float
     next_trial_s: float
     next_check_s: float
+    error: UpstreamError
     failed_trials: int = 0
 
 
@@ -180,6 +184,20 @@
         is_fresh = self._timer.now_s() - self._all.heard_s < FRESH_S
         return len(self._lost) >= MIN_LOST_LINKS or not is_fresh
 
+    async def settle(self) -> None:
+        """Wait shortly for the trials that tell whether a lost link is alone."""
+        trials = [asyncio.shield(trial) for trial in self._trials.values()]
+        if not trials:
+            return
+        waiting = asyncio.wait(
+            [asyncio.ensure_future(trial) for trial in trials],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        try:
+            await self._timer.wait_for(waiting, SETTLE_S)
+        except errors.DeadlineExceededError:
+            return
+
     # Observations.
 
     def note_heard(self, info: EngineInfo) -> None:
@@ -189,19 +207,20 @@
         for group in self._groups(info):
             group.heard_s = now_s
 
-    def note_lost(self, info: EngineInfo, reason: str) -> None:
-        """Record that no connection to a target can be established."""
+    def note_lost(self, info: EngineInfo, error: UpstreamError) -> None:
+        """Record that a connection to a target could not be established."""
         now_s = self._timer.now_s()
         for group in self._groups(info):
             group.failed_s = now_s
         link = self._lost.get(info.incarnation)
         if link is not None:
+            link.error = error
             link.failed_trials += 1
             link.next_trial_s = now_s + TRIAL_PERIOD_S
             link.next_check_s = now_s + self._check_period_s(link)
             return
         next_s = now_s + TRIAL_PERIOD_S
-        self._lost[info.incarnation] = _LostLink(info, now_s, next_s, next_s)
+        self._lost[info.incarnation] = _LostLink(info, now_s, next_s, next_s, error)
         for group in self._groups(info):
             if not group.lost:
                 group.losing_since_s = now_s
@@ -210,7 +229,7 @@
         events.emit(
             TARGET_LINK_LOST,
             target=info.identity,
-            reason=reason,
+            reason=str(error),
             lost=len(self._lost),
             heard_age_s=self._heard_age_s(),
         )
@@ -326,6 +345,9 @@
         """
         if self._has_just_failed(info):
             return UpstreamError("the network of this VM is suspect", sent=False)
+        link = self._lost.get(info.incarnation)
+        if link is not None and not self._is_trial_due(info):
+            return link.error
         error = await asyncio.shield(self._start_trial(info))
         if error is not None and error.is_refused:
             others = self._confirming(info)
@@ -338,7 +360,7 @@
         try:
             connection = await self._pool.acquire(info.address, 0)
         except UpstreamError as error:
-            self.note_lost(info, str(error))
+            self.note_lost(info, error)
             return error
         self._pool.release(connection)
         self._note_connected(info)
--- a/tests/memory_entries.py
+++ b/tests/memory_entries.py
@@ -117,7 +117,7 @@
         self.proxied = 0
         self.checks = 0
         self.pool = MemoryPool(self)
-        source = random.Random(number)
+        source = self._random = random.Random(number)
         self.links = TargetLinks(timer, self.pool, source)
         self.links.update(fleet.targets)
         self._is_report_due = False
@@ -137,6 +137,8 @@
     def is_cut(self, address: str) -> bool:
         """Return whether the entry has no link to a target."""
         info = self.fleet.by_address[address]
+        if info.incarnation in self.fleet.dark:
+            return True
         return bool(self.cut_kind) and self.cut_service in ("", info.service)
 
     def poll(self) -> None:
@@ -190,7 +192,8 @@
         """
         timer = self.fleet.timer
         ends_s = timer.now_s() + deadline_s
-        targets = random.Random(self.name).sample(list(self.fleet.targets.values()), 4)
+        targets = self._random.sample(list(self.fleet.targets.values()), 4)
+        targets.sort(key=lambda info: info.incarnation not in self.fleet.dark)
 
         async def send() -> bool:
             for info in targets:
@@ -232,6 +235,8 @@
         ]
         self.targets: dict[str, EngineInfo] = {i.incarnation: i for i in infos}
         self.by_address = {info.address: info for info in infos}
+        # Targets that answer nobody.
+        self.dark: set[str] = set()
         self.peers_named = 0
         self.entries = {
             entry.address: entry
--- a/tests/test_forwarding_mass_cuts.py
+++ b/tests/test_forwarding_mass_cuts.py
@@ -101,6 +101,17 @@
         return task.result()
 
 
+class DarkTargetTest(MassCutTestCase):
+    """Targets that answer no entry, chosen before others."""
+
+    async def test_dark_targets_delay_requests_little(self):
+        await self.start(40, targets=6)
+        self.fleet.dark = {"app0@1", "llm0@1"}
+        for _ in range(4):
+            served = await self.fleet.call_all(self.entries, 0.35)
+            self.assertGreaterEqual(served, GOAL * len(self.entries))
+
+
 class HealedEntriesTest(MassCutTestCase):
     async def test_links_are_regained_without_requests(self):
         await self.start(60)
--- a/tests/test_forwarding_proxy.py
+++ b/tests/test_forwarding_proxy.py
@@ -7,7 +7,7 @@
 from endivesill.fleet.entry_peers import EntryPeer
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.sync_client import FleetView
-from endivesill.forwarding import proxy_client, proxy_search, target_links
+from endivesill.forwarding import proxy_client, target_client, target_links
 from endivesill.forwarding.proxy_messages import ProxyRequest, encode_proxy_request
 from endivesill.forwarding.proxy_service import ProxyService
 from endivesill.forwarding.target_links import TargetLinks
@@ -90,7 +90,8 @@
         for module, name in (
             (proxy_client, "CONNECT_TIMEOUT_S"),
             (proxy_client, "CHECK_TIMEOUT_S"),
-            (proxy_search, "MAX_SEARCH_S"),
+            (target_client, "MAX_SEARCH_S"),
+            (target_client, "SHORT_SEARCH_S"),
         ):
             patch = mock.patch.object(module, name, PATIENCE_S)
             patch.start()
--- a/tests/test_forwarding_target_links.py
+++ b/tests/test_forwarding_target_links.py
@@ -4,8 +4,12 @@
 import unittest
 
 from endivesill.forwarding import target_links
+from endivesill.http1 import UpstreamError
 from tests.memory_entries import HANGING, MemoryEntries
 
+REFUSED = UpstreamError("refused", sent=False, is_refused=True)
+TIMEOUT = UpstreamError("timeout", sent=False)
+
 
 class TargetLinksTest(unittest.IsolatedAsyncioTestCase):
     """An entry with two services of six targets, two of each in a data centre."""
@@ -26,9 +30,9 @@
 
     async def test_one_target_that_is_down_makes_no_other_suspect(self):
         down = self.targets[0]
-        self.links.note_lost(down, "refused")
+        self.links.note_lost(down, REFUSED)
         await self.timer.advance(1.0)
-        self.links.note_lost(down, "refused")
+        self.links.note_lost(down, REFUSED)
         self.assertEqual([down.incarnation], self.links.unreached())
 
     async def test_lost_links_of_a_service_or_data_centre_make_its_others_suspect(self):
@@ -39,7 +43,7 @@
         ):
             others = [info for info in self.targets if info not in chosen]
             for info in chosen[:2]:
-                self.links.note_lost(info, "timeout")
+                self.links.note_lost(info, TIMEOUT)
             for info in others:
                 self.links.note_heard(info)
             suspect = set(self.links.unreached())
@@ -49,20 +53,20 @@
 
     async def test_a_byte_of_a_target_ends_the_suspicion(self):
         for info in self.targets[:2]:
-            self.links.note_lost(info, "timeout")
+            self.links.note_lost(info, TIMEOUT)
         self.links.note_heard(self.targets[3])
         self.assertFalse(self.links.is_network_suspect(self.targets[-1]))
 
     async def test_a_delisted_target_is_no_lost_link(self):
         reported = []
-        self.links.note_lost(self.targets[0], "refused")
+        self.links.note_lost(self.targets[0], REFUSED)
         self.links.on_change = lambda: reported.append(self.links.unreached())
         self.links.update({info.incarnation: info for info in self.targets[1:]})
         self.assertEqual([[]], reported)
 
     async def test_a_target_that_is_down_for_hours_is_tried_seldom(self):
         for _ in range(2_000):
-            self.links.note_lost(self.targets[0], "refused")
+            self.links.note_lost(self.targets[0], REFUSED)
         attempts = self.entry.pool.attempts
         self.links.check()
         self.assertEqual(attempts, self.entry.pool.attempts)
