Notice lost links also while some targets are down

Cause: a quiet entry tried no link while one was lost, and links of a group were suspect only if nothing had come from it since the first of them was lost. One target that stays listed and down thus kept an entry from noticing that it was cut off, until a request had shown each link on its own. Change: links that were lost since the last byte of a group make it suspect; a quiet entry tries a link that is not lost.

--- a/endivesill/forwarding/target_links.py
+++ b/endivesill/forwarding/target_links.py
@@ -28,8 +28,8 @@
 # Longest time between two trials of a lost link for which no request comes. The target
 # itself may be down.
 MAX_TRIAL_PERIOD_S = 4.0
-# Links lost, with no byte from any target of the group since the first of them, from
-# which on the cause is this entry's network and not the targets.
+# Links lost, with no byte from any target of the group since, from which on the cause
+# is this entry's network and not the targets.
 MIN_LOST_LINKS = 2
 # Doublings after which the longest time is reached.
 MAX_DOUBLINGS = 3
@@ -76,19 +76,22 @@
     """Links that may be lost together.
 
     Attributes:
-      lost: how many of them are lost.
-      losing_since_s: when the first of those was lost.
-      heard_s: when the last byte came from any of its targets.
+      newly_lost: targets whose link was lost since the last byte from any of the group.
+      heard_s: when that byte came.
       failed_s: when the last connection to any of them has failed.
     """
 
-    lost: int = 0
-    losing_since_s: float = float("-inf")
+    newly_lost: set[str] = attrs.Factory(set)
     heard_s: float = float("-inf")
     failed_s: float = float("-inf")
 
+    def note_heard(self, now_s: float) -> None:
+        self.heard_s = now_s
+        if self.newly_lost:
+            self.newly_lost.clear()
+
     def is_suspect(self) -> bool:
-        return self.lost >= MIN_LOST_LINKS and self.heard_s < self.losing_since_s
+        return len(self.newly_lost) >= MIN_LOST_LINKS
 
 
 class TargetLinks:
@@ -205,7 +208,7 @@
         now_s = self._timer.now_s()
         self._heard_s[info.incarnation] = now_s
         for group in self._groups(info):
-            group.heard_s = now_s
+            group.note_heard(now_s)
 
     def note_lost(self, info: EngineInfo, error: UpstreamError) -> None:
         """Record that a connection to a target could not be established."""
@@ -222,9 +225,7 @@
         next_s = now_s + TRIAL_PERIOD_S
         self._lost[info.incarnation] = _LostLink(info, now_s, next_s, next_s, error)
         for group in self._groups(info):
-            if not group.lost:
-                group.losing_since_s = now_s
-            group.lost += 1
+            group.newly_lost.add(info.incarnation)
         self._pool.close_idle(info.address)
         events.emit(
             TARGET_LINK_LOST,
@@ -246,7 +247,7 @@
     def _remove(self, incarnation: str) -> None:
         link = self._lost.pop(incarnation)
         for group in self._groups(link.info):
-            group.lost -= 1
+            group.newly_lost.discard(incarnation)
 
     def _heard_age_s(self) -> float | None:
         """Return the time since the last byte of any target; None without one."""
@@ -266,9 +267,10 @@
         due = [link for link in self._lost.values() if link.next_check_s <= now_s]
         for link in sorted(due, key=lambda link: link.next_check_s)[:MAX_TRIALS]:
             self._start_trial(link.info)
-        is_quiet = now_s - self._all.heard_s >= QUIET_S
-        if is_quiet and not self._lost and self._targets:
-            self.try_again(self._random.choice(list(self._targets.values())))
+        if now_s - self._all.heard_s >= QUIET_S:
+            others = [i for key, i in self._targets.items() if key not in self._lost]
+            if others:
+                self.try_again(self._random.choice(others))
 
     def _confirming(self, info: EngineInfo) -> list[EngineInfo]:
         """Return targets that show whether a lost link is alone.
--- a/tests/test_forwarding_target_links.py
+++ b/tests/test_forwarding_target_links.py
@@ -28,6 +28,20 @@
         await self.timer.advance(3.0)
         self.assertEqual(set(self.fleet.targets), set(self.links.unreached()))
 
+    async def test_a_quiet_entry_learns_of_a_cut_while_targets_are_down(self):
+        self.fleet.dark = {"app0@1", "llm0@1", "llm1@1"}
+        await self.timer.advance(20.0)
+        for info in self.targets:
+            self.links.try_again(info)
+            await self.timer.advance(1.0)
+        self.assertEqual(self.fleet.dark, set(self.links.unreached()))
+        self.fleet.cut([self.entry], HANGING)
+        await self.timer.advance(3.0)
+        self.assertEqual(set(self.fleet.targets), set(self.links.unreached()))
+        self.fleet.cut([self.entry], "")
+        await self.timer.advance(10.0)
+        self.assertEqual(self.fleet.dark, set(self.links.unreached()))
+
     async def test_one_target_that_is_down_makes_no_other_suspect(self):
         down = self.targets[0]
         self.links.note_lost(down, REFUSED)
