Let a pause of the test's process be no silence of an engine

An engine that has been silent for 0.25 s has its link tried with a new connection; engine and entry share a process that stood still. Change: these tests, which count connections, have no trial for a silence.

--- a/tests/test_forwarding_faulty_engines.py
+++ b/tests/test_forwarding_faulty_engines.py
@@ -1,8 +1,10 @@
 """Tests of engines that repeat a refusal, or stop in the head of a response."""
 
 import asyncio
+from unittest import mock
 
 from endivesill.fleet.model import EngineInfo
+from endivesill.forwarding import target_client
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 
 REFUSAL = (
@@ -88,6 +90,14 @@
     and then runs the request.
     """
 
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # After a silence, which a pause of this process is as well, the link to the
+        # engine would be tried with another connection.
+        patch = mock.patch.object(target_client, "SILENCE_S", 60.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+
     async def add_engine(self, service, body, *, names_attempt):
         line = f"{ATTEMPT_ID}: earlier\r\n".encode() if names_attempt else b""
 
