--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -1,7 +1,8 @@
 """Soak of the platform processes: a real fleet under injected faults.
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
-        [--profile standard|stops|crashes|requests|limits|cuts|mass-cuts|orders|entries]
+        [--profile standard|stops|crashes|requests|limits|cuts|mass-cuts|orders|entries|
+        rollouts]
         [--entries N]
 
 Starts three control VMs and three entries, or N in each data centre, sends requests and
@@ -106,6 +107,7 @@
             self._target_list.proxy.address,
             self._profile.grace_s,
             self._entries,
+            self._profile.further_bounds,
         )
         self._injector = FaultInjector(
             self._timer,
--- a/bench/platform_soak_fleet.py
+++ b/bench/platform_soak_fleet.py
@@ -56,6 +56,7 @@
 budget_window_s = 10
 cold_factor = 1.5
 cold_slack = 5
+{further_bounds}
 [cloud]
 address = "{list_address}"
 rate_per_s = {list_rate_per_s}
@@ -128,6 +129,7 @@
       list_address: HOST:PORT of the platform's target list.
       grace_s: time from a SIGTERM to the end of a process.
       entries: entries in each data centre, up to `MAX_ENTRIES`.
+      further_bounds: further lines of the bounds in the settings.
 
     Attributes:
       grace_s: the argument.
@@ -143,7 +145,9 @@
         list_address: str,
         grace_s: float = GRACE_S,
         entries: int = 1,
+        further_bounds: str = "",
     ) -> None:
+        self._further_bounds = further_bounds
         self._list_address = list_address
         self.grace_s = grace_s
         self._is_first_start = True
@@ -242,6 +246,7 @@
             folder="" if is_entry else process.disk,
             listen=listen,
             grace_s=self.grace_s,
+            further_bounds=self._further_bounds,
             list_address=self._list_address,
             list_rate_per_s=LIST_RATE_PER_S,
         )
--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -5,38 +5,32 @@
 import asyncio
 import collections
 import random
-from typing import Any
 
 import attrs
 
 from bench.fault_proxy import CutKind
-from bench.platform_soak_callers import Callers, CallRecord
+from bench.platform_soak_callers import Callers
 from bench.platform_soak_crash_callers import CrashCallers
 from bench.platform_soak_crashes import FIRST_WAVE_S, CrashingTarget, CrashRecords
 from bench.platform_soak_cuts import CutRecords
-from bench.platform_soak_faults import STANDARD, Fault, make_faults
-from bench.platform_soak_fleet import GRACE_S, SoakFleet
+from bench.platform_soak_faults import Fault, make_faults
+from bench.platform_soak_fleet import SoakFleet
 from bench.platform_soak_limits import LimitCallers, LimitedTarget, LimitRecords
 from bench.platform_soak_mass_cuts import EntryCallers, mass_cuts
 from bench.platform_soak_odd_entries import DepartingTarget, OddTargetList
 from bench.platform_soak_orders import OrderOperators
+from bench.platform_soak_profile import PROFILES, Profile, register
+from bench.platform_soak_rollouts import RolloutProfile
 from bench.platform_soak_stops import RecordingTarget, StopCallers, StopRecords
 from bench.platform_soak_targets import PlatformTargetList, SoakTarget
 from endivesill.timer import TimerService
 
-__all__ = ["Profile", "make_profile"]
+__all__ = ["Profile", "RolloutProfile", "make_profile"]
 
 LONG_GRACE_S = 8.0
 # Part of the success at other entries that those which are cut off are to reach.
 MIN_MASS_CUT_RATIO = 0.95
 
-_PROFILES: dict[str, type[Profile]] = {}
-
-
-def _register(profile: type[Profile]) -> type[Profile]:
-    _PROFILES[profile.name] = profile
-    return profile
-
 
 def make_profile(name: str, timer: TimerService, seed: int) -> Profile:
     """Return the profile with a name.
@@ -44,71 +38,10 @@
     Raises:
       KeyError: there is none.
     """
-    return _PROFILES[name](timer, seed)
-
-
-@_register
-class Profile:
-    """Faults of all kinds, without callers and checks of its own.
-
-    Args:
-      timer: the timer service.
-      seed: seed of the faults and of the profile's callers.
-
-    Attributes:
-      records: attempts of the profile's callers that the usual checks apply to.
-      load_s: shortest time from the start of the load to the end of the faults.
-      figures: counts for the report.
-      cuts: records the cuts of entries.
-    """
-
-    name = STANDARD
-    # Name of the profile whose faults are used; empty for its own.
-    faults_of = ""
-    grace_s = GRACE_S
-    targets_per_data_centre = 1
-
-    def __init__(self, timer: TimerService, seed: int) -> None:
-        self._timer = timer
-        self._seed = seed
-        self.records: list[CallRecord] = []
-        self.load_s = 0.0
-        self.figures: dict[str, Any] = {}
-        self.cuts = CutRecords(timer)
-
-    def make_faults(self, duration_s: float) -> list[Fault]:
-        """Return the faults in order of time."""
-        return make_faults(self._seed, duration_s, self.faults_of or self.name)
-
-    def make_target(
-        self,
-        service: str,
-        data_centre: str,
-        run_counts: collections.Counter[str],
-        rng: random.Random,
-    ) -> SoakTarget:
-        """Return a target that is not started."""
-        return SoakTarget(self._timer, service, data_centre, run_counts, rng)
-
-    def make_target_list(self, targets: list[SoakTarget]) -> PlatformTargetList:
-        """Return the platform's list of targets, which is not started."""
-        return PlatformTargetList(self._timer, targets)
-
-    async def run(self, fleet: SoakFleet) -> None:
-        """Call until cancelled."""
-
-    async def stop(self) -> None:
-        """Stop what the profile has started."""
-
-    def note_stop(self, name: str) -> None:
-        """Record that a VM gets SIGTERM now."""
-
-    def check(self) -> list[str]:
-        """Return the violations found."""
-        return []
+    return PROFILES[name](timer, seed)
 
 
-@_register
+@register
 class StopProfile(Profile):
     """Entries that stop while callers use their connections to the end."""
 
@@ -146,7 +79,7 @@
         return findings
 
 
-@_register
+@register
 class CrashProfile(Profile):
     """Engines that crash on a part of prompts; odd seeds have further faults."""
 
@@ -194,7 +127,7 @@
         return findings
 
 
-@_register
+@register
 class RequestCrashProfile(CrashProfile):
     """Plain targets of a small service that crash on a request that comes again."""
 
@@ -204,7 +137,7 @@
     is_plain = True
 
 
-@_register
+@register
 class LimitProfile(Profile):
     """Plain targets that limit the rate of requests from all entries together."""
 
@@ -243,7 +176,7 @@
         return findings
 
 
-@_register
+@register
 class CutProfile(Profile):
     """Entries that lose their links to all or some targets while others keep theirs."""
 
@@ -269,7 +202,7 @@
         return findings
 
 
-@_register
+@register
 class MassCutProfile(CutProfile):
     """Many entries of a large fleet that lose their links to targets at once."""
 
@@ -297,7 +230,7 @@
         self._callers.stop()
 
 
-@_register
+@register
 class OrderProfile(Profile):
     """Operators that evacuate data centres while control VMs are suspended."""
 
@@ -332,7 +265,7 @@
         return self._findings
 
 
-@_register
+@register
 class EntryProfile(Profile):
     """Entries of other writers in the list, while targets come and go."""
 
--- a/endivesill/cli_tools.py
+++ b/endivesill/cli_tools.py
@@ -1,4 +1,4 @@
-"""Commands that do not call an operator port: explain, load, platform check."""
+"""Commands that do not call an operator port: explain, load, platform."""
 
 from __future__ import annotations
 
@@ -83,10 +83,45 @@
     print("no findings")
 
 
+def platform_rollout(
+    service: str,
+    /,
+    *,
+    at: str,
+    version: str | None = None,
+    within_s: float | None = None,
+) -> int:
+    """Move a service's traffic to another version, or follow the newest roll-out.
+
+    Parameters
+    ----------
+    service
+        The service.
+    at
+        HOST:PORT of a control VM.
+    version
+        The version; without it, the newest roll-out is followed.
+    within_s
+        The time budget in seconds.
+
+    Returns
+    -------
+    int
+        The exit code: 0 if it was completed, 1 if it was taken back.
+    """
+    state = asyncio.run(
+        porcelain.platform_rollout(at, service, version, within_s, print)
+    )
+    return 0 if state == "completed" else 1
+
+
 def add_tools(app: cyclopts.App) -> None:
     """Register the commands with the command-line application."""
     app.command(explain)
     app.command(load)
-    platform = cyclopts.App(name="platform", help="Check files of the platform.")
+    platform = cyclopts.App(
+        name="platform", help="Files and roll-outs of the platform."
+    )
     platform.command(platform_check, name="check")
+    platform.command(platform_rollout, name="rollout")
     app.command(platform)
--- a/endivesill/errors.py
+++ b/endivesill/errors.py
@@ -30,6 +30,7 @@
     "TargetStatusError",
     "TargetUnreachableError",
     "UnavailableError",
+    "UnknownPathError",
     "UnsafeChangeError",
     "VmListError",
 ]
@@ -74,6 +75,10 @@
         self.sent = sent
 
 
+class UnknownPathError(PeerUnreachableError):
+    """A peer has no handler for a path, since it runs another build."""
+
+
 class DocumentError(EndivesillError):
     """An external document is invalid; the text names the location in it."""
 
--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -18,6 +18,7 @@
     "EngineListReader",
     "EngineListSource",
     "list_to_message",
+    "merge_pages",
 ]
 
 # Engines may leave within two seconds of their notice.
@@ -72,7 +73,7 @@
     age_s = now_s - snapshot.read_s
     rows = []
     for engine in snapshot.engines.values():
-        row = attrs.asdict(engine)
+        row = engine.to_row()
         row["cold_s"] = round(max(0.0, engine.cold_s - age_s), 3)
         rows.append(row)
     return {"stamp": snapshot.stamp, "engines": rows}
@@ -188,3 +189,19 @@
         incarnation: attrs.evolve(engine, cold_s=1.0 if engine.cold_s > 0 else 0.0)
         for incarnation, engine in engines.items()
     }
+
+
+def merge_pages(engines: list[EngineInfo], skipped: list[str]) -> list[EngineInfo]:
+    """Return each engine once; one entry that says it drains counts.
+
+    An entry may be on two pages if the list changes between their reads. One that names
+    a listed engine with another address or service is skipped.
+    """
+    merged: dict[str, EngineInfo] = {}
+    for engine in engines:
+        first = merged.setdefault(engine.incarnation, engine)
+        if (first.address, first.service) != (engine.address, engine.service):
+            skipped.append("entry.id: listed twice with different fields")
+        elif engine.is_draining:
+            merged[engine.incarnation] = engine
+    return list(merged.values())
--- a/endivesill/fleet/model.py
+++ b/endivesill/fleet/model.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from endivesill.peers import Message
+
 __all__ = [
     "FleetConfiguration",
     "EngineInfo",
@@ -165,6 +167,7 @@
       cold_s: remaining cold time when the list was read.
       has_notice: whether its shutdown time is set; a target that drains without notice
         waits for its requests.
+      version: version of its software; known to the leader only.
     """
 
     identity: str
@@ -176,3 +179,10 @@
     is_draining: bool
     cold_s: float
     has_notice: bool = False
+    version: str = ""
+
+    def to_row(self) -> Message:
+        """Return it as JSON for entries; those of earlier builds know no version."""
+        row = attrs.asdict(self)
+        del row["version"]
+        return row
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -26,6 +26,7 @@
 from endivesill.fleet.polling import addresses_digest, long_poll_s
 from endivesill.fleet.shares import LEASE_DURATION_S, EntryTurn, ShareLease
 from endivesill.peers import Message, PeerTransport
+from endivesill.rollouts.entry import OFFER_PATH, EntryRollouts
 from endivesill.signals import Signal
 from endivesill.timer import TimerService
 
@@ -43,6 +44,8 @@
 # Time beyond the wait for updates after which the leader hangs, is partitioned or has
 # stopped.
 SYNC_TIMEOUT_S = 0.25
+# A request waits no longer to learn whether it goes to a new version.
+OFFER_TIMEOUT_S = 0.05
 RETRY_S = 0.05
 MAX_RETRY_S = 0.2
 # With an older view an entry reports that it is not ready, so that callers are sent to
@@ -127,6 +130,7 @@
       crashes: exchanges reports of crashes with the control VMs.
       limits: the request rates to which engines limit all entries together.
       entry_peers: the entries that may send requests of this one.
+      rollouts: the roll-outs that run, and the outcomes for them.
     """
 
     def __init__(
@@ -163,6 +167,11 @@
         self._is_reporting = False
         self._has_news = False
         self.view = FleetView()
+        self.rollouts = EntryRollouts(
+            timer,
+            lambda: timer.now_s() < self.view.lease.expires_s,
+            self._offer_request,
+        )
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds; control VMs learnt from the leader are kept."""
@@ -178,6 +187,7 @@
                 **self._sync_request(),
                 **self.crashes.request_fields(address),
                 **self.entry_peers.request_fields(address),
+                **self.rollouts.request_fields(),
             }
             try:
                 reply = await self._transport.call(
@@ -185,6 +195,7 @@
                 )
             except errors.PeerUnreachableError as error:
                 self.outcomes.restore(request["outcomes"])
+                self.rollouts.restore(request)
                 self.crashes.forget(address)
                 self._note_unreachable(address, str(error))
                 await self._timer.sleep(retry_s)
@@ -198,6 +209,7 @@
                 self._apply(address, reply, sent_s)
                 continue
             self.outcomes.restore(request["outcomes"])
+            self.rollouts.restore(request)
             leader = reply.get("leader")
             self.leader = leader if leader != address else None
             if self.leader is None:
@@ -253,6 +265,18 @@
             self.outcomes.restore(outcomes)
             events.emit(ENGINES_UNREPORTED, leader=leader, reason=str(error))
 
+    async def _offer_request(self, message: Message) -> Message | None:
+        """Offer a request to the leader; None without its answer."""
+        if self.leader is None:
+            return None
+        try:
+            return await self._transport.call(
+                self.leader, OFFER_PATH, message, OFFER_TIMEOUT_S
+            )
+        except errors.PeerUnreachableError:
+            # The poll notices and logs the loss of the leader.
+            return None
+
     async def deregister(self) -> None:
         """Notify the leader that this entry stops; a failure is logged."""
         if self.leader is None:
@@ -347,6 +371,8 @@
             view.limits_stamp = limits["stamp"]
             self._merge_limits(address, limits["rows"])
             updated.add("limits")
+        if self.rollouts.apply_reply(reply):
+            updated.add("rollouts")
         if "loads" in reply:
             view.loads_stamp = reply.get("loads_stamp", NO_LOADS_STAMP)
             own_rows = reply.get("own_loads", {})
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 
 from endivesill import errors
-from endivesill.control import Applied, ControlReplica
+from endivesill.control import Applied, ControlReplica, State
 from endivesill.control.leadership import Leadership
 from endivesill.fleet.crash_exchange import CrashService
 from endivesill.fleet.engine_list import EngineListReader, EngineListSource
@@ -35,6 +35,7 @@
 from endivesill.fleet.state import current_configuration, evacuations
 from endivesill.fleet.sync_client import ENGINES_PATH, SYNC_PATH
 from endivesill.peers import EncodedValue, Message, PeerTransport
+from endivesill.rollouts.polls import RolloutPolls
 from endivesill.signals import Signal
 from endivesill.timer import TimerService
 
@@ -60,6 +61,7 @@
       limits: the request rates to which engines limit all entries together.
       permits: permits of all entries to send requests to these engines.
       crashes: exchanges reports of crashes with the entries.
+      rollouts: adds what concerns roll-outs to the polls.
     """
 
     def __init__(
@@ -91,7 +93,7 @@
             timer,
             transport,
             self.permits,
-            self._confirm_leadership,
+            self.confirm_leadership,
             self._record_limits,
         )
         self._allocator: ShareAllocator | None = None
@@ -99,6 +101,7 @@
         self._term = 0
         self.crashes = CrashService(timer, transport, replica)
         self.crashes.evidence.on_change = self._updated.notify
+        self.rollouts = RolloutPolls()
         transport.handle(SYNC_PATH, self.handle_sync)
         transport.handle(ENGINES_PATH, self._handle_engines)
         replica.subscribe_applied(self._note_applied)
@@ -115,6 +118,10 @@
         """Set the function called with the rows of each report of outcomes."""
         self._on_outcomes = listener
 
+    def notify_entries(self) -> None:
+        """Let the polls of entries look for updates."""
+        self._updated.notify()
+
     def publish_ejection(self, incarnation: str, duration_s: float) -> None:
         """Make all entries eject a target for a time."""
         self._ejections.add(incarnation, duration_s)
@@ -162,6 +169,11 @@
         """Return whether an engine's limit leaves room for a poll by this VM."""
         return self.permits.may_poll(engine.incarnation)
 
+    @property
+    def state(self) -> State:
+        """The replicated state."""
+        return self._replica.state
+
     def leads(self) -> bool:
         """Return whether this VM leads, without confirmation by a quorum."""
         return self._replica.core.leadership is not None
@@ -206,7 +218,8 @@
             self.permits.reset()
         return leadership.term
 
-    async def _confirm_leadership(self) -> bool:
+    async def confirm_leadership(self) -> bool:
+        """Return whether a quorum confirms that this VM leads."""
         return await self._confirmed_term() is not None
 
     def _is_current(self, leadership: Leadership) -> bool:
@@ -243,10 +256,12 @@
                 self._allocator.release(entry_id)
             self._entries.remove(entry_id)
             self.loads.remove(entry_id)
+            self.rollouts.forget(entry_id)
             return {}
         self._record_load(message)
         self._record_engines(message)
         self.crashes.record(message)
+        self.rollouts.record(message)
         self._on_loads()
         if not self._has_updates(message):
             await self._wait_for_updates(message)
@@ -315,6 +330,7 @@
         return (
             bool(self._updates_for(message) or message.get("peers_wanted"))
             or self.crashes.has_updates(message)
+            or self.rollouts.has_updates(message)
             or self._replica.core.leadership is None
         )
 
@@ -376,6 +392,7 @@
         if addresses_digest(controls) != message.get("controls"):
             reply["controls"] = controls
         reply.update(self.crashes.reply_fields(message))
+        reply.update(self.rollouts.reply_fields(message))
         if "entry_number" in message:
             reply.update(self._entries.reply_fields(message))
         reply["term"] = self._term
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -21,8 +21,8 @@
 from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.placement import estimate_demand
 from endivesill.forwarding.placer import Placement, Placer
+from endivesill.forwarding.plain_sender import PlainSender
 from endivesill.forwarding.protocol import EngineProtocol, RequestInfo
-from endivesill.forwarding.proxy_messages import ProxyLostError
 from endivesill.forwarding.refusals import cap_retry_after_s, jittered_s
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.retry_policy import RetryPolicy
@@ -33,15 +33,13 @@
 from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
 from endivesill.forwarding.target_client import TargetClient
 from endivesill.forwarding.targets import Target, TargetTable
+from endivesill.forwarding.version_log import VersionLog
 from endivesill.forwarding.waiting import AdmissionQueue, NoRoomError
 from endivesill.http1 import Exchange, UpstreamError, strip_hop_by_hop
 from endivesill.timer import TimerService
 
 __all__ = ["Forwarder"]
 
-# Fraction of the remaining time for one attempt of an idempotent request while it may
-# be retried; limits the delay caused by a target that hangs.
-ATTEMPT_TIME_FRACTION = 0.4
 # Default Retry-After; engines release capacity each second as generations end.
 RETRY_AFTER_S = 1.0
 # Reason of a refusal by a process that stops; other entries can serve at once.
@@ -94,11 +92,13 @@
         self._log = log
         self._random = random_source
         self._sender = Sender(timer, client, table, protocol)
+        self._plain = PlainSender(timer, self._sender, table)
         self._copier = RunCopier(timer, client, table, protocol)
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
         self._running = RunningCalls(timer)
         self._guard = CrashGuard(timer, crashes, client, self._running)
+        self._versions = VersionLog(table)
 
     @property
     def routes(self) -> RouteTable | None:
@@ -203,6 +203,7 @@
 
     async def _serve(self, call: Call) -> None:
         self._budget.note_request(call.service.name)
+        self._versions.note_request(call)
         rejections = 0
         while True:
             try:
@@ -242,12 +243,17 @@
 
     async def _forward_plain(self, call: Call, target: Target) -> bool:
         """Send a request once; return False if it is to be tried elsewhere."""
+        sent_s = self._timer.now_s()
         try:
-            attempt, body = await self._read_response(call, target)
+            attempt, body = await self._plain.read_response(call, target)
         finally:
             target.release(call.demand)
         succeeded = attempt.response.status < 500
         self._table.note_outcome(target, succeeded=succeeded)
+        if succeeded:
+            self._versions.note_start(call, target, self._timer.now_s() - sent_s)
+        else:
+            self._versions.note_failed(call, target)
         call.runs += 1
         if not succeeded and self._retries.may_rerun(call):
             self._log.attempt_failed(call, target, f"status {attempt.response.status}")
@@ -256,37 +262,6 @@
         self._guard.note_complete(call, target, None, is_framed=attempt.head.framed)
         return True
 
-    async def _read_response(self, call: Call, target: Target) -> tuple[Attempt, bytes]:
-        """Send a request and return its complete response.
-
-        Raises:
-          AttemptError: there is no complete response.
-        """
-
-        async def exchange() -> tuple[Attempt, bytes]:
-            attempt = await self._sender.send(call, target)
-            try:
-                return attempt, await attempt.body.read_all()
-            except ProxyLostError as error:
-                raise AttemptError(Failure.PROXY_LOST, str(error)) from None
-            except UpstreamError as error:
-                raise AttemptError(Failure.BROKEN, str(error)) from None
-            finally:
-                attempt.body.release()
-
-        remaining_s = call.deadline_s - self._timer.now_s()
-        if call.is_idempotent and call.runs + 1 < call.route.max_attempts:
-            remaining_s *= ATTEMPT_TIME_FRACTION
-        overdue = self._timer.call_after(
-            call.route.target_latency_s, lambda: self._table.note_overdue(target)
-        )
-        try:
-            return await self._timer.wait_for(exchange(), remaining_s)
-        except errors.DeadlineExceededError:
-            raise AttemptError(Failure.NO_ANSWER, "no answer in time") from None
-        finally:
-            overdue.cancel()
-
     def _forward_response(self, call: Call, attempt: Attempt, body: bytes) -> None:
         status = attempt.response.status
         headers = strip_hop_by_hop(attempt.head.headers)
@@ -304,12 +279,14 @@
             self._placer,
             self._copier,
             self._guard,
+            self._versions,
             call,
         )
         try:
             attempt = await relay.run(placement)
         except StreamBrokenError as error:
             self._table.note_outcome(relay.target or target, succeeded=False)
+            self._versions.note_failed(call, relay.target or target)
             self._finish_failed(call, 502, str(error), events=relay.events)
             return
         if attempt is None:
@@ -332,7 +309,10 @@
             return
         finally:
             attempt.body.release()
-        self._table.note_outcome(target, succeeded=attempt.response.status < 500)
+        succeeded = attempt.response.status < 500
+        self._table.note_outcome(target, succeeded=succeeded)
+        if not succeeded:
+            self._versions.note_failed(call, target)
         self._forward_response(call, attempt, body)
 
     # Ends.
@@ -349,6 +329,8 @@
             self._client.close_idle(target.info)
         elif failure not in (Failure.TARGET_LEFT, Failure.PROXY_LOST):
             self._table.note_outcome(target, succeeded=False)
+            if not failure.not_run:
+                self._versions.note_failed(call, target)
             if failure is Failure.BROKEN:
                 self._table.note_broken(target)
                 self._guard.note_broken(call, target)
--- a/endivesill/platform/leader_placement.py
+++ b/endivesill/forwarding/leader_placement.py
@@ -1,34 +1,24 @@
-"""Runs the placement service on the leader, in the control process."""
+"""Runs the placement service on the leader of the control VMs."""
 
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 from endivesill import errors, events
-from endivesill.control import ControlReplica
-from endivesill.fleet.departures import DepartureDetector
+from endivesill.fleet.departures import DepartureDetector, HealthSource
 from endivesill.fleet.model import EngineInfo, Service
-from endivesill.fleet.reports import EngineReports
+from endivesill.fleet.reports import EngineReports, ReportSource
 from endivesill.fleet.state import current_configuration, evacuations
 from endivesill.fleet.sync_client import FleetView
 from endivesill.fleet.sync_service import FleetSyncService
 from endivesill.forwarding.health import new_fleet_record
 from endivesill.forwarding.placement_service import PLACE_PATH, PlacementService
 from endivesill.forwarding.targets import TargetTable
-from endivesill.http1 import ResponseHead
 from endivesill.link_peers import LinkPeerTransport
-from endivesill.platform.client import PlatformClient
-from endivesill.platform.configuration import decode_configuration
-from endivesill.platform.engines import (
-    decode_brittle_per_s,
-    decode_leaving,
-    decode_limit_per_s,
-    decode_pause_s,
-)
-from endivesill.platform.health import PlatformHealth
-from endivesill.platform.reports import PlatformReports
-from endivesill.platform.settings import NodeSettings
+from endivesill.rollouts.model import VersionedEngine
+from endivesill.rollouts.versions import TargetVersions
 from endivesill.timer import TimerService
 
 __all__ = ["LeaderPlacement"]
@@ -37,43 +27,48 @@
 ADMISSION_PERIOD_S = 0.02
 # Period of the log lines on engine load while requests are queued.
 LOAD_LOG_PERIOD_S = 1.0
+# An engine that has just started is slow for about this long.
+WARM_UP_S = 2.0
 
 
 class LeaderPlacement:
     """Feeds the placement service with the configuration and the engine list.
 
     Args:
-      settings: the process's settings.
       timer: the timer service.
-      replica: this VM's control replica.
-      sync_service: provides the engine list and the loads of the entries.
+      sync_service: provides the state, the engine list and the loads of the entries.
       transport: the peer port.
-      client: reads the reports and the health of engines.
+      cold_bounds: factor and slack applied to the request rate of cold targets.
+      reports: reads the load reports of engines.
+      health: checks the health of engines.
+      decode_services: returns the services of a configuration document, or raises
+        `DocumentError`.
     """
 
     def __init__(
         self,
-        settings: NodeSettings,
         timer: TimerService,
-        replica: ControlReplica,
         sync_service: FleetSyncService,
         transport: LinkPeerTransport,
-        client: PlatformClient,
+        cold_bounds: tuple[float, float],
+        reports: ReportSource,
+        health: HealthSource,
+        decode_services: Callable[[Any], dict[str, Service]],
     ) -> None:
-        self._replica = replica
+        self._timer = timer
+        self._decode_services = decode_services
         self._sync_service = sync_service
         self._view = FleetView()
         self._services: dict[str, Service] = {}
         # The entries are in all data centres, so none of them counts as local.
         self._table = TargetTable(timer, self._view, "", new_fleet_record)
         self._table.use_limits(sync_service.limits, sync_service.permits)
-        bounds = settings.bounds
         self._placement = PlacementService(
             timer,
             self._table,
             sync_service.loads,
             lambda name: self._services.get(name),
-            (bounds.cold_factor, bounds.cold_slack),
+            cold_bounds,
             sync_service.leads,
             random.Random(),
         )
@@ -87,13 +82,13 @@
         )
         self._reports = EngineReports(
             timer,
-            PlatformReports(timer, client, self._note_response),
+            reports,
             self._polled_engines,
             sync_service.may_poll,
         )
         self._departures = DepartureDetector(
             timer,
-            PlatformHealth(client, self._health_path, self._note_response),
+            health,
             self._polled_engines,
             sync_service.apply_departures,
             sync_service.may_poll,
@@ -101,6 +96,9 @@
         sync_service.reader.use_departure_sources(
             self._leaving, self._reports.with_notice, self._departures.is_verified
         )
+        # When this VM first listed each engine.
+        self._listed_since_s: dict[str, float] = {}
+        self._on_engines: Callable[[], None] = lambda: None
         timer.call_every(ADMISSION_PERIOD_S, self._update_placement)
         timer.call_every(LOAD_LOG_PERIOD_S, self._placement.log_load)
 
@@ -117,20 +115,40 @@
         waiting = f"endivesill_waiting_requests {self._placement.queue_length()}"
         return [*self._table.metric_lines(), waiting]
 
+    def use_versions(self, versions: TargetVersions) -> None:
+        """Set what says which engines a roll-out keeps from ordinary requests."""
+        self._table.versions = versions
+        self._on_engines = versions.refresh
+
+    def publish_rollouts(self) -> None:
+        """Tell the entries of a changed roll-out, and place by it."""
+        self._sync_service.notify_entries()
+        self._placement.update()
+
+    def versioned_engines(self, service: str) -> list[VersionedEngine]:
+        """Return the engines of a service with their versions."""
+        now_s = self._timer.now_s()
+        return [
+            VersionedEngine(
+                incarnation=target.info.incarnation,
+                version=target.info.version,
+                slots=target.info.slots,
+                is_usable=self._table.accepts_requests(target),
+                is_warm=self._is_warm(target.info, now_s),
+                requests=target.total_requests,
+            )
+            for target in self._table.listed(service)
+        ]
+
+    def _is_warm(self, engine: EngineInfo, now_s: float) -> bool:
+        since_s = self._listed_since_s.get(engine.incarnation, now_s)
+        return engine.cold_s <= 0 and now_s - since_s >= WARM_UP_S
+
     def _leaving(self) -> frozenset[str]:
         return self._reports.leaving() | self._departures.leaving()
 
-    def _note_response(self, engine: EngineInfo, head: ResponseHead) -> None:
-        """Record what an engine announces in its response to a poll."""
-        self._sync_service.note_poll(
-            engine,
-            is_leaving=decode_leaving(head),
-            pause_s=decode_pause_s(head),
-            limit_per_s=decode_limit_per_s(head),
-            brittle_per_s=decode_brittle_per_s(head),
-        )
-
-    def _health_path(self, service: str) -> str:
+    def health_path(self, service: str) -> str:
+        """Return the path of a service's health check."""
         return self._services[service].health_path
 
     def _polled_engines(self) -> list[EngineInfo]:
@@ -155,7 +173,7 @@
 
     def _apply_services(self, document: Any) -> None:
         try:
-            self._services = decode_configuration(document).services
+            self._services = self._decode_services(document)
         except errors.DocumentError as error:
             # A control VM of an earlier build may have accepted it.
             events.emit(
@@ -171,11 +189,11 @@
         if not self._sync_service.leads():
             self._departures.note_listed(())
             return
-        configuration = current_configuration(self._replica.state)
+        configuration = current_configuration(self._sync_service.state)
         if configuration is not None and configuration["version"] != self._view.version:
             self._view.version = configuration["version"]
             self._apply_services(configuration["document"])
-        index, data_centres = evacuations(self._replica.state)
+        index, data_centres = evacuations(self._sync_service.state)
         if index != self._view.evacuation_index:
             self._view.evacuation_index = index
             self._view.evacuated = frozenset(data_centres)
@@ -184,5 +202,11 @@
             self._view.list_stamp = engine_list.stamp
             self._view.engines = engine_list.engines
             self._table.update_engines()
+            now_s = self._timer.now_s()
+            self._listed_since_s = {
+                key: self._listed_since_s.get(key, now_s) for key in self._view.engines
+            }
+            # Entries learn of new engines and of their version in one reply.
+            self._on_engines()
             self._departures.note_listed(self._model_engines())
         self._placement.update()
--- a/endivesill/forwarding/placement_service.py
+++ b/endivesill/forwarding/placement_service.py
@@ -13,8 +13,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import attrs
-
 from endivesill import errors, events
 from endivesill.fleet.load import EngineLoad, FleetLoads
 from endivesill.fleet.model import Service
@@ -130,10 +128,10 @@
 
         Args:
           message: `{"entry", "loads", "grants_seen", "service", "priority",
-            "request_id", "session", "organisation", "prompt_tokens", "memory_tokens",
-            "patience_s", "return_patience_s", "excluded", "holder"}`: the entry, its
-            load and the demand. With a `holder`, a copy of a run is placed, whose
-            source is the engine of that incarnation.
+            "request_id", "route", "session", "organisation", "prompt_tokens",
+            "memory_tokens", "patience_s", "return_patience_s", "excluded",
+            "holder"}`: the entry, its load and the demand. With a `holder`, a copy of
+            a run is placed, whose source is the engine of that incarnation.
 
         Returns:
           `{"number", "target", "backup"}` with engines as in the list; `{"refused",
@@ -167,7 +165,9 @@
         self._requesting_entries[id(request)] = message["entry"]
         wait_s = self._expected_wait_s(request)
         try:
-            target = await self._place_or_refuse(request, wait_s)
+            target = self._admission.try_canary(request, message.get("route", ""))
+            if target is None:
+                target = await self._place_or_refuse(request, wait_s)
             number, backup = self._grants.pop(id(request))
         except errors.NotLeaderError:
             return {"leader": None}
@@ -268,6 +268,6 @@
 def _grant_reply(number: int, target: Target, backup: Target | None) -> Message:
     return {
         "number": number,
-        "target": attrs.asdict(target.info),
-        "backup": attrs.asdict(backup.info) if backup else None,
+        "target": target.info.to_row(),
+        "backup": backup.info.to_row() if backup else None,
     }
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -127,7 +127,12 @@
             call.excluded,
             organisation=call.organisation,
         )
-        target = await self._admission.place(request)
+        target = None
+        pool = await self._table.versions.offer(call.service.name, call.route.name)
+        if pool is not None:
+            target = self._admission.try_place(attrs.evolve(request, pool=pool))
+        if target is None:
+            target = await self._admission.place(request)
         self._table.note_send(target)
         backup = self.reserve_backup(call, target)
         return Placement(target, backup, by_leader=False)
@@ -194,6 +199,7 @@
         message = {
             **self._sync_client.load_report(),
             "service": call.service.name,
+            "route": call.route.name,
             "priority": call.priority,
             "prompt_tokens": call.demand.prompt_tokens,
             "memory_tokens": call.demand.memory_tokens,
--- a/endivesill/forwarding/stream_run.py
+++ b/endivesill/forwarding/stream_run.py
@@ -19,20 +19,24 @@
       target: the engine.
       backup: receives a live copy of the run's KV cache.
       attempt: the response, once it has begun.
+      sent_s: when it was sent.
       head_s: when its head came; None before.
       events: events that came from this run.
       first_event_s: when the first of them came; None before.
       prefill_done: whether the prompt was counted as prefilled.
       copy: a copy on demand, made because the backup cannot be used.
+      has_pace: whether the time per event was recorded.
       is_moving: whether it was stopped in order to resume from its copy.
     """
 
     target: Target
     backup: Target | None
     attempt: Attempt | None = None
+    sent_s: float = 0.0
     head_s: float | None = None
     events: int = 0
     first_event_s: float | None = None
     prefill_done: bool = False
     copy: RunCopy | None = None
+    has_pace: bool = False
     is_moving: bool = False
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -22,12 +22,13 @@
 from endivesill.forwarding.run_copy import RunCopier, RunCopy
 from endivesill.forwarding.stream_run import StreamRun
 from endivesill.forwarding.targets import Target, TargetTable
+from endivesill.forwarding.version_log import PACE_EVENTS, VersionLog
 from endivesill.http1 import UpstreamError, strip_hop_by_hop
 from endivesill.timer import TimerService
 
 __all__ = ["StreamBrokenError", "StreamRelay"]
 
-# How often one stream may be resumed.
+# How often a stream may be resumed.
 MAX_RESUMES = 6
 # How long after an engine has begun to drain its report shows whether it was given
 # notice: reports are up to 0.7 s old and are read every 0.35 s.
@@ -57,6 +58,7 @@
       placer: places copies.
       copier: orders copies of runs.
       guard: is told how runs go on.
+      versions: counts outcomes by version.
       call: the request.
 
     Attributes:
@@ -75,6 +77,7 @@
         placer: Placer,
         copier: RunCopier,
         guard: CrashGuard,
+        versions: VersionLog,
         call: Call,
     ) -> None:
         self._timer = timer
@@ -83,6 +86,7 @@
         self._placer = placer
         self._copier = copier
         self._guard = guard
+        self._versions = versions
         self._copy_task: asyncio.Task[None] | None = None
         self._call = call
         self._run: StreamRun | None = None
@@ -135,6 +139,7 @@
         if resume_from:
             await self._wait_for_permit(run.target)
         last_event_id = str(self._last_event_id or 0) if resume_from else ""
+        run.sent_s = self._timer.now_s()
         run.attempt = await self._sender.send(
             self._call,
             run.target,
@@ -212,6 +217,7 @@
         if not is_own_end and self._table.accepts_requests(run.target):
             # An engine that leaves ends its runs; one that stays has failed.
             self._table.note_outcome(run.target, succeeded=False)
+            self._versions.note_failed(call, run.target)
         events.emit(
             STREAM_RESUMED,
             request_id=call.info.attempt_id,
@@ -263,7 +269,7 @@
             return
         if run.copy is None:
             self._start_copy(run)
-        elif run.copy.name and run.target.info.has_notice:
+        elif run.copy.name and self._must_move(run.target):
             self._move(run)
 
     def _is_stalled(self, attempt: Attempt, idle_s: float) -> bool:
@@ -294,13 +300,18 @@
         if self._copy_task is None or self._copy_task.done():
             self._copy_task = asyncio.ensure_future(self._place_and_copy(run))
 
+    def _must_move(self, target: Target) -> bool:
+        """Return whether a target will shut down without waiting for its runs."""
+        info, versions = target.info, self._table.versions
+        return info.has_notice or versions.is_retiring(info.service, info.incarnation)
+
     def _may_end_soon(self, target: Target) -> bool:
         """Return whether a target may shut down before its runs have ended.
 
         A target that drains without notice waits for its runs, but the notice is
         visible only some time after the drain has begun.
         """
-        if not target.listed or target.info.has_notice:
+        if not target.listed or self._must_move(target):
             return True
         since_s = target.draining_since_s
         if since_s is None:
@@ -330,11 +341,8 @@
             if not run.prefill_done:
                 run.prefill_done = True
                 run.target.note_prefill_done(self._call.demand)
-            if run.first_event_s is None:
-                run.first_event_s = self._timer.now_s()
-            run.events += len(new_events)
+            self._note_progress(run, len(new_events))
             self._note_events(len(new_events))
-            self._guard.note_progress(self._call, run.first_event_s)
             exchange.send(b"".join(event.data for event in new_events))
             await exchange.drain()
         if splitter.remainder:
@@ -347,6 +355,19 @@
             self._call, run.target, run.first_event_s, is_framed=is_framed
         )
 
+    def _note_progress(self, run: StreamRun, count: int) -> None:
+        """Record the events of a run, and how fast they came."""
+        call, now_s = self._call, self._timer.now_s()
+        run.events += count
+        if run.first_event_s is None:
+            run.first_event_s = now_s
+            self._versions.note_start(call, run.target, now_s - run.sent_s)
+        elif not run.has_pace and run.events > PACE_EVENTS:
+            run.has_pace = True
+            elapsed_s = now_s - run.first_event_s
+            self._versions.note_pace(call, run.target, run.events - 1, elapsed_s)
+        self._guard.note_progress(call, run.first_event_s)
+
     def _drop_duplicates(self, events_read: list[StreamEvent]) -> list[StreamEvent]:
         """Return the events that the caller has not received yet.
 
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -4,33 +4,23 @@
 
 from collections.abc import Callable, Container, Iterable
 
-from endivesill import events
 from endivesill.fleet.engine_limits import EngineLimits
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.notices import EngineNotices
-from endivesill.fleet.outcomes import OutcomeCounts
 from endivesill.fleet.permits import SendPermits
 from endivesill.fleet.reports import EngineReport
 from endivesill.fleet.sync_client import NO_LIST_STAMP, FleetView
-from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
 from endivesill.forwarding.health import HealthRecord
+from endivesill.forwarding.health_table import CONNECT_EJECTION_S, HealthTable
 from endivesill.forwarding.target import NO_LOAD, ResourceDemand, Target
+from endivesill.rollouts.versions import TargetVersions
 from endivesill.timer import TimerService
 
 __all__ = ["ResourceDemand", "Target", "TargetTable"]
 
-# First ejection of a target that cannot be connected to or does not report its load;
-# about two reads of the platform's list.
-CONNECT_EJECTION_S = 0.5
-# The ejection doubles with each consecutive refused connection, up to this.
-MAX_CONNECT_EJECTION_S = 4.0
-MAX_CONNECT_DOUBLINGS = 3
-# Largest fraction of a service's targets that may be ejected at a time.
-MAX_EJECTED_FRACTION = 0.5
 
-
-class TargetTable:
+class TargetTable(HealthTable):
     """The targets of the platform's list.
 
     Args:
@@ -45,9 +35,7 @@
       permits: says which targets may be sent a request under their limits.
       on_limit: called when a response has changed a target's limit.
       on_leaving: called with an engine whose notice of departure is news.
-      on_ejected: called with a target and the duration of its ejection as an outlier.
-      outcomes: counts the outcomes of this entry's requests for the leader.
-      on_broken: called after a request that a target broke off.
+      versions: which targets a roll-out keeps from ordinary requests.
     """
 
     def __init__(
@@ -57,20 +45,16 @@
         data_centre: str,
         new_record: Callable[[], HealthRecord] = HealthRecord,
     ) -> None:
+        super().__init__(timer)
         self._new_record = new_record
-        self._timer = timer
         self._view = view
         self.data_centre = data_centre
-        self._targets: dict[str, Target] = {}
-        self._by_service: dict[str, list[Target]] = {}
         self.watchers: set[Callable[[], None]] = set()
         self.notices = EngineNotices(timer)
         self.permits = SendPermits()
         self.on_limit: Callable[[], None] = lambda: None
         self.on_leaving: Callable[[EngineInfo], None] = lambda engine: None
-        self.on_ejected: Callable[[Target, float], None] = lambda target, time_s: None
-        self.outcomes = OutcomeCounts()
-        self.on_broken: Callable[[], None] = lambda: None
+        self.versions = TargetVersions()
 
     def notify(self) -> None:
         """Call the watchers; done after a change of the targets and periodically."""
@@ -136,6 +120,10 @@
             self._by_service.setdefault(info.service, []).append(target)
         return target
 
+    def listed(self, service: str) -> list[Target]:
+        """Return the targets of a service that the list has."""
+        return list(self._by_service.get(service, []))
+
     def find_all(self, incarnations: Iterable[str]) -> list[Target]:
         """Return the targets of some incarnations; unknown ones are skipped."""
         return [
@@ -234,21 +222,39 @@
             if self._stays(t) and self.notices.is_paused(t.info)
         ]
 
-    def candidates(self, service: str, excluded: Iterable[Target]) -> list[Target]:
+    def candidates(
+        self,
+        service: str,
+        excluded: Iterable[Target],
+        pool: Container[str] | None = None,
+    ) -> list[Target]:
         """Return the targets of a service that a request may be placed at.
 
         Ejected targets are returned only if no other target is left.
+
+        Args:
+          service: the service.
+          excluded: targets that are not returned.
+          pool: the incarnations that may be returned; None for all that a roll-out
+            leaves to ordinary requests.
         """
         excluded_ids = set(map(id, excluded))
         now_s = self._timer.now_s()
         accepting = [
             target
             for target in self._by_service.get(service, [])
-            if id(target) not in excluded_ids and self.accepts_requests(target)
+            if id(target) not in excluded_ids
+            and self.accepts_requests(target)
+            and self._is_in(pool, target.info)
         ]
         healthy = [t for t in accepting if t.ejected_until_s <= now_s]
         return healthy or accepting
 
+    def _is_in(self, pool: Container[str] | None, info: EngineInfo) -> bool:
+        if pool is None:
+            return not self.versions.is_barred(info.service, info.incarnation)
+        return info.incarnation in pool
+
     def metric_lines(self) -> list[str]:
         """Return the number of targets in each state as metric lines."""
         states = ("ready", "evacuated", "draining", "resting", "paused")
@@ -293,107 +299,3 @@
     def note_placement(self, target: Target, tokens: int) -> None:
         """Record KV cache that is reserved at a target now."""
         target.recent_placements.append((self._timer.now_s(), tokens))
-
-    # Health.
-
-    def eject(self, target: Target, duration_s: float, reason: str) -> None:
-        """Eject an outlier for a time, unless too many targets are ejected already."""
-        if self._may_eject(target):
-            until_s = self._timer.now_s() + duration_s
-            target.outlier_until_s = max(target.outlier_until_s, until_s)
-            self._log_ejection(target, duration_s, reason)
-            self.on_ejected(target, duration_s)
-
-    def _may_eject(self, target: Target) -> bool:
-        now_s = self._timer.now_s()
-        peers = self._by_service.get(target.info.service, [])
-        ejected = sum(t.ejected_until_s > now_s for t in peers if t is not target)
-        return ejected + 1 <= MAX_EJECTED_FRACTION * len(peers)
-
-    def _log_ejection(
-        self, target: Target, duration_s: float | None, reason: str
-    ) -> None:
-        events.emit(
-            TARGET_EJECTED,
-            target=target.info.identity,
-            service=target.info.service,
-            duration_s=duration_s,
-            reason=reason,
-        )
-
-    def note_replaced(self, target: Target) -> None:
-        """Stop using a target whose address now belongs to another one."""
-        target.is_replaced = True
-        self._log_ejection(target, None, "another target has its address")
-
-    def note_no_connection(self, target: Target, reason: str) -> None:
-        """Eject a target that cannot be connected to."""
-        doublings = min(target.refused_connections, MAX_CONNECT_DOUBLINGS)
-        ejection_s = CONNECT_EJECTION_S * 2**doublings
-        target.refused_connections += 1
-        if self._may_eject(target):
-            ejection_s = min(ejection_s, MAX_CONNECT_EJECTION_S)
-            target.unreachable_until_s = self._timer.now_s() + ejection_s
-            self._log_ejection(target, ejection_s, reason)
-
-    def note_broken(self, target: Target) -> None:
-        """Count a request whose connection ended without a response."""
-        self.outcomes.note_broken(target.info.incarnation)
-        self.on_broken()
-
-    def apply_outcomes(self, rows: dict[str, list[int]]) -> None:
-        """Count the outcomes that an entry reports; done at the leader.
-
-        Args:
-          rows: rows of `OutcomeCounts`; unknown incarnations are skipped.
-        """
-        for incarnation, (succeeded, failed, broken) in rows.items():
-            target = self._targets.get(incarnation)
-            if target is None:
-                continue
-            for _ in range(succeeded):
-                self._record_outcome(target, succeeded=True)
-            for _ in range(failed):
-                self._record_outcome(target, succeeded=False)
-            for _ in range(broken):
-                ejection_s = target.broken.note(self._timer.now_s())
-                if ejection_s > 0:
-                    self.eject(target, ejection_s, "breaks off requests")
-
-    def apply_ejections(self, remaining_s: dict[str, float]) -> None:
-        """Eject targets as the leader says, by incarnation."""
-        now_s = self._timer.now_s()
-        for incarnation, duration_s in remaining_s.items():
-            target = self._targets.get(incarnation)
-            if target is not None:
-                until_s = now_s + duration_s
-                target.outlier_until_s = max(target.outlier_until_s, until_s)
-
-    def note_overdue(self, target: Target) -> None:
-        """Count an overdue response; eject the target after several in a row."""
-        ejection_s = target.health.note_overdue()
-        if ejection_s > 0:
-            self.eject(target, ejection_s, "answers are overdue")
-
-    def note_outcome(self, target: Target, *, succeeded: bool) -> None:
-        """Count a response; eject the target if it is an outlier among its peers."""
-        if succeeded:
-            self.outcomes.note_succeeded(target.info.incarnation)
-        else:
-            self.outcomes.note_failed(target.info.incarnation)
-        self._record_outcome(target, succeeded=succeeded)
-
-    def _record_outcome(self, target: Target, *, succeeded: bool) -> None:
-        target.refused_connections = 0
-        target.unreachable_until_s = 0.0
-        target.health.record_response(succeeded=succeeded)
-        peers = [
-            t.health
-            for t in self._by_service.get(target.info.service, [])
-            if t is not target
-        ]
-        ejection_s = target.health.ejection_s(peers)
-        if ejection_s > 0:
-            self.eject(target, ejection_s, "fails more often than its peers")
-        elif succeeded and target.health.check_readmission():
-            events.emit(TARGET_READMITTED, target=target.info.identity)
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -57,6 +57,8 @@
       excluded: targets that must not be chosen.
       was_refused: whether it is a retry after a refusal.
       organisation: the organisation that sends it.
+      pool: incarnations that it may be placed at; None for all that get ordinary
+        requests.
     """
 
     service: Service
@@ -66,6 +68,7 @@
     excluded: list[Target] = attrs.Factory(list)
     was_refused: bool = False
     organisation: str = ""
+    pool: frozenset[str] | None = None
 
     @property
     def flow(self) -> Flow:
@@ -145,7 +148,7 @@
     def try_place(self, request: PlacementRequest) -> Target | None:
         """Place a request if a target has capacity now, else return None."""
         service = request.service
-        targets = self._table.candidates(service.name, request.excluded)
+        targets = self._table.candidates(service.name, request.excluded, request.pool)
         if service.cold_requests_per_s > 0:
             allowance = self._cold_allowance(service)
             targets = [t for t in targets if self._table.may_send_now(t, allowance)]
@@ -186,6 +189,17 @@
             self._random,
         )
 
+    def try_canary(self, request: PlacementRequest, route: str) -> Target | None:
+        """Place a request at a new version if one more may go there; at the leader."""
+        versions, service = self._table.versions, request.service.name
+        pool = versions.canary_pool(service, route)
+        if pool is None:
+            return None
+        target = self.try_place(attrs.evolve(request, pool=pool))
+        if target is not None:
+            versions.use_canary(service, route)
+        return target
+
     async def place(self, request: PlacementRequest) -> Target:
         """Place a request, waiting in the queue if necessary.
 
--- a/endivesill/link_peers.py
+++ b/endivesill/link_peers.py
@@ -118,6 +118,8 @@
             raise errors.PeerUnreachableError(
                 f"{address}{path}: {error}", sent=error.sent
             ) from None
+        if head.status == 404:
+            raise errors.UnknownPathError(f"{address}{path}: unknown", sent=False)
         if head.status != 200:
             raise errors.PeerUnreachableError(f"{address}{path}: {head.status}")
         try:
--- a/endivesill/peers.py
+++ b/endivesill/peers.py
@@ -183,8 +183,10 @@
         if network.find(self.address) is not self:
             await asyncio.get_running_loop().create_future()
         peer = network.find(address)
-        if peer is None or path not in peer.handlers:
+        if peer is None:
             raise errors.PeerUnreachableError(f"{address}{path}: refused", sent=False)
+        if path not in peer.handlers:
+            raise errors.UnknownPathError(f"{address}{path}: unknown", sent=False)
         # The handler continues after the caller times out, as over a real network.
         task = asyncio.ensure_future(peer.handlers[path](json.loads(text)))
         try:
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -8,17 +8,32 @@
 from endivesill import events
 from endivesill.control import ControlReplica, ControlSettings, TimedDisk
 from endivesill.fleet.changes import FleetChanges
+from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.state import evacuations
 from endivesill.fleet.sync_service import FleetSyncService
-from endivesill.http1 import ConnectionLimits, HttpListener, close_listener
+from endivesill.forwarding.leader_placement import LeaderPlacement
+from endivesill.http1 import (
+    ConnectionLimits,
+    HttpListener,
+    ResponseHead,
+    close_listener,
+)
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.platform.client import PlatformClient
-from endivesill.platform.leader_placement import LeaderPlacement
+from endivesill.platform.configuration import decode_configuration
+from endivesill.platform.engines import decode_notices
+from endivesill.platform.health import PlatformHealth
 from endivesill.platform.metrics_port import MetricsListener
 from endivesill.platform.operators import RESPONSE_TIMEOUT_S, OperatorHandler
-from endivesill.platform.process import SettingsWatcher, StopSignal
+from endivesill.platform.process import SettingsWatcher
 from endivesill.platform.provider import PlatformEngineList
+from endivesill.platform.reports import PlatformReports
+from endivesill.platform.rollouts import RolloutCalls
 from endivesill.platform.settings import NodeSettings
+from endivesill.rollouts.entry import OFFER_PATH
+from endivesill.rollouts.leader import RolloutLeader
+from endivesill.rollouts.orders import RolloutOrders
+from endivesill.stop_signal import StopSignal
 from endivesill.supervision import supervise
 from endivesill.timer import TimerService
 
@@ -57,7 +72,7 @@
 
 async def run_control(settings: NodeSettings, timer: TimerService) -> None:
     """Run a control process until SIGTERM or SIGINT."""
-    stop = StopSignal(settings, timer)
+    stop = StopSignal(timer)
     # The replica uses the seeds only until it has state; a change is only logged.
     SettingsWatcher(timer, lambda changed: None)
     transport = LinkPeerTransport(timer, settings.peer_address)
@@ -76,11 +91,37 @@
         client, settings.engine_list_address, settings.engine_list_calls_per_s
     )
     sync_service = FleetSyncService(timer, replica, transport, source)
+    bounds = settings.bounds
+
+    def note_response(engine: EngineInfo, head: ResponseHead) -> None:
+        sync_service.note_poll(engine, **decode_notices(head))
+
     placement = LeaderPlacement(
-        settings, timer, replica, sync_service, transport, client
+        timer,
+        sync_service,
+        transport,
+        (bounds.cold_factor, bounds.cold_slack),
+        PlatformReports(timer, client, note_response),
+        PlatformHealth(client, lambda name: placement.health_path(name), note_response),
+        lambda document: decode_configuration(document).services,
     )
     changes = FleetChanges(replica, RESPONSE_TIMEOUT_S)
-    operators = OperatorHandler(timer, changes, settings.control_address)
+    orders = RolloutOrders(replica, transport, RESPONSE_TIMEOUT_S)
+    rollouts, rollout_calls = None, None
+    if bounds.exposure is not None:
+        rollouts = RolloutLeader(
+            timer,
+            replica,
+            bounds.exposure,
+            placement.versioned_engines,
+            placement.publish_rollouts,
+            sync_service.confirm_leadership,
+        )
+        transport.handle(OFFER_PATH, rollouts.handle_offer)
+        sync_service.rollouts = rollouts
+        placement.use_versions(rollouts)
+        rollout_calls = RolloutCalls(orders, changes)
+    operators = OperatorHandler(timer, changes, settings.control_address, rollout_calls)
     listener = HttpListener(
         timer, settings.control_address, operators.handle, OPERATOR_LIMITS
     )
@@ -90,7 +131,10 @@
     metrics = MetricsListener(
         timer,
         settings,
-        lambda: _metric_lines(replica, sync_service, source, placement, disk),
+        lambda: [
+            *_metric_lines(replica, sync_service, source, placement, disk),
+            *(rollouts.metric_lines() if rollouts is not None else ()),
+        ],
     )
     await replica.start()
     await transport.start()
@@ -101,6 +145,8 @@
         supervise(timer, "engine-reports", placement.run_reports),
         supervise(timer, "engine-checks", placement.run_checks),
     ]
+    if rollouts is not None:
+        tasks.append(supervise(timer, "rollouts", rollouts.run))
     events.emit(
         events.PROCESS_STARTED,
         vm=settings.vm,
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -27,6 +27,7 @@
     "decode_leaving",
     "decode_limit_per_s",
     "decode_list_page",
+    "decode_notices",
     "decode_pause_s",
 ]
 
@@ -81,7 +82,7 @@
     identity = reader.name("id")
     # A restarted engine keeps its identity; `born` distinguishes its incarnations.
     born = reader.integer("born", 0, 0)
-    reader.name("version")
+    version = reader.name("version")
     reader.text("stage", "")
     reader.objects("models", ())
     return EngineInfo(
@@ -94,6 +95,7 @@
         is_draining=IS_DRAINING_BY_STATE[state],
         cold_s=reader.number("cold_remaining_ms", minimum=0, maximum=MAX_COLD_MS)
         / MS_PER_S,
+        version=version,
     )
 
 
@@ -137,6 +139,16 @@
     return 0.0 if per_s is not None and math.isnan(per_s) else per_s
 
 
+def decode_notices(head: ResponseHead) -> dict[str, Any]:
+    """Return what a response to a poll announces; see `FleetSyncService.note_poll`."""
+    return {
+        "is_leaving": decode_leaving(head),
+        "pause_s": decode_pause_s(head),
+        "limit_per_s": decode_limit_per_s(head),
+        "brittle_per_s": decode_brittle_per_s(head),
+    }
+
+
 class PlatformProtocol:
     """Encodes and decodes the platform's request and response headers."""
 
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -29,8 +29,9 @@
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import PlatformProtocol
 from endivesill.platform.metrics_port import MetricsListener
-from endivesill.platform.process import SettingsWatcher, StopSignal
+from endivesill.platform.process import SettingsWatcher
 from endivesill.platform.settings import NodeSettings
+from endivesill.stop_signal import StopSignal
 from endivesill.supervision import supervise
 from endivesill.timer import TimerService
 
@@ -68,6 +69,7 @@
         view = self._sync_client.view
         self._table = TargetTable(timer, view, settings.data_centre)
         self._table.outcomes = self._sync_client.outcomes
+        self._table.versions = self._sync_client.rollouts
         permits = PermitClient(timer, transport, self._sync_client)
         self._table.use_limits(self._sync_client.limits, permits)
         self._table.on_limit = self._report_engines
@@ -127,7 +129,7 @@
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
-        stop = StopSignal(self._settings, self._timer)
+        stop = StopSignal(self._timer)
         SettingsWatcher(
             self._timer, lambda s: self._sync_client.use_seeds(s.seed_peers)
         )
@@ -162,6 +164,7 @@
             "knowledge_age_seconds": "+Inf" if math.isinf(age_s) else round(age_s, 3),
         }
         lines = [f"endivesill_{name} {value}" for name, value in gauges.items()]
+        lines += self._sync_client.rollouts.metric_lines()
         return lines + self._table.metric_lines() + self._statistics.lines()
 
     # Updates of the fleet view.
--- a/endivesill/platform/operators.py
+++ b/endivesill/platform/operators.py
@@ -1,4 +1,4 @@
-"""Handles calls of operators: configuration and evacuations."""
+"""Handles calls of operators: configuration, evacuations and roll-outs."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 from endivesill.json_text import check_nesting, parse_document
 from endivesill.platform import wire
 from endivesill.platform.configuration import decode_configuration
+from endivesill.platform.rollouts import RolloutCalls
 from endivesill.timer import TimerService
 
 __all__ = ["RESPONSE_TIMEOUT_S", "OperatorHandler"]
@@ -31,14 +32,20 @@
       timer: the timer service.
       changes: proposes the operators' changes.
       address: HOST:PORT of this VM for operators.
+      rollouts: handles calls about roll-outs; None where there are none.
     """
 
     def __init__(
-        self, timer: TimerService, changes: FleetChanges, address: str
+        self,
+        timer: TimerService,
+        changes: FleetChanges,
+        address: str,
+        rollouts: RolloutCalls | None = None,
     ) -> None:
         self._timer = timer
         self._changes = changes
         self._address = address
+        self._rollouts = rollouts
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call: 307 to confirm, 400 invalid, 409 conflict, 503 failed."""
@@ -80,6 +87,8 @@
             return 200, await self._replace_configuration(exchange.body)
         if call == ("GET", wire.GET_CONFIGURATION_PATH):
             return 200, await self._changes.read_configuration()
+        if self._rollouts is not None and self._rollouts.handles(call):
+            return await self._rollouts.dispatch(call, exchange.body)
         for prefix, evacuated in wire.EVACUATION_PREFIXES.items():
             if exchange.method == "POST" and path.startswith(prefix):
                 name = urllib.parse.unquote(path[len(prefix) :].decode("latin-1"))
--- a/endivesill/platform/process.py
+++ b/endivesill/platform/process.py
@@ -1,4 +1,4 @@
-"""Signal handling and settings reload, used by both kinds of process."""
+"""Settings reload, used by both kinds of process."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from endivesill.platform.wire import SETTINGS_PATH, SETTINGS_VARIABLE
 from endivesill.timer import TimerService
 
-__all__ = ["SettingsWatcher", "StopSignal", "settings_path"]
+__all__ = ["SettingsWatcher", "settings_path"]
 
 # The platform may replace the settings file without sending a signal.
 POLL_PERIOD_S = 1.0
@@ -32,35 +32,6 @@
     return os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
 
 
-class StopSignal:
-    """Waits for SIGTERM or SIGINT.
-
-    Args:
-      settings: the process's settings.
-      timer: the timer service.
-
-    Attributes:
-      received_s: time of the first signal; 0 before it.
-    """
-
-    def __init__(self, settings: NodeSettings, timer: TimerService) -> None:
-        self._event = asyncio.Event()
-        self._timer = timer
-        self.received_s = 0.0
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._handle_signal)
-
-    def _handle_signal(self) -> None:
-        if not self._event.is_set():
-            self.received_s = self._timer.now_s()
-            self._event.set()
-
-    async def wait(self) -> None:
-        """Wait until the first signal arrives."""
-        await self._event.wait()
-
-
 class SettingsWatcher:
     """Reloads the settings on SIGHUP and when the file changes.
 
--- a/endivesill/platform/provider.py
+++ b/endivesill/platform/provider.py
@@ -5,7 +5,7 @@
 import urllib.parse
 
 from endivesill import errors, events
-from endivesill.fleet.engine_list import EngineListSource
+from endivesill.fleet.engine_list import EngineListSource, merge_pages
 from endivesill.fleet.events import LIST_ENTRY_SKIPPED
 from endivesill.fleet.model import EngineInfo
 from endivesill.platform import wire
@@ -68,7 +68,7 @@
             if token and page_count == MAX_PAGES:
                 raise errors.UnavailableError("list of engines: too many pages")
             if not token:
-                engines = _merge(engines, skipped)
+                engines = merge_pages(engines, skipped)
                 self._log_skipped(skipped)
                 self.min_period_s = page_count / (
                     CALL_RATE_FRACTION * self._calls_per_s
@@ -84,22 +84,6 @@
         self._logged_reasons = current
 
 
-def _merge(engines: list[EngineInfo], skipped: list[str]) -> list[EngineInfo]:
-    """Return each engine once; one entry that says it drains counts.
-
-    An entry may be on two pages if the list changes between their reads. One that names
-    a listed engine with another address or service is skipped.
-    """
-    merged: dict[str, EngineInfo] = {}
-    for engine in engines:
-        first = merged.setdefault(engine.incarnation, engine)
-        if (first.address, first.service) != (engine.address, engine.service):
-            skipped.append("entry.id: listed twice with different fields")
-        elif engine.is_draining:
-            merged[engine.incarnation] = engine
-    return list(merged.values())
-
-
 def _page_path(token: str) -> str:
     if not token:
         return wire.ENGINE_LIST_PATH
--- a/endivesill/platform/settings.py
+++ b/endivesill/platform/settings.py
@@ -6,6 +6,7 @@
 
 from endivesill import errors
 from endivesill.findings import Finding
+from endivesill.rollouts.model import ExposureBounds
 from endivesill.toml_file import TomlFile, TomlTable
 
 __all__ = ["Bounds", "NodeSettings", "check_settings", "read_settings"]
@@ -26,6 +27,8 @@
       retry_window_s: length of the window in which retries are counted.
       cold_factor: factor on the request rate of a cold target.
       cold_slack: additional requests per second allowed to cold targets.
+      exposure: bounds on the requests that a version gets before it is known to be
+        good; None where the platform orders no roll-outs.
     """
 
     grace_s: float
@@ -34,6 +37,7 @@
     retry_window_s: float
     cold_factor: float
     cold_slack: float
+    exposure: ExposureBounds | None = None
 
 
 @attrs.frozen
@@ -157,4 +161,12 @@
         retry_window_s=number("budget_window_s", 10.0),
         cold_factor=number("cold_factor", 1.0),
         cold_slack=number("cold_slack", 0.0),
+        exposure=_decode_exposure(fields),
     )
+
+
+def _decode_exposure(fields: TomlTable) -> ExposureBounds | None:
+    share = fields.read("number", "exposure_share", None, None)
+    if share is None:
+        return None
+    return ExposureBounds(share, fields.read("number", "exposure_slack", 0.0, 0.0))
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -64,6 +64,15 @@
 GET_CONFIGURATION_PATH = b"/Configuration.Get"
 # Whether a data centre is evacuated after a call, by prefix of the call's path.
 EVACUATION_PREFIXES = {b"/Evacuation.Start/": True, b"/Evacuation.End/": False}
+START_ROLLOUT_PATH = b"/Rollouts.Start"
+# The rest of the path is the service.
+GET_ROLLOUT_PREFIX = b"/Rollouts.Get/"
+# How a roll-out's state is written, by its value inside.
+ROLLOUT_STATES = {
+    "running": "running",
+    "completed": "completed",
+    "rolled-back": "rolled_back",
+}
 # Of an evacuation call, in the URL to which this system redirects a doubtful one.
 CONFIRMED_INDEX_PARAMETER = b"confirmed-index"
 
--- a/endivesill/porcelain.py
+++ b/endivesill/porcelain.py
@@ -9,21 +9,20 @@
 import pathlib
 import uuid
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
-
-import attrs
 
 from endivesill import errors
 from endivesill.configuration import Folder, read_folder
-from endivesill.configuration.changes import Change, digest_of_documents
+from endivesill.configuration.changes import digest_of_documents
 from endivesill.configuration.folder import read_base_revision, write_base_revision
 from endivesill.explain import RequestTrace
 from endivesill.explain import explain as trace_request
 from endivesill.findings import Finding
+from endivesill.folder_outcomes import ChangeOutcome, FolderDifference
 from endivesill.load import LoadRunner, Summary, read_experiment, summarize
 from endivesill.operators.client import OperatorClient
 from endivesill.peers import Message
 from endivesill.platform.check import check_files
+from endivesill.platform.rollout_client import read_rollout, start_rollout
 from endivesill.timer import SystemTimer
 
 __all__ = [
@@ -43,6 +42,7 @@
     "fleet_status",
     "load",
     "platform_check",
+    "platform_rollout",
     "status",
     "vm_drain",
 ]
@@ -52,47 +52,6 @@
 ProgressReporter = Callable[[str], None]
 
 
-@attrs.frozen
-class FolderDifference:
-    """The difference between a folder and the fleet's configuration.
-
-    Attributes:
-      revision: the fleet's revision that the folder was compared with.
-      folder_revision: the newest revision that changed items of the folder.
-      change: the items that differ.
-      origins: `FILE:LINE` of each value of the changed items, by key and field.
-      before: the fleet's documents of the items that differ, by key.
-    """
-
-    revision: int
-    folder_revision: int
-    change: Change
-    origins: dict[str, dict[str, str]]
-    before: dict[str, dict[str, Any]]
-
-
-@attrs.frozen
-class ChangeOutcome:
-    """The outcome of a change.
-
-    Attributes:
-      outcome: `accepted` or `unchanged`.
-      revision: the revision that contains the change.
-      number: the idempotency number of the change; a resend uses the same one.
-      in_force: whether no VM can start work under an older revision.
-      waiting_for: the VMs that may still start work under an older revision.
-      without_lease: the VMs that have not acknowledged the revision but cannot
-        start work without a lease.
-    """
-
-    outcome: str
-    revision: int
-    number: str
-    in_force: bool
-    waiting_for: tuple[str, ...]
-    without_lease: tuple[str, ...]
-
-
 def config_check(folder: str) -> Folder:
     """Read and validate an operators' folder.
 
@@ -371,3 +330,42 @@
     records = await LoadRunner(experiment, SystemTimer()).run()
     settings = experiment.settings
     return summarize(records, settings.duration_s, settings.stall_threshold_ms / 1000)
+
+
+async def platform_rollout(
+    address: str,
+    service: str,
+    version: str | None,
+    duration_s: float | None,
+    report: ProgressReporter,
+) -> str:
+    """Start a roll-out on the platform, or follow the newest one, until it has ended.
+
+    Args:
+      address: HOST:PORT of a control VM.
+      service: the service.
+      version: the version that its traffic is moved to; None to follow only.
+      duration_s: time budget of a new roll-out.
+      report: called with each new state.
+
+    Returns:
+      The last state.
+
+    Raises:
+      EndivesillError: it was rejected, or its state is not known.
+    """
+    timer = SystemTimer()
+    if version is not None:
+        if duration_s is None:
+            raise errors.OrderError("a roll-out needs a time budget")
+        await start_rollout(timer, address, service, version, duration_s)
+    shown = ""
+    while True:
+        state, running_version = await read_rollout(timer, address, service)
+        text = f"{service} to {running_version}: {state}"
+        if text != shown:
+            report(text)
+            shown = text
+        if state != "running":
+            return state
+        await timer.sleep(PROGRESS_POLL_PERIOD_S)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -27,6 +27,7 @@
     "server",
     "settings",
     "signals",
+    "stop_signal",
     "supervision",
     "timer",
     "tls",
@@ -44,9 +45,10 @@
     "entry": {"configuration", "control", "routing", "targets"},
     "drain": {"configuration", "membership"},
     "fleet_status": {"configuration", "membership"},
-    "fleet": {"control"},
-    "forwarding": {"fleet"},
-    "platform": {"control", "fleet", "forwarding"},
+    "rollouts": {"control"},
+    "fleet": {"control", "rollouts"},
+    "forwarding": {"fleet", "rollouts"},
+    "platform": {"control", "fleet", "forwarding", "rollouts"},
     "operators": {
         "configuration",
         "control",
@@ -56,9 +58,11 @@
     },
     "load": set(),
     "explain": set(),
+    "folder_outcomes": {"configuration"},
     **{
         name: {"configuration", "operators", "load", "explain", "platform"}
         | COMMAND_LINE_TOOL
+        | {"folder_outcomes"}
         for name in COMMAND_LINE_TOOL
     },
     **{name: set() for name in FOUNDATIONS},
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -4,7 +4,7 @@
 import signal
 import unittest
 
-from endivesill.platform.process import StopSignal
+from endivesill.stop_signal import StopSignal
 from endivesill.timer import ManualTimer
 
 
@@ -12,7 +12,7 @@
     async def test_the_grace_period_starts_with_the_first_signal(self):
         """Signals may come before the process waits for them."""
         timer = ManualTimer()
-        stop = StopSignal(None, timer)
+        stop = StopSignal(timer)
         await timer.advance(1.0)
         first_s = timer.now_s()
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -64,6 +64,14 @@
         )
         self.assertEqual("", settings.front_address)
 
+    def test_bounds_on_exposure_ask_for_roll_outs(self):
+        self.write(CONTROL_VM)
+        self.assertIsNone(read_settings(self.path).bounds.exposure)
+        bounds = "[bounds]\nexposure_share = 0.1\nexposure_slack = 50"
+        self.write(CONTROL_VM.replace("[bounds]", bounds))
+        exposure = read_settings(self.path).bounds.exposure
+        self.assertEqual((0.1, 50), (exposure.share, exposure.slack_requests))
+
     def test_all_findings_are_reported_together(self):
         text = CONTROL_VM.replace('zone = "west-a"', "zone = 7").replace(
             'address = "10.200.0.63:8742"', ""
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -19,6 +19,7 @@
 from bench.platform_soak_mass_cuts import mass_cuts
 from bench.platform_soak_orders import OrderRecord
 from bench.platform_soak_profiles import make_profile
+from bench.platform_soak_rollouts import RolloutRecord
 from bench.platform_soak_stops import StopRecords
 from endivesill.timer import ManualTimer
 
@@ -29,6 +30,7 @@
 SHORT_MASS_CUT_S = 10.0
 SHORT_ORDER_S = 8.0
 SHORT_ENTRY_S = 6.0
+SHORT_ROLLOUT_S = 16.0
 # Above the numbers of manual runs; differs between test runs on one machine.
 FLEET_NUMBER = 30_000 + os.getpid() % 30_000
 
@@ -60,6 +62,40 @@
         self.assertEqual({"stop", "kill", "kill_leader", "kill_all_controls"}, actions)
 
 
+class RolloutRecordTest(unittest.TestCase):
+    """The check of a roll-out finds what it is for."""
+
+    def record(self, kind="failing", exposed=50, state="rolled_back"):
+        record = RolloutRecord("app", "v2", kind, 100.0)
+        record.requests_s = [101.0] * 1_000
+        record.new_requests_s = [101.0] * exposed
+        record.is_acknowledged, record.state = True, state
+        return record
+
+    def test_exposure_of_a_bad_version(self):
+        self.assertEqual([], self.record(exposed=150).findings(True))
+        self.assertEqual(1, len(self.record(exposed=151).findings(True)))
+
+    def test_a_request_long_after_the_bad_answers(self):
+        record = self.record()
+        record.bad_s = [101.0] * 50
+        self.assertEqual([], record.findings(False))
+        record.new_requests_s.append(113.0)
+        self.assertEqual(1, len(record.findings(False)))
+
+    def test_outcomes_without_faults(self):
+        wrong = [self.record(state="completed"), self.record("good")]
+        for record in wrong:
+            self.assertEqual(1, len(record.findings(True)))
+            self.assertEqual([], record.findings(False))
+
+    def test_requests_that_are_cut_off(self):
+        record = self.record("good", 600, "completed")
+        self.assertEqual([], record.findings(True))
+        record.cut = 1
+        self.assertEqual(1, len(record.findings(True)))
+
+
 class MassCutScheduleTest(unittest.TestCase):
     """Cuts of groups of 60 entries."""
 
@@ -398,6 +434,11 @@
         self.assertGreater(report["orders"]["acknowledged"], 0)
         self.assertEqual([], report["findings"])
 
+    async def test_roll_outs_end_within_their_bounds(self):
+        report = await Soak(2, SHORT_ROLLOUT_S, FLEET_NUMBER, "rollouts").run()
+        self.assertEqual([], report["findings"])
+        self.assertTrue(report["rollouts"])
+
     async def test_odd_entries_of_the_list_change_nothing(self):
         report = await Soak(1, SHORT_ENTRY_S, FLEET_NUMBER, "entries").run()
         self.assertGreater(report["odd_pages"], 0)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -13,6 +13,7 @@
     "DENIED",
     "DRAIN",
     "EVAC",
+    "EXPOSURE",
     "FAILBACK",
     "GONE",
     "LIMIT",
