Give long generations to engines whose pauses they bear

Cause: engines of one service differ in speed and have slow spells; a slow one with a spell exceeds the pause that a route allows, and placement compared counts only. Change: entries count late pauses by engine and send them with their polls; the leader adds the expected loss to the cost of uneven engines.

--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -11,6 +11,7 @@
     "ENGINE_LEAVING",
     "ENGINE_LIST_CHANGED",
     "ENGINE_PAUSED",
+    "ENGINE_UNEVEN",
     "ENGINE_UNHEALTHY",
     "HEALTH_DOUBTED",
     "HEALTH_UNKNOWN",
@@ -121,6 +122,11 @@
     "crashes-unstored",
     "The reports that block a cause were not stored; it is tried again.",
 )
+ENGINE_UNEVEN = events.define(
+    4530,
+    "engine-uneven",
+    "An engine has more late pauses than its peers; it gets fewer long generations.",
+)
 LIST_LOST = events.define(
     4502,
     "engine-list-lost",
--- a/endivesill/fleet/packing.py
+++ b/endivesill/fleet/packing.py
@@ -13,8 +13,9 @@
 
 from endivesill import errors
 from endivesill.json_text import parse_json
+from endivesill.peers import EncodedValue, Message
 
-__all__ = ["pack_document", "unpack_document"]
+__all__ = ["PackedState", "pack_document", "unpack_document"]
 
 # Level 1 is fast, and higher levels save little more.
 LEVEL = 1
@@ -36,3 +37,20 @@
         return parse_json(zlib.decompress(base64.b64decode(text)))
     except (ValueError, zlib.error) as error:
         raise errors.PeerMessageError(f"packed document: {error}") from None
+
+
+class PackedState:
+    """The packed configuration for entries, encoded once a version."""
+
+    def __init__(self) -> None:
+        self._version: int | None = None
+        self._encoded = EncodedValue("")
+
+    def encode(self, state: Message) -> EncodedValue:
+        """Return `{"version", "packed"}` of the replicated configuration."""
+        if self._version != state["version"]:
+            self._version = state["version"]
+            packed = pack_document(state["document"])
+            text = json.dumps({"version": state["version"], "packed": packed})
+            self._encoded = EncodedValue(text)
+        return self._encoded
--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -5,9 +5,6 @@
 import itertools
 import uuid
 from collections.abc import Callable
-from typing import Any
-
-import attrs
 
 from endivesill import errors, events
 from endivesill.fleet.crash_exchange import CrashExchange
@@ -20,11 +17,12 @@
 )
 from endivesill.fleet.list_updates import apply_list_update
 from endivesill.fleet.load import EngineLoad, loads_to_rows, subtract_rows
-from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.outcomes import OutcomeCounts
 from endivesill.fleet.packing import unpack_document
+from endivesill.fleet.pauses import PauseCounts
 from endivesill.fleet.polling import addresses_digest, long_poll_s
 from endivesill.fleet.shares import LEASE_DURATION_S, EntryTurn, ShareLease
+from endivesill.fleet.view import NO_LIST_STAMP, NO_LOADS_STAMP, FleetView
 from endivesill.peers import Message, PeerTransport
 from endivesill.rollouts.entry import OFFER_PATH, EntryRollouts
 from endivesill.signals import Signal
@@ -48,66 +46,10 @@
 OFFER_TIMEOUT_S = 0.05
 RETRY_S = 0.05
 MAX_RETRY_S = 0.2
-# With an older view an entry reports that it is not ready, so that callers are sent to
-# other entries.
-MAX_READY_VIEW_AGE_S = 6.0
 # Time without a reply after which the loss of the leader is logged.
 LEADER_LOST_AFTER_S = 1.0
 
 
-NO_LEASE = ShareLease(0.0, 0.0)
-NO_LIST_STAMP = [0, 0]
-NO_LOADS_STAMP = [0, -1]
-
-
-@attrs.define
-class FleetView:
-    """An entry's view of the fleet.
-
-    Attributes:
-      version: version of the configuration; None before there is one.
-      document: the configuration as the operator sent it.
-      evacuation_index: log index of the last change of evacuations.
-      evacuated: data centres whose targets get no requests.
-      list_stamp: stamp of the engine list.
-      engines: the engines by incarnation.
-      remote_loads: load of the other entries, by incarnation.
-      loads_stamp: stamp of these loads.
-      ejections_stamp: stamp of the newest ejections.
-      ejections: remaining seconds of these ejections, by incarnation, when they came.
-      limits_stamp: stamp of the newest limits of engines.
-      lease: this entry's share of the fleet-wide limits.
-      turn: its place among the entries while no leader answers; None until a leader
-        has told one.
-      entry_count: how many entries hold a lease.
-      confirmed_at_s: when the view was last known to be current.
-    """
-
-    version: int | None = None
-    document: Any = None
-    evacuation_index: int = -1
-    evacuated: frozenset[str] = frozenset()
-    list_stamp: list[int] = attrs.Factory(lambda: NO_LIST_STAMP)
-    engines: dict[str, EngineInfo] = attrs.Factory(dict)
-    remote_loads: dict[str, EngineLoad] = attrs.Factory(dict)
-    loads_stamp: list[int] = attrs.Factory(lambda: NO_LOADS_STAMP)
-    ejections_stamp: list[int] = attrs.Factory(lambda: NO_LIST_STAMP)
-    ejections: dict[str, float] = attrs.Factory(dict)
-    limits_stamp: list[int] = attrs.Factory(lambda: NO_LIST_STAMP)
-    lease: ShareLease = NO_LEASE
-    turn: EntryTurn | None = None
-    entry_count: int = 1
-    confirmed_at_s: float = float("-inf")
-
-    def is_usable(self, now_s: float) -> bool:
-        """Return whether it has engines and is recent."""
-        return bool(self.engines) and self.age_s(now_s) < MAX_READY_VIEW_AGE_S
-
-    def age_s(self, now_s: float) -> float:
-        """Return the time since it was last confirmed as current; may be infinite."""
-        return now_s - self.confirmed_at_s
-
-
 class FleetSyncClient:
     """Keeps a `FleetView` up to date by long-polling the leader.
 
@@ -127,6 +69,7 @@
       leader: peer address of the leader; None while unknown.
       leader_lost: notified when the leader does not reply.
       outcomes: outcomes of requests for the next report.
+      pauses: pauses of streams for the next report.
       crashes: exchanges reports of crashes with the control VMs.
       limits: the request rates to which engines limit all entries together.
       entry_peers: the entries that may send requests of this one.
@@ -156,6 +99,7 @@
         self._connected = False
         self.leader_lost = Signal()
         self.outcomes = OutcomeCounts()
+        self.pauses = PauseCounts()
         self.crashes = CrashExchange(
             timer, transport, self._known_controls, lambda: self.leader
         )
@@ -194,8 +138,7 @@
                     address, SYNC_PATH, request, self._sync_timeout_s()
                 )
             except errors.PeerUnreachableError as error:
-                self.outcomes.restore(request["outcomes"])
-                self.rollouts.restore(request)
+                self._restore(request)
                 self.crashes.forget(address)
                 self._note_unreachable(address, str(error))
                 await self._timer.sleep(retry_s)
@@ -208,14 +151,19 @@
                 self.entry_peers.apply_reply(address, request, reply)
                 self._apply(address, reply, sent_s)
                 continue
-            self.outcomes.restore(request["outcomes"])
-            self.rollouts.restore(request)
+            self._restore(request)
             leader = reply.get("leader")
             self.leader = leader if leader != address else None
             if self.leader is None:
                 self._note_unreachable(address, "does not lead")
             await self._timer.sleep(RETRY_S)
 
+    def _restore(self, request: Message) -> None:
+        """Take back what a poll would have reported to the leader."""
+        self.outcomes.restore(request["outcomes"])
+        self.pauses.restore(request["pauses"])
+        self.rollouts.restore(request)
+
     def note_grant(self, number: int) -> None:
         """Record that this entry's load now includes a grant."""
         self._grants_seen = max(self._grants_seen, number)
@@ -313,6 +261,7 @@
             "list": view.list_stamp,
             "departures": self._departures(),
             "outcomes": self.outcomes.take(),
+            "pauses": self.pauses.take(),
             "ejections": view.ejections_stamp,
             "limits": self._unreported_limits(self.leader),
             "limits_number": self.limits.number,
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -23,7 +23,8 @@
 from endivesill.fleet.load_replies import LoadReplies
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.outcomes import Ejections
-from endivesill.fleet.packing import pack_document
+from endivesill.fleet.packing import PackedState
+from endivesill.fleet.pauses import PauseRates
 from endivesill.fleet.permit_service import PermitService
 from endivesill.fleet.permits import LeaderPermits
 from endivesill.fleet.polling import (
@@ -62,6 +63,7 @@
       permits: permits of all entries to send requests to these engines.
       crashes: exchanges reports of crashes with the entries.
       rollouts: adds what concerns roll-outs to the polls.
+      pauses: the pauses in the streams of each engine.
     """
 
     def __init__(
@@ -74,8 +76,7 @@
         self._timer = timer
         self._replica = replica
         self._updated = Signal()
-        self._packed_version: int | None = None
-        self._packed_state = EncodedValue("")
+        self._packed_state = PackedState()
         self._list_updates = ListUpdates()
         self._entries = EntryDirectory(timer, random.Random())
         self._on_change: Callable[[], None] = lambda: None
@@ -102,6 +103,7 @@
         self.crashes = CrashService(timer, transport, replica)
         self.crashes.evidence.on_change = self._updated.notify
         self.rollouts = RolloutPolls()
+        self.pauses = PauseRates(timer)
         transport.handle(SYNC_PATH, self.handle_sync)
         transport.handle(ENGINES_PATH, self._handle_engines)
         replica.subscribe_applied(self._note_applied)
@@ -262,6 +264,7 @@
         self._record_engines(message)
         self.crashes.record(message)
         self.rollouts.record(message)
+        self.pauses.add(message.get("pauses", {}))
         self._on_loads()
         if not self._has_updates(message):
             await self._wait_for_updates(message)
@@ -342,7 +345,7 @@
         if state is not None and (
             known_version is None or state["version"] > known_version
         ):
-            updates["state"] = lambda: self._encode_state(state)
+            updates["state"] = lambda: self._packed_state.encode(state)
         index, data_centres = evacuations(self._replica.state)
         if index > message["evacuations"]:
             evacuated = {"index": index, "data_centres": data_centres}
@@ -367,15 +370,6 @@
             updates["limits"] = lambda: EncodedValue(json.dumps(limits))
         return updates
 
-    def _encode_state(self, state: Message) -> EncodedValue:
-        """Return the packed configuration, encoded once a version."""
-        if self._packed_version != state["version"]:
-            self._packed_version = state["version"]
-            packed = pack_document(state["document"])
-            text = json.dumps({"version": state["version"], "packed": packed})
-            self._packed_state = EncodedValue(text)
-        return self._packed_state
-
     def _build_reply(self, entry_id: str, message: Message) -> Message:
         now_s = self._timer.now_s()
         assert self._allocator is not None
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -287,7 +287,7 @@
         except StreamBrokenError as error:
             self._table.note_outcome(relay.target or target, succeeded=False)
             self._versions.note_failed(call, relay.target or target)
-            self._finish_failed(call, 502, str(error), events=relay.events)
+            self._finish_failed(call, 502, str(error), events=relay.progress.events)
             return
         if attempt is None:
             self._table.note_outcome(relay.target or target, succeeded=True)
@@ -296,9 +296,9 @@
                 "answered",
                 "",
                 status=200,
-                events=relay.events,
-                first_event_s=round(relay.first_event_s - call.received_s, 4),
-                longest_gap_s=round(relay.longest_gap_s, 4),
+                events=relay.progress.events,
+                first_event_s=round(relay.progress.first_event_s - call.received_s, 4),
+                longest_gap_s=round(relay.progress.longest_gap_s, 4),
                 resumes=relay.resumes,
             )
             return
--- a/endivesill/forwarding/health_table.py
+++ b/endivesill/forwarding/health_table.py
@@ -6,6 +6,7 @@
 
 from endivesill import events
 from endivesill.fleet.outcomes import OutcomeCounts
+from endivesill.fleet.pauses import PauseCounts
 from endivesill.forwarding.events import TARGET_EJECTED, TARGET_READMITTED
 from endivesill.forwarding.target import Target
 from endivesill.timer import TimerService
@@ -32,6 +33,7 @@
       on_ejected: called with a target and the duration of its ejection as an outlier.
       outcomes: counts the outcomes of this entry's requests for the leader.
       on_broken: called after a request that a target broke off.
+      pauses: counts the pauses of this entry's streams for the leader.
     """
 
     def __init__(self, timer: TimerService) -> None:
@@ -40,6 +42,7 @@
         self._by_service: dict[str, list[Target]] = {}
         self.on_ejected: Callable[[Target, float], None] = lambda target, time_s: None
         self.outcomes = OutcomeCounts()
+        self.pauses = PauseCounts()
         self.on_broken: Callable[[], None] = lambda: None
 
     def eject(self, target: Target, duration_s: float, reason: str) -> None:
--- a/endivesill/forwarding/leader_placement.py
+++ b/endivesill/forwarding/leader_placement.py
@@ -8,6 +8,7 @@
 
 from endivesill import errors, events
 from endivesill.fleet.departures import DepartureDetector, HealthSource
+from endivesill.fleet.events import ENGINE_UNEVEN
 from endivesill.fleet.model import EngineInfo, Service
 from endivesill.fleet.reports import EngineReports, ReportSource
 from endivesill.fleet.state import current_configuration, evacuations
@@ -27,6 +28,8 @@
 ADMISSION_PERIOD_S = 0.02
 # Period of the log lines on engine load while requests are queued.
 LOAD_LOG_PERIOD_S = 1.0
+# Interval between two looks at the pauses in streams.
+UNEVEN_PERIOD_S = 0.5
 # An engine that has just started is slow for about this long.
 WARM_UP_S = 2.0
 
@@ -101,6 +104,7 @@
         self._on_engines: Callable[[], None] = lambda: None
         timer.call_every(ADMISSION_PERIOD_S, self._update_placement)
         timer.call_every(LOAD_LOG_PERIOD_S, self._placement.log_load)
+        timer.call_every(UNEVEN_PERIOD_S, self._update_pauses)
 
     async def run_reports(self) -> None:
         """Read the reports of engines until cancelled; only the leader reads any."""
@@ -113,7 +117,16 @@
     def metric_lines(self) -> list[str]:
         """Return metric lines for the targets and the number of queued requests."""
         waiting = f"endivesill_waiting_requests {self._placement.queue_length()}"
-        return [*self._table.metric_lines(), waiting]
+        uneven = sum(
+            target.late_pauses > 0
+            for service in self._services
+            for target in self._table.listed(service)
+        )
+        return [
+            *self._table.metric_lines(),
+            waiting,
+            f"endivesill_engines_uneven {uneven}",
+        ]
 
     def use_versions(self, versions: TargetVersions) -> None:
         """Set what says which engines a roll-out keeps from ordinary requests."""
@@ -185,6 +198,26 @@
         if self._placement.queue_length():
             self._placement.update()
 
+    def _update_pauses(self) -> None:
+        """Tell the placement which engines have more late pauses than their peers."""
+        if not self._sync_service.leads():
+            return
+        rates = self._sync_service.pauses
+        rates.retain(self._view.engines)
+        for service in self._services:
+            targets = self._table.listed(service)
+            uneven = rates.uneven_fractions([t.info.incarnation for t in targets])
+            for target in targets:
+                late_pauses = uneven.get(target.info.incarnation, 0.0)
+                if late_pauses and not target.late_pauses:
+                    events.emit(
+                        ENGINE_UNEVEN,
+                        target=target.info.identity,
+                        service=service,
+                        late_pauses=round(late_pauses, 4),
+                    )
+                target.late_pauses = late_pauses
+
     def _update(self) -> None:
         if not self._sync_service.leads():
             self._departures.note_listed(())
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -50,6 +50,9 @@
 # Requests sent to a plain target beyond its slots, as a fraction of them. The target
 # queues a few itself; any more wait here, where another target can take them.
 PLAIN_QUEUE_FRACTION = 1.0
+# Time that a caller would rather wait than get a generation with a pause that is too
+# long; about the whole target latency of a long generation.
+LATE_PAUSE_COST_S = 1.5
 # Cost of a full KV cache; it grows with the square of the fill.
 MEMORY_COST_S = 0.2
 
@@ -81,10 +84,13 @@
 
 def run_time_s(demand: ResourceDemand) -> float:
     """Return how long a generation is expected to run."""
-    output_tokens = (demand.memory_tokens - demand.prompt_tokens) / MEAN_OUTPUT_FRACTION
-    return (
-        demand.prompt_tokens / PREFILL_TOKENS_PER_S + output_tokens * DECODE_S_PER_TOKEN
-    )
+    decode_s = output_tokens(demand) * DECODE_S_PER_TOKEN
+    return demand.prompt_tokens / PREFILL_TOKENS_PER_S + decode_s
+
+
+def output_tokens(demand: ResourceDemand) -> float:
+    """Return the expected output of a generation."""
+    return (demand.memory_tokens - demand.prompt_tokens) / MEAN_OUTPUT_FRACTION
 
 
 def has_capacity(target: Target, service: Service, demand: ResourceDemand) -> bool:
@@ -129,6 +135,9 @@
             1, service.model_engine.capacity_tokens
         )
         cost += MEMORY_COST_S * fill * fill
+        if target.late_pauses:
+            events = output_tokens(demand) / max(1, service.model_engine.event_tokens)
+            cost += LATE_PAUSE_COST_S * (1.0 - (1.0 - target.late_pauses) ** events)
     if target.info.data_centre != data_centre:
         cost += CROSS_DATA_CENTRE_COST_S
     return cost
--- a/endivesill/forwarding/stream_run.py
+++ b/endivesill/forwarding/stream_run.py
@@ -1,4 +1,4 @@
-"""One run of a generation at one engine."""
+"""One run of a generation at one engine, and the stream that its caller gets."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from endivesill.forwarding.run_copy import RunCopy
 from endivesill.forwarding.targets import Target
 
-__all__ = ["StreamRun"]
+__all__ = ["StreamProgress", "StreamRun"]
 
 
 @attrs.define(eq=False)
@@ -40,3 +40,32 @@
     copy: RunCopy | None = None
     has_pace: bool = False
     is_moving: bool = False
+
+
+@attrs.define
+class StreamProgress:
+    """What a caller has received of a stream.
+
+    Attributes:
+      events: events sent to the caller.
+      first_event_s: when the first one was sent.
+      last_event_s: when the last one was sent.
+      longest_gap_s: longest time between two.
+    """
+
+    events: int = 0
+    first_event_s: float = 0.0
+    last_event_s: float = 0.0
+    longest_gap_s: float = 0.0
+
+    def note(self, count: int, now_s: float) -> float | None:
+        """Count events; return the pause before them, None before the first ones."""
+        gap_s = None
+        if self.events:
+            gap_s = now_s - self.last_event_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        else:
+            self.first_event_s = now_s
+        self.last_event_s = now_s
+        self.events += count
+        return gap_s
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -20,7 +20,7 @@
 from endivesill.forwarding.events import ATTEMPT_FAILED, STREAM_RESUMED
 from endivesill.forwarding.placer import Placement, Placer
 from endivesill.forwarding.run_copy import RunCopier, RunCopy
-from endivesill.forwarding.stream_run import StreamRun
+from endivesill.forwarding.stream_run import StreamProgress, StreamRun
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.forwarding.version_log import PACE_EVENTS, VersionLog
 from endivesill.http1 import UpstreamError, strip_hop_by_hop
@@ -62,9 +62,7 @@
       call: the request.
 
     Attributes:
-      events: events sent to the caller.
-      first_event_s: when the first one was sent.
-      longest_gap_s: longest time between two.
+      progress: the events sent to the caller.
       resumes: how often the stream was resumed.
       target: the engine of the newest run.
     """
@@ -91,12 +89,9 @@
         self._call = call
         self._run: StreamRun | None = None
         self._last_event_id: int | None = None
-        self.events = 0
-        self.first_event_s = 0.0
-        self.longest_gap_s = 0.0
+        self.progress = StreamProgress()
         self.resumes = 0
         self.target: Target | None = None
-        self._last_event_s = 0.0
 
     async def run(self, placement: Placement) -> Attempt | None:
         """Run the request at its placement until the stream has ended.
@@ -197,7 +192,7 @@
             request_id=call.info.attempt_id,
             target=run.target.info.identity,
             reason="moved" if run.is_moving else str(error),
-            events=self.events,
+            events=self.progress.events,
             run_events=run.events,
             head_age_s=self._head_age_s(run),
             prompt_parts=call.info.shared_parts[:MAX_LOGGED_PARTS],
@@ -251,13 +246,13 @@
         Called whenever the targets have changed, and periodically.
         """
         run = self._run
-        if run is None or run.attempt is None or not self.events:
+        if run is None or run.attempt is None or not self.progress.events:
             return
         has_backup = run.backup is not None and self._table.accepts_requests(run.backup)
         has_copy = run.copy is not None and self._table.accepts_requests(
             run.copy.destination
         )
-        idle_s = self._timer.now_s() - self._last_event_s
+        idle_s = self._timer.now_s() - self.progress.last_event_s
         if (has_backup or has_copy) and self._is_stalled(run.attempt, idle_s):
             run.attempt.body.abort()
         elif run.copy is not None and (
@@ -275,7 +270,7 @@
     def _is_stalled(self, attempt: Attempt, idle_s: float) -> bool:
         """Return whether a run is to be resumed, as its engine sends nothing."""
         if idle_s > STALL_TIMEOUT_S / 2:
-            self._sender.check_silent(attempt, self._last_event_s)
+            self._sender.check_silent(attempt, self.progress.last_event_s)
         if idle_s > STALL_TIMEOUT_S and self._sender.is_unreachable(attempt):
             return True
         return idle_s > MAX_SILENCE_S
@@ -342,7 +337,7 @@
                 run.prefill_done = True
                 run.target.note_prefill_done(self._call.demand)
             self._note_progress(run, len(new_events))
-            self._note_events(len(new_events))
+            self._note_pause(self.progress.note(len(new_events), self._timer.now_s()))
             exchange.send(b"".join(event.data for event in new_events))
             await exchange.drain()
         if splitter.remainder:
@@ -388,12 +383,8 @@
             new_events.append(event)
         return new_events
 
-    def _note_events(self, count: int) -> None:
-        now_s = self._timer.now_s()
-        if self.events:
-            gap_s = now_s - self._last_event_s
-            self.longest_gap_s = max(self.longest_gap_s, gap_s)
-        else:
-            self.first_event_s = now_s
-        self._last_event_s = now_s
-        self.events += count
+    def _note_pause(self, gap_s: float | None) -> None:
+        target, limit_s = self.target, self._call.route.gap_target_s
+        if gap_s is not None and target is not None and limit_s > 0:
+            incarnation = target.info.incarnation
+            self._table.pauses.note(incarnation, is_late=gap_s > limit_s)
--- a/endivesill/forwarding/target.py
+++ b/endivesill/forwarding/target.py
@@ -55,6 +55,8 @@
       listed: whether the platform's list has it.
       report: its last load report; None without one.
       refused_connections: consecutive connection failures.
+      late_pauses: fraction of the pauses in its streams that are too long, above that
+        of its peers; 0 for an engine that is like them. Kept at the leader.
       is_replaced: whether another target answers at its address.
       broken: requests of all entries that it broke off; kept at the leader.
       send_times_s: when this process recently sent it requests.
@@ -73,6 +75,7 @@
     listed: bool = True
     report: EngineReport | None = None
     refused_connections: int = 0
+    late_pauses: float = 0.0
     is_replaced: bool = False
     broken: BrokenRequests = attrs.Factory(BrokenRequests)
     send_times_s: collections.deque[float] = attrs.Factory(collections.deque)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -69,6 +69,7 @@
         view = self._sync_client.view
         self._table = TargetTable(timer, view, settings.data_centre)
         self._table.outcomes = self._sync_client.outcomes
+        self._table.pauses = self._sync_client.pauses
         self._table.versions = self._sync_client.rollouts
         permits = PermitClient(timer, transport, self._sync_client)
         self._table.use_limits(self._sync_client.limits, permits)
