Bound what a process holds for its callers

Cause: a body was kept as a list of its pieces, header lines without a bound on their number, whole bodies queued behind a request, and nothing bounded the sum over all connections or their number; a closed connection stayed in a cycle with its parser. Change: one budget of memory and connections for a process, from its settings. Requests that are incomplete are refused with 503 where it is exceeded, never one that was handed on.

--- a/bench/platform_soak_callers.py
+++ b/bench/platform_soak_callers.py
@@ -169,6 +169,7 @@
     Attributes:
       sent: the documents sent, by version.
       acknowledged: the highest version that was acknowledged; 0 for none.
+      first_acknowledged: set once a version was acknowledged.
     """
 
     def __init__(self, timer: TimerService, fleet: SoakFleet, seed: int) -> None:
@@ -178,6 +179,7 @@
         self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, 0.0)
         self.sent: dict[int, dict[str, Any]] = {}
         self.acknowledged = 0
+        self.first_acknowledged = asyncio.Event()
 
     async def run(self) -> None:
         """Change the configuration until cancelled."""
@@ -186,6 +188,7 @@
             self.sent[version] = configuration(version)
             if await self._send(version):
                 self.acknowledged = max(self.acknowledged, version)
+                self.first_acknowledged.set()
             version += self._random.randint(1, 3)
             await self._timer.sleep(CHANGE_PERIOD_S)
 
--- a/bench/platform_soak_fleet.py
+++ b/bench/platform_soak_fleet.py
@@ -17,7 +17,7 @@
 from bench.platform_soak_targets import LIST_RATE_PER_S
 from endivesill import errors
 from endivesill.http1 import ConnectionPool, UpstreamError
-from endivesill.platform.metrics_port import METRICS_PORT
+from endivesill.metrics_port import METRICS_PORT
 from endivesill.timer import TimerService
 
 __all__ = ["DATA_CENTRES", "FRONT_PORT", "GRACE_S", "SoakFleet", "SoakProcess"]
--- a/bench/platform_soak_orders.py
+++ b/bench/platform_soak_orders.py
@@ -17,7 +17,7 @@
 from bench.platform_soak_fleet import SoakFleet
 from endivesill import errors
 from endivesill.http1 import ConnectionPool, UpstreamError
-from endivesill.platform.metrics_port import METRICS_PORT
+from endivesill.metrics_port import METRICS_PORT
 from endivesill.timer import TimerService
 
 __all__ = ["OrderOperators", "OrderRecord"]
--- a/endivesill/http1/closing.py
+++ b/endivesill/http1/closing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from endivesill.http1.server import HttpListener
+from endivesill.http1.listener import HttpListener
 
 __all__ = ["close_listener"]
 
--- a/endivesill/http1/exchange.py
+++ b/endivesill/http1/exchange.py
@@ -53,6 +53,7 @@
       head_sent: whether the response head was written.
       finished: whether the response is complete or aborted.
       closes_connection: whether the connection is closed after the response.
+      memory_bytes: what it takes of the budget for callers.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.head_sent = False
         self.finished = False
         self.closes_connection = not keep_alive
+        self.memory_bytes = 0
 
     def header(self, name: bytes) -> bytes:
         """Return the first value of a header (name in lower case), or empty bytes."""
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -8,31 +8,36 @@
 
 import asyncio
 import collections
-import select
-from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import httptools
 
 from endivesill import errors, events
-from endivesill.http1.exchange import ConnectionLimits, Exchange, check_framing
-from endivesill.http1.head import Headers, encode_head, header_value, status_line
-from endivesill.http1.opening_stamp import OpeningStamp
+from endivesill.http1.exchange import Exchange, check_framing
+from endivesill.http1.head import encode_head, header_value, status_line
+from endivesill.http1.request_buffer import RequestBuffer, body_memory_bytes
 from endivesill.http1.sockets import set_socket_options
-from endivesill.timer import TimerHandle, TimerService
 
-__all__ = ["HttpListener", "ServerConnection"]
+if TYPE_CHECKING:
+    from endivesill.http1.listener import HttpListener
+
+__all__ = ["ServerConnection"]
 
 # Queued requests of a connection above which reading is paused.
 MAX_PIPELINED_REQUESTS = 8
+# Bytes of queued and incomplete requests of a connection, while one is handled, above
+# which reading is paused.
+MAX_PIPELINED_BYTES = 65_536
+# Bytes of a body that must come in each idle timeout; an honest link that is slow
+# carries more in a second.
+MIN_BODY_PROGRESS_BYTES = 1_024
+# When callers whose request was given up may try again, in seconds.
+RETRY_AFTER_S = b"1"
 # Bytes received between two parts of a body that are not body.
 MAX_FRAMING_BYTES = 65_536
-# Period of the timeout checks of all connections.
-SWEEP_PERIOD_S = 0.25
 # How long input is discarded after a close. Without it, unread input would cause a
 # TCP reset that may discard the last response before the caller reads it.
 LINGER_S = 1.0
-BACKLOG_CONNECTIONS = 512
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 BAD_REQUEST = events.define(
@@ -54,6 +59,7 @@
       idle_since_s: when the last exchange ended, or the connection started.
       head_started_s: when the first byte of an incomplete head was received; None
         if no head is being received.
+      held_bytes: memory that it holds of the listener's budget.
     """
 
     def __init__(self, listener: HttpListener) -> None:
@@ -65,7 +71,7 @@
         self.opened_s = self.idle_since_s = listener.timer.now_s()
         self.stamp = listener.opening_stamp.value
         self.head_started_s: float | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._pending: collections.deque[Exchange] = collections.deque()
         self._wakeup = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -73,19 +79,15 @@
         self._lost = False
         self._is_closing = False
         self._error: tuple[int, str] | None = None
-        self._last_data_s = self.idle_since_s
-        self._body_bytes_fed = 0
+        self._has_body_data = False
         self._framing_bytes = 0
-        self._reset_request()
-
-    def _reset_request(self) -> None:
-        self._target = b""
-        self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._field_bytes = 0
-        self._in_body = False
+        # When the current window of a body's progress began, and its bytes then.
+        self._progress = (self.idle_since_s, 0)
+        self._request = RequestBuffer()
+        self._request_started_s: float | None = None
+        self.held_bytes = 0
+        # Memory of the requests that are queued or handled.
+        self._queued_bytes = 0
 
     # asyncio.Protocol.
 
@@ -95,15 +97,15 @@
         self.listener.connections.add(self)
         set_socket_options(transport)
         self._task = asyncio.get_running_loop().create_task(self._serve())
+        self.listener.budget.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the limit on the head."""
         if self._discarding:
             return
-        if not self._in_body:
-            self._head_bytes += len(data)
-        self._last_data_s = self.listener.timer.now_s()
-        self._body_bytes_fed = 0
+        if not self._request.in_body:
+            self._request.head_bytes += len(data)
+        self._has_body_data = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -113,12 +115,19 @@
         if self._error is None and self._head_exceeds_limit():
             self._fail(431, "the head is too large")
         self._limit_framing(len(data))
-        if len(self._pending) > MAX_PIPELINED_REQUESTS and not self._lost:
+        behind_bytes = self._request.memory_bytes
+        self.listener.budget.update(self, self._queued_bytes + behind_bytes)
+        behind_bytes += sum(len(exchange.body) for exchange in self._pending)
+        is_behind = self.current is not None or bool(self._pending)
+        if not self._lost and (
+            len(self._pending) > MAX_PIPELINED_REQUESTS
+            or (is_behind and behind_bytes > MAX_PIPELINED_BYTES)
+        ):
             self.transport.pause_reading()
 
     def _limit_framing(self, received_bytes: int) -> None:
         """Bound chunk sizes, chunk extensions and trailers without body bytes."""
-        if not self._in_body or self._body_bytes_fed:
+        if not self._request.in_body or self._has_body_data:
             self._framing_bytes = 0
             return
         self._framing_bytes += received_bytes
@@ -129,7 +138,8 @@
 
     def _head_exceeds_limit(self) -> bool:
         return (
-            not self._in_body and self._head_bytes > self.listener.limits.header_bytes
+            not self._request.in_body
+            and self._request.head_bytes > self.listener.limits.header_bytes
         )
 
     def eof_received(self) -> bool:
@@ -141,6 +151,11 @@
         """Notify the exchanges of the disconnect and end the task."""
         self._lost = True
         self.listener.connections.discard(self)
+        self._request = RequestBuffer()
+        # The parser refers to this object; without the cycle, the memory of both is
+        # free at once.
+        self._parser = None
+        self.listener.budget.remove(self)
         self._notify_disconnect()
         self.writable.set()
         self._wakeup.set()
@@ -164,19 +179,19 @@
 
     def on_message_begin(self) -> None:
         """Start the time limit of a head, also of one that was pipelined."""
-        self.head_started_s = self.listener.timer.now_s()
+        self.head_started_s = self._request_started_s = self.listener.timer.now_s()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._target += url
+        self._request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailer fields are dropped."""
-        if not self._in_body:
-            self._headers.append((name, value))
-            self._field_bytes += len(name) + len(value)
-            if self._field_bytes > self.listener.limits.header_bytes:
-                self._fail(431, "the head is too large")
+        request = self._request
+        if self._error is not None or request.in_body:
+            return
+        if not request.add_header(name, value, self.listener.limits):
+            self._fail(431, "the head is too large")
 
     def on_headers_complete(self) -> None:
         """Check the framing and the announced length before the body is read.
@@ -184,39 +199,46 @@
         Raises:
           RequestError: the framing is rejected.
         """
-        self._in_body = True
+        headers = self._request.headers
+        self._request.in_body = True
         self.head_started_s = None
-        problem = check_framing(self._headers)
+        self._progress = (self.listener.timer.now_s(), 0)
+        problem = check_framing(headers)
         if problem:
             raise errors.RequestError(400, problem)
-        length = header_value(self._headers, b"content-length", b"0")
+        length = header_value(headers, b"content-length", b"0")
         if int(length) > self.listener.limits.body_bytes:
             self._fail(413, "the body is too large")
-        elif header_value(self._headers, b"expect").lower() == b"100-continue":
+        elif header_value(headers, b"expect").lower() == b"100-continue":
             self.transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body within the limit."""
-        self._body_bytes += len(body)
-        self._body_bytes_fed += len(body)
-        if self._body_bytes > self.listener.limits.body_bytes:
-            self._fail(413, "the body is too large")
-        else:
-            self._body.append(body)
+        self._has_body_data = True
+        if self._error is None and not self._request.add_body(
+            body, self.listener.limits
+        ):
+            self._fail(413, "the body is too large or in too small pieces")
 
     def on_message_complete(self) -> None:
         """Queue the complete request for the connection's task."""
         if self._error is not None:
             return
+        request = self._request
         exchange = Exchange(
             self,
             self._parser.get_method().decode("ascii"),
-            self._target,
-            self._headers,
-            b"".join(self._body),
+            request.target,
+            request.headers,
+            bytes(request.body),
             self._parser.should_keep_alive(),
         )
-        self._reset_request()
+        exchange.memory_bytes = request.head_memory_bytes + body_memory_bytes(
+            len(request.body)
+        )
+        self._queued_bytes += exchange.memory_bytes
+        self._request = RequestBuffer()
+        self._request_started_s = None
         self._pending.append(exchange)
         self._wakeup.set()
 
@@ -225,7 +247,10 @@
         if self._error is None:
             self._error = (status, reason)
             self._discarding = True
+            self._request = RequestBuffer()
+            self._request_started_s = None
             self._wakeup.set()
+            self.listener.budget.update(self, self._queued_bytes)
 
     # The connection's task.
 
@@ -255,6 +280,9 @@
         finally:
             self.listener.active_exchanges -= 1
             self.current = None
+            self._queued_bytes -= exchange.memory_bytes
+            held_bytes = self._queued_bytes + self._request.memory_bytes
+            self.listener.budget.update(self, 0 if self._lost else held_bytes)
             self.idle_since_s = self.listener.timer.now_s()
         if not exchange.finished:
             self.abort()
@@ -264,6 +292,8 @@
     def _send_error(self, status: int, reason: str) -> None:
         events.emit(BAD_REQUEST, status=status, reason=reason)
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if status == 503:
+            headers.append((b"Retry-After", RETRY_AFTER_S))
         self.transport.write(encode_head(status_line(status), headers))
 
     @property
@@ -279,18 +309,48 @@
         if self.head_started_s is not None:
             if now_s - self.head_started_s > limits.header_timeout_s:
                 self._fail(408, "the head did not come in time")
-        elif self._in_body:
-            if now_s - self._last_data_s > limits.idle_timeout_s:
-                self._fail(408, "the body did not come in time")
+        elif self._request.in_body:
+            if now_s - self._progress[0] > limits.idle_timeout_s:
+                self._check_progress(now_s)
         elif now_s - self.idle_since_s > limits.idle_timeout_s:
             self._close()
 
+    def _check_progress(self, now_s: float) -> None:
+        """Reject a request whose body has not come on in the last idle timeout."""
+        body_bytes = len(self._request.body)
+        if body_bytes - self._progress[1] < MIN_BODY_PROGRESS_BYTES:
+            self._fail(408, "the body did not come in time")
+        self._progress = (now_s, body_bytes)
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read, queued or handled."""
-        is_reading = self._in_body or self.head_started_s is not None
-        if self.current is None and not self._pending and not is_reading:
+        if self.is_idle:
             self._close()
 
+    # The budget of the process.
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read, queued or handled."""
+        is_reading = self._request.in_body or self.head_started_s is not None
+        return self.current is None and not self._pending and not is_reading
+
+    @property
+    def incomplete_since_s(self) -> float | None:
+        """Since when it only has an incomplete request; None otherwise."""
+        if self.current is not None or self._pending or self._discarding:
+            return None
+        return self._request_started_s
+
+    def peer_address(self) -> str:
+        """Return the IP address of the caller."""
+        peer = self.transport.get_extra_info("peername")
+        return peer[0] if peer else ""
+
+    def shed(self) -> None:
+        """Refuse the incomplete request, for which nothing is held any more."""
+        self._fail(503, "too much is held for callers")
+
     def abort(self) -> None:
         """Reset the connection; buffered bytes are lost."""
         self._lost = True
@@ -309,87 +369,3 @@
             self.transport.write_eof()
         transport = self.transport
         self.listener.timer.call_after(LINGER_S, transport.close)
-
-
-class HttpListener:
-    """Accepts connections at one address.
-
-    Args:
-      timer: the timer service.
-      address: HOST:PORT to listen on.
-      handler: handles one exchange; it must finish or abort the response.
-      limits: limits on requests; may be replaced at any time.
-
-    Attributes:
-      connections: the open connections.
-      active_exchanges: number of exchanges that are being handled.
-      closing: whether connections are closed after their next response.
-      opening_stamp: value with which new connections are stamped.
-    """
-
-    def __init__(
-        self,
-        timer: TimerService,
-        address: str,
-        handler: Callable[[Exchange], Awaitable[None]],
-        limits: ConnectionLimits | None = None,
-    ) -> None:
-        self.timer = timer
-        self.handler = handler
-        self.limits = limits or ConnectionLimits()
-        self.connections: set[ServerConnection] = set()
-        self.active_exchanges = 0
-        self.closing = False
-        self.opening_stamp = OpeningStamp(timer, self._has_waiting_connections)
-        self._address = address
-        self._server: asyncio.Server | None = None
-        self._sweep_timer: TimerHandle | None = None
-
-    async def start(self) -> None:
-        """Start to listen and to check timeouts."""
-        host, _, port = self._address.rpartition(":")
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: ServerConnection(self),
-            host,
-            int(port),
-            backlog=BACKLOG_CONNECTIONS,
-        )
-        self._sweep_timer = self.timer.call_every(SWEEP_PERIOD_S, self._sweep)
-
-    @property
-    def address(self) -> str:
-        """HOST:PORT of the listening socket; available after `start`."""
-        assert self._server is not None
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
-
-    def _has_waiting_connections(self) -> bool:
-        if self._server is None or not self._server.sockets:
-            return False
-        poll = select.poll()
-        for listening_socket in self._server.sockets:
-            poll.register(listening_socket.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
-    def _sweep(self) -> None:
-        now_s = self.timer.now_s()
-        for connection in list(self.connections):
-            connection.check_timeouts(now_s)
-
-    def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
-
-    def stop_accepting(self) -> None:
-        """Stop listening; the open connections stay."""
-        if self._server is not None:
-            self._server.close()
-
-    async def stop(self) -> None:
-        """Stop listening and reset the open connections."""
-        if self._sweep_timer is not None:
-            self._sweep_timer.cancel()
-        self.stop_accepting()
-        for connection in list(self.connections):
-            connection.abort()
--- a/endivesill/platform/metrics_port.py
+++ b/endivesill/metrics_port.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 from endivesill.http1 import Exchange, HttpListener, bounds_exceeded
-from endivesill.platform.settings import NodeSettings
 from endivesill.timer import TimerService
 
 __all__ = ["METRICS_PORT", "MetricsListener"]
@@ -19,20 +18,18 @@
 
     Args:
       timer: the timer service.
-      settings: the process's settings.
+      ip: IP address of the VM.
       lines: returns the metric lines, without line ends.
     """
 
     def __init__(
         self,
         timer: TimerService,
-        settings: NodeSettings,
+        ip: str,
         lines: Callable[[], list[str]],
     ) -> None:
         self._lines = lines
-        self._listener = HttpListener(
-            timer, f"{settings.ip}:{METRICS_PORT}", self._handle
-        )
+        self._listener = HttpListener(timer, f"{ip}:{METRICS_PORT}", self._handle)
 
     async def start(self) -> None:
         """Start to listen on the VM's address."""
--- a/endivesill/platform/check.py
+++ b/endivesill/platform/check.py
@@ -6,7 +6,7 @@
 
 from endivesill import errors
 from endivesill.findings import Finding
-from endivesill.platform.metrics_port import METRICS_PORT
+from endivesill.metrics_port import METRICS_PORT
 from endivesill.platform.settings import check_settings
 from endivesill.toml_file import TomlFile
 from endivesill.value_checks import (
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -19,11 +19,11 @@
     close_listener,
 )
 from endivesill.link_peers import LinkPeerTransport
+from endivesill.metrics_port import MetricsListener
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import decode_notices
 from endivesill.platform.health import PlatformHealth
-from endivesill.platform.metrics_port import MetricsListener
 from endivesill.platform.operators import RESPONSE_TIMEOUT_S, OperatorHandler
 from endivesill.platform.process import SettingsWatcher
 from endivesill.platform.provider import PlatformEngineList
@@ -122,18 +122,20 @@
         placement.use_versions(rollouts)
         rollout_calls = RolloutCalls(orders, changes)
     operators = OperatorHandler(timer, changes, settings.control_address, rollout_calls)
+    budget = settings.caller_budget(timer)
     listener = HttpListener(
-        timer, settings.control_address, operators.handle, OPERATOR_LIMITS
+        timer, settings.control_address, operators.handle, OPERATOR_LIMITS, budget
     )
     replica.subscribe_applied(
         lambda applied: listener.opening_stamp.note(applied.index)
     )
     metrics = MetricsListener(
         timer,
-        settings,
+        settings.ip,
         lambda: [
             *_metric_lines(replica, sync_service, source, placement, disk),
             *(rollouts.metric_lines() if rollouts is not None else ()),
+            *budget.metric_lines(),
         ],
     )
     await replica.start()
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -26,9 +26,9 @@
 from endivesill.forwarding.waiting import AdmissionQueue
 from endivesill.http1 import ConnectionLimits, Exchange, HttpListener
 from endivesill.link_peers import LinkPeerTransport
+from endivesill.metrics_port import MetricsListener
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import PlatformProtocol
-from endivesill.platform.metrics_port import MetricsListener
 from endivesill.platform.process import SettingsWatcher
 from endivesill.platform.settings import NodeSettings
 from endivesill.stop_signal import StopSignal
@@ -120,13 +120,17 @@
             CallLog(timer, self._statistics, self._view_age_s),
             random_source,
         )
+        self._budget = settings.caller_budget(timer)
         self._front = HttpListener(
-            timer, settings.front_address, self._forwarder.handle
+            timer,
+            settings.front_address,
+            self._forwarder.handle,
+            budget=self._budget,
         )
         self._readiness = HttpListener(
             timer, settings.readiness_address, self._handle_readiness
         )
-        self._metrics = MetricsListener(timer, settings, self._metric_lines)
+        self._metrics = MetricsListener(timer, settings.ip, self._metric_lines)
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
@@ -166,6 +170,7 @@
         }
         lines = [f"endivesill_{name} {value}" for name, value in gauges.items()]
         lines += self._sync_client.rollouts.metric_lines()
+        lines += self._budget.metric_lines()
         return lines + self._table.metric_lines() + self._statistics.lines()
 
     # Updates of the fleet view.
--- a/endivesill/platform/settings.py
+++ b/endivesill/platform/settings.py
@@ -6,7 +6,9 @@
 
 from endivesill import errors
 from endivesill.findings import Finding
+from endivesill.http1 import CallerBudget
 from endivesill.rollouts.model import ExposureBounds
+from endivesill.timer import TimerService
 from endivesill.toml_file import TomlFile, TomlTable
 
 __all__ = ["Bounds", "NodeSettings", "check_settings", "read_settings"]
@@ -14,6 +16,7 @@
 # Offset of the peer port in the port range that the platform reserves for the
 # system's internal use.
 PEER_PORT_OFFSET = 0
+BYTES_PER_MB = 1_048_576
 
 
 @attrs.frozen
@@ -61,6 +64,8 @@
       engine_list_address: HOST:PORT of the platform's engine list.
       engine_list_calls_per_s: call rate permitted to all VMs together.
       bounds: the limits that the platform sets.
+      memory_mb: memory that the process may use; 0 if unknown.
+      file_descriptors: descriptors that it may use; 0 if unknown.
     """
 
     vm: str
@@ -79,6 +84,12 @@
     engine_list_address: str
     engine_list_calls_per_s: float
     bounds: Bounds
+    memory_mb: float = 0.0
+    file_descriptors: int = 0
+
+    def caller_budget(self, timer: TimerService) -> CallerBudget:
+        """Return the bounds on what the process holds for callers."""
+        return CallerBudget(timer, BYTES_PER_MB * self.memory_mb, self.file_descriptors)
 
     @property
     def peer_address(self) -> str:
@@ -121,6 +132,7 @@
 def _decode_settings(fields: TomlTable) -> NodeSettings:
     listen = fields.table("listen_addresses")
     cloud = fields.table("cloud")
+    limits = fields.table("limits")
     seeds = fields.read("texts", "seeds", [])
     control_address = listen.read("text", "control", "", "")
     return NodeSettings(
@@ -142,6 +154,8 @@
         engine_list_address=cloud.read("text", "address", ""),
         engine_list_calls_per_s=cloud.read("number", "rate_per_s", 1.0, 1.0),
         bounds=_decode_bounds(fields.table("bounds")),
+        memory_mb=limits.read("number", "memory_mb", 0.0, 0.0),
+        file_descriptors=limits.read("integer", "file_descriptors", 0, 0),
     )
 
 
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -3,7 +3,8 @@
 import unittest
 
 from endivesill.http1 import ConnectionLimits, HttpListener, ServerConnection
-from endivesill.http1.server import LINGER_S, SWEEP_PERIOD_S
+from endivesill.http1.listener import SWEEP_PERIOD_S
+from endivesill.http1.server import LINGER_S
 from endivesill.timer import ManualTimer
 from tests.http1_fakes import FakeTransport, settle
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,6 +21,7 @@
     "keys",
     "link_peers",
     "metrics",
+    "metrics_port",
     "peer_port",
     "peers",
     "schema",
--- a/tests/test_platform_evacuations.py
+++ b/tests/test_platform_evacuations.py
@@ -12,7 +12,7 @@
 from bench.platform_soak_fleet import CONTROL_PORT, SoakFleet
 from endivesill import errors
 from endivesill.http1 import ConnectionPool, UpstreamError
-from endivesill.platform.metrics_port import METRICS_PORT
+from endivesill.metrics_port import METRICS_PORT
 from endivesill.timer import SystemTimer
 
 # Above the numbers of the soak's runs; differs between test runs on one machine.
