--- a/endivesill/platform/settings.py
+++ b/endivesill/platform/settings.py
@@ -132,7 +132,7 @@
 def _decode_settings(fields: TomlTable) -> NodeSettings:
     listen = fields.table("listen_addresses")
     cloud = fields.table("cloud")
-    limits = fields.table("limits")
+    limits = fields.table("limits", is_optional=True)
     seeds = fields.read("texts", "seeds", [])
     control_address = listen.read("text", "control", "", "")
     return NodeSettings(
--- a/endivesill/toml_file.py
+++ b/endivesill/toml_file.py
@@ -113,9 +113,10 @@
         self._findings.append(self._file.finding(self._prefix + name, text))
         return fallback
 
-    def table(self, name: str) -> TomlTable:
-        """Return a required table; an empty one after a finding."""
-        table = self.read("table", name, {})
+    def table(self, name: str, *, is_optional: bool = False) -> TomlTable:
+        """Return a table; an empty one after a finding, or if it is optional."""
+        default = ({},) if is_optional else ()
+        table = self.read("table", name, {}, *default)
         return TomlTable(self._file, table, f"{self._prefix}{name}.", self._findings)
 
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -72,6 +72,13 @@
         exposure = read_settings(self.path).bounds.exposure
         self.assertEqual((0.1, 50), (exposure.share, exposure.slack_requests))
 
+    def test_limits_of_the_process_are_optional(self):
+        self.write(CONTROL_VM)
+        settings = read_settings(self.path)
+        self.assertEqual((296, 0), (settings.memory_mb, settings.file_descriptors))
+        self.write(CONTROL_VM.replace("[limits]\nmemory_mb = 296\n", ""))
+        self.assertEqual(0, read_settings(self.path).memory_mb)
+
     def test_all_findings_are_reported_together(self):
         text = CONTROL_VM.replace('zone = "west-a"', "zone = 7").replace(
             'address = "10.200.0.63:8742"', ""
