--- a/endivesill/toml_file.py
+++ b/endivesill/toml_file.py
@@ -115,7 +115,7 @@
 
     def table(self, name: str, *, is_optional: bool = False) -> TomlTable:
         """Return a table; an empty one after a finding, or if it is optional."""
-        default = ({},) if is_optional else ()
+        default: tuple[Any, ...] = ({},) if is_optional else ()
         table = self.read("table", name, {}, *default)
         return TomlTable(self._file, table, f"{self._prefix}{name}.", self._findings)
 
