Count ages from the test's timer

Cause: the manual timer does not start at 0, so that the ages in a new test were not those that it meant. Change: the test takes the time from its timer.

--- a/tests/test_http1_caller_budget.py
+++ b/tests/test_http1_caller_budget.py
@@ -69,10 +69,11 @@
         self.assertEqual(500, self.budget.held_bytes)
 
     async def test_one_that_is_incomplete_for_long_goes_first(self):
-        old = self.holder(300)
+        old = self.holder(300, since_s=self.timer.now_s())
         await self.timer.advance(5.0)
-        new = self.holder(600, since_s=5.0)
-        self.holder(200, since_s=5.0)
+        now_s = self.timer.now_s()
+        new = self.holder(600, since_s=now_s)
+        self.holder(200, since_s=now_s)
         self.assertTrue(old.is_shed)
         self.assertFalse(new.is_shed)
 
