Keep versions that were taken back from later roll-outs

Cause: with the next roll-out, engines of a version that was taken back counted as old ones and got ordinary requests while they drained. Offers that waited for the leader's confirmation could pass the look at the budget together. Change: a roll-out knows the versions taken back before; their engines are barred in every state. The budget is looked at and used in one step. The shift lasts 1.5 s at least, in which all entries poll a new leader.

--- a/endivesill/rollouts/decision.py
+++ b/endivesill/rollouts/decision.py
@@ -26,6 +26,8 @@
 # Least part of the budget from the shift to its end, in which the answers under full
 # load are judged.
 SHIFT_FRACTION = 0.15
+# Least time from the shift to its end, in which all entries poll a new leader.
+MIN_SHIFT_S = 1.5
 # From here on, generations are copied away from old engines.
 RETIRE_FRACTION = 0.8
 # The shift ends here, also with requests on old engines; the rest of the budget is for
@@ -104,7 +106,8 @@
         return _take_back(rollout, "no new engine")
     requests = sum(engine.requests for engine in situation.old)
     completed = Decision(RolloutState.COMPLETED, Phase.SHIFT, "")
-    is_judged = situation.shift_age_s >= SHIFT_FRACTION * rollout.duration_s
+    least_s = max(MIN_SHIFT_S, SHIFT_FRACTION * rollout.duration_s)
+    is_judged = situation.shift_age_s >= least_s
     if situation.has_confirmed and not requests and is_judged:
         return attrs.evolve(completed, reason="old engines have no requests")
     if situation.age_s >= COMPLETE_FRACTION * rollout.duration_s:
--- a/endivesill/rollouts/entry.py
+++ b/endivesill/rollouts/entry.py
@@ -219,5 +219,6 @@
         phase=Phase(row["phase"]),
         old=frozenset(row["old"]),
         new=frozenset(row["new"]),
+        excluded=frozenset(row["excluded"]),
     )
     return _ServiceRollout(row["index"], engines, row["asking"], row["retiring"])
--- a/endivesill/rollouts/leader.py
+++ b/endivesill/rollouts/leader.py
@@ -215,9 +215,12 @@
           `{"pool"}`: the engines for this request; empty for none.
         """
         service, route = message["service"], message["route"]
+        if not await self._confirm_leadership():
+            return {"pool": []}
+        # Nothing may come between the look at the budget and its use.
         tracker = self._tracker(service, message)
         pool = tracker.canary_pool(route) if tracker is not None else None
-        if pool is None or not await self._confirm_leadership():
+        if pool is None:
             return {"pool": []}
         self.use_canary(service, route)
         return {"pool": sorted(pool)}
--- a/endivesill/rollouts/model.py
+++ b/endivesill/rollouts/model.py
@@ -85,6 +85,7 @@
       requests: requests to the service when that was last reserved.
       digest: digest of the evidence at that time.
       reason: why the last change was made.
+      taken_back: versions that were taken back before; their engines may still run.
     """
 
     service: str
@@ -99,6 +100,7 @@
     requests: int
     digest: Any
     reason: str
+    taken_back: tuple[str, ...] = ()
 
     @property
     def is_running(self) -> bool:
@@ -108,8 +110,13 @@
     @classmethod
     def from_row(cls, service: str, row: Message) -> Rollout:
         """Return the roll-out of a row of the replicated state."""
-        fields = {**row, "state": RolloutState(row["state"])}
-        return cls(service=service, **{**fields, "phase": Phase(row["phase"])})
+        fields = {
+            **row,
+            "state": RolloutState(row["state"]),
+            "phase": Phase(row["phase"]),
+            "taken_back": tuple(row["taken_back"]),
+        }
+        return cls(service=service, **fields)
 
 
 @attrs.frozen
@@ -121,12 +128,14 @@
       phase: the phase of the roll-out.
       old: incarnations of other versions.
       new: incarnations of the new version.
+      excluded: incarnations of versions that were taken back before.
     """
 
     state: RolloutState
     phase: Phase
     old: frozenset[str]
     new: frozenset[str]
+    excluded: frozenset[str] = frozenset()
 
     def is_barred(self, incarnation: str, holds_lease: bool) -> bool:
         """Return whether an engine gets no ordinary requests.
@@ -134,6 +143,8 @@
         An engine that was listed just now may be of either version. A VM that is cut
         off from the leader would not learn that the version was taken back.
         """
+        if incarnation in self.excluded:
+            return True
         if self.state is RolloutState.COMPLETED:
             return incarnation in self.old
         if self.state is RolloutState.ROLLED_BACK:
--- a/endivesill/rollouts/state.py
+++ b/endivesill/rollouts/state.py
@@ -30,6 +30,8 @@
 REPEAT_S = 30.0
 # Services come and go with configurations; the roll-outs that ended first are dropped.
 MAX_ROWS = 1_024
+# Engines of versions that were taken back before the last ones are long gone.
+MAX_TAKEN_BACK = 8
 
 
 class StartOutcome(enum.Enum):
@@ -61,6 +63,7 @@
         outcome = StartOutcome.CONFLICT
     else:
         outcome = StartOutcome.STARTED
+        taken_back = _taken_back(row, message["version"])
         # The newest start comes last.
         rows.pop(message["service"], None)
         rows[message["service"]] = {
@@ -75,12 +78,23 @@
             "requests": 0,
             "digest": None,
             "reason": "started",
+            "taken_back": taken_back,
         }
         _drop_oldest(rows)
     version = rows[message["service"]]["version"]
     return {"outcome": outcome.value, "version": version}
 
 
+def _taken_back(row: Message | None, version: str) -> list[str]:
+    """Return the versions that get no requests besides the one that is started."""
+    if row is None:
+        return []
+    versions = list(row["taken_back"])
+    if row["state"] == RolloutState.ROLLED_BACK.value:
+        versions.append(row["version"])
+    return [name for name in versions if name != version][-MAX_TAKEN_BACK:]
+
+
 def _is_repeat(row: Message, message: Message, time_s: float) -> bool:
     """Return whether an order is the one that a row comes from, sent again."""
     if row["version"] != message["version"]:
--- a/endivesill/rollouts/tracker.py
+++ b/endivesill/rollouts/tracker.py
@@ -73,6 +73,8 @@
         self._canary_per_s = 0.0
         self._engines: tuple[list[VersionedEngine], list[VersionedEngine]] = ([], [])
         self._pool: frozenset[str] = frozenset()
+        # Engines of versions that were taken back before.
+        self._excluded: frozenset[str] = frozenset()
         self._age_s = 0.0
         self._shifted_at_age_s: float | None = None
         self.has_confirmed = False
@@ -85,6 +87,8 @@
     def is_listed(self, age_s: float) -> bool:
         """Return whether entries need to know of it."""
         old, new = self._engines
+        if self._excluded:
+            return True
         if self.rollout.state is RolloutState.COMPLETED:
             ended_age_s = age_s - (self.rollout.ended_s - self.rollout.started_s)
             return bool(old) and ended_age_s < STOPPED_S
@@ -101,8 +105,12 @@
         if self.rollout.phase is Phase.SHIFT and self._shifted_at_age_s is None:
             self._shifted_at_age_s = age_s
         version = self.rollout.version
-        old = [engine for engine in engines if engine.version != version]
+        excluded = self.rollout.taken_back
+        old = [e for e in engines if e.version != version and e.version not in excluded]
         new = [engine for engine in engines if engine.version == version]
+        self._excluded = frozenset(
+            engine.incarnation for engine in engines if engine.version in excluded
+        )
         self._engines = (old, new)
         self._update_rate(now_s)
         self._canary_per_s = USED_FRACTION * (
@@ -212,6 +220,7 @@
             self.rollout.phase,
             frozenset(engine.incarnation for engine in old),
             frozenset(engine.incarnation for engine in new),
+            self._excluded,
         )
 
     def is_retiring(self) -> bool:
@@ -227,6 +236,7 @@
             "phase": engines.phase.value,
             "old": sorted(engines.old),
             "new": sorted(engines.new),
+            "excluded": sorted(engines.excluded),
             "asking": self._asking(),
             "retiring": self.is_retiring(),
         }
--- a/tests/test_rollouts_play.py
+++ b/tests/test_rollouts_play.py
@@ -6,6 +6,7 @@
 import unittest
 
 from endivesill import events
+from endivesill.rollouts.model import Phase, RolloutState, ServicePhase
 from tests.rollout_play import LEASE_S, SERVICE, Play, good
 
 # Seeded plays of each load; `make fuzz` plays more.
@@ -200,6 +201,48 @@
         self.assertEqual("rolled-back", play.rollout.state.value)
 
 
+class ExcludedVersionTest(PlayTestCase):
+    """Engines of a version that was taken back run on while the next one starts."""
+
+    def phase(self, state, phase=Phase.CANARY):
+        return ServicePhase(
+            state,
+            phase,
+            frozenset({"old@1"}),
+            frozenset({"new@1"}),
+            frozenset({"bad@1"}),
+        )
+
+    def test_they_get_nothing_in_any_state(self):
+        for state in RolloutState:
+            for phase in Phase:
+                for holds_lease in (True, False):
+                    engines = self.phase(state, phase)
+                    self.assertTrue(engines.is_barred("bad@1", holds_lease))
+
+    def test_one_version_gets_ordinary_requests_in_each_state(self):
+        for state in RolloutState:
+            for phase in Phase:
+                for holds_lease in (True, False):
+                    engines = self.phase(state, phase)
+                    barred = [
+                        engines.is_barred(name, holds_lease)
+                        for name in ("old@1", "new@1")
+                    ]
+                    self.assertEqual(1, sum(barred))
+
+    async def test_the_leader_tells_them_apart(self):
+        play = Play(7)
+        await play.start()
+        row = play.replica.state.sections["rollouts"]["services"][SERVICE]
+        row["taken_back"] = ["v1"]
+        await play.leader.step()
+        reply = play.leader.reply_fields({"entry": "e1"})
+        told = reply["rollouts"][SERVICE]
+        self.assertEqual([], told["old"])
+        self.assertEqual(sorted(play.old), told["excluded"])
+
+
 class FailureTest(PlayTestCase):
     """One failure at each step of a roll-out."""
 
--- a/tests/test_rollouts_state.py
+++ b/tests/test_rollouts_state.py
@@ -88,6 +88,15 @@
         await self.order(cluster)
         self.assertIs(RolloutState.RUNNING, (await self.read(cluster)).state)
 
+    async def test_a_version_that_was_taken_back_stays_excluded(self):
+        cluster = await self.start_cluster()
+        for number, version in enumerate(("v2", "v3", "v2")):
+            await self.order(cluster, version)
+            rollout = await self.read(cluster)
+            expected = ((), ("v2",), ("v3",))[number]
+            self.assertEqual(expected, rollout.taken_back)
+            await self.change(cluster, rollout.index, RolloutState.ROLLED_BACK)
+
     async def test_an_order_for_a_completed_version_is_acknowledged(self):
         cluster = await self.start_cluster()
         await self.order(cluster)
