--- a/endivesill/fleet/pauses.py
+++ b/endivesill/fleet/pauses.py
@@ -72,15 +72,11 @@
     tail: tuple[float, ...]
 
     def late_fraction(self, limit_s: float) -> float:
-        """Return the fraction of pauses above a limit, beyond that of its peers.
+        """Return the fraction of pauses above a limit.
 
         Pauses in the bucket of the limit count as above it.
         """
-        limit = bucket_of(limit_s) - 1
-        peers = self._above(limit - self.peer_bucket)
-        return max(0.0, self._above(limit - self.usual_bucket) - peers)
-
-    def _above(self, distance: int) -> float:
+        distance = bucket_of(limit_s) - 1 - self.usual_bucket
         if distance < 0:
             return 1.0
         return self.tail[distance] if distance < len(self.tail) else 0.0
