Take an engine with few pauses for the median one

Cause: without a cost of its own, a new engine would draw all long generations where the others have one. Change: engines with too few pauses count as the median engine. Measured: tests.test_fleet_pauses, 14 passed.

--- a/endivesill/fleet/pauses.py
+++ b/endivesill/fleet/pauses.py
@@ -135,10 +135,14 @@
     def expect(self, incarnations: Iterable[str]) -> dict[str, EnginePauses]:
         """Return what is expected of the engines of a service.
 
+        Args:
+          incarnations: the engines of the service.
+
         Returns:
-          Engines with too few pauses are left out, and all of them while the service
-          has too few.
+          An engine with too few pauses is taken for the median one, so that it is
+          neither preferred nor avoided. Empty while the service has too few.
         """
+        incarnations = list(incarnations)
         now_s = self._timer.now_s()
         usual: dict[str, int] = {}
         excess = [0.0] * BUCKETS
@@ -159,6 +163,8 @@
         tail = tuple(sum(excess[n + 1 :]) / total for n in range(BUCKETS))
         peer_bucket = sorted(usual.values())[len(usual) // 2]
         return {
-            incarnation: EnginePauses(bucket, peer_bucket, tail)
-            for incarnation, bucket in usual.items()
+            incarnation: EnginePauses(
+                usual.get(incarnation, peer_bucket), peer_bucket, tail
+            )
+            for incarnation in incarnations
         }
