Read on after a request with an incomplete one behind it

Cause: reading that was paused in the middle of a request behind another one was resumed only where a whole one was queued, so that the connection hung. Also, messages of peers shared the budget for callers, which one of 16 MB exceeds. Change: reading is resumed when a request has ended; peers have a budget for the case of a fault.

--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -288,6 +288,9 @@
             self.abort()
         if exchange.closes_connection:
             self._lost = True
+        if not self._lost:
+            # Reading may have been paused in the middle of the next request.
+            self.transport.resume_reading()
 
     def _send_error(self, status: int, reason: str) -> None:
         events.emit(BAD_REQUEST, status=status, reason=reason)
--- a/endivesill/link_peers.py
+++ b/endivesill/link_peers.py
@@ -12,6 +12,7 @@
 
 from endivesill import errors, events
 from endivesill.http1 import (
+    CallerBudget,
     ConnectionLimits,
     ConnectionPool,
     Exchange,
@@ -30,6 +31,9 @@
 MAX_IDLE_S = 10.0
 # Snapshots are sent in chunks, so all messages are far smaller than this.
 MAX_BODY_BYTES = 16_777_216
+# Peers are other processes of this system: their messages are bounded one by one, and
+# their sum only for the case of a fault.
+PEER_MEMORY_BYTES = 64 * MAX_BODY_BYTES
 PEER_CONNECTION_LIMITS = ConnectionLimits(
     body_bytes=MAX_BODY_BYTES, idle_timeout_s=2 * MAX_IDLE_S
 )
@@ -47,7 +51,11 @@
         super().__init__(address)
         self._timer = timer
         self._listener = HttpListener(
-            timer, address, self._handle_call, PEER_CONNECTION_LIMITS
+            timer,
+            address,
+            self._handle_call,
+            PEER_CONNECTION_LIMITS,
+            CallerBudget(timer, PEER_MEMORY_BYTES),
         )
         self._cancel_on_disconnect_paths: set[str] = set()
         self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, MAX_IDLE_S)
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -1,10 +1,16 @@
 """Tests of HTTP/1.1 server connections."""
 
+import asyncio
 import unittest
 
-from endivesill.http1 import ConnectionLimits, HttpListener, ServerConnection
+from endivesill.http1 import (
+    CallerBudget,
+    ConnectionLimits,
+    HttpListener,
+    ServerConnection,
+)
 from endivesill.http1.listener import SWEEP_PERIOD_S
-from endivesill.http1.server import LINGER_S
+from endivesill.http1.server import LINGER_S, MAX_PIPELINED_BYTES
 from endivesill.timer import ManualTimer
 from tests.http1_fakes import FakeTransport, settle
 
@@ -231,3 +237,83 @@
         _, transport = await self.send(HEAD + b"Content-Length: 0\r\n\r\n")
         self.assertTrue(transport.aborted)
         self.assertNotIn(b"0\r\n\r\n", transport.written)
+
+
+class ReadAheadTest(ServerTestCase):
+    """Bounds what is read behind a request that is being handled."""
+
+    def setUp(self):
+        super().setUp()
+        self.listener.limits = ConnectionLimits(body_bytes=1_000_000)
+        self.release = asyncio.Event()
+
+    async def handle(self, exchange):
+        await self.release.wait()
+        await super().handle(exchange)
+
+    async def send_first(self):
+        return await self.send(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+
+    async def test_an_incomplete_body_behind_a_request_is_read_on_after_it(self):
+        connection, transport = await self.send_first()
+        size = 3 * MAX_PIPELINED_BYTES
+        connection.data_received(HEAD + b"Content-Length: %d\r\n\r\n" % size)
+        self.assertFalse(transport.paused)
+        connection.data_received(b"x" * (size - 1))
+        self.assertTrue(transport.paused)
+        self.release.set()
+        await settle()
+        self.assertFalse(transport.paused)
+        connection.data_received(b"x")
+        await settle()
+        self.assertEqual([0, size], [len(e.body) for e in self.exchanges])
+
+    async def test_small_requests_behind_a_request_are_read(self):
+        connection, transport = await self.send_first()
+        connection.data_received(b"GET /2 HTTP/1.1\r\nHost: x\r\n\r\n" * 4)
+        self.assertFalse(transport.paused)
+        self.release.set()
+        await settle()
+        self.assertEqual(5, len(self.exchanges))
+
+
+class BudgetTest(ServerTestCase):
+    """Requests that are given up because too much is held for callers."""
+
+    def connect(self):
+        connection, transport = super().connect()
+        transport.get_extra_info = lambda name: ("10.0.0.9", 1)
+        return connection, transport
+
+    def setUp(self):
+        super().setUp()
+        self.listener.limits = ConnectionLimits(body_bytes=100_000)
+        self.listener.budget = CallerBudget(self.timer, 100_000)
+
+    async def test_an_incomplete_request_is_refused_and_releases_what_it_held(self):
+        head = HEAD + b"Content-Length: 20000\r\n\r\n"
+        _, transport = await self.send(head + b"x" * 19_000)
+        self.assertIn(b"503", transport.written)
+        self.assertIn(b"Retry-After: 1", transport.written)
+        self.assertEqual(0, self.listener.budget.held_bytes)
+        self.assertEqual([], self.exchanges)
+
+    async def test_what_a_request_held_is_released_with_its_response(self):
+        await self.send(HEAD + b"Content-Length: 900\r\n\r\n" + b"x" * 900)
+        self.assertEqual(1, len(self.exchanges))
+        self.assertEqual(0, self.listener.budget.held_bytes)
+
+    async def test_a_body_that_trickles_is_refused(self):
+        head = HEAD + b"Content-Length: 20000\r\n\r\n"
+        connection, transport = await self.send(head)
+        for _ in range(40):
+            await self.timer.advance(1.0)
+            connection.data_received(b"x")
+            connection.check_timeouts(self.timer.now_s())
+        await settle()
+        self.assertIn(b"408", transport.written)
+
+    async def test_too_many_header_lines(self):
+        self.listener.limits = ConnectionLimits()
+        _, transport = await self.send(HEAD + b"aa:\r\n" * 600)
+        self.assertIn(b"431", transport.written)
