--- a/endivesill/fleet/pauses.py
+++ b/endivesill/fleet/pauses.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from endivesill.rollouts.outcomes import BUCKETS, bucket_of
+from endivesill.duration_buckets import BUCKETS, bucket_of
 from endivesill.timer import TimerService
 
 __all__ = ["EnginePauses", "PauseCounts", "PauseRates"]
--- a/endivesill/rollouts/evidence.py
+++ b/endivesill/rollouts/evidence.py
@@ -14,7 +14,8 @@
 
 import attrs
 
-from endivesill.rollouts.outcomes import BUCKET_RATIO, OutcomeRows
+from endivesill.duration_buckets import BUCKET_RATIO
+from endivesill.rollouts.outcomes import OutcomeRows
 from endivesill.rollouts.reference import Reference
 
 __all__ = ["Evidence"]
--- a/endivesill/rollouts/outcomes.py
+++ b/endivesill/rollouts/outcomes.py
@@ -8,24 +8,18 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator
 from typing import Any
 
+from endivesill.duration_buckets import bucket_of
+
 __all__ = [
-    "BUCKETS",
     "MEASURES",
     "OutcomeRows",
     "VERSIONS",
     "VersionOutcomes",
-    "bucket_of",
 ]
 
-# Ratio of a bucket's bounds, and the upper bound of the first one in seconds; the last
-# bucket begins at three minutes.
-BUCKET_RATIO = 1.25
-FIRST_BUCKET_S = 0.005
-BUCKETS = 48
 VERSIONS = ("old", "new")
 MEASURES = ("start", "pace")
 # Routes with rows of their own in one report; the others share one.
@@ -35,14 +29,6 @@
 OutcomeRows = dict[str, dict[str, Any]]
 
 
-def bucket_of(duration_s: float) -> int:
-    """Return the bucket of a duration."""
-    if duration_s <= FIRST_BUCKET_S:
-        return 0
-    ratio = math.log(duration_s / FIRST_BUCKET_S) / math.log(BUCKET_RATIO)
-    return min(BUCKETS - 1, math.ceil(ratio))
-
-
 class VersionOutcomes:
     """One entry's outcomes of one service since its last report."""
 
--- a/endivesill/rollouts/reference.py
+++ b/endivesill/rollouts/reference.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from endivesill.rollouts.outcomes import BUCKETS, OutcomeRows
+from endivesill.duration_buckets import BUCKETS
+from endivesill.rollouts.outcomes import OutcomeRows
 
 __all__ = ["Reference"]
 
--- a/tests/test_fleet_pauses.py
+++ b/tests/test_fleet_pauses.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
+from endivesill.duration_buckets import bucket_of
 from endivesill.fleet.pauses import PauseCounts, PauseRates
 from endivesill.forwarding.placement import choose_target
 from endivesill.forwarding.targets import ResourceDemand
-from endivesill.rollouts.outcomes import bucket_of
 from endivesill.timer import ManualTimer
 from tests.forwarding_fakes import MODEL, engine, make_table
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -7,6 +7,7 @@
 PACKAGE = pathlib.Path(__file__).resolve().parent.parent / "endivesill"
 FOUNDATIONS = {
     "document_reader",
+    "duration_buckets",
     "errors",
     "events",
     "findings",
