Check again whether an engine has crashed where it is not known at once

Two of three targets ended within 11 to 30 ms with no byte from the third in between, so that all entries took the refusals for a loss of their own network, and the second crash was never reported.

Change: a check without a result is repeated up to three times, after what a search has found has expired; the runs that ended at one engine share it. An engine that accepts connections later is no evidence either way, since it may be a new one at the same address.

--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -16,6 +16,7 @@
 )
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.events import REQUEST_BLOCKED
+from endivesill.forwarding.proxy_search import UNREACHED_S
 from endivesill.forwarding.running_calls import RunningCalls
 from endivesill.forwarding.target_client import TargetClient
 from endivesill.forwarding.targets import Target
@@ -30,6 +31,11 @@
 START_WINDOW_S = 0.2
 # Time from the first event after which a run has survived its start.
 SURVIVAL_S = 1.0
+# When several engines of a service end at once, an entry cannot tell a crash from a
+# loss of its network until it hears of another one. Checks without a result are
+# repeated after this pause, in which what a search has found expires.
+CHECK_PAUSE_S = UNREACHED_S + 0.1
+MAX_CHECKS = 4
 # Time between two requests for a trial; the leader grants one to the whole fleet.
 TRIAL_REQUEST_PAUSE_S = 1.0
 
@@ -60,6 +66,8 @@
         # No trial is requested until then, as the last one was not granted.
         self._next_trial_s = float("-inf")
         self._tasks: set[asyncio.Task[Any]] = set()
+        # Repeated checks by incarnation; the runs that ended there share one.
+        self._rechecks: dict[str, asyncio.Task[bool]] = {}
 
     # Admission.
 
@@ -201,12 +209,14 @@
         """Report causes if the engine refuses connections.
 
         Returns:
-          Whether the engine has crashed; None if it cannot be reached.
+          Whether the engine has crashed; None if it is not known.
         """
         accepts = await self._client.check(target.info)
-        if accepts is None or accepts:
-            # If it accepts connections, it has broken off this run alone.
-            return None if accepts is None else False
+        if accepts:
+            # It has broken off this run alone.
+            return False
+        if accepts is None and not await self._recheck(target):
+            return None
         events.emit(
             ENGINE_CRASHED,
             target=target.info.identity,
@@ -216,3 +226,25 @@
         self._evidence.note_crash(target.info.incarnation, causes)
         await self._exchange.report()
         return True
+
+    async def _recheck(self, target: Target) -> bool:
+        """Return whether later checks show that an engine refuses connections."""
+        incarnation = target.info.incarnation
+        task = self._rechecks.get(incarnation)
+        if task is None:
+            task = asyncio.ensure_future(self._is_refused_later(target))
+            self._rechecks[incarnation] = task
+            task.add_done_callback(lambda task: self._rechecks.pop(incarnation))
+        return await asyncio.shield(task)
+
+    async def _is_refused_later(self, target: Target) -> bool:
+        """Check an engine again; return whether it refuses connections.
+
+        One that accepts connections by now may be a new one at the same address.
+        """
+        for _ in range(MAX_CHECKS - 1):
+            await self._timer.sleep(CHECK_PAUSE_S)
+            accepts = await self._client.check(target.info)
+            if accepts is not None:
+                return not accepts
+        return False
--- a/endivesill/forwarding/proxy_search.py
+++ b/endivesill/forwarding/proxy_search.py
@@ -19,6 +19,7 @@
 __all__ = [
     "MAX_SEARCH_S",
     "SHORT_SEARCH_S",
+    "UNREACHED_S",
     "Answer",
     "ProxySearch",
     "SearchResult",
--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -201,3 +201,40 @@
         may_connect.set()
         await asyncio.sleep(0.01)
         self.assertTrue(evidence.is_suspect(["bad"]))
+
+    def make_guard(self, *results):
+        """Return a guard whose checks of a target have these results in turn."""
+        self.results = list(results)
+
+        async def report():
+            return
+
+        async def check(info):
+            return self.results.pop(0)
+
+        exchange = types.SimpleNamespace(
+            evidence=CrashEvidence(self.timer), report=report
+        )
+        client = types.SimpleNamespace(check=check)
+        return CrashGuard(self.timer, exchange, client, None)
+
+    async def test_a_crash_that_cannot_be_told_at_once_is_checked_again(self):
+        """Two engines of three end within milliseconds, and nothing else is heard."""
+        guard = self.make_guard(None, None, False)
+        await self.add_engines("app", "e1")
+        call = types.SimpleNamespace(causes=("bad",), has_survived=False)
+        guard.note_broken(call, self.target("e1"))
+        await self.wait_until(lambda: not self.results)
+        await asyncio.sleep(0.01)
+        self.assertTrue(guard._evidence.is_suspect(["bad"]))
+
+    async def test_a_target_that_answers_a_later_check_tells_nothing(self):
+        """Another one may have been started at its address meanwhile."""
+        guard = self.make_guard(None, True)
+        await self.add_engines("app", "e1")
+        call = types.SimpleNamespace(causes=("bad",), has_survived=False)
+        guard.note_complete(call, self.target("e1"), None, is_framed=False)
+        await self.wait_until(lambda: not self.results)
+        await asyncio.sleep(0.01)
+        self.assertFalse(guard._evidence.is_suspect(["bad"]))
+        self.assertFalse(call.has_survived)
