Let a crash that another VM has reported count for all runs there

Change: the repeated check takes a report of the same incarnation as its answer.

Measured: a new test, red before.

--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -205,6 +205,10 @@
         met = [block for block in self.blocks if block.causes <= present]
         return max(met, key=lambda block: block.trial_at_s, default=None)
 
+    def has_crashed(self, incarnation: str) -> bool:
+        """Return whether any VM has reported that an engine crashed."""
+        return incarnation in self._reports
+
     def is_suspect(self, causes: Iterable[str]) -> bool:
         """Return whether one of some causes may have crashed an engine before."""
         present = set(causes)
--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -240,10 +240,13 @@
     async def _is_refused_later(self, target: Target) -> bool:
         """Check an engine again; return whether it refuses connections.
 
-        One that accepts connections by now may be a new one at the same address.
+        Another VM may have found out meanwhile. An engine that accepts connections by
+        now may be a new one at the same address.
         """
         for _ in range(MAX_CHECKS - 1):
             await self._timer.sleep(CHECK_PAUSE_S)
+            if self._evidence.has_crashed(target.info.incarnation):
+                return True
             accepts = await self._client.check(target.info)
             if accepts is not None:
                 return not accepts
--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -238,3 +238,12 @@
         await asyncio.sleep(0.01)
         self.assertFalse(guard._evidence.is_suspect(["bad"]))
         self.assertFalse(call.has_survived)
+
+    async def test_a_crash_that_another_vm_has_reported_counts(self):
+        guard = self.make_guard(None)
+        await self.add_engines("app", "e1")
+        call = types.SimpleNamespace(causes=("bad",), has_survived=False)
+        guard.note_broken(call, self.target("e1"))
+        await self.wait_until(lambda: not self.results)
+        guard._evidence.note_crash("e1@1", ["other"])
+        await self.wait_until(lambda: guard._evidence.is_suspect(["bad"]))
