--- a/endivesill/forwarding/version_log.py
+++ b/endivesill/forwarding/version_log.py
@@ -10,6 +10,9 @@
 # Events of a stream after its first one from which its pace is taken; the lag of single
 # events averages out.
 PACE_EVENTS = 8
+# Times below this fraction of what the route allows count as equal. Callers notice no
+# difference, while the load of a VM makes short times several times longer.
+UNNOTICED_FRACTION = 0.1
 
 
 class VersionLog:
@@ -34,8 +37,12 @@
 
     def note_start(self, call: Call, target: Target, duration_s: float) -> None:
         """Count the time to the first byte of a response."""
+        unnoticed_s = UNNOTICED_FRACTION * call.route.target_latency_s
         self._table.versions.note_start(
-            call.service.name, call.route.name, target.info.incarnation, duration_s
+            call.service.name,
+            call.route.name,
+            target.info.incarnation,
+            max(duration_s, unnoticed_s),
         )
 
     def note_pace(
@@ -43,9 +50,10 @@
     ) -> None:
         """Count the time of a stream since its first event, once there are enough."""
         if event_count >= PACE_EVENTS:
+            unnoticed_s = UNNOTICED_FRACTION * call.route.gap_target_s
             self._table.versions.note_pace(
                 call.service.name,
                 call.route.name,
                 target.info.incarnation,
-                duration_s / event_count,
+                max(duration_s / event_count, unnoticed_s),
             )
