Play evacuations, one-way cuts and twice the load in the soak of roll-outs

Change: one seed in three empties a data centre and undoes it, and checks that its targets get no requests meanwhile; one in four has twice the callers from the middle on; odd seeds have a one-way cut of an entry's links to targets. Targets and records of a roll-out have a module of their own, for its size.

--- a/bench/platform_soak_rollouts.py
+++ b/bench/platform_soak_rollouts.py
@@ -15,31 +15,25 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import attrs
-
-from bench.platform_soak_callers import encode_request
+from bench.fault_proxy import CutKind
+from bench.platform_soak_callers import Callers, encode_request
 from bench.platform_soak_faults import STANDARD, Fault
 from bench.platform_soak_fleet import DATA_CENTRES, SoakFleet
 from bench.platform_soak_profile import Profile, register
-from bench.platform_soak_targets import SEAL, PlatformTargetList, SoakTarget
+from bench.platform_soak_rollout_targets import (
+    DURATION_S,
+    ROLLOUT_BOUNDS,
+    STRETCH_S,
+    RolloutRecord,
+    RolloutTarget,
+)
+from bench.platform_soak_targets import PlatformTargetList, SoakTarget
 from endivesill import errors
-from endivesill.http1 import ConnectionPool, Exchange, UpstreamError
+from endivesill.http1 import ConnectionPool, UpstreamError
 from endivesill.timer import TimerService
 
-__all__ = ["RolloutOperators", "RolloutProfile", "RolloutRecord", "RolloutTarget"]
+__all__ = ["RolloutOperators", "RolloutProfile"]
 
-EXPOSURE_SHARE = 0.1
-EXPOSURE_SLACK = 50
-ROLLBACK_S = 5.0
-BAD_ANSWERS = 50
-ROLLOUT_BOUNDS = f"""
-exposure_share = {EXPOSURE_SHARE}
-exposure_slack = {EXPOSURE_SLACK}
-rollback_ms = {round(1_000 * ROLLBACK_S)}
-"""
-# How much longer a version may be used while the control VMs are disturbed.
-STRETCH_S = 6.0
-DURATION_S = 12.0
 START_DELAY_S = 0.5
 DRAIN_S = 2.0
 PAUSE_S = 1.0
@@ -49,116 +43,15 @@
 ORDER_TIMEOUT_S = 12.0
 # The operator asks this long after the end of the budget for the outcome.
 OUTCOME_TIMEOUT_S = 20.0
-BAD_FRACTION = 0.5
-SLOW_S = 0.4
 KINDS = ("good", "failing", "slow")
-
-
-@attrs.define
-class RolloutRecord:
-    """One roll-out as the operator and the targets saw it.
-
-    Attributes:
-      service: the service.
-      version: the version that it is moved to.
-      kind: whether the version is good, and how it is bad.
-      ordered_s: when the order was sent first.
-      requests_s: when each request reached a target of the service.
-      new_requests_s: when each request reached a target of the version.
-      bad_s: when each bad answer was given.
-      is_acknowledged: whether the order was acknowledged.
-      state: the last state that was read.
-      cut: requests that ran on old targets when they were stopped.
-    """
-
-    service: str
-    version: str
-    kind: str
-    ordered_s: float
-    requests_s: list[float] = attrs.Factory(list)
-    new_requests_s: list[float] = attrs.Factory(list)
-    bad_s: list[float] = attrs.Factory(list)
-    is_acknowledged: bool = False
-    state: str = ""
-    cut: int = 0
-
-    def findings(self, is_faultless: bool) -> list[str]:
-        """Return the violations; some bounds only hold without faults."""
-        name = f"{self.kind} version {self.version} of {self.service}"
-        found = []
-        if self.kind != "good":
-            end_s = self.ordered_s + DURATION_S
-            exposed = sum(time_s <= end_s for time_s in self.new_requests_s)
-            requests = sum(
-                self.ordered_s <= time_s <= end_s for time_s in self.requests_s
-            )
-            if exposed > EXPOSURE_SHARE * requests + EXPOSURE_SLACK:
-                found.append(f"{name}: {exposed} of {requests} requests")
-            found += self._late_finding(name)
-            if is_faultless and self.is_acknowledged and self.state == "completed":
-                found.append(f"{name} was completed")
-        elif is_faultless and self.state != "completed":
-            found.append(f"{name}: {self.state or 'never started'}")
-        if is_faultless and self.cut:
-            found.append(f"{name}: {self.cut} requests were cut off")
-        return found
-
-    def _late_finding(self, name: str) -> list[str]:
-        if len(self.bad_s) < BAD_ANSWERS:
-            return []
-        limit_s = self.bad_s[BAD_ANSWERS - 1] + ROLLBACK_S + STRETCH_S
-        late = sum(time_s > limit_s for time_s in self.new_requests_s)
-        return [f"{name}: {late} requests long after it was known"] if late else []
-
-
-class RolloutTarget(SoakTarget):
-    """A target of a version.
-
-    Attributes:
-      version: its version.
-      record: the roll-out that its requests count for; None before the first.
-      is_new: whether it is of the version that the roll-out moves to.
-      running: requests that run.
-    """
-
-    version = "v1"
-    is_new = False
-    record: RolloutRecord | None = None
-    running = 0
-
-    def list_entry(self) -> dict[str, Any]:
-        """Return its entry in the platform's target list."""
-        return {**super().list_entry(), "version": self.version}
-
-    async def _run(self, exchange: Exchange) -> None:
-        self.running += 1
-        try:
-            if not await self._is_bad(exchange):
-                await super()._run(exchange)
-        finally:
-            self.running -= 1
-
-    async def _is_bad(self, exchange: Exchange) -> bool:
-        """Record a request; return whether it was answered badly."""
-        record = self.record
-        expected = exchange.header(b"x-endivesill-expected-instance").decode()
-        if record is None or expected != self.identity:
-            return False
-        now_s = self._timer.now_s()
-        record.requests_s.append(now_s)
-        if not self.is_new:
-            return False
-        record.new_requests_s.append(now_s)
-        if record.kind == "good" or self._random.random() >= BAD_FRACTION:
-            return False
-        record.bad_s.append(now_s)
-        if record.kind == "slow":
-            await asyncio.sleep(SLOW_S)
-            return False
-        attempt = exchange.header(b"x-endivesill-request-attempt-id")
-        self._run_counts[attempt.decode()] += 1
-        exchange.respond(500, [(b"X-Endivesill-Request-Attempt-Id", attempt), SEAL])
-        return True
+# One seed in so many has an evacuation, and one in so many twice the load from the
+# middle on.
+EVACUATION_SEEDS = 3
+BURST_SEEDS = 4
+# A data centre is out for longer than its targets may get requests after the order.
+EVACUATION_S = 5.0
+EVACUATED_S = EVACUATION_S + STRETCH_S + 3.0
+CUT_S = 4.0
 
 
 class RolloutOperators:
@@ -178,6 +71,7 @@
         self._targets = targets
         self._pool = ConnectionPool(timer, CALL_TIMEOUT_S, 0.0)
         self._started: list[RolloutTarget] = []
+        self._findings: list[str] = []
         self._run_counts: collections.Counter[str] = collections.Counter()
         self.until_s = float("inf")
         self.records: list[RolloutRecord] = []
@@ -198,6 +92,23 @@
         for target in self._started:
             await target.stop()
 
+    async def evacuate(self, fleet: SoakFleet) -> None:
+        """Empty a data centre, check that its targets get no requests, and undo it."""
+        name = self._random.choice(DATA_CENTRES)
+        await self._timer.sleep(self._random.uniform(PAUSE_S, DURATION_S / 2))
+        if await self._send(fleet, f"/Evacuation.Start/{name}"):
+            acknowledged_s = self._timer.now_s()
+            await self._timer.sleep(EVACUATED_S)
+            late = sum(
+                isinstance(target, RolloutTarget)
+                and target.data_centre == name
+                and target.last_request_s > acknowledged_s + EVACUATION_S + STRETCH_S
+                for target in self._targets
+            )
+            if late:
+                self._findings.append(f"{late} targets of {name} got requests")
+        await self._send(fleet, f"/Evacuation.End/{name}")
+
     async def _operate(self, fleet: SoakFleet, service: str) -> None:
         number = 1
         await self._timer.sleep(PAUSE_S)
@@ -264,14 +175,18 @@
             "duration_s": DURATION_S,
         }
         body = json.dumps(document).encode()
-        request = encode_request("POST", "/Rollouts.Start", [], body)
+        record.is_acknowledged = await self._send(fleet, "/Rollouts.Start", body)
+        return record.is_acknowledged
+
+    async def _send(self, fleet: SoakFleet, path: str, body: bytes = b"") -> bool:
+        """Send an order until it is acknowledged; return False if it is given up."""
+        request = encode_request("POST", path, [], body)
 
         async def is_acknowledged() -> bool:
             status, _ = await self._call(fleet, request)
             return status == 200
 
-        record.is_acknowledged = await self._retry(is_acknowledged, ORDER_TIMEOUT_S)
-        return record.is_acknowledged
+        return await self._retry(is_acknowledged, ORDER_TIMEOUT_S)
 
     async def _read(self, fleet: SoakFleet, record: RolloutRecord) -> None:
         request = encode_request("GET", f"/Rollouts.Get/{record.service}", [], b"")
@@ -306,6 +221,7 @@
     def check(self, is_faultless: bool) -> tuple[list[str], dict[str, Any]]:
         """Return the violations and counts for the report."""
         findings = [f for r in self.records for f in r.findings(is_faultless)]
+        findings += self._findings
         findings += [
             f"the roll-out of {r.service} to {r.version} was lost"
             for r in self.records
@@ -322,7 +238,10 @@
 
 @register
 class RolloutProfile(Profile):
-    """Roll-outs of good and bad versions; odd seeds have faults."""
+    """Roll-outs of good and bad versions; odd seeds have faults.
+
+    Some seeds have an evacuation, and some twice the load from the middle on.
+    """
 
     name = "rollouts"
     faults_of = STANDARD
@@ -337,7 +256,18 @@
         self.load_s = duration_s
         assert self._operators is not None
         self._operators.until_s = self._timer.now_s() + duration_s
-        return super().make_faults(duration_s) if self._seed % 2 else []
+        if not self._seed % 2:
+            return []
+        rng = random.Random(f"{self._seed} cut")
+        cut = Fault(
+            rng.uniform(0.0, duration_s),
+            "cut_entry",
+            f"entry-{rng.choice(DATA_CENTRES)}",
+            CUT_S,
+            CutKind.ONE_WAY.value,
+            "all",
+        )
+        return sorted([*super().make_faults(duration_s), cut])
 
     def make_target(
         self,
@@ -359,7 +289,19 @@
     async def run(self, fleet: SoakFleet) -> None:
         """Order roll-outs until the end."""
         assert self._operators is not None
-        await self._operators.run(fleet)
+        jobs = [self._operators.run(fleet)]
+        if not self._seed % EVACUATION_SEEDS:
+            jobs.append(self._operators.evacuate(fleet))
+        if not self._seed % BURST_SEEDS:
+            jobs.append(self._burst(fleet))
+        await asyncio.gather(*jobs)
+
+    async def _burst(self, fleet: SoakFleet) -> None:
+        """Add as many callers as there are, from the middle of the load on."""
+        await self._timer.sleep(self.load_s / 2)
+        callers = Callers(self._timer, fleet, f"{self._seed} burst")
+        self.records = callers.records
+        await callers.run()
 
     async def stop(self) -> None:
         """Stop the targets that were started."""
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -19,7 +19,7 @@
 from bench.platform_soak_mass_cuts import mass_cuts
 from bench.platform_soak_orders import OrderRecord
 from bench.platform_soak_profiles import make_profile
-from bench.platform_soak_rollouts import RolloutRecord
+from bench.platform_soak_rollout_targets import RolloutRecord
 from bench.platform_soak_stops import StopRecords
 from endivesill.timer import ManualTimer
 
