Free what a lost connection to a target has received at once

Change: the reference is cut when the connection is lost, and the parts of a body over the limit are dropped before the error is raised.

--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -138,7 +138,7 @@
         self._reset()
 
     def _reset(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: Any = httptools.HttpResponseParser(self)
         # The first response is the one that is being read. A peer may send a
         # response to another request before it, or another response after it.
         self._responses = collections.deque([_Response()])
@@ -196,6 +196,9 @@
         """Handle the loss of the connection; it never completes a response."""
         self._handle_disconnect(is_eof=False)
         self._lost = True
+        # The parser refers to this object; without the cycle, the memory of both is
+        # free at once.
+        self._parser = None
 
     def _handle_disconnect(self, *, is_eof: bool) -> None:
         self.reusable = False
@@ -352,11 +355,13 @@
           UpstreamError: the connection failed before the response was complete, or
             the body is longer than `max_bytes`.
         """
-        parts = []
+        parts: list[bytes] = []
         size_bytes = 0
         while part := await self.read():
             size_bytes += len(part)
             if size_bytes > max_bytes:
+                # The error keeps this frame for as long as it is handled.
+                parts.clear()
                 raise self._exceed("body bytes")
             parts.append(part)
         return b"".join(parts)
