Bound the responses that callers do not read

Cause: a caller that sends requests behind each other and reads nothing got each response into a buffer without a bound: 139 to 141 MB where the limit is 96 (60 callers, four responses of 1 MiB each).

Change: the next request of a connection waits until its caller has read; unread bytes count in the budget for callers, and beyond its limit the connection that holds most for longest is reset, after incomplete requests. Long responses are read a few at a time.

--- a/bench/platform_soak_targets.py
+++ b/bench/platform_soak_targets.py
@@ -170,6 +170,9 @@
         await asyncio.sleep(self._service_time_s(exchange, PLAIN_SERVICE_TIME_S))
         failed = self._random.random() < FAILURE_FRACTION
         body = b"" if failed else expected_body(attempt, is_stream=False)
+        # The query of the path may ask for a long body.
+        _, _, length = exchange.target.partition(b"?body_bytes=")
+        body = body.ljust(int(length or 0), b".")
         headers = [attempt_header, SEAL, *self.plain_headers]
         exchange.respond(500 if failed else 200, headers, body)
 
--- a/endivesill/forwarding/plain_sender.py
+++ b/endivesill/forwarding/plain_sender.py
@@ -15,6 +15,8 @@
 # Fraction of the remaining time for one attempt of an idempotent request while it may
 # be retried; limits the delay caused by a target that hangs.
 ATTEMPT_TIME_FRACTION = 0.4
+# Bytes of a response above which it waits until few others are read.
+SHORT_RESPONSE_BYTES = 65_536
 
 
 class PlainSender:
@@ -41,7 +43,7 @@
         async def exchange() -> tuple[Attempt, bytes]:
             attempt = await self._sender.send(call, target)
             try:
-                return attempt, await attempt.body.read_all()
+                return attempt, await _read_all(call, attempt)
             except ProxyLostError as error:
                 raise AttemptError(Failure.PROXY_LOST, str(error)) from None
             except UpstreamError as error:
@@ -61,3 +63,18 @@
             raise AttemptError(Failure.NO_ANSWER, "no answer in time") from None
         finally:
             overdue.cancel()
+
+
+async def _read_all(call: Call, attempt: Attempt) -> bytes:
+    """Return a body; long ones are read one after another, to bound their sum."""
+    parts: list[bytes] = []
+    size_bytes = 0
+    while size_bytes <= SHORT_RESPONSE_BYTES:
+        part = await attempt.body.read()
+        if not part:
+            return b"".join(parts)
+        parts.append(part)
+        size_bytes += len(part)
+    async with call.exchange.budget.long_responses:
+        parts.append(await attempt.body.read_all())
+    return b"".join(parts)
--- a/endivesill/http1/caller_budget.py
+++ b/endivesill/http1/caller_budget.py
@@ -3,12 +3,14 @@
 All listeners of a process share one budget. It counts what requests take in memory:
 not only their bytes, but also the objects for header lines and the copies that are made
 of a body. When it is exceeded, requests that are still incomplete are given up, never
-one that may have been sent on.
+one that may have been sent on; after them, responses that their callers do not read.
 """
 
 from __future__ import annotations
 
+import asyncio
 import collections
+from collections.abc import Callable
 from typing import Protocol
 
 from endivesill import events
@@ -25,14 +27,17 @@
 # Where the settings name no limits of the process.
 DEFAULT_MEMORY_BYTES = 128 * 1_048_576
 DEFAULT_DESCRIPTORS = 4_096
+# Memory that the limit is divided by for the number of long responses that are read at
+# a time: the largest body that the platform's limits name, and its copies.
+LONG_RESPONSE_BYTES = 3 * 4_194_304
 # Least time between two log lines.
 LOG_PERIOD_S = 1.0
 
 CALLERS_SHED = events.define(
     1031,
     "callers-shed",
-    "Incomplete requests or connections of callers were given up to bound what this "
-    "process holds for them.",
+    "Incomplete requests, unread responses or connections of callers were given up to "
+    "bound what this process holds for them.",
 )
 
 
@@ -42,10 +47,12 @@
     Attributes:
       held_bytes: what it holds of the budget.
       idle_since_s: since when no request was handled.
+      unread_since_s: since when its caller reads no response; None while it does.
     """
 
     held_bytes: int
     idle_since_s: float
+    unread_since_s: float | None
 
     @property
     def incomplete_since_s(self) -> float | None:
@@ -76,8 +83,10 @@
     Attributes:
       limit_bytes: most memory that is held.
       max_connections: most connections.
+      long_responses: held while the long response of a target is read.
       held_bytes: memory that is held.
       shed_requests: incomplete requests that were given up.
+      shed_responses: connections that were reset since their responses were not read.
       shed_connections: connections that were reset for want of descriptors.
     """
 
@@ -89,8 +98,12 @@
         self.max_connections = int(
             DESCRIPTOR_FRACTION * (descriptors or DEFAULT_DESCRIPTORS)
         )
+        self.long_responses = asyncio.Semaphore(
+            max(1, self.limit_bytes // LONG_RESPONSE_BYTES)
+        )
         self.held_bytes = 0
         self.shed_requests = 0
+        self.shed_responses = 0
         self.shed_connections = 0
         self._timer = timer
         self._holders: set[BudgetHolder] = set()
@@ -112,7 +125,9 @@
         self.update(holder, 0)
 
     def update(self, holder: BudgetHolder, held_bytes: int) -> None:
-        """Set what a connection holds; incomplete requests are given up if necessary.
+        """Set what a connection holds, and give up what is over the limit.
+
+        Incomplete requests go first, then responses that their callers do not read.
 
         Args:
           holder: the connection.
@@ -122,33 +137,44 @@
         self.held_bytes += held_bytes - holder.held_bytes
         holder.held_bytes = held_bytes
         while grows and self.held_bytes > self.limit_bytes:
-            victim = self._largest_incomplete()
+            victim = self._largest(lambda holder: holder.incomplete_since_s)
+            if victim is not None:
+                self.shed_requests += 1
+                self._log("memory")
+                victim.shed()
+                continue
+            victim = self._largest(lambda holder: holder.unread_since_s)
             if victim is None:
                 return
-            self.shed_requests += 1
-            self._log("memory")
-            victim.shed()
+            self.shed_responses += 1
+            self._log("unread responses")
+            self.remove(victim)
+            victim.abort()
 
-    def _largest_incomplete(self) -> BudgetHolder | None:
-        """Return a connection whose request is given up.
+    def _largest(
+        self, since_s: Callable[[BudgetHolder], float | None]
+    ) -> BudgetHolder | None:
+        """Return the connection that is given up among those in a state.
 
         Among those of the address that holds most, the one that holds most for longest.
+
+        Args:
+          since_s: returns since when a connection is in the state; None if it is not.
         """
         now_s = self._timer.now_s()
-        incomplete = [
-            (holder, now_s - holder.incomplete_since_s)
-            for holder in self._holders
-            if holder.held_bytes > 0 and holder.incomplete_since_s is not None
-        ]
+        present: list[tuple[BudgetHolder, float]] = []
         by_peer: collections.Counter[str] = collections.Counter()
-        for holder, _ in incomplete:
-            by_peer[holder.peer_address()] += holder.held_bytes
+        for holder in self._holders:
+            start_s = since_s(holder)
+            if holder.held_bytes > 0 and start_s is not None:
+                present.append((holder, now_s - start_s))
+                by_peer[holder.peer_address()] += holder.held_bytes
         if not by_peer:
             return None
         peer, _ = by_peer.most_common(1)[0]
-        # A second more counts as much as having sent it all over again.
+        # A second more counts as much as holding it all once more.
         return max(
-            (item for item in incomplete if item[0].peer_address() == peer),
+            (item for item in present if item[0].peer_address() == peer),
             key=lambda item: item[0].held_bytes * (1.0 + item[1]),
         )[0]
 
@@ -183,6 +209,7 @@
             connections=len(self._holders),
             max_connections=self.max_connections,
             shed_requests=self.shed_requests,
+            shed_responses=self.shed_responses,
             shed_connections=self.shed_connections,
         )
 
@@ -194,6 +221,7 @@
             "connections": len(self._holders),
             "max_connections": self.max_connections,
             "shed_requests_total": self.shed_requests,
+            "shed_responses_total": self.shed_responses,
             "shed_connections_total": self.shed_connections,
         }
         return [f"endivesill_callers_{name} {value}" for name, value in gauges.items()]
--- a/endivesill/http1/exchange.py
+++ b/endivesill/http1/exchange.py
@@ -17,6 +17,7 @@
 )
 
 if TYPE_CHECKING:
+    from endivesill.http1.caller_budget import CallerBudget
     from endivesill.http1.server import ServerConnection
 
 __all__ = ["ConnectionLimits", "Exchange", "check_framing"]
@@ -78,6 +79,11 @@
         self.closes_connection = not keep_alive
         self.memory_bytes = 0
 
+    @property
+    def budget(self) -> CallerBudget:
+        """The budget for what the process holds for callers."""
+        return self.connection.listener.budget
+
     def header(self, name: bytes) -> bytes:
         """Return the first value of a header (name in lower case), or empty bytes."""
         return header_value(self.headers, name)
--- a/endivesill/http1/server.py
+++ b/endivesill/http1/server.py
@@ -60,6 +60,8 @@
       head_started_s: when the first byte of an incomplete head was received; None
         if no head is being received.
       held_bytes: memory that it holds of the listener's budget.
+      unread_since_s: since when its caller has not read what was written; None while
+        it reads.
     """
 
     def __init__(self, listener: HttpListener) -> None:
@@ -86,6 +88,7 @@
         self._request = RequestBuffer()
         self._request_started_s: float | None = None
         self.held_bytes = 0
+        self.unread_since_s: float | None = None
         # Memory of the requests that are queued or handled.
         self._queued_bytes = 0
 
@@ -115,8 +118,8 @@
         if self._error is None and self._head_exceeds_limit():
             self._fail(431, "the head is too large")
         self._limit_framing(len(data))
+        self._update_budget()
         behind_bytes = self._request.memory_bytes
-        self.listener.budget.update(self, self._queued_bytes + behind_bytes)
         behind_bytes += sum(len(exchange.body) for exchange in self._pending)
         is_behind = self.current is not None or bool(self._pending)
         if not self._lost and (
@@ -163,10 +166,21 @@
     def pause_writing(self) -> None:
         """Block `Exchange.drain`: the write buffer is full."""
         self.writable.clear()
+        self.unread_since_s = self.listener.timer.now_s()
+        self._update_budget()
 
     def resume_writing(self) -> None:
         """Unblock `Exchange.drain`."""
         self.writable.set()
+        self.unread_since_s = None
+        self._update_budget()
+
+    def _update_budget(self) -> None:
+        """Tell the budget what this connection holds."""
+        held_bytes = self._queued_bytes + self._request.memory_bytes
+        if self.unread_since_s is not None and self.transport is not None:
+            held_bytes += self.transport.get_write_buffer_size()
+        self.listener.budget.update(self, 0 if self._lost else held_bytes)
 
     def _notify_disconnect(self) -> None:
         for exchange in (self.current, *self._pending):
@@ -250,7 +264,7 @@
             self._request = RequestBuffer()
             self._request_started_s = None
             self._wakeup.set()
-            self.listener.budget.update(self, self._queued_bytes)
+            self._update_budget()
 
     # The connection's task.
 
@@ -258,6 +272,8 @@
         try:
             while not self._lost:
                 if self._pending:
+                    # The next response waits until the caller has read earlier ones.
+                    await self.writable.wait()
                     await self._handle_exchange(self._pending.popleft())
                 elif self._error is not None:
                     self._send_error(*self._error)
@@ -281,8 +297,7 @@
             self.listener.active_exchanges -= 1
             self.current = None
             self._queued_bytes -= exchange.memory_bytes
-            held_bytes = self._queued_bytes + self._request.memory_bytes
-            self.listener.budget.update(self, 0 if self._lost else held_bytes)
+            self._update_budget()
             self.idle_since_s = self.listener.timer.now_s()
         if not exchange.finished:
             self.abort()
--- a/tests/test_http1_caller_budget.py
+++ b/tests/test_http1_caller_budget.py
@@ -19,11 +19,14 @@
 class Holder:
     """A connection whose state is set by the test."""
 
-    def __init__(self, budget, address="a", since_s=0.0, idle_since_s=0.0):
+    def __init__(
+        self, budget, address="a", since_s=0.0, idle_since_s=0.0, unread_since_s=None
+    ):
         self._budget = budget
         self._address = address
         self.incomplete_since_s = since_s
         self.idle_since_s = idle_since_s
+        self.unread_since_s = unread_since_s
         self.held_bytes = 0
         self.is_shed = False
         self.is_aborted = False
@@ -89,6 +92,16 @@
         new = self.holder(10)
         self.assertTrue(new.is_shed)
 
+    def test_unread_responses_go_after_incomplete_requests(self):
+        unread = [self.holder(400, since_s=None, unread_since_s=0.0) for _ in range(2)]
+        incomplete = self.holder(300)
+        self.assertTrue(incomplete.is_shed)
+        self.assertFalse(any(holder.is_aborted for holder in unread))
+        reading = self.holder(300, since_s=None)
+        self.assertEqual([True, False], sorted(h.is_aborted for h in unread)[::-1])
+        self.assertFalse(reading.is_aborted)
+        self.assertEqual(700, self.budget.held_bytes)
+
     def test_a_closed_connection_holds_nothing(self):
         holder = self.holder(700)
         self.budget.remove(holder)
--- a/tests/test_platform_crowds.py
+++ b/tests/test_platform_crowds.py
@@ -13,6 +13,7 @@
 import pathlib
 import random
 import re
+import socket
 import tempfile
 import unittest
 
@@ -64,6 +65,7 @@
         self.pool = ConnectionPool(self.timer, 5.0, 0.0)
         self.addCleanup(self.pool.close)
         self.writers = []
+        self.sockets = []
         targets = []
         target_list = PlatformTargetList(self.timer, targets)
         await target_list.start()
@@ -202,6 +204,44 @@
         await self.assert_survives()
 
 
+class ReaderCrowdTest(CrowdTestCase):
+    """Callers that send requests and read none of the responses."""
+
+    async def send(self, process, port, parts):
+        """Send requests over a connection whose receive buffer is small."""
+        unread = socket.socket()
+        unread.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        unread.setblocking(False)
+        self.sockets.append(unread)
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            await loop.sock_connect(unread, (process.ip, port))
+            await loop.sock_sendall(unread, b"".join(parts))
+
+    def leave(self):
+        super().leave()
+        for unread in self.sockets:
+            unread.close()
+        self.sockets.clear()
+
+    def requests(self, count, size):
+        path = HEAD.replace(b"/x ", b"/x?body_bytes=%d " % size)
+        attempt = b"X-Endivesill-Request-Attempt-Id: %b\r\n"
+        return [path + attempt % os.urandom(8).hex().encode() + LENGTH + b"order"] * (
+            count
+        )
+
+    async def test_one_long_response_each(self):
+        await self.crowd(60, self.requests(1, 4 * MIB))
+        await asyncio.sleep(DEADLINE_S)
+        await self.assert_survives()
+
+    async def test_long_responses_behind_each_other(self):
+        await self.crowd(60, self.requests(4, MIB))
+        await asyncio.sleep(DEADLINE_S)
+        await self.assert_survives()
+
+
 class ControlCrowdTest(CrowdTestCase):
     async def test_bodies_that_stop_short(self):
         head = ORDER + b"Transfer-Encoding: chunked\r\n\r\n"
