--- a/endivesill/fleet/events.py
+++ b/endivesill/fleet/events.py
@@ -128,6 +128,11 @@
     "An engine has become slower than its peers, or no longer is; usual pauses are "
     "given as numbers of buckets.",
 )
+STRAIN_UNREPORTED = events.define(
+    4531,
+    "strain-unreported",
+    "The leader was not told which engines are strained; another notice follows.",
+)
 LIST_LOST = events.define(
     4502,
     "engine-list-lost",
--- a/endivesill/forwarding/health_table.py
+++ b/endivesill/forwarding/health_table.py
@@ -34,6 +34,7 @@
       outcomes: counts the outcomes of this entry's requests for the leader.
       on_broken: called after a request that a target broke off.
       pauses: counts the pauses of this entry's streams for the leader.
+      on_strain: called with an incarnation whose streams pause for longer than usual.
     """
 
     def __init__(self, timer: TimerService) -> None:
@@ -43,6 +44,7 @@
         self.on_ejected: Callable[[Target, float], None] = lambda target, time_s: None
         self.outcomes = OutcomeCounts()
         self.pauses = PauseCounts()
+        self.on_strain: Callable[[str], None] = lambda incarnation: None
         self.on_broken: Callable[[], None] = lambda: None
 
     def eject(self, target: Target, duration_s: float, reason: str) -> None:
--- a/endivesill/forwarding/leader_placement.py
+++ b/endivesill/forwarding/leader_placement.py
@@ -12,6 +12,7 @@
 from endivesill.fleet.model import EngineInfo, Service
 from endivesill.fleet.reports import EngineReports, ReportSource
 from endivesill.fleet.state import current_configuration, evacuations
+from endivesill.fleet.strain import STRAIN_PATH, StrainedEngines
 from endivesill.fleet.sync_client import FleetView
 from endivesill.fleet.sync_service import FleetSyncService
 from endivesill.forwarding.health import new_fleet_record
@@ -77,6 +78,9 @@
         )
         transport.handle(PLACE_PATH, self._placement.handle)
         transport.cancel_on_disconnect(PLACE_PATH)
+        self._strained = StrainedEngines(timer)
+        self._strained_targets: list[Target] = []
+        transport.handle(STRAIN_PATH, self._strained.handle)
         sync_service.on_change(self._update)
         sync_service.on_loads(self._admit_waiting)
         sync_service.on_outcomes(self._table.apply_outcomes)
@@ -126,6 +130,8 @@
             *self._table.metric_lines(),
             waiting,
             f"endivesill_engines_uneven {uneven}",
+            f"endivesill_engines_strained {len(self._strained_targets)}",
+            f"endivesill_strain_notices_total {self._strained.notices}",
         ]
 
     def use_versions(self, versions: TargetVersions) -> None:
@@ -178,12 +184,20 @@
         return [e for e in self._view.engines.values() if e.service in model_services]
 
     def _update_placement(self) -> None:
+        self._update_strain()
         if self._sync_service.leads():
             self._table.update_reports(
                 self._reports.latest, self._reports.unresponsive()
             )
         self._placement.update()
 
+    def _update_strain(self) -> None:
+        for target in self._strained_targets:
+            target.is_strained = False
+        self._strained_targets = self._table.find_all(self._strained.current())
+        for target in self._strained_targets:
+            target.is_strained = True
+
     def _apply_services(self, document: Any) -> None:
         try:
             self._services = self._decode_services(document)
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -53,6 +53,9 @@
 # Cost of a pause that is too long: more than any wait that leaves the start of the
 # response in time, so that it only comes where no other target has room.
 LATE_PAUSE_COST_S = 3.0
+# Cost of a prompt at an engine whose streams pause for longer than usual: more than any
+# difference between engines with room, so that it only goes there if no other has any.
+STRAIN_COST_S = 2.0
 # Cost of a full KV cache; it grows with the square of the fill.
 MEMORY_COST_S = 0.2
 
@@ -139,6 +142,8 @@
             1, service.model_engine.capacity_tokens
         )
         cost += MEMORY_COST_S * fill * fill
+        if target.is_strained:
+            cost += STRAIN_COST_S
         if target.pauses is not None and demand.pause_limit_s > 0:
             events = output_tokens(demand) / max(1, service.model_engine.event_tokens)
             late = target.pauses.late_fraction(demand.pause_limit_s)
--- a/endivesill/forwarding/stream_run.py
+++ b/endivesill/forwarding/stream_run.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from endivesill.fleet.strain import PauseWatch
 from endivesill.forwarding.attempt import Attempt
 from endivesill.forwarding.run_copy import RunCopy
 from endivesill.forwarding.targets import Target
@@ -27,6 +28,7 @@
       copy: a copy on demand, made because the backup cannot be used.
       has_pace: whether the time per event was recorded.
       is_moving: whether it was stopped in order to resume from its copy.
+      watch: tells its long pauses from the usual ones; None where any is allowed.
     """
 
     target: Target
@@ -40,6 +42,7 @@
     copy: RunCopy | None = None
     has_pace: bool = False
     is_moving: bool = False
+    watch: PauseWatch | None = None
 
 
 @attrs.define
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from endivesill import errors, events
+from endivesill.fleet.strain import PauseWatch
 from endivesill.forwarding.attempt import (
     Attempt,
     AttemptError,
@@ -337,7 +338,9 @@
                 run.prefill_done = True
                 run.target.note_prefill_done(self._call.demand)
             self._note_progress(run, len(new_events))
-            self._note_pause(self.progress.note(len(new_events), self._timer.now_s()))
+            pause_s = self.progress.note(len(new_events), self._timer.now_s())
+            if pause_s is not None:
+                self._note_pause(run, pause_s)
             exchange.send(b"".join(event.data for event in new_events))
             await exchange.drain()
         if splitter.remainder:
@@ -383,6 +386,10 @@
             new_events.append(event)
         return new_events
 
-    def _note_pause(self, pause_s: float | None) -> None:
-        if pause_s is not None and self.target is not None:
-            self._table.pauses.note(self.target.info.incarnation, pause_s)
+    def _note_pause(self, run: StreamRun, pause_s: float) -> None:
+        incarnation = run.target.info.incarnation
+        self._table.pauses.note(incarnation, pause_s)
+        if run.watch is None:
+            run.watch = PauseWatch(self._call.demand.pause_limit_s)
+        if run.watch.note(pause_s):
+            self._table.on_strain(incarnation)
--- a/endivesill/forwarding/target.py
+++ b/endivesill/forwarding/target.py
@@ -60,6 +60,8 @@
       refused_connections: consecutive connection failures.
       pauses: what is expected of the pauses in its streams; None while unknown. Kept at
         the leader.
+      is_strained: whether its streams pause for longer than usual at the moment; kept
+        at the leader.
       is_replaced: whether another target answers at its address.
       broken: requests of all entries that it broke off; kept at the leader.
       send_times_s: when this process recently sent it requests.
@@ -79,6 +81,7 @@
     report: EngineReport | None = None
     refused_connections: int = 0
     pauses: EnginePauses | None = None
+    is_strained: bool = False
     is_replaced: bool = False
     broken: BrokenRequests = attrs.Factory(BrokenRequests)
     send_times_s: collections.deque[float] = attrs.Factory(collections.deque)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -12,6 +12,7 @@
 from endivesill.fleet.events import CONFIGURATION_IN_FORCE
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.permit_client import PermitClient
+from endivesill.fleet.strain import StrainNotices
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.cold_allowance import ColdAllowance
@@ -71,6 +72,8 @@
         self._table.outcomes = self._sync_client.outcomes
         self._table.pauses = self._sync_client.pauses
         self._table.versions = self._sync_client.rollouts
+        self._strain = StrainNotices(timer, transport, lambda: self._sync_client.leader)
+        self._table.on_strain = self._strain.note
         permits = PermitClient(timer, transport, self._sync_client)
         self._table.use_limits(self._sync_client.limits, permits)
         self._table.on_limit = self._report_engines
@@ -188,6 +191,7 @@
         if "engines" in updates:
             self._table.update_engines()
             self._network.update(view.engines)
+            self._strain.retain(view.engines)
         if "ejections" in updates:
             self._table.apply_ejections(view.ejections)
         self._table.update_loads(view.remote_loads)
