Choose plain targets by how old their loads are

Cause: entries choose plain targets by the loads in their last poll, all of them the one that was idle, and overrun it until the next poll.

Change: what an entry knows of the others' load loses its weight as requests end, down to each target's own mean, and choices are spread by weights the more, the older it is. No exchange is added.

--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -250,8 +250,10 @@
             target.release(call.demand)
         succeeded = attempt.response.status < 500
         self._table.note_outcome(target, succeeded=succeeded)
+        run_s = self._timer.now_s() - sent_s
         if succeeded:
-            self._versions.note_start(call, target, self._timer.now_s() - sent_s)
+            self._table.on_run(call.service.name, run_s)
+            self._versions.note_start(call, target, run_s)
         else:
             self._versions.note_failed(call, target)
         call.runs += 1
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -10,12 +10,15 @@
 from endivesill.forwarding.targets import ResourceDemand, Target
 
 __all__ = [
+    "PLAIN_FULL_COST_S",
     "choose_backup",
     "choose_destination",
     "choose_target",
     "engine_time_s",
     "has_capacity",
+    "max_requests",
     "estimate_demand",
+    "plain_cost_s",
     "run_time_s",
 ]
 
@@ -100,6 +103,11 @@
     return (demand.memory_tokens - demand.prompt_tokens) / MEAN_OUTPUT_FRACTION
 
 
+def max_requests(target: Target) -> float:
+    """Return how many requests a plain target runs and queues at most."""
+    return (1 + PLAIN_QUEUE_FRACTION) * target.info.slots
+
+
 def has_capacity(target: Target, service: Service, demand: ResourceDemand) -> bool:
     """Return whether a target can take a request now.
 
@@ -107,7 +115,7 @@
     where they can no longer be placed elsewhere.
     """
     if service.model_engine is None:
-        return target.total_requests < (1 + PLAIN_QUEUE_FRACTION) * target.info.slots
+        return target.total_requests < max_requests(target)
     spec = service.model_engine
     if target.total_requests >= spec.slots:
         return False
@@ -131,27 +139,33 @@
 
     It is the expected time to the first byte, with penalties for load and distance.
     """
-    cost = PLAIN_FULL_COST_S * target.total_requests / max(1, target.info.slots)
-    if service.model_engine is not None:
-        prefill_tokens = target.total_prefill_tokens + demand.prompt_tokens
-        cost = (
-            prefill_tokens / PREFILL_TOKENS_PER_S
-            + RUNNING_COST_S * target.total_requests
-        )
-        fill = target.total_reserved_tokens / max(
-            1, service.model_engine.capacity_tokens
-        )
-        cost += MEMORY_COST_S * fill * fill
-        if target.is_strained:
-            cost += STRAIN_COST_S
-        if target.pauses is not None and demand.pause_limit_s > 0:
-            events = output_tokens(demand) / max(1, service.model_engine.event_tokens)
-            late = target.pauses.late_fraction(demand.pause_limit_s)
-            pauses = max(0.0, events - 1.0)
-            cost += LATE_PAUSE_COST_S * (1.0 - (1.0 - late) ** pauses)
-    if target.info.data_centre != data_centre:
-        cost += CROSS_DATA_CENTRE_COST_S
-    return cost
+    if service.model_engine is None:
+        return plain_cost_s(target, target.total_requests, data_centre)
+    prefill_tokens = target.total_prefill_tokens + demand.prompt_tokens
+    cost = (
+        prefill_tokens / PREFILL_TOKENS_PER_S + RUNNING_COST_S * target.total_requests
+    )
+    fill = target.total_reserved_tokens / max(1, service.model_engine.capacity_tokens)
+    cost += MEMORY_COST_S * fill * fill
+    if target.is_strained:
+        cost += STRAIN_COST_S
+    if target.pauses is not None and demand.pause_limit_s > 0:
+        events = output_tokens(demand) / max(1, service.model_engine.event_tokens)
+        late = target.pauses.late_fraction(demand.pause_limit_s)
+        pauses = max(0.0, events - 1.0)
+        cost += LATE_PAUSE_COST_S * (1.0 - (1.0 - late) ** pauses)
+    return cost + distance_cost_s(target, data_centre)
+
+
+def plain_cost_s(target: Target, requests: float, data_centre: str) -> float:
+    """Return the cost of a plain target with some requests in flight, in seconds."""
+    cost = PLAIN_FULL_COST_S * requests / max(1, target.info.slots)
+    return cost + distance_cost_s(target, data_centre)
+
+
+def distance_cost_s(target: Target, data_centre: str) -> float:
+    """Return the cost of the way to a target from a data centre, in seconds."""
+    return CROSS_DATA_CENTRE_COST_S if target.info.data_centre != data_centre else 0.0
 
 
 def choose_target(
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -36,6 +36,8 @@
       on_limit: called when a response has changed a target's limit.
       on_leaving: called with an engine whose notice of departure is news.
       versions: which targets a roll-out keeps from ordinary requests.
+      on_loads: called with all targets when the load of the other entries was applied.
+      on_run: called with a service and how long one of its plain requests has run.
     """
 
     def __init__(
@@ -55,6 +57,8 @@
         self.on_limit: Callable[[], None] = lambda: None
         self.on_leaving: Callable[[EngineInfo], None] = lambda engine: None
         self.versions = TargetVersions()
+        self.on_loads: Callable[[Iterable[Target]], None] = lambda targets: None
+        self.on_run: Callable[[str, float], None] = lambda service, duration_s: None
 
     def notify(self) -> None:
         """Call the watchers; done after a change of the targets and periodically."""
@@ -90,6 +94,7 @@
         """Apply the load of the other entries, by incarnation."""
         for incarnation, target in self._targets.items():
             target.remote_load = remote_loads.get(incarnation, NO_LOAD)
+        self.on_loads(self._targets.values())
 
     def update_reports(
         self,
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import attrs
@@ -19,6 +19,10 @@
 
 __all__ = ["AdmissionQueue", "NoRoomError", "PlacementRequest"]
 
+ChooseTarget = Callable[
+    [Sequence[Target], Service, ResourceDemand, str, random.Random], Target | None
+]
+
 # Queued requests per target of a service, beyond which new ones are refused.
 MAX_QUEUED_PER_TARGET = 16
 # How long a service counts as congested after a request was queued; about the time in
@@ -104,6 +108,7 @@
       new_queue: creates the queue of a service.
       on_abandoned: called with the request and the target of a placement whose caller
         was cancelled before it got it.
+      choose: chooses among targets; see `choose_target`.
     """
 
     def __init__(
@@ -115,7 +120,9 @@
         random_source: random.Random,
         new_queue: Callable[[], FairQueue[Any]] = FairQueue,
         on_abandoned: Callable[[PlacementRequest, Target], None] = keep_placement,
+        choose: ChooseTarget = choose_target,
     ) -> None:
+        self._choose_target = choose
         self._new_queue = new_queue
         self._on_abandoned = on_abandoned
         self._timer = timer
@@ -181,7 +188,7 @@
     def _least_cost(
         self, request: PlacementRequest, targets: list[Target]
     ) -> Target | None:
-        return choose_target(
+        return self._choose_target(
             targets,
             request.service,
             request.demand,
--- a/endivesill/platform/__main__.py
+++ b/endivesill/platform/__main__.py
@@ -1,4 +1,8 @@
-"""Starts a process on the platform: `python3 -m endivesill.platform ROLE`."""
+"""Starts a process on the platform: `python3 -m endivesill.platform ROLE [OPTION]`.
+
+An entry takes the option `--even-load`: plain targets are chosen by how old their loads
+are (docs/design/even-load.md).
+"""
 
 from __future__ import annotations
 
@@ -15,9 +19,11 @@
 from endivesill.timer import SystemTimer
 
 ROLES = ("entry", "control")
+EVEN_LOAD = "--even-load"
+OPTIONS = {"entry": (EVEN_LOAD,), "control": ()}
 
 
-async def run(role: str, settings: NodeSettings) -> None:
+async def run(role: str, options: list[str], settings: NodeSettings) -> None:
     """Run the process of the given role until it is stopped by a signal."""
     timer = SystemTimer()
     log = JsonLog(timer, settings.vm, classify=request_failed)
@@ -28,7 +34,8 @@
         if role == "entry":
             from endivesill.platform.entry_process import EntryProcess
 
-            await EntryProcess(settings, timer).run()
+            has_even_load = EVEN_LOAD in options
+            await EntryProcess(settings, timer, has_even_load=has_even_load).run()
         else:
             from endivesill.platform.control_process import run_control
 
@@ -39,8 +46,9 @@
 
 def main() -> int:
     """Run the process; return its exit status (2: usage, 1: bad settings file)."""
-    if len(sys.argv) != 2 or sys.argv[1] not in ROLES:
-        print(f"usage: python3 -m endivesill.platform {'|'.join(ROLES)}")
+    role, *options = sys.argv[1:] or [""]
+    if role not in ROLES or not set(options) <= set(OPTIONS[role]):
+        print(f"usage: python3 -m endivesill.platform entry [{EVEN_LOAD}] | control")
         return 2
     # Until the process handles the signal, its default action would end it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -49,7 +57,7 @@
     except errors.FindingsError as error:
         print(error, file=sys.stderr)
         return 1
-    uvloop.run(run(sys.argv[1], settings))
+    uvloop.run(run(role, options, settings))
     return 0
 
 
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -18,7 +18,9 @@
 from endivesill.forwarding.cold_allowance import ColdAllowance
 from endivesill.forwarding.entry_network import EntryNetwork
 from endivesill.forwarding.entry_stop import stop_serving
+from endivesill.forwarding.even_load import EvenLoad
 from endivesill.forwarding.forwarder import Forwarder
+from endivesill.forwarding.placement import choose_target
 from endivesill.forwarding.placer import Placer
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable
@@ -50,9 +52,16 @@
     Args:
       settings: the process's settings.
       timer: the timer service.
+      has_even_load: whether plain targets are chosen by how old their loads are.
     """
 
-    def __init__(self, settings: NodeSettings, timer: TimerService) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        timer: TimerService,
+        *,
+        has_even_load: bool = False,
+    ) -> None:
         self._settings = settings
         self._timer = timer
         self._stopping = False
@@ -72,6 +81,12 @@
         self._table.outcomes = self._sync_client.outcomes
         self._table.pauses = self._sync_client.pauses
         self._table.versions = self._sync_client.rollouts
+        choose = choose_target
+        self._even_load = EvenLoad(timer) if has_even_load else None
+        if self._even_load is not None:
+            choose = self._even_load.choose
+            self._table.on_loads = self._even_load.note_loads
+            self._table.on_run = self._even_load.note_run
         self._strain = StrainNotices(timer, transport, lambda: self._sync_client.leader)
         self._table.on_strain = self._strain.note
         permits = PermitClient(timer, transport, self._sync_client)
@@ -88,6 +103,7 @@
             lambda request, target: target.reserve(request.demand),
             random_source,
             on_abandoned=lambda request, target: target.release(request.demand),
+            choose=choose,
         )
         permits.on_change = self._admission.admit_waiting
         placer = Placer(
@@ -174,6 +190,8 @@
         lines = [f"endivesill_{name} {value}" for name, value in gauges.items()]
         lines += self._sync_client.rollouts.metric_lines()
         lines += self._budget.metric_lines()
+        if self._even_load is not None:
+            lines += self._even_load.metric_lines()
         return lines + self._table.metric_lines() + self._statistics.lines()
 
     # Updates of the fleet view.
