--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -346,7 +346,7 @@
         self.assertEqual(whole, asyncio.run(self.serve(self.split(data, cuts))))
 
     async def serve(self, pieces):
-        """Return the requests that the handler got, up to a rejected one."""
+        """Return the requests that the handler got, and all that was responded."""
         received = []
 
         async def handle(exchange):
@@ -356,13 +356,14 @@
         limits = ConnectionLimits(header_bytes=1_000, body_bytes=2_000)
         listener = HttpListener(ManualTimer(), "x:1", handle, limits)
         connection = ServerConnection(listener)
-        connection.connection_made(FakeTransport())
+        transport = FakeTransport()
+        connection.connection_made(transport)
         for piece in pieces:
             connection.data_received(piece)
         await settle()
         connection.connection_lost(None)
         await settle()
-        return received
+        return received, transport.written
 
     @settings(PROFILE)
     @given(st.binary(max_size=100), st.lists(st.integers(0, 100), max_size=5))
