Keep prompts and copies from the streams at slow engines

Change: where some engines are twice as fast as others, a prompt costs more at a slow engine for each request that runs there, and live copies take the memory of slow engines first.

--- a/endivesill/fleet/pauses.py
+++ b/endivesill/fleet/pauses.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from endivesill.duration_buckets import BUCKETS, bucket_of
+from endivesill.duration_buckets import BUCKET_RATIO, BUCKETS, bucket_of
 from endivesill.timer import TimerService
 
 __all__ = ["EnginePauses", "PauseCounts", "PauseRates"]
@@ -26,6 +26,8 @@
 # Pauses of one engine from which its usual pause is taken; two streams bring as many in
 # half a second.
 MIN_PAUSES = 24.0
+# Buckets between the usual pauses of two engines of which one is twice as fast.
+SLOW_BUCKETS = round(math.log(2.0) / math.log(BUCKET_RATIO))
 # Pauses of all engines of a service from which the effect of spells is taken.
 MIN_POOLED_PAUSES = 200.0
 
@@ -63,14 +65,21 @@
     Attributes:
       usual_bucket: bucket of its usual pause.
       peer_bucket: that of the median engine of its service.
+      fastest_bucket: that of the fastest one.
       tail: for each number of buckets, the fraction of all pauses that are longer than
         the usual one by more.
     """
 
     usual_bucket: int
     peer_bucket: int
+    fastest_bucket: int
     tail: tuple[float, ...]
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether its pauses are twice those of the fastest engine of its service."""
+        return self.usual_bucket - self.fastest_bucket >= SLOW_BUCKETS
+
     def late_fraction(self, limit_s: float) -> float:
         """Return the fraction of pauses above a limit.
 
@@ -162,9 +171,10 @@
             return {}
         tail = tuple(sum(excess[n + 1 :]) / total for n in range(BUCKETS))
         peer_bucket = sorted(usual.values())[len(usual) // 2]
+        fastest_bucket = min(usual.values())
         return {
             incarnation: EnginePauses(
-                usual.get(incarnation, peer_bucket), peer_bucket, tail
+                usual.get(incarnation, peer_bucket), peer_bucket, fastest_bucket, tail
             )
             for incarnation in incarnations
         }
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -56,6 +56,10 @@
 # Cost of a pause that is too long: more than any wait that leaves the start of the
 # response in time, so that it only comes where no other target has room.
 LATE_PAUSE_COST_S = 3.0
+# Cost of a prompt for each request that runs at an engine whose streams do not bear one
+# in a spell: about the probability that a spell comes while the prompt is read, times
+# the cost of a pause that is too long.
+HARM_COST_S = 0.5
 # Cost of a prompt at an engine whose streams pause for longer than usual: more than any
 # difference between engines with room, so that it only goes there if no other has any.
 STRAIN_COST_S = 2.0
@@ -154,6 +158,8 @@
         late = target.pauses.late_fraction(demand.pause_limit_s)
         pauses = max(0.0, events - 1.0)
         cost += LATE_PAUSE_COST_S * (1.0 - (1.0 - late) ** pauses)
+        if late and target.pauses.is_slow:
+            cost += HARM_COST_S * target.total_requests
     return cost + distance_cost_s(target, data_centre)
 
 
@@ -218,8 +224,10 @@
         target for target in targets if target.info.data_centre != source_data_centre
     ]
     return _least_reserved(
-        remote, service, demand, source, memory_fraction
-    ) or _least_reserved(targets, service, demand, source, memory_fraction)
+        remote, service, demand, source, memory_fraction, slow_first=True
+    ) or _least_reserved(
+        targets, service, demand, source, memory_fraction, slow_first=True
+    )
 
 
 def choose_destination(
@@ -237,8 +245,10 @@
         target for target in targets if target.info.data_centre == source_data_centre
     ]
     return _least_reserved(
-        local, service, demand, source, MEMORY_LIMIT_FRACTION
-    ) or _least_reserved(targets, service, demand, source, MEMORY_LIMIT_FRACTION)
+        local, service, demand, source, MEMORY_LIMIT_FRACTION, slow_first=False
+    ) or _least_reserved(
+        targets, service, demand, source, MEMORY_LIMIT_FRACTION, slow_first=False
+    )
 
 
 def _least_reserved(
@@ -247,8 +257,13 @@
     demand: ResourceDemand,
     source: Target,
     memory_fraction: float,
+    *,
+    slow_first: bool,
 ) -> Target | None:
-    """Return the target with the least reserved KV cache, or None if none has room."""
+    """Return the target with the least reserved KV cache, or None if none has room.
+
+    With `slow_first`, those come first whose streams are late sooner than others'.
+    """
     assert service.model_engine is not None
     limit = (
         memory_fraction * service.model_engine.capacity_tokens - demand.memory_tokens
@@ -258,4 +273,15 @@
         for target in targets
         if target is not source and target.total_reserved_tokens <= limit
     ]
-    return min(eligible, key=lambda target: target.total_reserved_tokens, default=None)
+    return min(
+        eligible,
+        key=lambda target: (
+            slow_first and not _is_slow(target),
+            target.total_reserved_tokens,
+        ),
+        default=None,
+    )
+
+
+def _is_slow(target: Target) -> bool:
+    return target.pauses is not None and target.pauses.is_slow
--- a/tests/test_fleet_pauses.py
+++ b/tests/test_fleet_pauses.py
@@ -5,7 +5,11 @@
 
 from endivesill.duration_buckets import bucket_of
 from endivesill.fleet.pauses import PauseCounts, PauseRates
-from endivesill.forwarding.placement import choose_target
+from endivesill.forwarding.placement import (
+    choose_backup,
+    choose_destination,
+    choose_target,
+)
 from endivesill.forwarding.targets import ResourceDemand
 from endivesill.timer import ManualTimer
 from tests.forwarding_fakes import MODEL, engine, make_table
@@ -134,6 +138,36 @@
             self.place(LONG)
         self.assertEqual(["e0"], names([self.place(SHORT)]))
 
+    def test_prompts_leave_a_slow_engine_to_the_streams_that_run_there(self):
+        self.assertEqual(["e0"], names([self.place_at_least_cost_alone()]))
+        placed = [self.place(SHORT) for _ in range(6)]
+        self.assertNotIn("e0", names(placed))
+
+    def place_at_least_cost_alone(self):
+        """Fill the others, place a short request, and empty the others again."""
+        for target in self.targets[1:]:
+            target.reserved_tokens = 40_000
+            target.requests = 1
+        placed = self.place(SHORT)
+        for target in self.targets[1:]:
+            target.reserved_tokens = target.requests = 0
+        return placed
+
+    def test_copies_take_the_memory_of_slow_engines(self):
+        self.slow.reserve(LONG)
+        backup = choose_backup(
+            self.targets, MODEL, LONG, self.targets[1], is_congested=False
+        )
+        self.assertIs(self.slow, backup)
+
+    def test_a_run_that_must_move_goes_to_a_fast_engine(self):
+        self.targets[2].reserve(SHORT)
+        self.targets[3].reserve(SHORT)
+        self.slow.reserve(LONG)
+        self.slow.reserve(LONG)
+        destination = choose_destination(self.targets, MODEL, LONG, self.targets[1])
+        self.assertIsNot(self.slow, destination)
+
     def test_a_slow_engine_is_better_than_none(self):
         placed = [self.place(LONG) for _ in range(40)]
         self.assertIn("e0", names(placed))
