Refuse queued requests whose turn will come too late, by priority

The expected wait was taken from all placements, most of which go to more urgent requests, and was never looked at again while engines were taken away.

Change: the expected wait goes by the placements of requests of the same priority, and is looked at again with each chance to place queued requests; those whose turn will come too late are refused then, but for the first of each priority.

Three tests, red before.

--- a/endivesill/forwarding/fair_queue.py
+++ b/endivesill/forwarding/fair_queue.py
@@ -70,6 +70,17 @@
         """Return how many queued requests are served before a sort key."""
         return sum(item.sort_key <= sort_key for item in self._items)
 
+    def count_peers_ahead(self, sort_key: SortKey) -> int:
+        """Return how many of the same priority are served before a sort key."""
+        return sum(
+            item.sort_key <= sort_key and item.sort_key[0] == sort_key[0]
+            for item in self._items
+        )
+
+    def in_order(self) -> list[T]:
+        """Return the requests in the order in which they are served."""
+        return [item.value for item in sorted(self._items)]
+
     def push(self, priority: int, flow: Flow, cost: float, value: T) -> _Item[T]:
         """Add a request; return the handle for `remove`."""
         sort_key = self.sort_key_of(priority, flow, cost)
--- a/endivesill/forwarding/placement_service.py
+++ b/endivesill/forwarding/placement_service.py
@@ -79,9 +79,11 @@
             new_queue,
         )
         self._random = random_source
-        self._placement_rates: dict[str, PlacementRate] = collections.defaultdict(
-            PlacementRate
+        # By service and priority: less urgent requests get what the others leave.
+        self._placement_rates: dict[tuple[str, int], PlacementRate] = (
+            collections.defaultdict(PlacementRate)
         )
+        self._admission.expected_wait_s = self._wait_behind_s
         self._refused_sessions = RefusedSessions()
         self._requesting_entries: dict[int, str] = {}
         self._grants: dict[int, tuple[int, Target | None]] = {}
@@ -107,7 +109,7 @@
 
     def log_load(self) -> None:
         """Log the engine load of each congested service."""
-        for name in list(self._placement_rates):
+        for name in {service for service, _ in self._placement_rates}:
             if not self._admission.is_congested(name):
                 continue
             targets = self._table.candidates(name, ())
@@ -120,7 +122,11 @@
             )
 
     def _placements_per_s(self, service: str) -> float | None:
-        rate = self._placement_rates[service].per_s(self._timer.now_s())
+        rate = sum(
+            rate.per_s(self._timer.now_s())
+            for (name, _), rate in self._placement_rates.items()
+            if name == service
+        )
         return None if math.isinf(rate) else round(rate, 2)
 
     async def handle(self, message: Message) -> Message:
@@ -200,8 +206,14 @@
 
     def _expected_wait_s(self, request: PlacementRequest) -> float:
         """Return the expected wait of a request that no target can take now."""
-        rate = self._placement_rates[request.service.name].per_s(self._timer.now_s())
-        return expected_wait_s(self._admission.count_ahead(request), rate)
+        return self._wait_behind_s(request, self._admission.count_peers_ahead(request))
+
+    def _wait_behind_s(self, request: PlacementRequest, ahead: int) -> float:
+        """Return the expected wait behind some requests of the same priority."""
+        key = (request.service.name, request.priority)
+        return expected_wait_s(
+            ahead, self._placement_rates[key].per_s(self._timer.now_s())
+        )
 
     async def _place_or_refuse(
         self, request: PlacementRequest, wait_s: float
@@ -234,7 +246,7 @@
         now_s = self._timer.now_s()
         number = self._loads.grant(self._requesting_entries[id(request)], loads, now_s)
         self._grants[id(request)] = (number, backup)
-        self._placement_rates[request.service.name].note(now_s)
+        self._placement_rates[request.service.name, request.priority].note(now_s)
         self._table.note_send(target)
         self._table.note_placement(target, demand.memory_tokens)
         if backup is not None:
--- a/endivesill/forwarding/waiting.py
+++ b/endivesill/forwarding/waiting.py
@@ -85,6 +85,11 @@
         return min(MAX_COST_S, engine_time_s(self.service, self.demand))
 
 
+def no_wait(request: PlacementRequest, ahead: int) -> float:
+    """Expect no wait; the default where the rate of placements is not measured."""
+    return 0.0
+
+
 def keep_placement(request: PlacementRequest, target: Target) -> None:
     """Keep an abandoned placement; the default where its load expires by itself."""
 
@@ -109,6 +114,9 @@
       on_abandoned: called with the request and the target of a placement whose caller
         was cancelled before it got it.
       choose: chooses among targets; see `choose_target`.
+
+    Attributes:
+      expected_wait_s: returns how long a request waits behind some of its priority.
     """
 
     def __init__(
@@ -135,6 +143,7 @@
         # while the service has others.
         self._queues: dict[tuple[str, bool], FairQueue[_Waiter]] = {}
         self._last_queued_s: dict[str, float] = {}
+        self.expected_wait_s: Callable[[PlacementRequest, int], float] = no_wait
         # Since when a service has had no target, by its name.
         self._no_target_since_s: dict[str, float] = {}
 
@@ -148,6 +157,11 @@
         queue = self._queues.get(self._queue_key(request))
         return queue.count_ahead(_sort_key(queue, request)) if queue else 0
 
+    def count_peers_ahead(self, request: PlacementRequest) -> int:
+        """Return how many of them have the same priority."""
+        queue = self._queues.get(self._queue_key(request))
+        return queue.count_peers_ahead(_sort_key(queue, request)) if queue else 0
+
     def queue_length(self) -> int:
         """Return the number of queued requests of all services."""
         return sum(map(len, self._queues.values()))
@@ -327,6 +341,27 @@
                             break
                         waiter.future.set_exception(error)
                 queue.pop()
+            self._refuse_hopeless(queue)
+
+    def _refuse_hopeless(self, queue: FairQueue[_Waiter]) -> None:
+        """Refuse queued requests whose turn will come too late, as it is known now.
+
+        Answers the load of a burst during which engines are taken away: turns come
+        later than expected when the requests were queued. The first of each priority
+        keeps its place.
+        """
+        now_s = self._timer.now_s()
+        ahead: dict[int, int] = {}
+        for waiter in queue.in_order():
+            request = waiter.request
+            if waiter.future.done():
+                continue
+            peers = ahead.get(request.priority, 0)
+            ahead[request.priority] = peers + 1
+            wait_s = self.expected_wait_s(request, peers)
+            if peers and now_s + wait_s > request.wait_until_s:
+                waiter.future.set_exception(NoRoomError("would wait in vain"))
+                ahead[request.priority] = peers
 
     def release_waiting(self) -> None:
         """End the wait of all queued requests, which another VM can place."""
--- a/tests/test_forwarding_placement_service.py
+++ b/tests/test_forwarding_placement_service.py
@@ -149,6 +149,26 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def test_less_urgent_requests_wait_for_what_the_others_leave(self):
+        """Urgent requests get nearly all that becomes free."""
+        rates = self.placement_service._placement_rates
+        for number in range(40):
+            rates["llm", 0].note(self.timer.now_s())
+            if not number % 20:
+                rates["llm", 1].note(self.timer.now_s())
+            await self.timer.advance(0.11)
+        rates["llm", 0].note(self.timer.now_s())
+        full = {incarnation: [5, 33_000, 0] for incarnation in ("e1@1", "e2@1")}
+        reply = await self.request_placement(patience_s=1.0, loads=full)
+        self.assertEqual("would wait in vain", reply["refused"])
+        task = asyncio.ensure_future(
+            self.request_placement(priority=0, session="t", loads=full)
+        )
+        await settle()
+        self.assertFalse(task.done())
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
     async def test_retries_after_a_refusal_are_served_first(self):
         await self.fill_engines()
         self.assertIn(
--- a/tests/test_forwarding_waiting.py
+++ b/tests/test_forwarding_waiting.py
@@ -140,6 +140,39 @@
         await asyncio.gather(*tasks)
         self.assertEqual(["check", "returned", "plan"], order)
 
+    async def test_a_request_whose_turn_comes_too_late_by_now_is_refused(self):
+        """Engines were taken away after the requests had been queued."""
+        self.table.update_loads(FULL)
+        tasks = [self.start_placing(wait_s=1.0) for _ in range(4)]
+        await settle()
+        self.admission.expected_wait_s = lambda request, ahead: 0.4 * (ahead + 1)
+        await self.timer.advance(0.1)
+        self.admission.admit_waiting()
+        await settle()
+        self.assertEqual(
+            [False, False, True, True], [t.done() for t in tasks], "0.9 s are left"
+        )
+        self.assertIn("in vain", str(tasks[3].exception()))
+        self.table.update_loads(FREE)
+        self.admission.admit_waiting()
+        self.assertEqual("e1", (await tasks[0]).info.identity)
+        self.assertEqual("e1", (await tasks[1]).info.identity)
+
+    async def test_the_first_of_each_priority_keeps_its_place(self):
+        self.table.update_loads(FULL)
+        tasks = [
+            self.start_placing(wait_s=1.0, priority=priority)
+            for priority in (0, 0, 1, 1)
+        ]
+        await settle()
+        self.admission.expected_wait_s = lambda request, ahead: 2.0
+        self.admission.admit_waiting()
+        await settle()
+        self.assertEqual([False, True, False, True], [t.done() for t in tasks])
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def test_a_queued_request_times_out(self):
         self.table.update_loads(FULL)
         task = self.start_placing(wait_s=0.5)
