Send a second attempt beside a slow first one

Change: the second attempt goes to another target beside the first, which is no longer cut off; the first success is the answer, and the other attempt is ended. Without a second attempt the first has all of its time.

--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -92,7 +92,14 @@
         self._log = log
         self._random = random_source
         self._sender = Sender(timer, client, table, protocol)
-        self._plain = PlainSender(timer, self._sender, table)
+        self._plain = PlainSender(
+            timer,
+            self._sender,
+            table,
+            self._retries,
+            self._place_again,
+            self._record_failure,
+        )
         self._copier = RunCopier(timer, client, table, protocol)
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
@@ -239,21 +246,31 @@
             raise NoRoomError(STOPPING, 0.0)
         return placement
 
+    async def _place_again(self, call: Call) -> Target:
+        """Place a request that runs at another target.
+
+        Raises:
+          NoRoomError: no target had capacity in time.
+        """
+        placement = await self._place(call)
+        self._log.placed(call, placement)
+        return placement.target
+
     # Plain requests.
 
     async def _forward_plain(self, call: Call, target: Target) -> bool:
         """Send a request once; return False if it is to be tried elsewhere."""
-        sent_s = self._timer.now_s()
-        try:
-            attempt, body = await self._plain.read_response(call, target)
-        finally:
-            target.release(call.demand)
-        succeeded = attempt.response.status < 500
+        response = await self._plain.read_response(call, target)
+        attempt, body, succeeded = response.attempt, response.body, response.succeeded
+        if response.overtaken is not None:
+            self._table.note_outcome(response.overtaken, succeeded=False)
+            self._versions.note_failed(call, response.overtaken)
+            self._log.attempt_failed(call, response.overtaken, "overtaken")
+        target = attempt.target
         self._table.note_outcome(target, succeeded=succeeded)
-        run_s = self._timer.now_s() - sent_s
         if succeeded:
-            self._table.on_run(call.service.name, run_s)
-            self._versions.note_start(call, target, run_s)
+            self._table.on_run(call.service.name, response.run_s)
+            self._versions.note_start(call, target, response.run_s)
         else:
             self._versions.note_failed(call, target)
         call.runs += 1
--- a/endivesill/forwarding/retry_policy.py
+++ b/endivesill/forwarding/retry_policy.py
@@ -52,6 +52,13 @@
             and self._budget.try_acquire(call.service.name)
         )
 
+    def may_hedge(self, call: Call) -> bool:
+        """Return whether a request that runs may run at another target as well.
+
+        Takes one retry from the budget if so.
+        """
+        return call.runs + 1 < call.route.max_attempts and self.may_rerun(call)
+
     def may_resend(self, call: Call, error: AttemptError, rejections: int) -> bool:
         """Return whether a request without a response may be sent again.
 
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from endivesill.fleet.load import EngineLoad
 from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.run_copy import CopyRefusedError, RunCopier
 from endivesill.platform.engines import PlatformProtocol
@@ -182,6 +183,65 @@
         head, _ = await self.send_request("/soon/x", method="GET", body=b"")
         self.assertEqual(200, head.status)
 
+    async def send_soon(self):
+        return await self.send_request("/soon/x", method="GET", body=b"")
+
+    def failed(self, name):
+        """Return what was logged of an attempt at a target."""
+        return [
+            fields["reason"]
+            for kind, fields in self.lines
+            if kind == "attempt-failed" and fields["target"] == name
+        ]
+
+    async def add_pair(self):
+        """Add two targets of which the first gets the first attempt."""
+        engines = await self.add_engines("app", "p1", "p2")
+        self.target("p2").remote_load = EngineLoad(6, 0, 0)
+        return engines
+
+    async def test_a_target_that_hangs_leaves_time_for_another_one(self):
+        one, _ = await self.add_pair()
+        one.is_hanging = True
+        head, body = await self.send_soon()
+        self.assertEqual((200, b"p2"), (head.status, body))
+        self.assertEqual(["overtaken"], self.failed("p1"))
+        await self.wait_until(lambda: one.cancelled_requests == 1)
+        self.assertEqual(0, sum(self.target(n).requests for n in ("p1", "p2")))
+
+    async def test_the_first_attempt_answers_if_the_second_one_hangs(self):
+        one, two = await self.add_pair()
+        one.run_s, two.is_hanging = 0.3, True
+        head, body = await self.send_soon()
+        self.assertEqual((200, b"p1"), (head.status, body))
+        self.assertEqual([], self.failed("p1"))
+        await self.wait_until(lambda: two.cancelled_requests == 1)
+
+    async def test_a_failure_of_the_second_attempt_is_not_the_answer(self):
+        one, two = await self.add_pair()
+        one.run_s, two.statuses = 0.3, [500]
+        head, body = await self.send_soon()
+        self.assertEqual((200, b"p1"), (head.status, body))
+
+    async def test_an_exhausted_budget_leaves_the_first_attempt_its_time(self):
+        for engine in await self.add_engines("app", "p1", "p2"):
+            engine.run_s = 0.3
+        self.forwarder._budget.try_acquire = lambda service: False
+        for _ in range(4):
+            head, _ = await self.send_soon()
+            self.assertEqual(200, head.status)
+        self.assertEqual(4, sum(len(engine.requests) for engine in self.engines))
+
+    async def test_both_are_ended_when_the_caller_leaves(self):
+        one, two = await self.add_engines("app", "p1", "p2")
+        one.is_hanging = two.is_hanging = True
+        connection = await self.connect()
+        connection.send(request("/soon/x", method="GET", body=b""))
+        await self.wait_until(lambda: one.requests and two.requests)
+        connection.abort()
+        await self.wait_until(lambda: one.cancelled_requests == 1)
+        await self.wait_until(lambda: two.cancelled_requests == 1)
+
 
 class AnnouncementTest(ForwardingTestCase):
     async def test_an_engine_that_says_it_leaves_gets_no_further_request(self):
