--- a/endivesill/platform/__main__.py
+++ b/endivesill/platform/__main__.py
@@ -1,8 +1,4 @@
-"""Starts a process on the platform: `python3 -m endivesill.platform ROLE [OPTION]`.
-
-An entry takes the option `--even-load`: plain targets are chosen by how old their loads
-are (docs/design/even-load.md).
-"""
+"""Starts a process on the platform: `python3 -m endivesill.platform ROLE [OPTION]`."""
 
 from __future__ import annotations
 
@@ -16,14 +12,11 @@
 from endivesill.json_log import JsonLog
 from endivesill.platform.process import settings_path
 from endivesill.platform.settings import NodeSettings, read_settings
+from endivesill.process_roles import EVEN_LOAD, USAGE, Role, parse_role
 from endivesill.timer import SystemTimer
 
-ROLES = ("entry", "control")
-EVEN_LOAD = "--even-load"
-OPTIONS = {"entry": (EVEN_LOAD,), "control": ()}
-
 
-async def run(role: str, options: list[str], settings: NodeSettings) -> None:
+async def run(role: Role, settings: NodeSettings) -> None:
     """Run the process of the given role until it is stopped by a signal."""
     timer = SystemTimer()
     log = JsonLog(timer, settings.vm, classify=request_failed)
@@ -31,10 +24,10 @@
     try:
         # Each role imports only its own modules, which shortens the start and
         # saves memory.
-        if role == "entry":
+        if role.name == "entry":
             from endivesill.platform.entry_process import EntryProcess
 
-            has_even_load = EVEN_LOAD in options
+            has_even_load = EVEN_LOAD in role.options
             await EntryProcess(settings, timer, has_even_load=has_even_load).run()
         else:
             from endivesill.platform.control_process import run_control
@@ -46,9 +39,9 @@
 
 def main() -> int:
     """Run the process; return its exit status (2: usage, 1: bad settings file)."""
-    role, *options = sys.argv[1:] or [""]
-    if role not in ROLES or not set(options) <= set(OPTIONS[role]):
-        print(f"usage: python3 -m endivesill.platform entry [{EVEN_LOAD}] | control")
+    role = parse_role(sys.argv[1:])
+    if role is None:
+        print(f"usage: python3 -m endivesill.platform {USAGE}")
         return 2
     # Until the process handles the signal, its default action would end it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -57,7 +50,7 @@
     except errors.FindingsError as error:
         print(error, file=sys.stderr)
         return 1
-    uvloop.run(run(role, options, settings))
+    uvloop.run(run(role, settings))
     return 0
 
 
--- a/endivesill/platform/check.py
+++ b/endivesill/platform/check.py
@@ -8,6 +8,7 @@
 from endivesill.findings import Finding
 from endivesill.metrics_port import METRICS_PORT
 from endivesill.platform.settings import check_settings
+from endivesill.process_roles import parse_role
 from endivesill.toml_file import TomlFile
 from endivesill.value_checks import (
     address_problem,
@@ -83,11 +84,12 @@
     if not isinstance(role, dict):
         return [(key, "not a table")]
     found = []
-    arguments = str(role.get("run", "")).split()
-    if MODULE not in arguments or arguments[-1] not in ROLE_BY_CALLS.values():
+    _, _, arguments = str(role.get("run", "")).partition(f" {MODULE} ")
+    process = parse_role(arguments.split())
+    if process is None:
         found.append((f"{key}.run", f"does not start {MODULE} with a role"))
-    elif [arguments[-1]] != [ROLE_BY_CALLS.get(calls) for calls in _served_calls(role)]:
-        found.append((f"{key}.serves", f"{arguments[-1]} serves other calls"))
+    elif [process.name] != [ROLE_BY_CALLS.get(calls) for calls in _served_calls(role)]:
+        found.append((f"{key}.serves", f"{process.name} serves other calls"))
     if "share" not in role and "count" not in role:
         found.append((key, "neither share nor count"))
     share = role.get("share", 1.0)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,6 +25,7 @@
     "metrics_port",
     "peer_port",
     "peers",
+    "process_roles",
     "schema",
     "server",
     "settings",
--- a/tests/test_platform_check.py
+++ b/tests/test_platform_check.py
@@ -29,6 +29,12 @@
     def test_the_deploy_file_of_this_repository_is_valid(self):
         self.assertEqual([], check_deploy(str(DEPLOY)))
 
+    def test_an_option_that_a_role_does_not_have_is_found(self):
+        (found,) = self.findings(
+            ("endivesill.platform control", "endivesill.platform control --even-load")
+        )
+        self.assertIn("does not start", found)
+
     def test_all_findings_are_reported_together(self):
         found = self.findings(
             ("endivesill.platform entry", "endivesill.platform nothing"),
