--- a/endivesill/fleet/crash_evidence.py
+++ b/endivesill/fleet/crash_evidence.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Any
 
 import attrs
@@ -205,9 +205,10 @@
         met = [block for block in self.blocks if block.causes <= present]
         return max(met, key=lambda block: block.trial_at_s, default=None)
 
-    def has_crashed(self, incarnation: str) -> bool:
-        """Return whether any VM has reported that an engine crashed."""
-        return incarnation in self._reports
+    @property
+    def crashed(self) -> Collection[str]:
+        """The incarnations of which any VM has reported a crash."""
+        return self._reports.keys()
 
     def is_suspect(self, causes: Iterable[str]) -> bool:
         """Return whether one of some causes may have crashed an engine before."""
--- a/endivesill/forwarding/crash_guard.py
+++ b/endivesill/forwarding/crash_guard.py
@@ -245,7 +245,7 @@
         """
         for _ in range(MAX_CHECKS - 1):
             await self._timer.sleep(CHECK_PAUSE_S)
-            if self._evidence.has_crashed(target.info.incarnation):
+            if target.info.incarnation in self._evidence.crashed:
                 return True
             accepts = await self._client.check(target.info)
             if accepts is not None:
--- a/endivesill/forwarding/entry_network.py
+++ b/endivesill/forwarding/entry_network.py
@@ -69,6 +69,8 @@
         self._proxy.search.on_search = self._request_peers
         self.links = TargetLinks(timer, pool, random_source)
         self.links.on_change = self._schedule_report
+        evidence = sync_client.crashes.evidence
+        evidence.on_change = lambda: self.links.note_crashed(evidence.crashed)
         self._is_report_due = False
         self.client = TargetClient(timer, pool, self.links, self._proxy)
         self.service = ProxyService(
--- a/endivesill/forwarding/target_links.py
+++ b/endivesill/forwarding/target_links.py
@@ -11,7 +11,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -87,8 +87,7 @@
 
     def note_heard(self, now_s: float) -> None:
         self.heard_s = now_s
-        if self.newly_lost:
-            self.newly_lost.clear()
+        self.newly_lost.clear()
 
     def is_suspect(self) -> bool:
         return len(self.newly_lost) >= MIN_LOST_LINKS
@@ -244,10 +243,17 @@
         doublings = min(link.failed_trials, MAX_DOUBLINGS)
         return min(MAX_TRIAL_PERIOD_S, TRIAL_PERIOD_S * 2**doublings)
 
+    def note_crashed(self, incarnations: Iterable[str]) -> None:
+        """Expect no connection to crashed targets; it tells nothing of the network."""
+        for incarnation in self._lost.keys() & set(incarnations):
+            self._forgive(self._lost[incarnation].info)
+
     def _remove(self, incarnation: str) -> None:
-        link = self._lost.pop(incarnation)
-        for group in self._groups(link.info):
-            group.newly_lost.discard(incarnation)
+        self._forgive(self._lost.pop(incarnation).info)
+
+    def _forgive(self, info: EngineInfo) -> None:
+        for group in self._groups(info):
+            group.newly_lost.discard(info.incarnation)
 
     def _heard_age_s(self) -> float | None:
         """Return the time since the last byte of any target; None without one."""
@@ -283,11 +289,8 @@
             return []
         oldest_s = self._timer.now_s() - FRESH_S
         service, _, every = self._groups(info)
-        others = [
-            other
-            for key, other in self._targets.items()
-            if key not in self._lost and key not in self._trials
-        ]
+        tried = self._lost.keys() | self._trials.keys()
+        others = [other for key, other in self._targets.items() if key not in tried]
         self._random.shuffle(others)
         of_service = [other for other in others if other.service == info.service]
         chosen: list[EngineInfo] = []
--- a/tests/test_forwarding_target_links.py
+++ b/tests/test_forwarding_target_links.py
@@ -65,6 +65,18 @@
             await self.timer.advance(10.0)
             self.assertEqual([], self.links.unreached())
 
+    async def test_targets_that_have_crashed_make_no_other_suspect(self):
+        """Two targets end at once, and the crash of one is reported by another VM."""
+        first, second, third = self.targets[:3]
+        for info in (first, second):
+            self.links.note_lost(info, REFUSED)
+        self.assertTrue(self.links.is_network_suspect(third))
+        self.links.note_crashed([first.incarnation, "unknown@1"])
+        self.assertFalse(self.links.is_network_suspect(third))
+        self.assertTrue(self.links.is_lost(first))
+        self.links.note_lost(third, REFUSED)
+        self.assertTrue(self.links.is_network_suspect(third))
+
     async def test_a_byte_of_a_target_ends_the_suspicion(self):
         for info in self.targets[:2]:
             self.links.note_lost(info, TIMEOUT)
