Show where a request would be placed now, without sending it

Change: the leader and the entries have a page on the metrics port that compares the targets for a request with the same functions as the placement, and says what excludes them; endivesill platform placement asks it. The parts of a cost and the reason for a lack of room have functions of their own, which the placement uses.

Not run: agreement with real requests on a fleet of real processes.

--- a/endivesill/cli_tools.py
+++ b/endivesill/cli_tools.py
@@ -12,6 +12,7 @@
 from endivesill import errors, porcelain, presentation
 from endivesill.explain import format_json, format_text
 from endivesill.load import format_summary
+from endivesill.placement_client import format_placement
 
 __all__ = ["add_tools"]
 
@@ -115,6 +116,57 @@
     return 0 if state == "completed" else 1
 
 
+def platform_placement(
+    service: str,
+    /,
+    *,
+    at: str,
+    prompt_tokens: int = 0,
+    output_tokens: int = 0,
+    pause_limit_s: float = 0.0,
+    priority: int = 1,
+    organisation: str = "",
+    patience_s: float = 1.0,
+    output: OutputOption = "text",
+) -> None:
+    """Show where a request would be placed now, and why; nothing is sent or reserved.
+
+    Parameters
+    ----------
+    service
+        The service.
+    at
+        HOST or HOST:PORT of the leading control VM for generations, of an entry for
+        plain requests.
+    prompt_tokens
+        Tokens of the prompt.
+    output_tokens
+        Expected tokens of the output.
+    pause_limit_s
+        The longest pause that the route allows; 0 for any.
+    priority
+        The priority; 0 is the most urgent.
+    organisation
+        Who would send it.
+    patience_s
+        How long it could wait.
+    output
+        The form of the output.
+    """
+    fields = {
+        "service": service,
+        "prompt_tokens": str(prompt_tokens),
+        "output_tokens": str(output_tokens),
+        "pause_limit_s": str(pause_limit_s),
+        "priority": str(priority),
+        "organisation": organisation,
+        "patience_s": str(patience_s),
+    }
+    document = asyncio.run(porcelain.platform_placement(at, fields))
+    is_json = output == "json"
+    print(presentation.to_json(document) if is_json else format_placement(document))
+
+
 def add_tools(app: cyclopts.App) -> None:
     """Register the commands with the command-line application."""
     app.command(explain)
@@ -124,4 +176,5 @@
     )
     platform.command(platform_check, name="check")
     platform.command(platform_rollout, name="rollout")
+    platform.command(platform_placement, name="placement")
     app.command(platform)
--- a/endivesill/forwarding/leader_placement.py
+++ b/endivesill/forwarding/leader_placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from endivesill import errors, events
@@ -134,6 +134,10 @@
             f"endivesill_strain_notices_total {self._strained.notices}",
         ]
 
+    def view(self, fields: Mapping[str, str]) -> Any:
+        """Explain where a generation would be placed now."""
+        return self._placement.view(fields)
+
     def use_versions(self, versions: TargetVersions) -> None:
         """Set what says which engines a roll-out keeps from ordinary requests."""
         self._table.versions = versions
--- a/endivesill/forwarding/placement.py
+++ b/endivesill/forwarding/placement.py
@@ -10,10 +10,13 @@
 from endivesill.forwarding.targets import ResourceDemand, Target
 
 __all__ = [
+    "MEAN_OUTPUT_FRACTION",
     "PLAIN_FULL_COST_S",
+    "capacity_problem",
     "choose_backup",
     "choose_destination",
     "choose_target",
+    "cost_terms",
     "engine_time_s",
     "has_capacity",
     "max_requests",
@@ -113,27 +116,42 @@
 
 
 def has_capacity(target: Target, service: Service, demand: ResourceDemand) -> bool:
-    """Return whether a target can take a request now.
+    """Return whether a target can take a request now."""
+    return not capacity_problem(target, service, demand, target.total_requests)
+
+
+def capacity_problem(
+    target: Target, service: Service, demand: ResourceDemand, requests: float
+) -> str:
+    """Return why a target can take no request now; empty if it can.
 
     Requests beyond an engine's capacity would be queued or preempted by the engine,
     where they can no longer be placed elsewhere.
+
+    Args:
+      target: the target.
+      service: its service.
+      demand: the resources that the request takes.
+      requests: requests that run there.
     """
     if service.model_engine is None:
-        return target.total_requests < max_requests(target)
+        return "" if requests < max_requests(target) else "its slots and queue are full"
     spec = service.model_engine
-    if target.total_requests >= spec.slots:
-        return False
+    if requests >= spec.slots:
+        return "its slots are full"
     prefill_tokens = target.total_prefill_tokens
     if (
         prefill_tokens
         and prefill_tokens + demand.prompt_tokens
         > MAX_PREFILL_BACKLOG_S * PREFILL_TOKENS_PER_S
     ):
-        return False
+        return "too many prompts wait there"
     limit = MEMORY_LIMIT_FRACTION * spec.capacity_tokens
-    if target.total_requests == 0 and target.total_reserved_tokens == 0:
-        return demand.memory_tokens <= spec.capacity_tokens
-    return target.total_reserved_tokens + demand.memory_tokens <= limit
+    if requests == 0 and target.total_reserved_tokens == 0:
+        limit = spec.capacity_tokens
+    if target.total_reserved_tokens + demand.memory_tokens > limit:
+        return "its memory is reserved"
+    return ""
 
 
 def cost_s(
@@ -143,24 +161,40 @@
 
     It is the expected time to the first byte, with penalties for load and distance.
     """
+    terms = cost_terms(target, service, demand, data_centre, target.total_requests)
+    return sum(terms.values())
+
+
+def cost_terms(
+    target: Target,
+    service: Service,
+    demand: ResourceDemand,
+    data_centre: str,
+    requests: float,
+) -> dict[str, float]:
+    """Return the parts of the cost of a target with some requests, in seconds."""
+    distance_s = distance_cost_s(target, data_centre)
     if service.model_engine is None:
-        return plain_cost_s(target, target.total_requests, data_centre)
+        cost_s = plain_cost_s(target, requests, data_centre)
+        return {"load": cost_s - distance_s, "distance": distance_s}
     prefill_tokens = target.total_prefill_tokens + demand.prompt_tokens
-    cost = (
-        prefill_tokens / PREFILL_TOKENS_PER_S + RUNNING_COST_S * target.total_requests
-    )
     fill = target.total_reserved_tokens / max(1, service.model_engine.capacity_tokens)
-    cost += MEMORY_COST_S * fill * fill
+    terms = {
+        "prompts": prefill_tokens / PREFILL_TOKENS_PER_S,
+        "running": RUNNING_COST_S * requests,
+        "memory": MEMORY_COST_S * fill * fill,
+        "distance": distance_s,
+    }
     if target.is_strained:
-        cost += STRAIN_COST_S
+        terms["strain"] = STRAIN_COST_S
     if target.pauses is not None and demand.pause_limit_s > 0:
         events = output_tokens(demand) / max(1, service.model_engine.event_tokens)
         late = target.pauses.late_fraction(demand.pause_limit_s)
         pauses = max(0.0, events - 1.0)
-        cost += LATE_PAUSE_COST_S * (1.0 - (1.0 - late) ** pauses)
+        terms["late pauses"] = LATE_PAUSE_COST_S * (1.0 - (1.0 - late) ** pauses)
         if late and target.pauses.is_slow:
-            cost += HARM_COST_S * target.total_requests
-    return cost + distance_cost_s(target, data_centre)
+            terms["harm to streams"] = HARM_COST_S * requests
+    return terms
 
 
 def plain_cost_s(target: Target, requests: float, data_centre: str) -> float:
--- a/endivesill/forwarding/placement_service.py
+++ b/endivesill/forwarding/placement_service.py
@@ -10,15 +10,18 @@
 import collections
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
+import attrs
+
 from endivesill import errors, events
 from endivesill.fleet.load import EngineLoad, FleetLoads
 from endivesill.fleet.model import Service
 from endivesill.forwarding.events import FLEET_BUSY, PLACE_REFUSED
 from endivesill.forwarding.fair_queue import FairQueue
 from endivesill.forwarding.placement import choose_backup, choose_destination
+from endivesill.forwarding.placement_view import PlacementQuery, view_targets
 from endivesill.forwarding.refusals import (
     PlacementRate,
     RefusedSessions,
@@ -204,6 +207,42 @@
             self._grants.pop(id(request), None)
         return _grant_reply(number, target, backup)
 
+    def view(self, fields: Mapping[str, str]) -> Message:
+        """Explain where a generation would be placed now; changes nothing.
+
+        Args:
+          fields: see `PlacementQuery.read`.
+        """
+        query = PlacementQuery.read(fields)
+        service = self._services(query.service)
+        if not self._is_leader():
+            return {"error": "this control VM does not lead"}
+        if service is None or service.model_engine is None:
+            return {"error": f"no model engines of a service {query.service!r}"}
+        now_s = self._timer.now_s()
+        request = PlacementRequest(
+            service,
+            query.demand,
+            query.priority,
+            now_s + query.patience_s,
+            organisation=query.organisation,
+        )
+        views = view_targets(self._table, service, query.demand, now_s)
+        ahead = self._admission.count_ahead(request)
+        wait_s = self._expected_wait_s(request)
+        chosen = next((view for view in views if not view.excluded), None)
+        if chosen is not None and not ahead:
+            outcome = "placed"
+        else:
+            outcome = "waits" if wait_s <= query.patience_s else "refused"
+        return {
+            "outcome": outcome,
+            "target": chosen.target if chosen is not None else None,
+            "ahead": ahead,
+            "expected_wait_s": round(wait_s, 3),
+            "candidates": [attrs.asdict(view) for view in views],
+        }
+
     def _expected_wait_s(self, request: PlacementRequest) -> float:
         """Return the expected wait of a request that no target can take now."""
         return self._wait_behind_s(request, self._admission.count_peers_ahead(request))
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -150,6 +150,20 @@
         """Return whether new requests may be sent to a target, ejected or not."""
         return self._stays(target) and not self.notices.is_paused(target.info)
 
+    def exclusion(self, target: Target) -> str:
+        """Return why ordinary requests may not be sent to a target; empty if so."""
+        info = target.info
+        reasons = {
+            "it is not listed": not target.listed,
+            "another target has its address": target.is_replaced,
+            "it is leaving": info.is_draining
+            or self.notices.is_leaving(info.incarnation),
+            "its data centre is evacuated": info.data_centre in self._view.evacuated,
+            "it wants no requests for now": self.notices.is_paused(info),
+            "a roll-out keeps it": not self._is_in(None, info),
+        }
+        return next((text for text, is_so in reasons.items() if is_so), "")
+
     def _stays(self, target: Target) -> bool:
         """Return whether a target accepts requests, now or after a pause."""
         info = target.info
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -19,7 +19,7 @@
     close_listener,
 )
 from endivesill.link_peers import LinkPeerTransport
-from endivesill.metrics_port import MetricsListener
+from endivesill.metrics_port import PLACEMENT_PATH, MetricsListener
 from endivesill.platform.client import PlatformClient
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import decode_notices
@@ -137,6 +137,7 @@
             *(rollouts.metric_lines() if rollouts is not None else ()),
             *budget.metric_lines(),
         ],
+        {PLACEMENT_PATH: placement.view},
     )
     await replica.start()
     await transport.start()
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -21,6 +21,7 @@
 from endivesill.forwarding.even_load import EvenLoad
 from endivesill.forwarding.forwarder import Forwarder
 from endivesill.forwarding.placement import choose_target
+from endivesill.forwarding.placement_view import entry_page
 from endivesill.forwarding.placer import Placer
 from endivesill.forwarding.retry_budget import RetryBudget
 from endivesill.forwarding.route_table import RouteTable
@@ -29,7 +30,7 @@
 from endivesill.forwarding.waiting import AdmissionQueue
 from endivesill.http1 import ConnectionLimits, Exchange, HttpListener
 from endivesill.link_peers import LinkPeerTransport
-from endivesill.metrics_port import MetricsListener
+from endivesill.metrics_port import PLACEMENT_PATH, MetricsListener
 from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.engines import PlatformProtocol
 from endivesill.platform.process import SettingsWatcher
@@ -149,7 +150,12 @@
         self._readiness = HttpListener(
             timer, settings.readiness_address, self._handle_readiness
         )
-        self._metrics = MetricsListener(timer, settings.ip, self._metric_lines)
+        page = entry_page(
+            timer, self._table, lambda: self._forwarder.routes, self._even_load
+        )
+        self._metrics = MetricsListener(
+            timer, settings.ip, self._metric_lines, {PLACEMENT_PATH: page}
+        )
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
--- a/endivesill/porcelain.py
+++ b/endivesill/porcelain.py
@@ -8,7 +8,8 @@
 import itertools
 import pathlib
 import uuid
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any
 
 from endivesill import errors
 from endivesill.configuration import Folder, read_folder
@@ -21,6 +22,7 @@
 from endivesill.load import LoadRunner, Summary, read_experiment, summarize
 from endivesill.operators.client import OperatorClient
 from endivesill.peers import Message
+from endivesill.placement_client import read_placement
 from endivesill.platform.check import check_files
 from endivesill.platform.rollout_client import read_rollout, start_rollout
 from endivesill.timer import SystemTimer
@@ -42,6 +44,7 @@
     "fleet_status",
     "load",
     "platform_check",
+    "platform_placement",
     "platform_rollout",
     "status",
     "vm_drain",
@@ -332,6 +335,20 @@
     return summarize(records, settings.duration_s, settings.stall_threshold_ms / 1000)
 
 
+async def platform_placement(host: str, fields: Mapping[str, str]) -> dict[str, Any]:
+    """Ask where a request would be placed now; it is not sent.
+
+    Args:
+      host: HOST or HOST:PORT of a control VM for generations, of an entry for plain
+        requests.
+      fields: the request, as text.
+
+    Raises:
+      EndivesillError: there is no answer, or the process cannot say.
+    """
+    return await read_placement(SystemTimer(), host, fields)
+
+
 async def platform_rollout(
     address: str,
     service: str,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,6 +25,7 @@
     "metrics_port",
     "peer_port",
     "peers",
+    "placement_client",
     "process_roles",
     "schema",
     "server",
