Bound the log of notices that do not arrive, and ask without a trace

Cause: read-through. A leader of an earlier build knows no notices of strain, so that each entry would have logged ten lines a second for an engine; and a question about a priority that nobody uses left an entry in a table at the leader.

Change: one log line a second; the rate of a priority is looked up only.

Measured: two tests, red before.

--- a/endivesill/fleet/strain.py
+++ b/endivesill/fleet/strain.py
@@ -30,6 +30,8 @@
 # Least time between two notices of one entry about an engine.
 NOTICE_PERIOD_S = 0.1
 NOTICE_TIMEOUT_S = 0.25
+# Least time between two log lines about notices that did not arrive.
+LOG_PERIOD_S = 1.0
 # How long a notice holds: a few events of a stream that is strained, and a lost notice.
 STRAIN_S = 0.25
 
@@ -78,6 +80,7 @@
         self._next_s: dict[str, float] = {}
         self._pending: set[str] = set()
         self._task: asyncio.Task[None] | None = None
+        self._logged_s = float("-inf")
 
     def note(self, incarnation: str) -> None:
         """Tell the leader that an engine is strained, unless it was told just now."""
@@ -106,7 +109,13 @@
                 )
             except errors.PeerUnreachableError as error:
                 # Another notice follows while the strain lasts.
-                events.emit(STRAIN_UNREPORTED, address=leader, reason=str(error))
+                self._log(leader, str(error))
+
+    def _log(self, leader: str, reason: str) -> None:
+        now_s = self._timer.now_s()
+        if now_s - self._logged_s >= LOG_PERIOD_S:
+            self._logged_s = now_s
+            events.emit(STRAIN_UNREPORTED, address=leader, reason=reason)
 
 
 class StrainedEngines:
--- a/endivesill/forwarding/placement_service.py
+++ b/endivesill/forwarding/placement_service.py
@@ -249,10 +249,10 @@
 
     def _wait_behind_s(self, request: PlacementRequest, ahead: int) -> float:
         """Return the expected wait behind some requests of the same priority."""
-        key = (request.service.name, request.priority)
-        return expected_wait_s(
-            ahead, self._placement_rates[key].per_s(self._timer.now_s())
-        )
+        rate = self._placement_rates.get((request.service.name, request.priority))
+        if rate is None:
+            return 0.0
+        return expected_wait_s(ahead, rate.per_s(self._timer.now_s()))
 
     async def _place_or_refuse(
         self, request: PlacementRequest, wait_s: float
--- a/tests/test_fleet_strain.py
+++ b/tests/test_fleet_strain.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from endivesill import errors
+from endivesill import errors, events
 from endivesill.fleet.strain import (
     MIN_PAUSES,
     NOTICE_PERIOD_S,
@@ -103,6 +103,15 @@
         await self.timer.advance(0.01)
         self.assertEqual([["e1@1"]], self.transport.sent)
 
+    async def test_a_leader_that_knows_no_notices_gives_few_log_lines(self):
+        self.transport.is_down = True
+        lines = []
+        self.addCleanup(events.listen(lambda kind, fields: lines.append(kind.name)))
+        for _ in range(30):
+            self.notices.note("e1@1")
+            await self.timer.advance(NOTICE_PERIOD_S)
+        self.assertLessEqual(lines.count("strain-unreported"), 3)
+
     async def test_unlisted_engines_are_forgotten(self):
         self.notices.note("e1@1")
         self.notices.retain([])
--- a/tests/test_placement_view.py
+++ b/tests/test_placement_view.py
@@ -97,6 +97,7 @@
         )
         self.assertEqual(rows, self.service._loads.rows(self.timer.now_s()))
         self.assertEqual([], [t for t in self.table.listed("llm") if t.requests])
+        self.assertEqual({}, dict(self.service._placement_rates))
 
     async def test_who_cannot_say(self):
         self.assertIn(
