--- a/tests/test_fleet_pauses.py
+++ b/tests/test_fleet_pauses.py
@@ -139,11 +139,11 @@
         self.assertEqual(["e0"], names([self.place(SHORT)]))
 
     def test_prompts_leave_a_slow_engine_to_the_streams_that_run_there(self):
-        self.assertEqual(["e0"], names([self.place_at_least_cost_alone()]))
+        self.assertEqual(["e0"], names([self.place_while_others_are_full()]))
         placed = [self.place(SHORT) for _ in range(6)]
         self.assertNotIn("e0", names(placed))
 
-    def place_at_least_cost_alone(self):
+    def place_while_others_are_full(self):
         """Fill the others, place a short request, and empty the others again."""
         for target in self.targets[1:]:
             target.reserved_tokens = 40_000
