Show that a run goes on at two engines when its channel goes silent

One open channel goes silent while new ones work; the stream goes on at its backup 3.0 to 3.5 s later, and the engine before works on for 1.5 to 2 s.

--- a/review/lib2/engines.py
+++ b/review/lib2/engines.py
@@ -45,6 +45,7 @@
         none.
     """
 
+    PAGES = ((200, b"It works!"), (503, b"Service Unavailable"))
     _numbers = itertools.count(1)
 
     def __init__(
@@ -75,6 +76,7 @@
         self.fleet = fleet
         # Channels that have gone silent: nothing passes, and no end is seen.
         self.silent: dict[Any, float] = {}
+        self._silencing: set[Any] = set()
         self.channels: dict[Any, str] = {}
         self.peers: dict[str, Engine] = {}
 
@@ -85,14 +87,20 @@
     async def _hang(self) -> None:
         await asyncio.get_running_loop().create_future()
 
-    def silence(self, hosts: set[str], every: int) -> list[str]:
-        """Let some of the open channels from some hosts go silent for good.
+    def stream_channels(self, host: str) -> list[Any]:
+        """Return the channels from a host on which a stream is answered."""
+        return [
+            run.channel
+            for run in self.running.values()
+            if self.channels.get(run.channel) == host
+        ]
 
-        New ones work. Returns the attempts that are answered on them.
+    def silence(self, channel: Any) -> None:
+        """Let a channel go silent for good, right after its next event.
+
+        New channels work.
         """
-        chosen = [w for w, host in self.channels.items() if host in hosts][::every]
-        self.silent.update(dict.fromkeys(chosen, time.monotonic()))
-        return [r.attempt for r in self.running.values() if r.channel in self.silent]
+        self._silencing.add(channel)
 
     def end(self) -> None:
         """End the process: no run goes on, and connections are refused."""
@@ -230,9 +238,10 @@
             self.running.pop(attempt, None)
         self._answers += 1
         if self.spoils_every and self._answers % self.spoils_every == 0:
-            # Bytes that are not a response of an engine.
-            self.record.note(f"{self.identity}: spoils its answer to {attempt}")
-            writer.write(response(200, {"Content-Type": "text/html"}, b"It works!"))
+            # Bytes that are not a response of an engine: the pages of a web server.
+            status, page = self.PAGES[self._answers // self.spoils_every % 2]
+            self.record.note(f"{self.identity}: page {status} for {attempt}, which ran")
+            writer.write(response(status, {"Content-Type": "text/html"}, page))
             return True
         writer.write(response(200, answered, f"answer to {attempt}".encode()))
         return True
@@ -283,6 +292,12 @@
                 if is_open:
                     event = f"id: {number}\ndata: {run.attempt} {number}\n\n".encode()
                     writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+                if writer in self._silencing and writer not in self.silent:
+                    self.silent[writer] = time.monotonic()
+                    self.record.note(
+                        f"{self.identity}: the channel of {run.attempt} goes silent "
+                        f"after event {number}"
+                    )
                 await asyncio.sleep(self.event_s)
                 while self.is_held:
                     run.worked_s = time.monotonic()
