--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -98,10 +98,37 @@
         self.disk = self.folder / "disk"
         self.folder.mkdir()
         self.process: subprocess.Popen[bytes] | None = None
+        self._bootstrap = False
 
     def start(self, *, bootstrap: bool) -> None:
         """Write the settings and start the process."""
-        fleet = self.fleet
+        self._bootstrap = bootstrap
+        settings = self.write_settings()
+        env = {
+            "PATH": os.environ.get("PATH", ""),
+            "HOME": os.environ.get("HOME", "/"),
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "PYTHONDONTWRITEBYTECODE": "1",
+            "ENDIVESILL_NODE_FILE": str(settings),
+        }
+        with (self.folder / "output.log").open("ab") as output:
+            self.process = subprocess.Popen(
+                self.fleet.commands[self.role],
+                cwd=ROOT,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def forget_first_start(self) -> None:
+        """Write the settings anew; the whole system does not start any more."""
+        self._bootstrap = False
+        self.write_settings()
+
+    def write_settings(self) -> pathlib.Path:
+        """Write the settings file, as the platform does at any time."""
+        fleet, bootstrap = self.fleet, self._bootstrap
         listen = {"control": f"{self.ip}:{CONTROL_PORT}"}
         if self.role == "entry":
             listen = {
@@ -168,23 +195,7 @@
             lines += [f"{key} = {json.dumps(v)}" for key, v in values.items()]
         settings = self.folder / "local.toml"
         settings.write_text("\n".join(lines) + "\n")
-        path = os.environ.get("PATH", "")
-        env = {
-            "PATH": path,
-            "HOME": os.environ.get("HOME", "/"),
-            "PYTHONPATH": str(ROOT / "target" / "deps"),
-            "PYTHONDONTWRITEBYTECODE": "1",
-            "ENDIVESILL_NODE_FILE": str(settings),
-        }
-        with (self.folder / "output.log").open("ab") as output:
-            self.process = subprocess.Popen(
-                fleet.commands[self.role],
-                cwd=ROOT,
-                env=env,
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=subprocess.STDOUT,
-            )
+        return settings
 
     @property
     def is_running(self) -> bool:
@@ -262,6 +273,15 @@
         for machine in self.machines:
             machine.start(bootstrap=True)
 
+    def name_seeds(self) -> None:
+        """Name three core machines that run in all settings, and send SIGHUP."""
+        running = [m for m in self.cores() if m.is_running]
+        self.seeds = [f"{m.ip}:{CONTROL_PORT}" for m in running[-3:]]
+        for machine in self.machines:
+            if machine.is_running:
+                machine.forget_first_start()
+                machine.send(signal.SIGHUP)
+
     def cores(self) -> list[Machine]:
         """Return the machines that serve `control`."""
         return [m for m in self.machines if m.role == "control"]
