--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,11 +7,11 @@
 import signal
 import sys
 import time
-from typing import Any
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
+from lib2.core import state, voters  # noqa: E402
 from lib2.harness import (  # noqa: E402
     BOUNDS,
     CannotRunError,
@@ -21,7 +21,6 @@
     Record,
     has_trouble,
     main,
-    metrics,
 )
 
 # The largest pause of the site file between the start of the new machine and the
@@ -33,41 +32,6 @@
 READ_FOR_S = BOUNDS["recovery_s"] + 12.0
 
 
-def _document(version: int) -> dict[str, Any]:
-    return {
-        "version": version,
-        "routes": [
-            {
-                "name": "r-1",
-                "host": "ficu95.example",
-                "path_prefix": "/pule252/",
-                "kind": "safe",
-                "timeout_ms": 600,
-                "target_latency_ms": 125,
-                "priority": 2,
-                "service": "stable-app",
-                "max_attempts": 2,
-                "public": False,
-            }
-        ],
-        "services": [
-            {"name": "stable-app", "health_path": "/health", "max_connections": 100}
-        ],
-        "limits": {},
-        "tenants": [{"name": "huka270", "api_keys": ["key-1"], "priority": 1}],
-    }
-
-
-async def _voters(record: Record, fleet: Fleet) -> None:
-    for machine in fleet.cores():
-        values = await metrics(machine)
-        record.note(
-            f"  {machine.name}: running {machine.is_running}, "
-            f"leads {values.get('endivesill_control_leads')}, "
-            f"voters {values.get('endivesill_control_voters')}"
-        )
-
-
 async def _case(record: Record) -> bool:
     fleet = Fleet(record)
     listing = Listing(record)
@@ -75,11 +39,11 @@
     operator = Operator(record, fleet.cores)
     try:
         await fleet.first_start(cores=5, fronts=0)
-        if await operator.replace(_document(1), 20.0) is None:
+        if await operator.replace(state(1), 20.0) is None:
             raise CannotRunError("the first desired state was not acknowledged")
         # As long as the lead before the traffic of the sheet.
         await asyncio.sleep(8.0)
-        await _voters(record, fleet)
+        await voters(record, fleet)
         old = fleet.cores()[3]
         if has_trouble():
             new = fleet.add("core-6", "control", old.zone)
@@ -92,8 +56,8 @@
             await old.wait_end()
             record.note(f"{old.name} has ended")
             await asyncio.sleep(started_s + STRIKE_AFTER_S - time.monotonic())
-            await _voters(record, fleet)
-        acknowledged = await operator.replace(_document(2))
+            await voters(record, fleet)
+        acknowledged = await operator.replace(state(2))
         if acknowledged is None:
             raise CannotRunError("the second desired state was not acknowledged")
         if has_trouble():
@@ -115,7 +79,7 @@
                 if machine.is_running and read is None:
                     read = await operator.read(machine)
             await asyncio.sleep(0.5)
-        await _voters(record, fleet)
+        await voters(record, fleet)
         record.note(f"read back: version {read}; acknowledged: version 2")
         return read is None or read < 2
     finally:
