Show that a replica that was dropped never rejoins once its seeds are replaced

The three seeds are replaced as planned; a machine frozen for 4 s is dropped as a learner is ready, and never rejoins. Two lost disks then lose the state.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,19 +1,19 @@
-"""An open channel from a front to an engine goes silent, while new ones work."""
+"""A machine that was frozen cannot come back, since it asks only its first seeds."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from lib2.callers import StreamCaller  # noqa: E402
-from lib2.deployment import HOST, KEY, PATH, document, wait_ready  # noqa: E402
-from lib2.engines import Engine  # noqa: E402
+from lib2.core import replace_as_planned, state, voters  # noqa: E402
 from lib2.harness import (  # noqa: E402
-    ZONES,
+    BOUNDS,
     CannotRunError,
     Fleet,
     Listing,
@@ -23,11 +23,15 @@
     main,
 )
 
-STREAMS, TOKENS = 9, 1864
-STILL_AT_WORK_S = 0.4
-CONTACT_S = 3.0
-# Of the channels of one front, not more than this share: the dose of `reset_conns`.
-SHARE = 0.5
+# Each change waits until the machines before it have had more than `catch_up_s`.
+SETTLE_S = BOUNDS["catch_up_s"] + 0.5
+PLANNED_S = 2.0
+FROZEN_S = 4.0
+# Before the final fault nothing happens for much longer than `catch_up_s` and
+# `contact_ms`.
+QUIET_S = 10.0
+DOWN_S = 0.67
+READ_FOR_S = BOUNDS["recovery_s"] + 8.0
 
 
 async def _case(record: Record) -> bool:
@@ -35,70 +39,62 @@
     listing = Listing(record)
     await listing.start(fleet)
     operator = Operator(record, fleet.cores)
-    engines = [Engine(fleet, record, "plan-llm", zone, 24) for zone in ZONES]
-    for engine in engines:
-        engine.peers = {e.address: e for e in engines}
-        await engine.start()
-    listing.rows = [e.row() for e in engines]
     try:
-        await fleet.first_start(cores=5, fronts=3)
-        if await operator.replace(document(), 20.0) is None:
-            raise CannotRunError("the desired state was not acknowledged")
-        await wait_ready(record, fleet)
-        await asyncio.sleep(3.0)
-        tasks = []
-        for number in range(STREAMS):
-            caller = StreamCaller(
-                record, fleet.fronts()[number % 3], f"{0xA000 + number:016x}", KEY
-            )
-            run = caller.run(HOST, PATH + "2f", 3079, TOKENS)
-            tasks.append(asyncio.ensure_future(run))
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(2.0)
+        await fleet.first_start(cores=5, fronts=0)
+        if await operator.replace(state(1), 20.0) is None:
+            raise CannotRunError("the first desired state was not acknowledged")
+        await asyncio.sleep(4.0)
+        first, second, third, frozen, last = fleet.cores()
         if has_trouble():
-            front = fleet.fronts()[0]
-            open_channels = [
-                (engine, channel)
-                for engine in engines
-                for channel in engine.stream_channels(front.ip)
-            ]
-            for engine, channel in open_channels[: int(SHARE * len(open_channels))]:
-                engine.silence(channel)
-        await asyncio.gather(*tasks)
-        return _check(record, engines)
+            # The three seeds of the first start are replaced, one after the other.
+            for old in (first, second, third):
+                await replace_as_planned(record, fleet, old, PLANNED_S)
+                await asyncio.sleep(SETTLE_S)
+            await voters(record, fleet)
+            new = fleet.add("core-9", "control", last.zone)
+            new.start(bootstrap=False)
+            record.note(f"{new.name} starts, which replaces {last.name} as planned")
+            await asyncio.sleep(PLANNED_S)
+            frozen.send(signal.SIGSTOP)
+            record.note(f"{frozen.name} freezes")
+            await asyncio.sleep(FROZEN_S)
+            frozen.send(signal.SIGCONT)
+            record.note(f"{frozen.name} wakes; its settings name seeds that run")
+            last.send(signal.SIGTERM)
+            await last.wait_end()
+            fleet.name_seeds()
+            record.note(f"{last.name} has ended by SIGTERM and is removed for good")
+            await asyncio.sleep(QUIET_S)
+            await voters(record, fleet)
+        acknowledged = await operator.replace(state(2))
+        if acknowledged is None:
+            raise CannotRunError("the second desired state was not acknowledged")
+        if has_trouble():
+            running = [m for m in fleet.cores() if m.is_running and m is not frozen]
+            others = [m for m in running if m is not acknowledged]
+            # The machine that acknowledged, and one more: as many as may be lost.
+            wiped = [m for m in running if m is acknowledged]
+            wiped += others[: 2 - len(wiped)]
+            for machine in wiped:
+                machine.kill()
+                machine.wipe()
+            record.note(f"{[m.name for m in wiped]} have lost their disks")
+            await asyncio.sleep(DOWN_S)
+            for machine in wiped:
+                machine.start(bootstrap=False)
+        end_s = time.monotonic() + READ_FOR_S
+        read = None
+        while time.monotonic() < end_s and read is None:
+            for machine in fleet.cores():
+                if machine.is_running and read is None:
+                    read = await operator.read(machine)
+            await asyncio.sleep(0.5)
+        await voters(record, fleet)
+        record.note(f"read back: version {read}; acknowledged: version 2")
+        return read is None or read < 2
     finally:
         fleet.stop()
 
 
-def _check(record: Record, engines: list[Engine]) -> bool:
-    runs = sorted((r for e in engines for r in e.runs), key=lambda r: r.started_s)
-    broken = 0
-    # A silent channel counts as a reset of the channels of all machines.
-    silent_s = max((s for e in engines for s in e.silent.values()), default=0.0)
-    for run in runs:
-        if not run.resumed_from:
-            continue
-        for before in runs:
-            if before.attempt != run.attempt or before.engine == run.engine:
-                continue
-            still_s = before.worked_s - run.started_s
-            is_in_touch = run.started_s - silent_s >= CONTACT_S
-            if before.started_s < run.started_s and still_s > STILL_AT_WORK_S:
-                record.note(
-                    f"{run.attempt} goes on at {run.engine} "
-                    f"{run.started_s - silent_s:.2f} s after the channels went silent; "
-                    f"in touch: {is_in_touch}"
-                )
-                if not is_in_touch:
-                    continue
-                broken += 1
-                record.note(
-                    f"TWICE: {run.attempt} goes on at {run.engine} while "
-                    f"{before.engine} works on it for {still_s:.2f} s more"
-                )
-    record.note(f"{len(runs)} runs, {broken} of them while another one went on")
-    return broken > 0
-
-
 if __name__ == "__main__":
     main(_case, FOLDER)
