--- a/review/8/case.py
+++ b/review/8/case.py
@@ -26,7 +26,7 @@
 # Each change waits until the machines before it have had more than `catch_up_s`.
 SETTLE_S = BOUNDS["catch_up_s"] + 0.5
 PLANNED_S = 2.0
-FROZEN_S = 4.0
+FROZEN_S = 5.5
 # Before the final fault nothing happens for much longer than `catch_up_s` and
 # `contact_ms`.
 QUIET_S = 10.0
