--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -502,6 +502,8 @@
 def main(case: Callable[[Record], Awaitable[bool]], folder: pathlib.Path) -> None:
     """Run a case: exit with 1 if its rule was broken, 0 if not, 2 if it can't run."""
     record = Record(folder)
+    # So that the processes are ended as well if this one is told to stop.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def run() -> bool:
         async with asyncio.timeout(115):
@@ -512,7 +514,7 @@
     except CannotRunError as error:
         record.note(f"cannot run: {error}")
         sys.exit(2)
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.note(f"cannot run: {error!r}")
         sys.exit(2)
     record.note("the rule was broken" if broken else "the rule held")
