--- a/review/7/case.py
+++ b/review/7/case.py
@@ -25,8 +25,8 @@
 
 # The new machines start first, one at a time. Each counts as lost for `catch_up_s`.
 SETTLE_S = BOUNDS["catch_up_s"] + 0.5
-# The pause between two SIGTERMs of a roll in the site file.
-GAP_S = 1.3
+# The pause between two SIGTERMs: that of `roll_term` (`busy`) in the site file.
+GAP_S = 1.0
 READ_FOR_S = BOUNDS["recovery_s"] + 12.0
 
 
