Order engines to stop the runs that an entry gives up

Cause: a run was given up only by the end of its connection. That end does not arrive on a silent connection, and some engines do not follow it.

Change: a run that is given up is stopped by an order. On a silent connection the order goes out on a new one before the stream resumes, from what the stopped run leaves. Otherwise the stream resumes at once, as the route's pauses demand, and the order follows 0.1 s later; engines that drop runs answer 404 then.

The stand-in's streams with a silent engine now hold the copy that the engine has acknowledged, as engines do.

--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -15,6 +15,7 @@
     "REQUEST_PLACED",
     "REQUEST_REFUSED",
     "RUN_COPIED",
+    "RUN_STOPPED",
     "STREAM_RESUMED",
     "REQUEST_PROXIED",
     "TARGET_EJECTED",
@@ -47,6 +48,11 @@
 RUN_COPIED = events.define(
     2107, "run-copied", "An order to copy a run's KV cache to another engine has ended."
 )
+RUN_STOPPED = events.define(
+    2113,
+    "run-stopped",
+    "An engine that still worked on a run was ordered to stop it.",
+)
 PLACE_REFUSED = events.define(
     2108, "place-refused", "The leader refused an entry's request for a placement."
 )
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -8,12 +8,7 @@
 from endivesill import errors
 from endivesill.fleet.crash_exchange import CrashExchange
 from endivesill.fleet.model import Organisation, RequestKind, Route
-from endivesill.forwarding.attempt import (
-    Attempt,
-    AttemptError,
-    Failure,
-    Sender,
-)
+from endivesill.forwarding.attempt import Attempt, AttemptError, Failure, Sender
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.crash_causes import crash_causes
@@ -28,6 +23,7 @@
 from endivesill.forwarding.retry_policy import RetryPolicy
 from endivesill.forwarding.route_table import RouteTable, pick_service
 from endivesill.forwarding.run_copy import RunCopier
+from endivesill.forwarding.run_stop import RunStopper
 from endivesill.forwarding.running_calls import CallEndedError, RunningCalls
 from endivesill.forwarding.stop_deadline import StopDeadline
 from endivesill.forwarding.streams import StreamBrokenError, StreamRelay
@@ -101,6 +97,7 @@
             self._record_failure,
         )
         self._copier = RunCopier(timer, client, table, protocol)
+        self._stopper = RunStopper(self._copier, table)
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
         self._running = RunningCalls(timer)
@@ -298,6 +295,7 @@
             self._table,
             self._placer,
             self._copier,
+            self._stopper,
             self._guard,
             self._versions,
             call,
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -116,9 +116,16 @@
         """Return what routing needs of an engine's response."""
 
     def encode_copy_order(
-        self, source: str, attempt_id: str, destination: str
+        self, source: str, attempt_id: str, destination: str, *, stops_run: bool
     ) -> bytes:
-        """Return the request that orders the copy of a run; addresses are HOST:PORT."""
+        """Return the request that orders the copy of a run.
+
+        Args:
+          source: HOST:PORT of the engine that runs it.
+          attempt_id: the request that runs.
+          destination: HOST:PORT of the engine that receives the copy.
+          stops_run: whether the run ends before the copy.
+        """
 
     def decode_copy_name(self, body: bytes) -> str:
         """Return the handle of a copy; empty if the body has none."""
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
+
 from endivesill import errors, events
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.events import RUN_COPIED
@@ -18,7 +20,7 @@
 from endivesill.http1 import ResponseHead, UpstreamError
 from endivesill.timer import TimerService
 
-__all__ = ["CopyRefusedError", "RunCopy", "RunCopier"]
+__all__ = ["CopyRefusedError", "RunCopier", "RunCopy", "StoppedRun"]
 
 # Some thousand tokens take 0.2 s on an idle link; an engine copies its runs one after
 # another.
@@ -32,11 +34,41 @@
 
 
 class CopyRefusedError(errors.EndivesillError):
-    """An engine did not make or release a copy."""
+    """An engine did not make or release a copy.
+
+    Attributes:
+      is_refused: whether the engine's host has refused the connection.
+    """
+
+    def __init__(self, detail: str, *, is_refused: bool = False) -> None:
+        super().__init__(detail)
+        self.is_refused = is_refused
+
+
+@attrs.frozen
+class StoppedRun:
+    """What is left of a run that its engine does not work on any more.
+
+    Attributes:
+      source: the engine.
+      destination: the engine that has a copy; None without one.
+      handle: the handle of what the source keeps; empty if it keeps nothing.
+      was_running: whether the engine still worked on the run.
+    """
+
+    source: Target
+    destination: Target | None = None
+    handle: str = ""
+    was_running: bool = True
+
+    @property
+    def copy_name(self) -> str:
+        """Name of the copy for the engine that resumes from it."""
+        return f"{self.source.info.address}/{self.handle}"
 
 
 class RunCopier:
-    """Orders engines to copy runs.
+    """Orders engines to copy and to stop runs.
 
     Args:
       timer: the timer service.
@@ -69,13 +101,60 @@
           CopyRefusedError: no copy was made.
         """
         order = self._protocol.encode_copy_order(
-            source.info.address, call.info.attempt_id, destination.info.address
+            source.info.address,
+            call.info.attempt_id,
+            destination.info.address,
+            stops_run=False,
         )
         status, body = await self._exchange(source, order, COPY_TIMEOUT_S)
         if status != 200:
             raise CopyRefusedError(f"status {status}")
         return self._protocol.decode_copy_name(body)
 
+    async def stop(
+        self,
+        call: Call,
+        source: Target,
+        destination: Target,
+        *,
+        on_new_connection: bool,
+        is_direct: bool,
+    ) -> StoppedRun:
+        """Stop a run and copy it.
+
+        Args:
+          call: the request that runs.
+          source: the engine that runs it.
+          destination: the engine that receives the copy.
+          on_new_connection: whether the open connections to the engine are not used;
+            they may have gone silent together with that of the run.
+          is_direct: whether the order is not sent through another entry.
+
+        Raises:
+          CopyRefusedError: the run may go on.
+        """
+        order = self._protocol.encode_copy_order(
+            source.info.address,
+            call.info.attempt_id,
+            destination.info.address,
+            stops_run=True,
+        )
+        status, body = await self._exchange(
+            source,
+            order,
+            COPY_TIMEOUT_S,
+            max_idle_s=0.0 if on_new_connection else None,
+            is_direct=is_direct,
+        )
+        if status == 404:
+            return StoppedRun(source, was_running=False)
+        # An engine that has stopped the run names what it keeps of it, also where the
+        # destination has no room.
+        handle = self._protocol.decode_copy_name(body) if status in (200, 503) else ""
+        if not handle:
+            raise CopyRefusedError(f"status {status}")
+        return StoppedRun(source, destination if status == 200 else None, handle)
+
     async def release(self, source: Target, name: str) -> None:
         """Release a copy that is not needed any more.
 
@@ -86,7 +165,13 @@
         await self._exchange(source, order, RELEASE_TIMEOUT_S)
 
     async def _exchange(
-        self, source: Target, order: bytes, timeout_s: float
+        self,
+        source: Target,
+        order: bytes,
+        timeout_s: float,
+        *,
+        max_idle_s: float | None = None,
+        is_direct: bool = False,
     ) -> tuple[int, bytes]:
         if self._table.notices.is_paused(source.info):
             raise CopyRefusedError("the engine wants no requests now")
@@ -110,14 +195,17 @@
 
         options = SendOptions(
             deadline_s=self.timer.now_s() + timeout_s,
+            max_idle_s=max_idle_s,
             is_order=True,
+            is_direct=is_direct,
             on_head=note_announcements,
         )
         exchange = self._client.exchange(source.info, order, options)
         try:
             head, body = await self.timer.wait_for(exchange, timeout_s)
         except (UpstreamError, errors.DeadlineExceededError) as error:
-            raise CopyRefusedError(str(error)) from None
+            is_refused = isinstance(error, UpstreamError) and error.is_refused
+            raise CopyRefusedError(str(error), is_refused=is_refused) from None
         return head.status, body
 
 
--- a/endivesill/forwarding/stream_run.py
+++ b/endivesill/forwarding/stream_run.py
@@ -6,7 +6,9 @@
 
 from endivesill.fleet.strain import PauseWatch
 from endivesill.forwarding.attempt import Attempt
-from endivesill.forwarding.run_copy import RunCopy
+from endivesill.forwarding.call import Call
+from endivesill.forwarding.run_copy import RunCopy, StoppedRun
+from endivesill.forwarding.run_stop import AbandonedRun
 from endivesill.forwarding.targets import Target
 
 __all__ = ["StreamProgress", "StreamRun"]
@@ -28,6 +30,10 @@
       copy: a copy on demand, made because the backup cannot be used.
       has_pace: whether the time per event was recorded.
       is_moving: whether it was stopped in order to resume from its copy.
+      is_silent: whether it was given up because its engine sent nothing.
+      has_ended: whether its engine does not work on it any more, or is ordered not to.
+      stopped: what its engine has left of it when it was ordered to stop.
+      successor: where it resumes; None unless it does.
       watch: tells its long pauses from the usual ones; None where any is allowed.
     """
 
@@ -42,6 +48,31 @@
     copy: RunCopy | None = None
     has_pace: bool = False
     is_moving: bool = False
+    is_silent: bool = False
+    has_ended: bool = False
+    stopped: StoppedRun | None = None
+    successor: Target | None = None
+
+    def head_age_s(self, now_s: float) -> float | None:
+        """Return the time since the head of the response; None without one."""
+        return None if self.head_s is None else round(now_s - self.head_s, 4)
+
+    def abandon(self, call: Call, copy_in_use: str) -> AbandonedRun:
+        """Return what is needed to stop the run, which is given up.
+
+        Args:
+          call: the request.
+          copy_in_use: name of the copy from which it resumes; may be empty.
+        """
+        return AbandonedRun(
+            call,
+            self.target,
+            self.successor or self.backup,
+            is_silent=self.is_silent,
+            is_proxied=self.attempt is not None and self.attempt.body.is_proxied,
+            copy_in_use=copy_in_use,
+        )
+
     watch: PauseWatch | None = None
 
 
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -17,10 +17,11 @@
 )
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.crash_guard import CrashGuard
-from endivesill.forwarding.event_stream import EventSplitter, StreamEvent
+from endivesill.forwarding.event_stream import EventSequence, EventSplitter
 from endivesill.forwarding.events import ATTEMPT_FAILED, STREAM_RESUMED
 from endivesill.forwarding.placer import Placement, Placer
 from endivesill.forwarding.run_copy import RunCopier, RunCopy
+from endivesill.forwarding.run_stop import RunStopper
 from endivesill.forwarding.stream_run import StreamProgress, StreamRun
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.forwarding.version_log import PACE_EVENTS, VersionLog
@@ -58,6 +59,7 @@
       table: the targets.
       placer: places copies.
       copier: orders copies of runs.
+      stopper: stops runs that were given up.
       guard: is told how runs go on.
       versions: counts outcomes by version.
       call: the request.
@@ -75,6 +77,7 @@
         table: TargetTable,
         placer: Placer,
         copier: RunCopier,
+        stopper: RunStopper,
         guard: CrashGuard,
         versions: VersionLog,
         call: Call,
@@ -84,12 +87,13 @@
         self._table = table
         self._placer = placer
         self._copier = copier
+        self._stopper = stopper
         self._guard = guard
         self._versions = versions
         self._copy_task: asyncio.Task[None] | None = None
         self._call = call
         self._run: StreamRun | None = None
-        self._last_event_id: int | None = None
+        self._sequence = EventSequence()
         self.progress = StreamProgress()
         self.resumes = 0
         self.target: Target | None = None
@@ -120,21 +124,27 @@
             try:
                 attempt = await self._send(run, resume_from)
                 if attempt.response.status != 200:
+                    run.has_ended = True
                     return self._non_stream_response(attempt)
                 await self._relay(run, attempt)
+                run.has_ended = True
                 return None
             except (AttemptError, UpstreamError) as error:
+                if isinstance(error, AttemptError):
+                    run.has_ended = error.failure.not_run
+                if run.is_silent:
+                    await self._stop_silent(run)
                 next_run = self._next_run(run, error, was_resumed=bool(resume_from))
+                run.successor, resume_from = next_run[0].target, next_run[1]
             finally:
-                self._release_run(run)
-            run, resume_from = next_run
-            self._run = run
+                self._release_run(run, resume_from)
+            run = self._run = next_run[0]
 
     async def _send(self, run: StreamRun, resume_from: str) -> Attempt:
         self.target = run.target
         if resume_from:
             await self._wait_for_permit(run.target)
-        last_event_id = str(self._last_event_id or 0) if resume_from else ""
+        last_event_id = str(self._sequence.last_id or 0) if resume_from else ""
         run.sent_s = self._timer.now_s()
         run.attempt = await self._sender.send(
             self._call,
@@ -168,7 +178,14 @@
             raise StreamBrokenError(f"status {attempt.response.status} on a resume")
         return attempt
 
-    def _release_run(self, run: StreamRun) -> None:
+    async def _stop_silent(self, run: StreamRun) -> None:
+        """Stop a run before it resumes, as its engine does not see that it is over."""
+        run.successor, copy = self._find_copy(run)
+        if run.successor is not None:
+            run.stopped = await self._stopper.stop(run.abandon(self._call, copy))
+            run.has_ended = True
+
+    def _release_run(self, run: StreamRun, copy_in_use: str) -> None:
         demand = self._call.demand
         run.target.release(demand, prefill_done=run.prefill_done)
         if run.copy is not None:
@@ -177,6 +194,8 @@
             run.backup.release_copy(demand)
         if run.attempt is not None and run.attempt.response.status == 200:
             run.attempt.body.release()
+        if run.sent_s and not run.has_ended:
+            self._stopper.stop_later(run.abandon(self._call, copy_in_use))
 
     def _next_run(
         self, run: StreamRun, error: errors.EndivesillError, *, was_resumed: bool
@@ -195,7 +214,7 @@
             reason="moved" if run.is_moving else str(error),
             events=self.progress.events,
             run_events=run.events,
-            head_age_s=self._head_age_s(run),
+            head_age_s=run.head_age_s(self._timer.now_s()),
             prompt_parts=call.info.shared_parts[:MAX_LOGGED_PARTS],
             request_digest=call.causes[-1] if call.causes else None,
             backup=run.backup.info.identity if run.backup else None,
@@ -219,19 +238,16 @@
             STREAM_RESUMED,
             request_id=call.info.attempt_id,
             target=target.info.identity,
-            after_event=self._last_event_id,
+            after_event=self._sequence.last_id,
         )
         target.reserve(call.demand)
         return StreamRun(target, self._placer.reserve_backup(call, target)), copy
 
-    def _head_age_s(self, run: StreamRun) -> float | None:
-        """Return the time since the head of a run's response; None without one."""
-        if run.head_s is None:
-            return None
-        return round(self._timer.now_s() - run.head_s, 4)
-
     def _find_copy(self, run: StreamRun) -> tuple[Target | None, str]:
         """Return the target that has a copy of an ended run, and the copy's name."""
+        stopped = run.stopped
+        if stopped is not None and stopped.destination is not None:
+            return stopped.destination, stopped.copy_name
         if run.backup is not None and self._table.accepts_requests(run.backup):
             address = run.backup.info.address
             return run.backup, f"{address}/{self._call.info.attempt_id}"
@@ -250,12 +266,15 @@
         run = self._run
         if run is None or run.attempt is None or not self.progress.events:
             return
+        if run.is_silent:
+            return
         has_backup = run.backup is not None and self._table.accepts_requests(run.backup)
         has_copy = run.copy is not None and self._table.accepts_requests(
             run.copy.destination
         )
         idle_s = self._timer.now_s() - self.progress.last_event_s
         if (has_backup or has_copy) and self._is_stalled(run.attempt, idle_s):
+            run.is_silent = True
             run.attempt.body.abort()
         elif run.copy is not None and (
             run.copy.has_failed or not has_copy or not self._may_end_soon(run.target)
@@ -332,7 +351,7 @@
             exchange.start(200, strip_hop_by_hop(attempt.head.headers))
         splitter = EventSplitter()
         while data := await attempt.body.read():
-            new_events = self._drop_duplicates(splitter.feed(data))
+            new_events = self._sequence.take_new(splitter.feed(data))
             if not new_events:
                 continue
             if not run.prefill_done:
@@ -364,26 +383,6 @@
             self._versions.note_pace(call, run.target, run.events - 1, elapsed_s)
         self._guard.note_progress(call, run.first_event_s)
 
-    def _drop_duplicates(self, events_read: list[StreamEvent]) -> list[StreamEvent]:
-        """Return the events that the caller has not received yet.
-
-        Raises:
-          UpstreamError: an event is missing.
-        """
-        new_events = []
-        for event in events_read:
-            last = self._last_event_id
-            if event.event_id is not None:
-                if last is not None and event.event_id <= last:
-                    continue
-                if last is not None and event.event_id != last + 1:
-                    raise UpstreamError(
-                        f"event {event.event_id} follows {last}", sent=True
-                    )
-                self._last_event_id = event.event_id
-            new_events.append(event)
-        return new_events
-
     def _note_pause(self, run: StreamRun, pause_s: float) -> None:
         incarnation = run.target.info.incarnation
         self._table.pauses.note(incarnation, pause_s)
--- a/endivesill/forwarding/target_client.py
+++ b/endivesill/forwarding/target_client.py
@@ -113,6 +113,7 @@
       attempt_id: id by which a response is recognised; empty for any response.
       max_idle_s: longest idle time of the connection; None for the pool's limit.
       is_order: whether it is an order to an engine, which a leaving one gets as well.
+      is_direct: whether it is not sent through another entry.
       no_body: whether the response has no body, regardless of its head (HEAD).
     """
 
@@ -120,6 +121,7 @@
     attempt_id: str = ""
     max_idle_s: float | None = None
     is_order: bool = False
+    is_direct: bool = False
     no_body: bool = False
     may_start: Callable[[], bool] = lambda: True
     on_started: Callable[[], None] = lambda: None
@@ -170,6 +172,8 @@
           ProxyLostError: the proxy failed; the target may run the request.
         """
         options = _once_started(options)
+        if options.is_direct:
+            return await self._send_direct(info, encode, options)
         if self._prefers_proxy(info):
             try:
                 return await self._send_by_proxy(info, encode, options)
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -201,12 +201,15 @@
         )
 
     def encode_copy_order(
-        self, source: str, attempt_id: str, destination: str
+        self, source: str, attempt_id: str, destination: str, *, stops_run: bool
     ) -> bytes:
         """Return the request that makes an engine copy a run to another engine."""
         # `target` is the address of the engine that receives the copy. Without
         # `last` the run continues during the copy.
-        body = json.dumps({"id": attempt_id, "target": destination}).encode()
+        order: dict[str, Any] = {"id": attempt_id, "target": destination}
+        if stops_run:
+            order["last"] = True
+        body = json.dumps(order).encode()
         headers = [
             (b"Host", source.encode()),
             (b"Content-Type", b"application/json"),
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -36,6 +36,11 @@
         only resets them.
       requests: requests received, as (method, target, headers by lower-case name,
         body).
+      keeps_runs: whether it works on a run whose connection has closed.
+      silent_after: event after which the connection of a new stream goes silent while
+        the run goes on; None for never.
+      stop_refusals: statuses of the next orders to stop a run, which it refuses.
+      running: the runs that it works on, by attempt id; True for those to be stopped.
       copies: names of the copies that can be resumed from.
       copy_orders: bodies of the orders to copy a run.
       copy_releases: paths of the orders to release a copy.
@@ -61,6 +66,10 @@
         self.resets = False
         self.has_crashed = False
         self.requests: list[tuple[str, bytes, dict[bytes, bytes], bytes]] = []
+        self.keeps_runs = False
+        self.silent_after: int | None = None
+        self.stop_refusals: list[int] = []
+        self.running: dict[str, bool] = {}
         self.copies: set[str] = set()
         self.copy_orders: list[dict] = []
         self.copy_releases: list[bytes] = []
@@ -136,8 +145,7 @@
     async def _respond(self, exchange: Exchange) -> None:
         headers = {name.lower(): value for name, value in exchange.headers}
         if exchange.target == b"/kv-move":
-            self.copy_orders.append(json.loads(exchange.body))
-            exchange.respond(200, self.response_headers, b'{"handle":"h1","made":1}')
+            self._respond_copy_order(exchange, json.loads(exchange.body))
             return
         if exchange.target.startswith(b"/kv-handle/"):
             self.copy_releases.append(exchange.target)
@@ -168,6 +176,18 @@
                 await asyncio.sleep(self.run_s)
             self._respond_plain(exchange, attempt)
 
+    def _respond_copy_order(self, exchange: Exchange, order: dict) -> None:
+        self.copy_orders.append(order)
+        if order.get("last"):
+            if order["id"] not in self.running:
+                exchange.respond(404, self.response_headers)
+                return
+            if self.stop_refusals:
+                exchange.respond(self.stop_refusals.pop(0), self.response_headers)
+                return
+            self.running[order["id"]] = True
+        exchange.respond(200, self.response_headers, b'{"handle":"h1","made":1}')
+
     def _respond_plain(self, exchange: Exchange, attempt) -> None:
         if self.sends_foreign_response:
             other = (b"X-Endivesill-Request-Attempt-Id", b"someone-else")
@@ -200,6 +220,16 @@
             await self._stream_unframed(exchange, headers, headers_sent, first)
             return
         exchange.start(200, headers_sent)
+        attempt_id = attempt[1].decode()
+        self.running[attempt_id] = False
+        try:
+            await self._send_events(exchange, headers, attempt_id, first)
+        finally:
+            del self.running[attempt_id]
+
+    async def _send_events(
+        self, exchange: Exchange, headers, attempt_id: str, first: int
+    ) -> None:
         is_deadly = self._is_deadly(exchange, headers) and not self.crashes_after_answer
         for number in range(first, self.events + 1):
             if is_deadly and number > (self.crash_event or 0):
@@ -211,10 +241,15 @@
                 await asyncio.sleep(0.01)
                 exchange.abort()
                 return
-            if exchange.disconnected.is_set():
+            if self.running[attempt_id]:
+                exchange.abort()
+                return
+            if exchange.disconnected.is_set() and not self.keeps_runs:
                 self.cancelled_requests += 1
                 return
-            exchange.send(b"id: %d\ndata: t%d\n\n" % (number, number))
+            is_silent = first == 1 and number > (self.silent_after or self.events)
+            if not is_silent and not exchange.disconnected.is_set():
+                exchange.send(b"id: %d\ndata: t%d\n\n" % (number, number))
             if self.event_pause_s:
                 await asyncio.sleep(self.event_pause_s)
         exchange.finish()
--- a/tests/test_forwarding_streams.py
+++ b/tests/test_forwarding_streams.py
@@ -243,7 +243,8 @@
     async def stream_with_silence(self, silence_s):
         engines = await self.add_engines("llm", "e1", "e2")
         for engine in engines:
-            engine.copies = {"a1"}
+            # The live copy, and the one that a stopped run leaves.
+            engine.copies = {"a1", "h1"}
             engine.events = 2
             engine.event_pause_s = silence_s
         reviewing = asyncio.ensure_future(self.review())
