Let a replica look for its cluster beyond the seeds of its start

Cause: it asked only the seeds with which its process was started. They had been replaced; the members in its log and the seeds of its new settings were not asked.

Change: it asks the seeds of today, the members that its log names, and addresses that messages of others name, side by side, and those that the replicas there name. An empty replica learns the cluster from a leader that writes to it.

--- a/endivesill/control/bootstrap.py
+++ b/endivesill/control/bootstrap.py
@@ -3,7 +3,8 @@
 The initial voters are all replicas in the configured address list, each with the
 identity on its empty disk. A replica writes them only after all others responded
 that they have the same list and no state. If any of them has a state, the cluster
-exists already, and the empty replica asks to join as a learner.
+exists already, and the empty replica asks to join as a learner. It looks for the
+cluster at all addresses that it knows, and at those that the replicas there name.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
     BOOTSTRAPPED,
     LEARNER_JOINED,
 )
+from endivesill.control.known_peers import KnownPeers
 from endivesill.control.messages import from_message, to_message
 from endivesill.control.snapshots import Snapshot
 from endivesill.control.voter_set import VoterSet
@@ -34,8 +36,13 @@
 CALL_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.5
 JOIN_RETRY_DELAY_S = 0.5
-# A replica without contact to a leader for this time asks to join as a learner.
-REJOIN_AFTER_S = 2.0
+# A replica without contact to a leader for this time asks to join as a learner: twice
+# the election timeout, so that it has caught up well before operators count on it.
+REJOIN_AFTER_S = 1.0
+REJOIN_PERIOD_S = 0.25
+# Addresses that one search asks; those of a cluster of nine, before and after all of
+# its VMs were exchanged.
+MAX_ASKED = 18
 
 
 @attrs.frozen
@@ -60,7 +67,9 @@
 
     Args:
       core: the replica's shared state.
-      addresses: the configured peer addresses of the control VMs.
+      addresses: the peer addresses of the control VMs that were configured at the
+        start; only these create a cluster.
+      peers: where to look for an existing cluster.
       may_create_cluster: whether a replica with an empty disk may take part in the
         creation of a cluster; if not, its disk was lost and it only joins.
     """
@@ -69,10 +78,12 @@
         self,
         core: ReplicaCore,
         addresses: tuple[str, ...],
+        peers: KnownPeers,
         *,
         may_create_cluster: bool = True,
     ) -> None:
         self._core = core
+        self._peers = peers
         self._may_create_cluster = may_create_cluster
         self._addresses = tuple(sorted(set(addresses)))
 
@@ -82,6 +93,7 @@
 
     async def handle_hello(self, message: Message) -> Message:
         """Handle the bootstrap query of another replica."""
+        self._peers.note_heard(message.get("address"))
         return to_message(self._hello())
 
     def _hello(self) -> Hello:
@@ -104,28 +116,35 @@
                 await core.timer.sleep(RETRY_DELAY_S)
 
     def _can_create_cluster(self, hellos: dict[str, Hello]) -> bool:
-        complete = len(hellos) == len(self._addresses)
+        complete = set(self._addresses) <= set(hellos)
         return self._may_create_cluster and self._is_listed and complete
 
     async def _query_all(self) -> dict[str, Hello]:
+        addresses = dict.fromkeys([*self._addresses, *self._peers.addresses()])
+        responses = await asyncio.gather(*(self._query(a) for a in addresses))
+        return {
+            address: hello
+            for address, hello in zip(addresses, responses, strict=True)
+            if hello is not None
+        }
+
+    async def _query(self, address: str) -> Hello | None:
+        """Return what a replica says of itself; None if it does not answer."""
         core = self._core
-
-        async def query(address: str) -> tuple[str, Hello] | None:
-            if address == core.transport.address:
-                return address, self._hello()
-            try:
-                message = await core.transport.call(
-                    address, HELLO_PATH, {}, CALL_TIMEOUT_S
-                )
-                return address, from_message(Hello, message)
-            except errors.PeerUnreachableError:
-                return None
-
-        responses = await asyncio.gather(*(query(a) for a in self._addresses))
-        return dict(response for response in responses if response is not None)
+        if address == core.transport.address:
+            return self._hello()
+        message = {"address": core.transport.address}
+        try:
+            return from_message(
+                Hello,
+                await core.transport.call(address, HELLO_PATH, message, CALL_TIMEOUT_S),
+            )
+        except errors.PeerUnreachableError:
+            return None
 
     async def _create_cluster(self, hellos: dict[str, Hello]) -> None:
         """Create the cluster; all listed replicas write the same initial state."""
+        hellos = {address: hellos[address] for address in self._addresses}
         lists = {tuple(hello.addresses) for hello in hellos.values()}
         if lists != {self._addresses}:
             events.emit(BOOTSTRAP_CONFLICT, lists=sorted(map(list, lists)))
@@ -162,32 +181,62 @@
         """
         core = self._core
         while True:
-            await core.timer.sleep(REJOIN_AFTER_S)
+            await core.timer.sleep(REJOIN_PERIOD_S)
             elapsed_s = core.timer.now_s() - core.leader_contact_s
-            if core.cluster and core.leadership is None and elapsed_s > REJOIN_AFTER_S:
+            is_out = core.leadership is None and elapsed_s > REJOIN_AFTER_S
+            if core.cluster and is_out:
                 await self._join()
 
     async def _join(self) -> None:
-        """Ask all configured replicas, and the leader they name, for admission.
+        """Ask all known replicas, and those that they name, for admission.
 
-        The leader may have an address that is not configured.
+        They are asked side by side, since some of them may be gone. One that does not
+        know the leader may know other members.
         """
-        core = self._core
-        message = {"identity": core.identity, "address": core.transport.address}
-        addresses = [a for a in self._addresses if a != core.transport.address]
-        queried: set[str] = set()
-        while addresses:
-            address = addresses.pop(0)
-            queried.add(address)
-            try:
-                response = await core.transport.call(
-                    address, JOIN_PATH, message, CALL_TIMEOUT_S
+        addresses = self._peers.addresses()
+        asked: set[str] = {self._core.transport.address}
+        pending: set[asyncio.Task[list[str]]] = set()
+        has_joined = False
+        try:
+            while not has_joined:
+                for address in addresses:
+                    if address not in asked and len(asked) <= MAX_ASKED:
+                        asked.add(address)
+                        pending.add(asyncio.ensure_future(self._ask_to_join(address)))
+                if not pending:
+                    return
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
                 )
-            except errors.PeerUnreachableError:
-                continue
-            if response.get("joined"):
-                events.emit(LEARNER_JOINED, **message)
-                return
-            leader = response.get("leader")
-            if leader and leader not in queried:
-                addresses.insert(0, leader)
+                addresses = [a for task in done for a in task.result()]
+                has_joined = self._core.transport.address in addresses
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def _ask_to_join(self, address: str) -> list[str]:
+        """Ask a replica for admission.
+
+        Returns:
+          Where to ask next; the own address once this replica is admitted.
+        """
+        core = self._core
+        own = core.transport.address
+        joining = {"identity": core.identity, "address": own}
+        message = {**joining, "cluster": core.cluster}
+        try:
+            response = await core.transport.call(
+                address, JOIN_PATH, message, CALL_TIMEOUT_S
+            )
+        except errors.PeerUnreachableError:
+            return []
+        if response.get("joined"):
+            events.emit(LEARNER_JOINED, **joining)
+            return [own]
+        if response.get("leader"):
+            return [response["leader"]]
+        hello = await self._query(address)
+        is_same_cluster = hello is not None and hello.cluster in ("", core.cluster)
+        if hello is None or (core.cluster and not is_same_cluster):
+            return []
+        return [a for a in hello.voters.values() if a != own]
--- a/endivesill/control/remote.py
+++ b/endivesill/control/remote.py
@@ -5,7 +5,7 @@
 import itertools
 import json
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from endivesill import errors
 from endivesill.control.batching import ProposalBatcher
@@ -40,6 +40,7 @@
       transport: used to call replicas.
       addresses: peer addresses of the control VMs.
       leader_hint: returns the leader's peer address if this process knows it.
+      more_addresses: returns further addresses of control VMs.
     """
 
     def __init__(
@@ -48,11 +49,13 @@
         transport: PeerTransport,
         addresses: tuple[str, ...],
         leader_hint: Callable[[], str | None] = lambda: None,
+        more_addresses: Callable[[], Iterable[str]] = lambda: (),
     ) -> None:
         self._timer = timer
         self._transport = transport
         self._addresses = list(addresses)
         self._leader_hint = leader_hint
+        self._more_addresses = more_addresses
         self._leader: str | None = None
         self._address_index = 0
         self._client_id = uuid.uuid4().hex
@@ -164,8 +167,9 @@
         known = self._leader_hint() or self._leader
         if known is not None and known != last_address:
             return known
-        self._address_index = (self._address_index + 1) % len(self._addresses)
-        return self._addresses[self._address_index]
+        addresses = list(dict.fromkeys([*self._addresses, *self._more_addresses()]))
+        self._address_index = (self._address_index + 1) % len(addresses)
+        return addresses[self._address_index]
 
     def _remember_leader(self, address: str | None) -> None:
         self._leader = address
--- a/endivesill/control/replica.py
+++ b/endivesill/control/replica.py
@@ -16,6 +16,7 @@
 from endivesill.control.entries import EntryKind, Proposal
 from endivesill.control.events import REPLICA_STARTED
 from endivesill.control.follower import Follower
+from endivesill.control.known_peers import KnownPeers
 from endivesill.control.leadership import Leadership
 from endivesill.control.machine import Applied
 from endivesill.control.messages import (
@@ -101,8 +102,13 @@
         self._election = Election(self._core)
         self._follower = Follower(self._core)
         self._snapshotter = Snapshotter(self._core)
+        self._peers = KnownPeers(
+            transport.address,
+            addresses,
+            lambda: self._core.voter_set.members.values(),
+        )
         self._bootstrap = Bootstrap(
-            self._core, addresses, may_create_cluster=may_create_cluster
+            self._core, addresses, self._peers, may_create_cluster=may_create_cluster
         )
         self._voter_manager = VoterManager(self._core)
         self._repair = (
@@ -111,7 +117,11 @@
             else None
         )
         self._client = RemoteControlClient(
-            timer, transport, addresses, self._core.active_leader_address
+            timer,
+            transport,
+            addresses,
+            self._core.active_leader_address,
+            self._peers.addresses,
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._newest_fields: dict[str, Callable[[], Any]] = {}
@@ -169,6 +179,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._storage.close()
 
+    def use_seeds(self, addresses: tuple[str, ...]) -> None:
+        """Look for the cluster at other control VMs than those of the start."""
+        self._peers.seeds = addresses
+
     def _handle_sync(self) -> None:
         if self._core.leadership is not None:
             self._core.leadership.handle_sync()
@@ -287,6 +301,8 @@
                 request: Any = from_message(kind, message)
             except errors.PeerUnreachableError as error:
                 return {"refused": str(error)}
+            # The leader may write to a replica whose disk was lost since.
+            self._peers.note_heard(getattr(request, "address", None))
             if request.to != core.identity:
                 return {"refused": "another replica answers here"}
             if core.cluster and request.cluster != core.cluster:
--- a/endivesill/control/voter_manager.py
+++ b/endivesill/control/voter_manager.py
@@ -145,8 +145,11 @@
 
         Raises:
           NotLeaderError: this replica does not lead.
+          UnsafeChangeError: it belongs to another cluster.
         """
         identity, address = message["identity"], message["address"]
+        if message.get("cluster", "") not in ("", self._core.cluster):
+            raise errors.UnsafeChangeError(f"{address} is in another cluster")
         async with self._lock:
             await self._add_learner(identity, address)
         return {"joined": True}
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -73,8 +73,7 @@
 async def run_control(settings: NodeSettings, timer: TimerService) -> None:
     """Run a control process until SIGTERM or SIGINT."""
     stop = StopSignal(timer)
-    # The replica uses the seeds only until it has state; a change is only logged.
-    SettingsWatcher(timer, lambda changed: None)
+    SettingsWatcher(timer, lambda changed: replica.use_seeds(changed.seed_peers))
     transport = LinkPeerTransport(timer, settings.peer_address, settings.memory_bytes)
     disk = TimedDisk(settings.data_folder, timer)
     replica = ControlReplica(
--- a/tests/test_control_repair.py
+++ b/tests/test_control_repair.py
@@ -51,6 +51,23 @@
             await self.timer.advance(0.1)
         raise AssertionError(f"voters are {voters}")
 
+    async def replace(self, old: str, new: str) -> None:
+        """Start an empty replica and stop another one for good, as planned."""
+        voters = (await self.leader()).core.voter_set.voters.values()
+        await self.boot(new, MemoryDisk())
+        await self.timer.advance(2.0)
+        await self.run(self.replicas[old].stop())
+        self.network.remove(old)
+        del self.replicas[old]
+        await self.wait_for_voters([new, *(a for a in voters if a != old)])
+
+    async def freeze(self, address: str) -> None:
+        """Isolate a replica that does not lead until it has lost its seat."""
+        if self.leader_address() == address:
+            await self.run(self.replicas[address].transfer_leadership())
+        self.network.isolate(address)
+        await self.timer.advance(5.5)
+
     def leader_address(self) -> str:
         return next(a for a, r in self.replicas.items() if r.is_leader)
 
@@ -216,3 +233,97 @@
         await cluster.timer.advance(10.0)
         section = cluster.replicas[old].state.section("test")
         self.assertEqual(3, section.get("c"))
+
+
+class SearchTest(ClusterTestCase):
+    """A replica that is out finds its cluster though the VMs were exchanged.
+
+    Guards against a replica that was dropped while it stood still and never rejoined:
+    it asked only the seeds of its start, which had been replaced.
+    """
+
+    new_addresses = ("10.0.0.6:7000", "10.0.0.7:7000", "10.0.0.8:7000")
+
+    async def cluster(self) -> SelfRepairingCluster:
+        """Return a cluster whose first seeds have all been replaced."""
+        cluster = SelfRepairingCluster()
+        self.addAsyncCleanup(cluster.close)
+        await cluster.grow()
+        for old, new in zip(cluster.seeds, self.new_addresses, strict=True):
+            await cluster.replace(old, new)
+        return cluster
+
+    async def drop(self, cluster: SelfRepairingCluster, address: str) -> None:
+        """Drop a replica from the voters while it does not answer."""
+        cluster.seeds = tuple(a for a in cluster.replicas if a != address)[:3]
+        await cluster.boot("10.0.0.9:7000", MemoryDisk())
+        await cluster.timer.advance(1.0)
+        await cluster.freeze(address)
+        await cluster.leader(among=[a for a in cluster.replicas if a != address])
+        self.assertNotIn(address, self.member_addresses(cluster))
+
+    def member_addresses(self, cluster: SelfRepairingCluster) -> list[str]:
+        core = next(r.core for r in cluster.replicas.values() if r.is_leader)
+        return list(core.voter_set.members.values())
+
+    async def wait_until_member(self, cluster, address: str) -> None:
+        await cluster.timer.advance(CATCH_UP_S)
+        self.assertIn(address, self.member_addresses(cluster))
+        self.assertEqual(
+            (await cluster.leader()).core.commit_index,
+            cluster.replicas[address].core.commit_index,
+        )
+
+    async def test_by_the_members_that_its_log_names(self):
+        cluster = await self.cluster()
+        dropped = cluster.addresses[3]
+        await self.drop(cluster, dropped)
+        cluster.network.heal()
+        await self.wait_until_member(cluster, dropped)
+
+    async def test_by_the_seeds_of_its_new_settings(self):
+        """All members that its log names have been replaced as well."""
+        cluster = SelfRepairingCluster()
+        self.addAsyncCleanup(cluster.close)
+        await cluster.grow()
+        dropped = cluster.addresses[3]
+        await self.drop(cluster, dropped)
+        numbers = itertools.count(11)
+        for old in [a for a in cluster.replicas if a != dropped]:
+            new = f"10.0.0.{next(numbers)}:7000"
+            cluster.seeds = tuple(self.member_addresses(cluster))
+            await cluster.replace(old, new)
+        cluster.network.heal()
+        seeds = tuple(a for a in cluster.replicas if a != dropped)[:3]
+        cluster.replicas[dropped].use_seeds(seeds)
+        await self.wait_until_member(cluster, dropped)
+
+    async def test_an_empty_replica_by_a_leader_that_writes_to_its_address(self):
+        cluster = await self.cluster()
+        lost = cluster.addresses[4]
+        await cluster.crash(lost)
+        # The seeds of its settings are those of the first start.
+        await cluster.boot(lost, MemoryDisk())
+        await self.wait_until_member(cluster, lost)
+
+    async def test_by_a_replica_that_knows_no_leader_but_other_members(self):
+        cluster = await self.cluster()
+        dropped = cluster.addresses[3]
+        await self.drop(cluster, dropped)
+        # One address, of a follower that has not heard from the leader yet.
+        replica = cluster.replicas[dropped]
+        replica.core._voter_sets[:] = [(0, type(replica.core.voter_set)())]
+        leader = cluster.leader_address()
+        known = next(a for a in cluster.replicas if a not in (dropped, leader))
+        cluster.network.heal()
+        cluster.network.cut(leader, known)
+        replica.use_seeds((known,))
+        await cluster.timer.advance(CATCH_UP_S)
+        self.assertIn(dropped, self.member_addresses(cluster))
+
+    async def test_it_stays_out_of_another_cluster(self):
+        cluster = await self.cluster()
+        leader = await cluster.leader()
+        message = {"identity": "x", "address": "10.0.0.20:7000", "cluster": "other"}
+        with self.assertRaises(errors.UnsafeChangeError):
+            await leader._voter_manager.handle_join(message)
