Give the seat of a control VM that stops to one that has caught up

Cause: a voter that stops kept its seat until the leader had missed it for 3 s.

Change: a process that stops asks the leader to hand its seat to a learner, which is promoted first, once it has all that is committed. Without a learner the voter keeps its seat, as it may just restart. A voter without contact is dropped after 1 s where a learner is ready, and its successor follows in the same check. A voter too many is dropped without a learner.

--- a/endivesill/control/bootstrap.py
+++ b/endivesill/control/bootstrap.py
@@ -72,6 +72,9 @@
       peers: where to look for an existing cluster.
       may_create_cluster: whether a replica with an empty disk may take part in the
         creation of a cluster; if not, its disk was lost and it only joins.
+
+    Attributes:
+      is_stopping: whether the process stops, so that it does not join again.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
     ) -> None:
         self._core = core
         self._peers = peers
+        self.is_stopping = False
         self._may_create_cluster = may_create_cluster
         self._addresses = tuple(sorted(set(addresses)))
 
@@ -184,7 +188,7 @@
             await core.timer.sleep(REJOIN_PERIOD_S)
             elapsed_s = core.timer.now_s() - core.leader_contact_s
             is_out = core.leadership is None and elapsed_s > REJOIN_AFTER_S
-            if core.cluster and is_out:
+            if core.cluster and is_out and not self.is_stopping:
                 await self._join()
 
     async def _join(self) -> None:
--- a/endivesill/control/remote.py
+++ b/endivesill/control/remote.py
@@ -41,6 +41,9 @@
       addresses: peer addresses of the control VMs.
       leader_hint: returns the leader's peer address if this process knows it.
       more_addresses: returns further addresses of control VMs.
+
+    Attributes:
+      timer: the argument.
     """
 
     def __init__(
@@ -51,7 +54,7 @@
         leader_hint: Callable[[], str | None] = lambda: None,
         more_addresses: Callable[[], Iterable[str]] = lambda: (),
     ) -> None:
-        self._timer = timer
+        self.timer = timer
         self._transport = transport
         self._addresses = list(addresses)
         self._leader_hint = leader_hint
@@ -124,7 +127,7 @@
           UnavailableError: no attempt had an effect.
           OutcomeUnknownError: an attempt may have had an effect.
         """
-        deadline_s = self._timer.now_s() + timeout_s
+        deadline_s = self.timer.now_s() + timeout_s
         if attempt_timeout_s is None:
             attempt_timeout_s = min(
                 ATTEMPT_TIMEOUT_S, ATTEMPT_TIMEOUT_RATIO * timeout_s
@@ -134,7 +137,7 @@
         redirects = 0
         address: str | None = None
         while True:
-            remaining_s = deadline_s - self._timer.now_s()
+            remaining_s = deadline_s - self.timer.now_s()
             if remaining_s <= 0:
                 break
             address = self._next_address(address)
@@ -156,7 +159,7 @@
             redirects = redirects + 1 if redirected else 0
             if redirects in (0, MAX_REDIRECTS):
                 redirects = 0
-                await self._timer.sleep(min(backoff_s, remaining_s))
+                await self.timer.sleep(min(backoff_s, remaining_s))
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
         if may_have_run:
             raise errors.OutcomeUnknownError(f"no answer within {timeout_s} s")
--- a/endivesill/control/replica.py
+++ b/endivesill/control/replica.py
@@ -36,13 +36,13 @@
     QUERY_PATH,
     RemoteControlClient,
 )
-from endivesill.control.repair import VoterRepair
+from endivesill.control.repair import LEAVE_PATH, VoterRepair
 from endivesill.control.settings import ControlSettings
 from endivesill.control.snapshotter import Snapshotter
 from endivesill.control.storage import ReplicaStorage
 from endivesill.control.voter_manager import VOTERS_PATH, VoterManager
 from endivesill.control.voters import VoterOperations
-from endivesill.control.wire import error_to_message
+from endivesill.control.wire import with_error_responses
 from endivesill.peers import Message, PeerTransport
 from endivesill.supervision import supervise
 from endivesill.timer import TimerService
@@ -168,6 +168,16 @@
         await self.transfer_leadership()
         await self.halt()
 
+    async def leave(self, timeout_s: float) -> bool:
+        """Offer the seat of this voter to a learner, as its process stops.
+
+        Returns:
+          Whether this replica is no longer a voter. It keeps its seat where no learner
+          is ready in time, and with a leader of an earlier version.
+        """
+        self._bootstrap.is_stopping = True
+        return await self.voters.leave(self.identity, timeout_s)
+
     async def halt(self) -> None:
         """Stop without transferring leadership and close the disk."""
         leadership = self._core.leadership
@@ -280,10 +290,12 @@
             CHUNK_PATH, self._with_recipient_check(ChunkRequest, follower.handle_chunk)
         )
         handle(HELLO_PATH, self._bootstrap.handle_hello)
-        handle(JOIN_PATH, _with_error_responses(self._voter_manager.handle_join))
-        handle(VOTERS_PATH, _with_error_responses(self._voter_manager.handle_voters))
-        handle(PROPOSE_PATH, _with_error_responses(self._handle_propose))
-        handle(QUERY_PATH, _with_error_responses(self._handle_query))
+        handle(JOIN_PATH, with_error_responses(self._voter_manager.handle_join))
+        handle(VOTERS_PATH, with_error_responses(self._voter_manager.handle_voters))
+        if self._repair is not None:
+            handle(LEAVE_PATH, with_error_responses(self._repair.handle_leave))
+        handle(PROPOSE_PATH, with_error_responses(self._handle_propose))
+        handle(QUERY_PATH, with_error_responses(self._handle_query))
         handle(NEWEST_PATH, self._handle_newest)
 
     def _with_recipient_check(
@@ -378,17 +390,3 @@
         for name, read in self._newest_fields.items():
             response[name] = read()
         return response
-
-
-def _with_error_responses(
-    respond: Callable[[Message], Awaitable[Message]],
-) -> Callable[[Message], Awaitable[Message]]:
-    """Wrap a handler so that its errors are returned as messages."""
-
-    async def handle(message: Message) -> Message:
-        try:
-            return await respond(message)
-        except errors.EndivesillError as error:
-            return error_to_message(error)
-
-    return handle
--- a/endivesill/control/voter_manager.py
+++ b/endivesill/control/voter_manager.py
@@ -166,7 +166,7 @@
                 raise errors.UnsafeChangeError(f"no replica {identity}")
             try:
                 await self._core.timer.wait_for(
-                    self._wait_until(lambda: self._is_ready(identity)),
+                    self._wait_until_caught_up(identity),
                     self._core.settings.election_timeout_s,
                 )
             except errors.DeadlineExceededError:
@@ -174,13 +174,14 @@
             await self._promote(identity)
 
     async def remove_lost(self, identity: str) -> None:
-        """Remove a lost voter or learner.
+        """Remove a voter or learner that is lost or stops.
 
         Raises:
           UnsafeChangeError: the cluster might lose its quorum.
         """
         async with self._lock:
-            await self._check_and_commit(self._core.voter_set.without(identity))
+            if identity in self._core.voter_set.members:
+                await self._check_and_commit(self._core.voter_set.without(identity))
 
     async def _change(self, operation: str, replica: str, address: str) -> str:
         """Carry out a change; return what is still missing, or the empty string."""
@@ -301,7 +302,7 @@
         voter_set = self._core.voter_set
         if identity in voter_set.voters:
             return
-        await self._wait_until(lambda: self._is_ready(identity))
+        await self._wait_until_caught_up(identity)
         await self._check_and_commit(self._core.voter_set.with_voter(identity))
 
     async def _add(self, address: str) -> None:
@@ -344,7 +345,7 @@
         if old == self._core.identity:
             await self._transfer_leadership(leadership)
         await self._add_learner(new, address)
-        await self._wait_until(lambda: self._is_ready(new))
+        await self._wait_until_caught_up(new)
         if not self._is_ready(old):
             # A lost voter is removed before the promotion. Until then the new
             # replica does not count towards the quorum, so its failure does no harm.
@@ -367,6 +368,17 @@
             raise errors.UnsafeChangeError(f"{address} is in another cluster")
         return hello.identity
 
+    async def _wait_until_caught_up(self, identity: str) -> None:
+        """Wait until a replica is ready and has all that is committed by now."""
+        index = self._core.commit_index
+
+        def has_caught_up() -> bool:
+            address = self._core.voter_set.members[identity]
+            status = self._replica_status(identity, address)
+            return status.ready and status.match_index >= index
+
+        await self._wait_until(has_caught_up)
+
     async def _wait_until(self, condition: Callable[[], bool]) -> None:
         leadership = self._require_leadership()
         while not condition():
--- a/endivesill/control/voters.py
+++ b/endivesill/control/voters.py
@@ -9,7 +9,10 @@
 
 import attrs
 
+from endivesill import errors, events
+from endivesill.control.events import VOTERS_REFUSED
 from endivesill.control.remote import RemoteControlClient
+from endivesill.control.repair import LEAVE_PATH
 from endivesill.control.voter_manager import (
     VOTERS_PATH,
     ChangeResult,
@@ -20,6 +23,7 @@
 
 CHANGE_TIMEOUT_S = 30.0
 STATUS_TIMEOUT_S = 5.0
+LEAVE_RETRY_DELAY_S = 0.2
 
 
 class VoterOperations:
@@ -30,6 +34,7 @@
     """
 
     def __init__(self, client: RemoteControlClient) -> None:
+        self._timer = client.timer
         self._client = client
 
     async def status(self, timeout_s: float = STATUS_TIMEOUT_S) -> ClusterStatus:
@@ -72,6 +77,30 @@
         """
         return await self._change("replace", replica, address, timeout_s)
 
+    async def leave(self, identity: str, timeout_s: float) -> bool:
+        """Offer the seat of a voter that stops to a learner; see `VoterRepair`.
+
+        Returns:
+          Whether the replica is no longer a voter. It keeps its seat where no learner
+          is ready in time, and with a leader of an earlier version.
+        """
+        deadline_s = self._timer.now_s() + timeout_s
+        message = {"identity": identity}
+        while (remaining_s := deadline_s - self._timer.now_s()) > 0:
+            try:
+                response = await self._client.call_leader(
+                    LEAVE_PATH, message, remaining_s
+                )
+                return response.get("left") is True
+            except errors.UnsafeChangeError as error:
+                # The learner may still catch up.
+                events.emit(VOTERS_REFUSED, operation="leave", reason=str(error))
+                await self._timer.sleep(LEAVE_RETRY_DELAY_S)
+            except errors.EndivesillError as error:
+                events.emit(VOTERS_REFUSED, operation="leave", reason=str(error))
+                return False
+        return False
+
     async def _change(
         self, operation: str, replica: str, address: str, timeout_s: float
     ) -> ChangeResult:
--- a/endivesill/control/wire.py
+++ b/endivesill/control/wire.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 from endivesill import errors
 from endivesill.peers import Message
 
-__all__ = ["error_to_message", "raise_command_failure", "raise_error"]
+__all__ = [
+    "error_to_message",
+    "raise_command_failure",
+    "raise_error",
+    "with_error_responses",
+]
+
+Handler = Callable[[Message], Awaitable[Message]]
 
 _KINDS: dict[str, type[errors.EndivesillError]] = {
     kind.__name__: kind
@@ -48,3 +57,15 @@
     name = outcome.get("failure")
     if name is not None:
         raise _KINDS.get(name, errors.EndivesillError)(outcome.get("text", name))
+
+
+def with_error_responses(respond: Handler) -> Handler:
+    """Wrap a handler so that its errors are returned as messages."""
+
+    async def handle(message: Message) -> Message:
+        try:
+            return await respond(message)
+        except errors.EndivesillError as error:
+            return error_to_message(error)
+
+    return handle
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -161,7 +161,9 @@
     events.emit(events.PROCESS_STOPPING, vm=settings.vm, active=active)
     await replica.transfer_leadership()
     max_wait_s = LAST_CALLS_FRACTION * settings.bounds.grace_s
-    cut = await close_listener(listener, max_wait_s)
+    _, cut = await asyncio.gather(
+        replica.leave(max_wait_s), close_listener(listener, max_wait_s)
+    )
     for task in tasks:
         task.cancel()
     await replica.halt()
@@ -184,6 +186,8 @@
         f"endivesill_control_term {core.term}",
         f"endivesill_control_leads {int(replica.is_leader)}",
         f"endivesill_control_voters {len(core.voter_set.voters)}",
+        f"endivesill_control_learners {len(core.voter_set.learners)}",
+        f"endivesill_control_is_voter {int(core.is_voter)}",
         f"endivesill_control_commit_index {core.commit_index}",
         f"endivesill_control_apply_lag {lag}",
         f"endivesill_control_last_index {core.log.last_index}",
--- a/tests/test_control_repair.py
+++ b/tests/test_control_repair.py
@@ -1,16 +1,25 @@
 """Tests of the automatic repair of the voter set."""
 
+import asyncio
 import itertools
 
 import attrs
 
 from endivesill import errors
-from endivesill.control import ControlReplica, ControlSettings, MemoryDisk
+from endivesill.control import (
+    ControlReplica,
+    ControlSettings,
+    MemoryDisk,
+    RemoteControlClient,
+)
+from endivesill.control.repair import LEAVE_PATH
 from tests.control_cluster import SETTINGS, Cluster, ClusterTestCase
 
 DESIRED_VOTERS = 5
 # The platform treats a new or returned machine as lost for this time.
 CATCH_UP_S = 4.0
+# Time that a process takes at most to leave.
+LEAVE_TIMEOUT_S = 2.0
 
 
 class SelfRepairingCluster(Cluster):
@@ -61,6 +70,19 @@
         del self.replicas[old]
         await self.wait_for_voters([new, *(a for a in voters if a != old)])
 
+    async def leave(self, address: str) -> bool:
+        """Stop a replica as its process does on SIGTERM; return whether it has left."""
+        replica = self.replicas[address]
+        await self.run(replica.transfer_leadership())
+        has_left = await self.run(replica.leave(LEAVE_TIMEOUT_S))
+        await self.crash(address)
+        return has_left
+
+    def voters(self) -> list[str]:
+        """Return the addresses of the voters, as the leader has them."""
+        core = next(r.core for r in self.replicas.values() if r.is_leader)
+        return sorted(core.voter_set.voters.values())
+
     async def freeze(self, address: str) -> None:
         """Isolate a replica that does not lead until it has lost its seat."""
         if self.leader_address() == address:
@@ -327,3 +349,139 @@
         message = {"identity": "x", "address": "10.0.0.20:7000", "cluster": "other"}
         with self.assertRaises(errors.UnsafeChangeError):
             await leader._voter_manager.handle_join(message)
+
+
+class LeavingTest(ClusterTestCase):
+    """VMs are replaced as planned: the new one first, then the old one stops.
+
+    Guards against a majority that counts VMs which are gone for good: a voter that
+    stopped kept its seat for 3 s, beside learners that had the whole log.
+    """
+
+    new_addresses = ("10.0.0.6:7000", "10.0.0.7:7000", "10.0.0.8:7000")
+
+    async def cluster(self, learners: int) -> SelfRepairingCluster:
+        """Return a cluster with learners that have caught up."""
+        cluster = SelfRepairingCluster()
+        self.addAsyncCleanup(cluster.close)
+        await cluster.grow()
+        await cluster.put(cluster.client(), "a", 1)
+        for address in self.new_addresses[:learners]:
+            await cluster.boot(address, MemoryDisk())
+            await cluster.timer.advance(2.0)
+        return cluster
+
+    async def assert_readable(self, cluster: SelfRepairingCluster) -> None:
+        client = RemoteControlClient(
+            cluster.timer,
+            cluster.network.transport("10.0.1.99:7000"),
+            tuple(cluster.replicas),
+        )
+        self.assertEqual(1, await cluster.get(client, "a"))
+
+    def followers(self, cluster: SelfRepairingCluster) -> list[str]:
+        return [a for a in cluster.voters() if a != cluster.leader_address()]
+
+    async def test_two_disks_are_lost_right_after_a_planned_removal(self):
+        cluster = await self.cluster(learners=1)
+        old, *others = self.followers(cluster)
+        self.assertTrue(await cluster.leave(old))
+        self.assertIn(self.new_addresses[0], cluster.voters())
+        self.assertEqual(DESIRED_VOTERS, len(cluster.voters()))
+        for address in others[:2]:
+            await cluster.crash(address)
+            await cluster.boot(address, MemoryDisk())
+        await self.assert_readable(cluster)
+
+    async def test_three_planned_removals_in_series(self):
+        cluster = await self.cluster(learners=3)
+        for old in self.followers(cluster)[:3]:
+            self.assertTrue(await cluster.leave(old))
+        for address in self.new_addresses:
+            self.assertIn(address, cluster.voters())
+        await self.assert_readable(cluster)
+
+    async def test_three_planned_removals_of_the_leader_in_series(self):
+        cluster = await self.cluster(learners=3)
+        for _ in range(3):
+            leader = cluster.address_of(await cluster.leader())
+            self.assertTrue(await cluster.leave(leader))
+        await cluster.leader()
+        self.assertEqual(DESIRED_VOTERS, len(cluster.voters()))
+        await self.assert_readable(cluster)
+
+    async def test_three_voters_that_stop_at_the_same_time(self):
+        """Guards against one successor for several voters."""
+        cluster = await self.cluster(learners=1)
+        stopping = self.followers(cluster)[:3]
+        has_left = await cluster.run(
+            asyncio.gather(
+                *(cluster.replicas[a].leave(LEAVE_TIMEOUT_S) for a in stopping)
+            )
+        )
+        self.assertEqual([False, False, True], sorted(has_left))
+        self.assertEqual(DESIRED_VOTERS, len(cluster.voters()))
+
+    async def test_a_voter_keeps_its_seat_where_there_is_no_learner(self):
+        """All VMs are restarted, one after the other."""
+        cluster = await self.cluster(learners=0)
+        for address in cluster.addresses:
+            self.assertFalse(await cluster.leave(address))
+            await cluster.boot(address)
+            await cluster.wait_for_voters(cluster.addresses)
+        await self.assert_readable(cluster)
+
+    async def test_restarted_voters_return_as_learners_beside_a_new_vm(self):
+        cluster = await self.cluster(learners=1)
+        for address in cluster.addresses:
+            await cluster.leave(address)
+            await cluster.boot(address)
+            await cluster.timer.advance(CATCH_UP_S)
+            self.assertEqual(DESIRED_VOTERS, len(cluster.voters()))
+        await self.assert_readable(cluster)
+
+    async def test_a_learner_that_lags_gets_no_seat(self):
+        cluster = await self.cluster(learners=1)
+        learner = self.new_addresses[0]
+        # Answers, but has not got what was committed since.
+        cluster.replicas[learner]._core.log.wait_synced = asyncio.Event().wait
+        await cluster.put(cluster.client(), "a", 1)
+        old = self.followers(cluster)[0]
+        self.assertFalse(await cluster.leave(old))
+        self.assertNotIn(learner, cluster.voters())
+
+    async def test_a_learner_that_stops_gets_no_seat(self):
+        cluster = await self.cluster(learners=1)
+        learner = cluster.replicas[self.new_addresses[0]]
+        self.assertTrue(await cluster.run(learner.leave(LEAVE_TIMEOUT_S)))
+        await cluster.timer.advance(1.5)
+        old = self.followers(cluster)[0]
+        self.assertFalse(await cluster.leave(old))
+
+    async def test_a_leader_of_an_earlier_version_does_not_know_the_call(self):
+        cluster = await self.cluster(learners=1)
+        leader = cluster.leader_address()
+        del cluster.replicas[leader].core.transport.handlers[LEAVE_PATH]
+        self.assertFalse(await cluster.leave(self.followers(cluster)[0]))
+
+    async def test_a_voter_that_is_killed_is_replaced_before_its_successor_counts(
+        self,
+    ):
+        """The successor started 2 s before, as the users' planned work has it."""
+        cluster = await self.cluster(learners=1)
+        old = self.followers(cluster)[0]
+        await cluster.crash(old)
+        await cluster.timer.advance(CATCH_UP_S - 2.0)
+        self.assertNotIn(old, cluster.voters())
+        self.assertIn(self.new_addresses[0], cluster.voters())
+
+    async def test_a_voter_too_many_is_dropped_without_a_learner(self):
+        """A leader may end between the two steps of a replacement."""
+        cluster = await self.cluster(learners=1)
+        leader = await cluster.leader()
+        learner = cluster.replicas[self.new_addresses[0]].identity
+        await cluster.run(leader._voter_manager.promote(learner))
+        self.assertEqual(DESIRED_VOTERS + 1, len(cluster.voters()))
+        await cluster.crash(self.followers(cluster)[0])
+        await cluster.timer.advance(2.0)
+        self.assertEqual(DESIRED_VOTERS, len(cluster.voters()))
