Take no bytes with an impossible status for an answer

Statuses above 599 were passed on.

Cause: the client took each status below 200 for an interim response, dropped its head and kept its body; the parser lets any three digits pass.

Change: 100 to 199 without a body is interim, 200 to 599 is final, and all else closes the connection; the run counts as unknown. All readers of statuses get theirs from this client. The head that another entry passes on is checked again.

--- a/endivesill/forwarding/proxy_messages.py
+++ b/endivesill/forwarding/proxy_messages.py
@@ -18,6 +18,7 @@
     SendFailure,
     UpstreamError,
     encode_head,
+    is_final_status,
     strip_hop_by_hop,
 )
 
@@ -208,7 +209,7 @@
     if failure:
         raise _send_error(failure, is_refused=head.header(REFUSED) == b"1")
     status = head.header(STATUS)
-    if not (status.isdigit() and len(status) == 3):
+    if not (status.isdigit() and len(status) == 3 and is_final_status(int(status))):
         raise ProxyLostError(f"no status: {status!r}", sent=True)
     headers = [
         (name, value)
--- a/endivesill/http1/__init__.py
+++ b/endivesill/http1/__init__.py
@@ -12,6 +12,7 @@
 from endivesill.http1.head import Headers, encode_head, header_value, strip_hop_by_hop
 from endivesill.http1.listener import HttpListener
 from endivesill.http1.pool import ConnectionPool
+from endivesill.http1.response import is_final_status
 from endivesill.http1.sending import SendError, SendFailure, send_request
 from endivesill.http1.server import ServerConnection
 
@@ -32,6 +33,7 @@
     "close_listener",
     "encode_head",
     "header_value",
+    "is_final_status",
     "send_request",
     "strip_hop_by_hop",
 ]
--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -15,7 +15,11 @@
 
 from endivesill import errors
 from endivesill.http1.head import Headers, header_value, header_values
-from endivesill.http1.response import ReceivedResponse, ResponseHead
+from endivesill.http1.response import (
+    ReceivedResponse,
+    ResponseHead,
+    is_final_status,
+)
 from endivesill.http1.sockets import set_socket_options
 from endivesill.timer import TimerService
 
@@ -36,6 +40,7 @@
 MAX_FRAMING_BYTES = 65_536
 # Header fields and trailer fields of one response.
 MAX_HEADER_FIELDS = 256
+INTERIM_STATUSES = range(100, 200)
 # Responses received in one exchange, including those to other requests.
 MAX_RESPONSES = 4
 # Subtracted from the idle timeout that the peer announces, so that no request is
@@ -135,18 +140,25 @@
                 self._exceed("framing bytes")
         self._updated.set()
 
-    def _exceed(self, bound: str) -> UpstreamError:
-        """Close the connection because the peer sends more than a response may have.
+    def _reject(self, reason: str) -> UpstreamError:
+        """Close the connection because of what the peer sends.
 
         Returns:
           The error to raise, which also ends the parsing of the received data.
         """
-        bounds_exceeded[bound] += 1
-        reason = f"the response exceeds the bound on {bound}"
         self._fail(reason)
         self._invalidate()
         return UpstreamError(reason, sent=True)
 
+    def _exceed(self, bound: str) -> UpstreamError:
+        """Close the connection because the peer sends more than a response may have.
+
+        Returns:
+          The error to raise, which also ends the parsing of the received data.
+        """
+        bounds_exceeded[bound] += 1
+        return self._reject(f"the response exceeds the bound on {bound}")
+
     def eof_received(self) -> bool:
         """Handle the end of the stream; it completes a response without framing."""
         self._handle_disconnect(is_eof=True)
@@ -207,12 +219,18 @@
         fields.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Store the head; an interim response (1xx) is dropped."""
+        """Store the head; an interim response (1xx) is dropped.
+
+        Raises:
+          UpstreamError: the status is no HTTP status; ends the parsing.
+        """
         response = self._responses[-1]
         status = self._parser.get_status_code()
-        if status < 200:
+        if status in INTERIM_STATUSES:
             response.headers = []
             return
+        if not is_final_status(status):
+            raise self._reject(f"no HTTP answer: status {status:03}")
         lengths = header_values(response.headers, b"content-length")
         codings = header_values(response.headers, b"transfer-encoding")
         framed = bool(lengths or codings) or status in (204, 304)
@@ -235,8 +253,15 @@
                 self.peer_idle_timeout_s = max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
 
     def on_body(self, body: bytes) -> None:
-        """Buffer a part of the body; pause reading above the limit."""
+        """Buffer a part of the body; pause reading above the limit.
+
+        Raises:
+          UpstreamError: an interim response has a body; ends the parsing.
+        """
         response = self._responses[-1]
+        if response.head is None:
+            # It would become the start of the body of the final response.
+            raise self._reject("no HTTP answer: an interim response with a body")
         self._body_bytes_fed += len(body)
         if response.is_complete:
             return
--- a/endivesill/http1/response.py
+++ b/endivesill/http1/response.py
@@ -8,7 +8,16 @@
 
 from endivesill.http1.head import Headers, header_value
 
-__all__ = ["ReceivedResponse", "ResponseHead"]
+__all__ = ["ReceivedResponse", "ResponseHead", "is_final_status"]
+
+# RFC 9110, section 15: an interim status is below, and none is above.
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a status may end an exchange; other ones are no answer."""
+    return MIN_FINAL_STATUS <= status <= MAX_STATUS
 
 
 @attrs.frozen
--- a/tests/test_forwarding_faulty_engines.py
+++ b/tests/test_forwarding_faulty_engines.py
@@ -171,3 +171,44 @@
 
     async def test_a_stream(self):
         await self.check("/stream/x", "llm", b"", EVENTS)
+
+
+class InvalidStatusTest(FaultyEngineTestCase):
+    """Guards against bytes with the status 000 that reach a caller as an answer."""
+
+    async def add_faulty(self, service, status, framing, body):
+        """Add an engine whose bytes have an invalid status and then an answer."""
+        own = f"{ATTEMPT_ID}: ".encode()
+        answer = HEAD + b"ok" if service == "app" else HEAD + EVENTS
+
+        def respond(number, attempt_id):
+            engine.runs.append(attempt_id)
+            invalid = b"HTTP/1.1 %b Trouble\r\n%b%b\r\n" % (status, own, attempt_id)
+            length = LENGTH if service == "app" else b""
+            return invalid + framing + b"\r\n" + body + answer % (attempt_id, length)
+
+        engine = await self.add_scripted(service, respond)
+        return engine
+
+    async def check(self, path, service, statuses):
+        for status in (b"000", b"099", b"600", b"999"):
+            for framing, body in ((LENGTH, b"xx"), (b"", b"")):
+                self.view.engines.clear()
+                engine = await self.add_faulty(service, status, framing, body)
+                head, received = await self.send(path, b"a1")
+                self.assertIn(head.status, statuses)
+                self.assertEqual(b"", received)
+                self.assertEqual([b"a1"], engine.runs)
+
+    async def test_an_unsafe_request(self):
+        await self.check("/unsafe/x", "app", [502])
+
+    async def test_a_stream(self):
+        await self.check("/stream/x", "llm", [502])
+
+    async def test_a_safe_request_is_sent_to_another_engine(self):
+        await self.add_faulty("app", b"000", LENGTH, b"xx")
+        await self.add_engines("app", "e1")
+        for number in range(8):
+            head, body = await self.send("/safe/x", b"n%d" % number)
+            self.assertEqual((200, b"e1"), (head.status, body))
--- a/tests/test_forwarding_proxy.py
+++ b/tests/test_forwarding_proxy.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import random
+import unittest
 from unittest import mock
 
 from endivesill.fleet.entry_peers import EntryPeer
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.sync_client import FleetView
 from endivesill.forwarding import proxy_client, target_client, target_links
-from endivesill.forwarding.proxy_messages import ProxyRequest, encode_proxy_request
+from endivesill.forwarding.proxy_messages import (
+    STATUS,
+    ProxyLostError,
+    ProxyRequest,
+    decode_proxy_head,
+    encode_proxy_request,
+)
 from endivesill.forwarding.proxy_service import ProxyService
 from endivesill.forwarding.target_links import TargetLinks
 from endivesill.forwarding.targets import TargetTable
-from endivesill.http1 import ConnectionPool, UpstreamError
+from endivesill.http1 import ConnectionPool, ResponseHead, UpstreamError
 from endivesill.platform.engines import PlatformProtocol
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 
@@ -407,3 +414,19 @@
         self.assertEqual([3, 3, 3, 3], counts)
         for call in calls:
             call.cancel()
+
+
+class HeadTest(unittest.TestCase):
+    """Guards against an impossible status in a head that another entry passes on."""
+
+    def decode(self, status: bytes):
+        return decode_proxy_head(ResponseHead(200, [(STATUS, status)], True))
+
+    def test_statuses_that_http_does_not_have(self):
+        for status in (b"", b"000", b"099", b"100", b"199", b"600", b"999", b"2000"):
+            with self.subTest(status=status), self.assertRaises(ProxyLostError):
+                self.decode(status)
+
+    def test_final_statuses(self):
+        for status in (b"200", b"404", b"599"):
+            self.assertEqual(int(status), self.decode(status).status)
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -91,6 +91,49 @@
         self.assertTrue(self.transport.aborted)
 
 
+class StatusTest(ClientTestCase):
+    """Guards against bytes with an impossible status that count as an answer.
+
+    One below 200 counted as an interim response, whose body then became the start of
+    the body of the response after it; one above 599 was passed on.
+    """
+
+    async def check_refused(self, first: bytes):
+        with self.assertRaises(UpstreamError) as caught:
+            await self.exchange(first + RESPONSE)
+        self.assertTrue(caught.exception.sent)
+        self.assertTrue(self.transport.aborted)
+
+    async def test_statuses_that_http_does_not_have(self):
+        for status in (b"000", b"001", b"099", b"600", b"999"):
+            for end in (b" Trouble\r\n", b"\r\n"):
+                for framing in (b"Content-Length: 3\r\n\r\nbad", b"\r\n"):
+                    with self.subTest(status=status, end=end, framing=framing):
+                        self.setUp()
+                        await self.check_refused(b"HTTP/1.1 " + status + end + framing)
+
+    async def test_an_interim_response_with_a_body(self):
+        for status in (b"100", b"102", b"103", b"199"):
+            with self.subTest(status=status):
+                self.setUp()
+                await self.check_refused(
+                    b"HTTP/1.1 " + status + b" X\r\nContent-Length: 3\r\n\r\nbad"
+                )
+
+    async def test_an_invalid_status_after_a_response_does_not_spoil_it(self):
+        head, body = await self.exchange(RESPONSE + b"HTTP/1.1 000 X\r\n\r\n")
+        self.assertEqual((200, b"ok"), (head.status, body))
+        self.assertFalse(self.connection.end_exchange())
+
+    async def test_all_final_statuses_are_answers(self):
+        for status in range(200, 600):
+            self.setUp()
+            head, _ = await self.exchange(
+                b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+            )
+            self.assertEqual(status, head.status)
+
+
 class TruncationTest(ClientTestCase):
     """Guards against a response that is cut off anywhere and passes for a whole one."""
 
