Bound what a process holds of bodies that engines send without end

An entry went beyond its memory, with which all its callers' requests end (LOST): engines sent bodies without end.

Cause: up to 512 KB for each answer, and an object for each piece of a body.

Change: the body is one array of at most 64 KB unread bytes; 64 KB are received at a time, into one buffer. Reports and health checks are read up to 64 KB, as all engines are read at once. Answers on the daemon's peer port are bounded.

--- a/endivesill/http1/client.py
+++ b/endivesill/http1/client.py
@@ -31,8 +31,10 @@
     "bounds_exceeded",
 ]
 
+# Bytes that are received at a time; each connection may hold as many beyond a bound.
+RECEIVE_BYTES = 65_536
 # Unread body bytes above which reading from the connection is paused.
-MAX_BUFFERED_BYTES = 262_144
+MAX_BUFFERED_BYTES = 65_536
 # Body of a response that is read as a whole.
 MAX_BODY_BYTES = 2_097_152
 # Bytes received between two parts of a body that are not body: heads, interim
@@ -70,7 +72,12 @@
     """Ignore the head of a response."""
 
 
-class UpstreamConnection(asyncio.Protocol):
+# Received bytes are parsed before the next ones are received, so that one buffer serves
+# all connections of the process.
+_receive_buffer = bytearray(RECEIVE_BYTES)
+
+
+class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection to one peer.
 
     Args:
@@ -113,7 +120,15 @@
         self._framing_bytes = 0
         self._body_bytes_fed = 0
 
-    # asyncio.Protocol.
+    # asyncio.BufferedProtocol.
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next received bytes."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle received bytes."""
+        self.data_received(bytes(memoryview(_receive_buffer)[:nbytes]))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its socket options."""
@@ -265,9 +280,8 @@
         self._body_bytes_fed += len(body)
         if response.is_complete:
             return
-        response.body_parts.append(body)
-        response.buffered_bytes += len(body)
-        if response.buffered_bytes > MAX_BUFFERED_BYTES:
+        response.body += body
+        if len(response.body) > MAX_BUFFERED_BYTES:
             self.transport.pause_reading()
 
     def on_message_complete(self) -> None:
@@ -314,15 +328,14 @@
           UpstreamError: the connection failed before the response was complete.
         """
         response = self._responses[0]
-        while not response.body_parts:
+        while not response.body:
             if response.is_complete:
                 return b""
             await self._wait_for_more()
-        data = b"".join(response.body_parts)
-        response.body_parts.clear()
-        if response.buffered_bytes > MAX_BUFFERED_BYTES and not self._lost:
+        data = bytes(response.body)
+        response.body.clear()
+        if len(data) > MAX_BUFFERED_BYTES and not self._lost:
             self.transport.resume_reading()
-        response.buffered_bytes = 0
         return data
 
     def trailer(self, name: bytes) -> bytes:
--- a/endivesill/http1/response.py
+++ b/endivesill/http1/response.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import collections
-
 import attrs
 
 from endivesill.http1.head import Headers, header_value
@@ -49,8 +47,7 @@
       field_count: number of header and trailer fields, interim responses included.
       head: the head; None until it is complete.
       trailers: the trailer fields received so far.
-      body_parts: received parts of the body that have not been read.
-      buffered_bytes: total length of the body parts.
+      body: the received part of the body that has not been read.
       is_complete: whether the response has ended as its framing specifies.
     """
 
@@ -58,6 +55,5 @@
     field_count: int = 0
     head: ResponseHead | None = None
     trailers: Headers = attrs.Factory(list)
-    body_parts: collections.deque[bytes] = attrs.Factory(collections.deque)
-    buffered_bytes: int = 0
+    body: bytearray = attrs.Factory(bytearray)
     is_complete: bool = False
--- a/endivesill/http_peers.py
+++ b/endivesill/http_peers.py
@@ -17,10 +17,13 @@
 from endivesill.keys import KeyRing
 from endivesill.peers import Message, PeerTransport
 
-__all__ = ["HttpPeerTransport"]
+__all__ = ["MAX_BODY_BYTES", "HttpPeerTransport"]
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS_PER_PEER = 64
+# Snapshots are sent in chunks, so all messages are far smaller than this.
+MAX_BODY_BYTES = 16_777_216
+PART_BYTES = 65_536
 
 # Peers do not use these headers, which make up most of a small message.
 OMITTED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -30,6 +33,20 @@
 )
 
 
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response.
+
+    Raises:
+      ValueError: it is longer than any message.
+    """
+    body = bytearray()
+    async for part in response.content.iter_chunked(PART_BYTES):
+        body += part
+        if len(body) > MAX_BODY_BYTES:
+            raise ValueError("the response is too long")
+    return bytes(body)
+
+
 class HttpPeerTransport(PeerTransport):
     """A peer transport over HTTP with JSON and a bearer key.
 
@@ -109,7 +126,7 @@
                 headers={"Authorization": self._keys.authorization()},
                 timeout=timeout,
             ) as response:
-                body = await response.read()
+                body = await _read_bounded(response)
                 if response.status != 200:
                     raise errors.PeerUnreachableError(
                         f"{address}{path} answered {response.status}"
--- a/endivesill/platform/health.py
+++ b/endivesill/platform/health.py
@@ -15,6 +15,8 @@
 
 # A check takes a few milliseconds, and the next one follows soon.
 HEALTH_CHECK_TIMEOUT_S = 0.5
+# The body is not used.
+MAX_HEALTH_BYTES = 65_536
 
 
 def check_identity(head: ResponseHead, engine: EngineInfo) -> None:
@@ -69,7 +71,7 @@
         """Check one engine; see the base class."""
         path = self._health_path(engine.service)
         head, _ = await self._client.get_response(
-            engine.address, path, HEALTH_CHECK_TIMEOUT_S
+            engine.address, path, HEALTH_CHECK_TIMEOUT_S, MAX_HEALTH_BYTES
         )
         check_identity(head, engine)
         self._on_response(engine, head)
--- a/endivesill/platform/reports.py
+++ b/endivesill/platform/reports.py
@@ -16,6 +16,9 @@
 
 __all__ = ["PlatformReports", "decode_report"]
 
+# A report has some tens of bytes for each run; all engines are read at the same time.
+MAX_REPORT_BYTES = 65_536
+
 
 def decode_report(body: bytes, read_s: float) -> EngineReport:
     """Return the report in a response body that was read at `read_s`.
@@ -58,7 +61,7 @@
     async def read(self, engine: EngineInfo) -> EngineReport:
         """Read the report of one engine; an invalid one counts as unavailable."""
         head, body = await self._client.get_response(
-            engine.address, wire.REPORT_PATH, REPORT_TIMEOUT_S
+            engine.address, wire.REPORT_PATH, REPORT_TIMEOUT_S, MAX_REPORT_BYTES
         )
         self._on_response(engine, head)
         if head.status != 200:
--- a/tests/test_peer_port.py
+++ b/tests/test_peer_port.py
@@ -7,7 +7,7 @@
 from aiohttp import test_utils, web
 
 from endivesill import errors
-from endivesill.http_peers import HttpPeerTransport
+from endivesill.http_peers import MAX_BODY_BYTES, HttpPeerTransport
 from endivesill.keys import KeyRing
 from endivesill.peer_port import STOP_TIMEOUT_S, PeerPort
 from endivesill.timer import ManualTimer, SystemTimer
@@ -68,3 +68,25 @@
         async with test_utils.TestServer(application, host="127.0.0.1") as server:
             with self.assertRaises(errors.PeerUnreachableError):
                 await client.call(f"127.0.0.1:{server.port}", "/x", {}, 5.0)
+
+    async def test_a_response_without_end_is_a_failed_call(self):
+        """Guards against bytes without end, which were all kept."""
+        sent_bytes = 0
+
+        async def respond(request):
+            nonlocal sent_bytes
+            response = web.StreamResponse()
+            await response.prepare(request)
+            while sent_bytes < 8 * MAX_BODY_BYTES:
+                await response.write(b"x" * 1_048_576)
+                sent_bytes += 1_048_576
+            return response
+
+        application = web.Application()
+        application.router.add_post("/x", respond)
+        client = HttpPeerTransport("127.0.0.1:1", KeyRing(["a-key-for-this-test"]))
+        self.addAsyncCleanup(client.close)
+        async with test_utils.TestServer(application, host="127.0.0.1") as server:
+            with self.assertRaises(errors.PeerUnreachableError):
+                await client.call(f"127.0.0.1:{server.port}", "/x", {}, 30.0)
+        self.assertLess(sent_bytes, 2 * MAX_BODY_BYTES)
