Replace control VMs in a soak, several at a time

The soak did not show that replaced control VMs cost the majority: no profile removed one for good. The profile `replacements` starts new ones at new addresses and removes the oldest or the leader 4.2 s later, by SIGTERM, killed or killed while frozen, in series that overlap, and names other seeds each time; beside it entries are stopped and killed, and targets crash.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -2,7 +2,7 @@
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
         [--profile standard|stops|crashes|requests|limits|cuts|mass-cuts|orders|entries|
-        rollouts]
+        rollouts|replacements]
         [--entries N]
 
 Starts three control VMs and three entries, or N in each data centre, sends requests and
@@ -218,6 +218,7 @@
             "seed": self._seed,
             "faults": len(faults),
             "faults_skipped": self._injector.skipped,
+            "replaced_controls": self._injector.replaced_controls,
             "requests": len(records),
             "statuses": dict(sorted(statuses.items())),
             **self._profile.figures,
--- a/bench/platform_soak_faults.py
+++ b/bench/platform_soak_faults.py
@@ -20,6 +20,11 @@
 STANDARD = "standard"
 # By profile, where they differ: sound requests must be served between the faults.
 INTERVALS_S = {"crashes": (3.0, 6.0), "cuts": (1.0, 4.0), "mass-cuts": (4.0, 8.0)}
+# How a control VM goes that is replaced: by SIGTERM, killed, or killed while frozen.
+REMOVALS = ("stop", "stop", "kill", "freeze")
+# Time from the start of the VM that replaces it: the platform counts on the new one
+# after 4 s.
+REPLACED_AFTER_S = 4.2
 # Targets that one cut takes an entry's links to: all, a service, or a data centre.
 CUT_SCOPES = ("all", "all", "all", "app", "llm", *DATA_CENTRES)
 IMPAIRED_STATES = tuple(state for state in LinkState if state is not LinkState.OPEN)
@@ -125,7 +130,7 @@
     return "impair_list_link", "list", rng.uniform(0.5, 3.0), link
 
 
-@_register_for(STANDARD, "entries")
+@_register_for(STANDARD, "entries", "replacements")
 def _crash_target(rng: random.Random) -> tuple[str, str, float, str]:
     return "crash_target", str(rng.randrange(100)), rng.uniform(0.5, 1.5), ""
 
@@ -159,13 +164,25 @@
     return "stop", f"control-{rng.choice(DATA_CENTRES)}", rng.uniform(0.1, 1.0), ""
 
 
-@_register_for("stops", "crashes", "limits", "cuts", "mass-cuts")
+def _replace_control(rng: random.Random) -> tuple[str, str, float, str]:
+    how = rng.choice(REMOVALS)
+    # Any control VM, or the leader.
+    subject = rng.choice((str(rng.randrange(100)), "leader"))
+    return "replace_control", subject, REPLACED_AFTER_S, how
+
+
+# Half of the profile's faults, so that several replacements overlap.
+for _ in range(3):
+    _register(_replace_control, ("replacements",))
+
+
+@_register_for("stops", "crashes", "limits", "cuts", "mass-cuts", "replacements")
 def _stop_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "stop", subject, rng.uniform(0.1, 1.0), ""
 
 
-@_register_for("crashes", "limits", "cuts", "mass-cuts")
+@_register_for("crashes", "limits", "cuts", "mass-cuts", "replacements")
 def _kill_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "kill", subject, rng.uniform(0.2, 1.0), ""
--- a/bench/platform_soak_fleet.py
+++ b/bench/platform_soak_fleet.py
@@ -40,9 +40,12 @@
 # Last bytes of the addresses, before the first data centre.
 CONTROL_HOST = 10
 ENTRY_HOST = 20
+# Of control VMs that replace others.
+FURTHER_CONTROL_HOST = 200
 # Entries in one data centre that the addresses of a fleet have room for.
 MAX_ENTRIES = 78
 GRACE_S = 4.0
+MAX_SEEDS = 3
 LEADER_TIMEOUT_S = 0.3
 
 SETTINGS = """
@@ -158,6 +161,9 @@
     ) -> None:
         self._further_bounds = further_bounds
         self._list_address = list_address
+        self._folder = folder
+        self._number = number
+        self._further_controls = 0
         self.grace_s = grace_s
         self._is_first_start = True
         self.processes: dict[str, SoakProcess] = {}
@@ -170,13 +176,35 @@
                 name = f"entry-{data_centre}{extra + 1 if extra else ''}"
                 hosts[name] = ENTRY_HOST + position + extra * len(DATA_CENTRES)
             for name, host in hosts.items():
-                process_folder = folder / name
-                process_folder.mkdir(parents=True)
-                ip = f"127.{number // 256}.{number % 256}.{host}"
-                role = name.partition("-")[0]
-                self.processes[name] = SoakProcess(
-                    name, role, ip, data_centre, process_folder
-                )
+                self._add_process(name, host, data_centre)
+
+    def _add_process(self, name: str, host: int, data_centre: str) -> SoakProcess:
+        folder = self._folder / name
+        folder.mkdir(parents=True)
+        ip = f"127.{self._number // 256}.{self._number % 256}.{host}"
+        role = name.partition("-")[0]
+        process = SoakProcess(name, role, ip, data_centre, folder)
+        self.processes[name] = process
+        return process
+
+    async def add_control(self, data_centre: str) -> SoakProcess:
+        """Start a control VM with an empty disk at a new address."""
+        self._further_controls += 1
+        name = f"control-{data_centre}{self._further_controls}"
+        host = FURTHER_CONTROL_HOST + self._further_controls
+        process = self._add_process(name, host, data_centre)
+        self.launch(process)
+        await self._start_control_proxy(process)
+        return process
+
+    async def remove_control(self, process: SoakProcess) -> None:
+        """Remove a control VM for good; the settings of all others name its peers."""
+        process.kill()
+        del self.processes[process.name]
+        await self.control_proxies.pop(process.name).stop()
+        for other in self.processes.values():
+            (other.folder / "settings.toml").write_text(self._settings(other))
+            other.signal(signal.SIGHUP)
 
     def with_role(self, role: str) -> list[SoakProcess]:
         """Return the processes with a role."""
@@ -204,9 +232,12 @@
             await proxy.start()
             self.entry_proxies[process.name] = proxy
         for process in self.with_role("control"):
-            proxy = FaultProxy(f"{process.ip}:{CONTROL_PORT}")
-            await proxy.start()
-            self.control_proxies[process.name] = proxy
+            await self._start_control_proxy(process)
+
+    async def _start_control_proxy(self, process: SoakProcess) -> None:
+        proxy = FaultProxy(f"{process.ip}:{CONTROL_PORT}")
+        await proxy.start()
+        self.control_proxies[process.name] = proxy
 
     async def stop(self) -> None:
         """Stop all proxies and kill all processes."""
@@ -236,7 +267,8 @@
         process.has_active_fault = False
 
     def _settings(self, process: SoakProcess) -> str:
-        controls = self.with_role("control")
+        # The platform names three control VMs.
+        controls = self.with_role("control")[-MAX_SEEDS:]
         is_entry = process.role == "entry"
         listen = f'control = "{process.ip}:{CONTROL_PORT}"'
         if is_entry:
--- a/bench/platform_soak_injector.py
+++ b/bench/platform_soak_injector.py
@@ -11,7 +11,7 @@
 from bench.fault_proxy import CutKind, FaultProxy, LinkState
 from bench.platform_soak_cuts import CutRecords, entry_group
 from bench.platform_soak_faults import Fault
-from bench.platform_soak_fleet import SoakFleet, SoakProcess
+from bench.platform_soak_fleet import DATA_CENTRES, SoakFleet, SoakProcess
 from bench.platform_soak_targets import PlatformTargetList, SoakTarget
 from endivesill.timer import TimerService
 
@@ -20,6 +20,10 @@
 # Control VMs get no fault for this long after one has lost its disk: that replica
 # must be replaced first.
 VOTER_REPAIR_S = 8.0
+# After a control VM has gone without a word, no other goes for this long: the leader
+# misses it after 1 s, or its own successor does, after an election.
+UNANNOUNCED_REPAIR_S = 4.0
+FROZEN_S = 2.0
 
 
 class _Run(Protocol):
@@ -46,6 +50,7 @@
     Attributes:
       skipped: number of faults that were not injected since their process was down,
         in another fault or under repair.
+      replaced_controls: number of control VMs that were replaced.
     """
 
     def __init__(
@@ -65,6 +70,8 @@
         self._cuts = cuts
         self._tasks: set[asyncio.Task[None]] = set()
         self._repair_until_s = 0.0
+        self._removal_lock = asyncio.Lock()
+        self.replaced_controls = 0
         self.skipped = 0
 
     async def inject(self, faults: list[Fault]) -> None:
@@ -114,18 +121,55 @@
         process = self._available_process(fault)
         if process is None or process.process is None:
             return
-        running = process.process
         self._run.note_stop(process.name)
-        process.signal(signal.SIGTERM)
         # Keeps other faults off the process while it stops.
         process.has_active_fault = True
-        timeout_at_s = self._timer.now_s() + self._fleet.grace_s
-        while running.poll() is None and self._timer.now_s() < timeout_at_s:
-            await self._timer.sleep(0.05)
+        await self._end_by_sigterm(process)
         process.kill()
         await self._timer.sleep(fault.for_s)
         self._fleet.launch(process)
 
+    async def _replace_control(self, fault: Fault) -> None:
+        """Start a control VM, and remove another one once it may be counted on."""
+        self.replaced_controls += 1
+        await self._fleet.add_control(
+            DATA_CENTRES[self.replaced_controls % len(DATA_CENTRES)]
+        )
+        await self._timer.sleep(fault.for_s)
+        # Of several at the same time, one goes after the other.
+        async with self._removal_lock:
+            wait_s = self._repair_until_s - self._timer.now_s()
+            await self._timer.sleep(max(0.0, wait_s))
+            old = await self._find_control(fault.subject)
+            old.has_active_fault = True
+            if fault.link != "stop":
+                self._repair_until_s = self._timer.now_s() + UNANNOUNCED_REPAIR_S
+                if fault.link == "freeze":
+                    self._repair_until_s += FROZEN_S
+                    old.signal(signal.SIGSTOP)
+                    await self._timer.sleep(FROZEN_S)
+                await self._fleet.remove_control(old)
+                return
+            await self._end_by_sigterm(old)
+            await self._fleet.remove_control(old)
+
+    async def _find_control(self, subject: str) -> SoakProcess:
+        """Return the oldest control VM, or the leader."""
+        controls = self._fleet.with_role("control")
+        leader = await self._fleet.find_leader(self._timer)
+        if subject == "leader" and leader:
+            return self._fleet.processes[leader]
+        return controls[0]
+
+    async def _end_by_sigterm(self, process: SoakProcess) -> None:
+        running = process.process
+        process.signal(signal.SIGTERM)
+        timeout_at_s = self._timer.now_s() + self._fleet.grace_s
+        while running is not None and running.poll() is None:
+            if self._timer.now_s() > timeout_at_s:
+                return
+            await self._timer.sleep(0.05)
+
     async def _wipe_disk(self, fault: Fault) -> None:
         process = self._available_process(fault)
         controls = self._fleet.with_role("control")
--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -290,3 +290,10 @@
         """Return the targets that got requests long after they were listed to leave."""
         self.figures = {"odd_pages": self._list.odd_pages}
         return self._list.findings()
+
+
+@register
+class ReplacementProfile(Profile):
+    """Control VMs that are replaced, several at a time, beside faults of others."""
+
+    name = "replacements"
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -31,6 +31,7 @@
 SHORT_ORDER_S = 8.0
 SHORT_ENTRY_S = 6.0
 SHORT_ROLLOUT_S = 16.0
+SHORT_REPLACEMENT_S = 8.0
 # Above the numbers of manual runs; differs between test runs on one machine.
 FLEET_NUMBER = 30_000 + os.getpid() % 30_000
 
@@ -460,3 +461,9 @@
         report = await Soak(1, SHORT_ENTRY_S, FLEET_NUMBER, "entries").run()
         self.assertGreater(report["odd_pages"], 0)
         self.assertEqual([], report["findings"])
+
+    async def test_control_vms_that_are_replaced_lose_nothing(self):
+        """Guards against a majority of control VMs that are gone for good."""
+        report = await Soak(1, SHORT_REPLACEMENT_S, FLEET_NUMBER, "replacements").run()
+        self.assertGreater(report["replaced_controls"], 2)
+        self.assertEqual([], report["findings"])
