Take a response for an engine's answer only with its seal

Cause: a response that names no attempt counted as the request's own where it was the first on its connection, and nothing asked for the seal.

Change: an answer has a seal, or says that the request was not run. Else the run counts as unknown: 502, or another engine where the request may be repeated.

--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -171,6 +171,10 @@
         except ProxyLostError as error:
             raise AttemptError(Failure.PROXY_LOST, str(error)) from None
         response = self._protocol.decode_response(head)
+        if not response.is_from_engine:
+            body.release()
+            detail = f"status {response.status}, not from an engine"
+            raise AttemptError(Failure.FOREIGN_RESPONSE, detail)
         if not response.wrong_target:
             self._table.note_limit(
                 target,
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -80,6 +80,7 @@
       status: the HTTP status.
       not_run: whether the engine states that it did not run the request.
       wrong_target: whether another target answered at the address.
+      is_sealed: whether the response has the mark of an engine that ran the request.
       is_leaving: whether the engine says that it is about to leave.
       pause_s: how long the engine wants no requests from this VM; None for no pause,
         NaN if it asks for one that cannot be read.
@@ -92,11 +93,17 @@
     status: int
     not_run: bool
     wrong_target: bool
+    is_sealed: bool
     is_leaving: bool = False
     pause_s: float | None = None
     limit_per_s: float | None = None
     brittle_per_s: float | None = None
 
+    @property
+    def is_from_engine(self) -> bool:
+        """Whether an engine has answered; other bytes say nothing of the request."""
+        return self.is_sealed or self.not_run
+
 
 class EngineProtocol(Protocol):
     """Decodes and encodes the heads of requests and responses."""
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -194,6 +194,7 @@
             status=status,
             not_run=status == 421 or bool(head.header(wire.NOT_EXECUTED)),
             wrong_target=status == 421,
+            is_sealed=bool(head.header(wire.RESPONSE_SEAL)),
             is_leaving=decode_leaving(head),
             pause_s=decode_pause_s(head),
             limit_per_s=decode_limit_per_s(head),
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -14,6 +14,8 @@
 LENGTH_HINT = b"x-endivesill-length-hint"
 # The engine has not run the request and will not run it.
 NOT_EXECUTED = b"x-endivesill-not-executed"
+# In each response of an engine that has run the request.
+RESPONSE_SEAL = b"x-endivesill-response-seal"
 # Identity of the engine that must run the request; any other rejects it.
 EXPECTED_INSTANCE = b"x-endivesill-expected-instance"
 # Name of the organisation to which the request's API key belongs.
--- a/tests/test_forwarding_faulty_engines.py
+++ b/tests/test_forwarding_faulty_engines.py
@@ -212,3 +212,53 @@
         for number in range(8):
             head, body = await self.send("/safe/x", b"n%d" % number)
             self.assertEqual((200, b"e1"), (head.status, body))
+
+
+class ForeignPageTest(FaultyEngineTestCase):
+    """Guards against a page of something else that a caller gets as the answer.
+
+    A 503 of such a page said "not run" of a request that had run, and a 200 counted as
+    a success.
+    """
+
+    async def add_page(self, service, status, names_attempt):
+        def respond(number, attempt_id):
+            engine.runs.append(attempt_id)
+            own = ATTEMPT_ID.encode() + b": " + attempt_id + b"\r\n"
+            return b"HTTP/1.1 %d Page\r\n%bContent-Length: 4\r\n\r\npage" % (
+                status,
+                own if names_attempt else b"",
+            )
+
+        engine = await self.add_scripted(service, respond)
+        return engine
+
+    async def check(self, path, service):
+        for status in (200, 206, 301, 404, 408, 429, 500, 503, 504):
+            for names_attempt in (False, True):
+                self.view.engines.clear()
+                engine = await self.add_page(service, status, names_attempt)
+                head, body = await self.send(path, b"a1")
+                self.assertEqual((502, b""), (head.status, body))
+                self.assertEqual([b"a1"], engine.runs)
+
+    async def test_an_unsafe_request(self):
+        await self.check("/unsafe/x", "app")
+
+    async def test_a_stream(self):
+        await self.check("/stream/x", "llm")
+
+    async def test_a_safe_request_is_sent_to_another_engine(self):
+        await self.add_page("app", 200, names_attempt=True)
+        await self.add_engines("app", "e1")
+        for number in range(8):
+            head, body = await self.send("/safe/x", b"n%d" % number)
+            self.assertEqual((200, b"e1"), (head.status, body))
+
+    async def test_answers_of_engines_are_passed_on(self):
+        for status in (200, 204, 404, 409, 500, 503, 504):
+            self.view.engines.clear()
+            (engine,) = await self.add_engines("app", f"e{status}")
+            engine.statuses = [status]
+            head, _ = await self.send("/unsafe/x", b"s%d" % status)
+            self.assertEqual(status, head.status)
