--- a/endivesill/platform/client.py
+++ b/endivesill/platform/client.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 from endivesill import errors
-from endivesill.http1 import (
-    ConnectionPool,
-    ResponseHead,
-    UpstreamError,
-    encode_head,
-)
+from endivesill.http1 import ConnectionPool, ResponseHead, UpstreamError, encode_head
 from endivesill.http1.client import MAX_BODY_BYTES
 from endivesill.timer import TimerService
 
-__all__ = ["PlatformClient"]
+__all__ = ["MAX_REPORT_BYTES", "PlatformClient"]
 
 CONNECT_TIMEOUT_S = 0.4
 MAX_IDLE_S = 3.0
+# What an engine says of itself; all engines are asked at the same time.
+MAX_REPORT_BYTES = 65_536
 
 
 class PlatformClient:
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -7,6 +7,7 @@
 
 from endivesill import events
 from endivesill.control import ControlReplica, ControlSettings, TimedDisk
+from endivesill.control.metrics import replica_metric_lines
 from endivesill.fleet.changes import FleetChanges
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.state import evacuations
@@ -179,20 +180,9 @@
     placement: LeaderPlacement,
     disk: TimedDisk,
 ) -> list[str]:
-    core = replica.core
-    lag = core.commit_index - replica.applied_index
     engine_list = sync_service.reader.current
     return [
-        f"endivesill_control_term {core.term}",
-        f"endivesill_control_leads {int(replica.is_leader)}",
-        f"endivesill_control_voters {len(core.voter_set.voters)}",
-        f"endivesill_control_learners {len(core.voter_set.learners)}",
-        f"endivesill_control_is_voter {int(core.is_voter)}",
-        f"endivesill_control_commit_index {core.commit_index}",
-        f"endivesill_control_apply_lag {lag}",
-        f"endivesill_control_last_index {core.log.last_index}",
-        f"endivesill_control_synced_index {core.log.synced_index}",
-        f"endivesill_control_disk_failed {int(core.log.last_error is not None)}",
+        *replica_metric_lines(replica),
         f"endivesill_blocked_crash_causes {len(sync_service.crashes.evidence.blocks)}",
         f"endivesill_list_number {engine_list.number if engine_list else 0}",
         f"endivesill_list_entries_skipped {source.skipped_entries}",
--- a/endivesill/platform/health.py
+++ b/endivesill/platform/health.py
@@ -9,14 +9,12 @@
 from endivesill.fleet.model import EngineInfo
 from endivesill.http1 import ResponseHead
 from endivesill.platform import wire
-from endivesill.platform.client import PlatformClient
+from endivesill.platform.client import MAX_REPORT_BYTES, PlatformClient
 
 __all__ = ["PlatformHealth", "check_identity", "decode_health"]
 
 # A check takes a few milliseconds, and the next one follows soon.
 HEALTH_CHECK_TIMEOUT_S = 0.5
-# The body is not used.
-MAX_HEALTH_BYTES = 65_536
 
 
 def check_identity(head: ResponseHead, engine: EngineInfo) -> None:
@@ -71,7 +69,7 @@
         """Check one engine; see the base class."""
         path = self._health_path(engine.service)
         head, _ = await self._client.get_response(
-            engine.address, path, HEALTH_CHECK_TIMEOUT_S, MAX_HEALTH_BYTES
+            engine.address, path, HEALTH_CHECK_TIMEOUT_S, MAX_REPORT_BYTES
         )
         check_identity(head, engine)
         self._on_response(engine, head)
--- a/endivesill/platform/reports.py
+++ b/endivesill/platform/reports.py
@@ -11,14 +11,11 @@
 from endivesill.http1 import ResponseHead
 from endivesill.json_text import parse_document
 from endivesill.platform import wire
-from endivesill.platform.client import PlatformClient
+from endivesill.platform.client import MAX_REPORT_BYTES, PlatformClient
 from endivesill.timer import TimerService
 
 __all__ = ["PlatformReports", "decode_report"]
 
-# A report has some tens of bytes for each run; all engines are read at the same time.
-MAX_REPORT_BYTES = 65_536
-
 
 def decode_report(body: bytes, read_s: float) -> EngineReport:
     """Return the report in a response body that was read at `read_s`.
