Let a control VM that stops see its hand-over through a change of leader

Cause: a quarter of the grace period for the hand-over, without a second try by a new leader. Change: half of it. A stop without a learner is as short as before.

--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -53,6 +53,8 @@
 OPERATOR_LIMITS = ConnectionLimits(body_bytes=16_777_216)
 # Fraction of the grace period in which the last calls of operators are answered.
 LAST_CALLS_FRACTION = 1 / 4
+# The same in which a learner takes over the seat, also if the leader changes meanwhile.
+LEAVE_FRACTION = 1 / 2
 
 
 def control_settings(settings: NodeSettings) -> ControlSettings:
@@ -163,7 +165,8 @@
     await replica.transfer_leadership()
     max_wait_s = LAST_CALLS_FRACTION * settings.bounds.grace_s
     _, cut = await asyncio.gather(
-        replica.leave(max_wait_s), close_listener(listener, max_wait_s)
+        replica.leave(LEAVE_FRACTION * settings.bounds.grace_s),
+        close_listener(listener, max_wait_s),
     )
     for task in tasks:
         task.cancel()
