--- a/tests/test_forwarding_crash_guard.py
+++ b/tests/test_forwarding_crash_guard.py
@@ -18,10 +18,11 @@
     CrashGuard,
 )
 from endivesill.forwarding.route_table import RouteTable
-from endivesill.http1 import UpstreamError
+from endivesill.http1 import UpstreamError, encode_head
 from endivesill.timer import SystemTimer
 from tests.forwarding_case import ROUTES, ForwardingTestCase
 from tests.forwarding_fakes import MODEL, PLAIN, route
+from tests.standin_platform import SEAL
 
 COUNTS = (b"X-Endivesill-Token-Counts", b"1000,80")
 
@@ -50,7 +51,7 @@
         (engine,) = await self.add_engines("llm", "e1")
 
         async def respond_stream(exchange, headers, attempt):
-            exchange.start(200, [attempt])
+            exchange.start(200, [attempt, SEAL])
             await asyncio.sleep(1.1)
             exchange.send(b"id: 1\ndata: x\n\n")
             await asyncio.sleep(0.05)
@@ -70,7 +71,7 @@
             exchange.head_sent = exchange.finished = True
             exchange.closes_connection = True
             exchange.connection.transport.write(
-                b"HTTP/1.1 200 OK\r\n" + attempt[0] + b": " + attempt[1] + b"\r\n\r\n"
+                encode_head(b"HTTP/1.1 200 OK", [attempt, SEAL])
             )
             await asyncio.sleep(0.01)
             engine._listener.stop_accepting()
@@ -164,7 +165,7 @@
         (engine,) = await self.add_engines("llm", "e1")
 
         async def respond_stream(exchange, headers, attempt):
-            exchange.start(200, [attempt])
+            exchange.start(200, [attempt, SEAL])
             await asyncio.sleep(0.01)
             exchange.abort()
 
