Show that a pause of an engine keeps the orders to stop runs from it

An engine without room answers 503 with Retry-After; a run on a silent channel to it is never stopped, and the engine works on it after the stream has gone on at its backup.

--- a/review/deployment_3.py
+++ b/review/deployment_3.py
@@ -366,8 +366,6 @@
         remaining_ms: int = 6_000,
         session: str = "",
         leaves_at: bytes = b"",
-        leaves_after_s: float | None = None,
-        on_left: Callable[[str, float], None] = lambda attempt_id, at_s: None,
         **headers: str,
     ) -> Answer:
         """Send one request of a route, and record what became of it.
@@ -379,8 +377,6 @@
           remaining_ms: time budget.
           session: last part of the prompt; one of its own by default.
           leaves_at: bytes of the body after which the client closes the channel.
-          leaves_after_s: time after which it closes it.
-          on_left: called with the attempt and the time when it does.
           headers: further headers, with `_` for `-`.
         """
         attempt_id = self.new_id()
@@ -406,11 +402,9 @@
             f"/{name}/2f",
             fields,
             body,
-            timeout_s=leaves_after_s or remaining_ms / 1_000,
+            timeout_s=remaining_ms / 1_000,
             leaves_at=leaves_at,
         )
-        if leaves_after_s is not None and not answer.status:
-            on_left(attempt_id, time.monotonic())
         answer.headers["attempt"] = attempt_id
         self.record(
             f"answered {attempt_id} {name} {answer.status or 'nothing'}"
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -15,7 +15,9 @@
 NOT_EXECUTED = {"X-Endivesill-Not-Executed": "1"}
 PREFILL_TOKENS_PER_S = 14_000.0
 EVENT_S = 0.04
-HOLD_IDLE_S = 20.0
+MAX_EVENTS = 250
+# An engine cuts off an answer that stays unread for so long.
+UNREAD_S = 5.0
 
 
 @dataclasses.dataclass
@@ -113,8 +115,9 @@
       copies: what it keeps of runs of other engines, by the name of the copy.
       running: the runs that it works on, by attempt id.
       seen: called with each request that is run or rejected, and what became of it.
-      reading_s: how long it takes to read a request.
       is_full: whether it has no room.
+      refused: how many requests it has turned away for want of room.
+      silent_since_s: when the channels of runs have gone silent, by attempt id.
     """
 
     def __init__(
@@ -142,8 +145,9 @@
         self.seen = seen
         self.others: dict[str, Engine] = {}
         self.held_tokens = 0
-        self.reading_s = 0.0
         self.is_full = False
+        self.refused = 0
+        self.silent_since_s: dict[str, float] = {}
 
     def list_entry(self) -> dict[str, object]:
         """Return its entry in the platform's list."""
@@ -235,11 +239,14 @@
     async def _run(self, request: Request, writer: asyncio.StreamWriter) -> None:
         attempt_id = request.headers.get("x-endivesill-request-attempt-id", "")
         echo = {"X-Endivesill-Request-Attempt-Id": attempt_id}
-        await asyncio.sleep(self.reading_s)
         refusal = self._refusal(request)
         if refusal:
             self.seen(self, request, f"rejected {refusal}")
-            writer.write(encode_response(refusal, {**echo, **NOT_EXECUTED}))
+            headers = {**echo, **NOT_EXECUTED}
+            if self.is_full and refusal == 503:
+                self.refused += 1
+                headers["Retry-After"] = "10"
+            writer.write(encode_response(refusal, headers))
             return
         self.seen(self, request, "run")
         self.running[attempt_id] = request
@@ -277,8 +284,15 @@
             lines += [f"{name}: {value}" for name, value in headers.items()]
             lines.append("Transfer-Encoding: chunked")
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
-            last = min(output_tokens // 4, 60)
+            last = min(output_tokens // 4, MAX_EVENTS)
             for number in range(done + 1, last + 1):
+                if attempt_id in self.silent_since_s:
+                    # Nothing arrives any more, and its end is not seen.
+                    unread_s = time.monotonic() - self.silent_since_s[attempt_id]
+                    if attempt_id not in self.running or unread_s > UNREAD_S:
+                        return
+                    await asyncio.sleep(EVENT_S)
+                    continue
                 if attempt_id not in self.running or writer.transport.is_closing():
                     writer.transport.abort()
                     return
