--- a/review/beside-3/failing_service.py
+++ b/review/beside-3/failing_service.py
@@ -120,7 +120,7 @@
 
 
 async def play(deployment: Deployment) -> int:
-    """Let the application fail, then change the desired state; return 1 if broken."""
+    """Let the application fail, and change the desired state; return 1 if broken."""
     for engine in deployment.plain_engines:
         engine.__class__ = Application
     state = desired_state(ROUTES)
@@ -128,7 +128,6 @@
     Application.fails = has_trouble()
     bookings = Bookings(deployment)
     await bookings.run()
-    Application.fails = False
     deployment.record(f"bookings while the application failed: {dict(bookings.ends)}")
     await asyncio.sleep(CALM_S)
     # The key of the second tenant is taken away.
@@ -142,7 +141,8 @@
         dropped = await deployment.ask(
             "booking-write", front=front, remaining_ms=600, Api_Key=URGENT_KEY
         )
-        runs += dropped.is_success
+        # It has run, also if the application failed.
+        runs += "x-endivesill-response-seal" in dropped.headers
         triage = await deployment.ask("hoof-triage", front=front, tokens=TRIAGE)
         served["hoof-triage"] += triage.is_success
         served["ready"] += await _is_ready(deployment.fronts[front])
