Send orders to stop runs whatever an engine wants of requests

Cause: RunCopier kept orders to stop a run back like requests, during a pause and without room under a limit, and named only an engine that accepts requests for the copy. Entries that send orders for others refused them while the engine was paused, while they were busy, and while they stopped.

An order to stop a run is now marked as such, also between entries, and nothing named for requests holds it back. It takes its permit of a limited engine afterwards. Orders that stop nothing wait as before. No order goes to an engine whose address another target has taken. Older entries do not know the mark, and treat the order as they did.

--- a/endivesill/forwarding/proxy_messages.py
+++ b/endivesill/forwarding/proxy_messages.py
@@ -51,6 +51,7 @@
 FLAGS = b"entry-proxy-flags"
 ORDER_FLAG = b"order"
 CHECK_FLAG = b"check"
+STOP_FLAG = b"stop"
 NO_BODY_FLAG = b"no-body"
 STATUS = b"entry-proxy-status"
 FRAMED = b"entry-proxy-framed"
@@ -87,6 +88,7 @@
       is_order: whether it is an order to an engine, which a leaving one gets as well.
       is_check: whether only a connection is established.
       no_body: whether the response has no body, regardless of its head (HEAD).
+      stops_run: whether it is an order to stop a run, which nothing holds back.
     """
 
     address: str
@@ -97,6 +99,7 @@
     is_order: bool = False
     is_check: bool = False
     no_body: bool = False
+    stops_run: bool = False
 
 
 def encode_proxy_request(peer: str, request: ProxyRequest, data: bytes) -> bytes:
@@ -107,6 +110,7 @@
             (ORDER_FLAG, request.is_order),
             (CHECK_FLAG, request.is_check),
             (NO_BODY_FLAG, request.no_body),
+            (STOP_FLAG, request.stops_run),
         )
         if is_set
     ]
@@ -149,6 +153,7 @@
         is_order=ORDER_FLAG in flags,
         is_check=CHECK_FLAG in flags,
         no_body=NO_BODY_FLAG in flags,
+        stops_run=STOP_FLAG in flags,
     )
 
 
--- a/endivesill/forwarding/proxy_service.py
+++ b/endivesill/forwarding/proxy_service.py
@@ -114,13 +114,20 @@
                 exchange.abort()
 
     def _usable_target(self, request: ProxyRequest) -> Target | None:
-        """Return the target of a request; None if this entry cannot send it now."""
+        """Return the target of a request; None if this entry cannot send it now.
+
+        Orders to stop a run, and questions whether a target is reached, bring targets
+        no work and are not held back.
+        """
+        is_held_back = not (request.stops_run or request.is_check)
         is_busy = self.listener.active_exchanges > MAX_PROXIED
-        if self.listener.closing or is_busy:
+        if is_held_back and (self.listener.closing or is_busy):
             return None
         for target in self._table.find_all([request.incarnation]):
             is_paused = self._table.notices.is_paused(target.info)
-            if target.info.address == request.address and not is_paused:
+            if target.info.address == request.address and not (
+                is_held_back and is_paused
+            ):
                 return target
         return None
 
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -31,6 +31,9 @@
 RELEASE_TIMEOUT_S = 1.0
 # Longest wait for a permit where the engine limits its requests; it is about to leave.
 PERMIT_TIMEOUT_S = 0.5
+# Answers to an order to stop a run which the engine does not have: it has ended, or
+# another target answers at the address.
+NO_RUN_STATUSES = (404, 421)
 
 
 class CopyRefusedError(errors.EndivesillError):
@@ -38,11 +41,22 @@
 
     Attributes:
       is_refused: whether the engine's host has refused the connection.
+      is_sent: whether the order may have reached the engine.
+      is_answered: whether the engine has answered it.
     """
 
-    def __init__(self, detail: str, *, is_refused: bool = False) -> None:
+    def __init__(
+        self,
+        detail: str,
+        *,
+        is_refused: bool = False,
+        is_sent: bool = False,
+        is_answered: bool = False,
+    ) -> None:
         super().__init__(detail)
         self.is_refused = is_refused
+        self.is_sent = is_sent
+        self.is_answered = is_answered
 
 
 @attrs.frozen
@@ -70,6 +84,10 @@
 class RunCopier:
     """Orders engines to copy and to stop runs.
 
+    Orders that stop nothing wait like requests where an engine wants none or limits
+    them. Nothing that an engine says of requests keeps an order to stop a run back: the
+    engine would work on, for nobody or beside the engine that goes on with the run.
+
     Args:
       timer: the timer service.
       client: sends the orders.
@@ -88,6 +106,7 @@
         self._client = client
         self._table = table
         self._protocol = protocol
+        self._charges: set[asyncio.Task[bool]] = set()
 
     async def copy(self, call: Call, source: Target, destination: Target) -> str:
         """Copy a run and return the copy's handle at the source.
@@ -100,6 +119,7 @@
         Raises:
           CopyRefusedError: no copy was made.
         """
+        await self._wait_until_accepted(source)
         order = self._protocol.encode_copy_order(
             source.info.address,
             call.info.attempt_id,
@@ -139,20 +159,22 @@
             destination.info.address,
             stops_run=True,
         )
+        self._charge(source.info.incarnation)
         status, body = await self._exchange(
             source,
             order,
             COPY_TIMEOUT_S,
             max_idle_s=0.0 if on_new_connection else None,
             is_direct=is_direct,
+            stops_run=True,
         )
-        if status == 404:
+        if status in NO_RUN_STATUSES:
             return StoppedRun(source, was_running=False)
         # An engine that has stopped the run names what it keeps of it, also where the
         # destination has no room.
         handle = self._protocol.decode_copy_name(body) if status in (200, 503) else ""
         if not handle:
-            raise CopyRefusedError(f"status {status}")
+            raise CopyRefusedError(f"status {status}", is_sent=True, is_answered=True)
         return StoppedRun(source, destination if status == 200 else None, handle)
 
     async def release(self, source: Target, name: str) -> None:
@@ -161,9 +183,41 @@
         Raises:
           CopyRefusedError: the engine did not answer.
         """
+        await self._wait_until_accepted(source)
         order = self._protocol.encode_copy_release(source.info.address, name)
         await self._exchange(source, order, RELEASE_TIMEOUT_S)
 
+    async def _wait_until_accepted(self, source: Target) -> None:
+        """Wait until an engine may be sent an order that stops nothing.
+
+        Raises:
+          CopyRefusedError: it wants no requests, or its limit leaves no room in time.
+        """
+        if self._table.notices.is_paused(source.info):
+            raise CopyRefusedError("the engine wants no requests now")
+        incarnation = source.info.incarnation
+        if self._is_limited(incarnation) and not await self._table.permits.acquire(
+            self.timer, incarnation, PERMIT_TIMEOUT_S
+        ):
+            raise CopyRefusedError("the engine's limit leaves no room")
+
+    def _is_limited(self, incarnation: str) -> bool:
+        # An order takes no slot, so that brittle engines get it without a permit.
+        return self._table.permits.limit_per_s(incarnation) is not None
+
+    def _charge(self, incarnation: str) -> None:
+        """Let the requests after an order to stop a run make up for it.
+
+        The order does not wait for the permit that it takes.
+        """
+        if not self._is_limited(incarnation):
+            return
+        charge = asyncio.ensure_future(
+            self._table.permits.acquire(self.timer, incarnation, PERMIT_TIMEOUT_S)
+        )
+        self._charges.add(charge)
+        charge.add_done_callback(self._charges.discard)
+
     async def _exchange(
         self,
         source: Target,
@@ -172,17 +226,13 @@
         *,
         max_idle_s: float | None = None,
         is_direct: bool = False,
+        stops_run: bool = False,
     ) -> tuple[int, bytes]:
-        if self._table.notices.is_paused(source.info):
-            raise CopyRefusedError("the engine wants no requests now")
-        incarnation = source.info.incarnation
-        permits = self._table.permits
-        # An order takes no slot, so that brittle engines get it without a permit.
-        is_limited = permits.limit_per_s(incarnation) is not None
-        if is_limited and not await permits.acquire(
-            self.timer, incarnation, PERMIT_TIMEOUT_S
-        ):
-            raise CopyRefusedError("the engine's limit leaves no room")
+        is_sent = False
+
+        def note_started() -> None:
+            nonlocal is_sent
+            is_sent = True
 
         def note_announcements(head: ResponseHead) -> None:
             response = self._protocol.decode_response(head)
@@ -198,14 +248,20 @@
             max_idle_s=max_idle_s,
             is_order=True,
             is_direct=is_direct,
+            stops_run=stops_run,
+            on_started=note_started,
             on_head=note_announcements,
         )
         exchange = self._client.exchange(source.info, order, options)
         try:
             head, body = await self.timer.wait_for(exchange, timeout_s)
         except (UpstreamError, errors.DeadlineExceededError) as error:
-            is_refused = isinstance(error, UpstreamError) and error.is_refused
-            raise CopyRefusedError(str(error), is_refused=is_refused) from None
+            is_refused = False
+            if isinstance(error, UpstreamError):
+                is_refused, is_sent = error.is_refused, error.sent
+            raise CopyRefusedError(
+                str(error), is_refused=is_refused, is_sent=is_sent
+            ) from None
         return head.status, body
 
 
--- a/endivesill/forwarding/run_stop.py
+++ b/endivesill/forwarding/run_stop.py
@@ -146,13 +146,20 @@
     def _destinations(self, run: AbandonedRun) -> list[Target]:
         """Return where to copy a run to, by order."""
         engine = run.call.service.model_engine
-        if engine is None or not engine.has_moves:
+        if engine is None or not engine.has_moves or run.source.is_replaced:
             return []
-        others = self._table.candidates(run.call.service.name, (run.source,))
-        if run.destination is not None:
-            others = [run.destination, *(t for t in others if t is not run.destination)]
+        service, table = run.call.service.name, self._table
+        preferred = [] if run.destination is None else [run.destination]
+        ordered = [
+            *preferred,
+            *table.candidates(service, (run.source,)),
+            *table.listed(service),
+        ]
+        others = list({id(t): t for t in ordered if t is not run.source}.values())
         if not others:
-            return []
+            others = [t for t in table.all_listed() if t is not run.source]
+        # An engine stops a run before it tries to reach the destination.
+        others = others or [run.source]
         return (others * MAX_ORDERS)[:MAX_ORDERS]
 
     def _log(self, run: AbandonedRun, outcome: str) -> None:
--- a/endivesill/forwarding/target_client.py
+++ b/endivesill/forwarding/target_client.py
@@ -114,6 +114,7 @@
       max_idle_s: longest idle time of the connection; None for the pool's limit.
       is_order: whether it is an order to an engine, which a leaving one gets as well.
       is_direct: whether it is not sent through another entry.
+      stops_run: whether it is an order to stop a run, which nothing holds back.
       no_body: whether the response has no body, regardless of its head (HEAD).
     """
 
@@ -122,6 +123,7 @@
     max_idle_s: float | None = None
     is_order: bool = False
     is_direct: bool = False
+    stops_run: bool = False
     no_body: bool = False
     may_start: Callable[[], bool] = lambda: True
     on_started: Callable[[], None] = lambda: None
@@ -263,6 +265,7 @@
             max_idle_s=options.max_idle_s,
             timeout_s=max(0.0, options.deadline_s - self._timer.now_s()),
             is_order=options.is_order,
+            stops_run=options.stops_run,
             no_body=options.no_body,
         )
         body, head = await self._proxy.send(
--- a/endivesill/forwarding/targets.py
+++ b/endivesill/forwarding/targets.py
@@ -129,6 +129,10 @@
         """Return the targets of a service that the list has."""
         return list(self._by_service.get(service, []))
 
+    def all_listed(self) -> list[Target]:
+        """Return the targets of all services that the list has."""
+        return [target for target in self._targets.values() if target.listed]
+
     def find_all(self, incarnations: Iterable[str]) -> list[Target]:
         """Return the targets of some incarnations; unknown ones are skipped."""
         return [
--- a/tests/test_forwarding_proxy.py
+++ b/tests/test_forwarding_proxy.py
@@ -8,7 +8,12 @@
 from endivesill.fleet.entry_peers import EntryPeer
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.sync_client import FleetView
-from endivesill.forwarding import proxy_client, target_client, target_links
+from endivesill.forwarding import (
+    proxy_client,
+    proxy_service,
+    target_client,
+    target_links,
+)
 from endivesill.forwarding.proxy_messages import (
     STATUS,
     ProxyLostError,
@@ -336,6 +341,52 @@
         self.assertEqual([], other.pool.attempts)
 
 
+class StopOrderTest(ProxyTestCase):
+    """An order to stop a run reaches an engine through an entry that takes no requests.
+
+    Guards against runs that went on at two engines: the other entry refused the order
+    as it refuses requests.
+    """
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        (self.llm,) = await self.add_engines("llm", "m1")
+        (self.other,) = await self.add_others()
+        self.cut(self.llm)
+
+    async def assert_order_arrives(self):
+        """Send an order to stop a run, and an order that stops nothing."""
+        info = self.target("m1").info
+        bodies = {True: b'{"id":"a1","last":true}', False: b'{"id":"a1"}'}
+        for stops_run, body in bodies.items():
+            order = request("/kv-move", body=body)
+            options = target_client.SendOptions(
+                self.timer.now_s() + PATIENCE_S, is_order=True, stops_run=stops_run
+            )
+            with self.subTest(stops_run=stops_run):
+                exchange = self.client.exchange(info, order, options)
+                if stops_run:
+                    head, _ = await exchange
+                    self.assertEqual(404, head.status)
+                else:
+                    with self.assertRaises(UpstreamError):
+                        await exchange
+        self.assertEqual([True], [order.get("last") for order in self.llm.copy_orders])
+
+    async def test_at_an_entry_whose_engine_wants_no_requests(self):
+        (target,) = self.other.table.find_all(["m1@1"])
+        self.other.table.note_announcements(target, is_leaving=False, pause_s=60.0)
+        await self.assert_order_arrives()
+
+    async def test_at_an_entry_that_sends_as_many_requests_as_it_may(self):
+        with mock.patch.object(proxy_service, "MAX_PROXIED", 0):
+            await self.assert_order_arrives()
+
+    async def test_at_an_entry_that_stops(self):
+        self.other.service.listener.closing = True
+        await self.assert_order_arrives()
+
+
 class LinkTest(ProxyTestCase):
     """Links are lost and regained as traffic shows."""
 
--- a/tests/test_forwarding_run_stops.py
+++ b/tests/test_forwarding_run_stops.py
@@ -7,6 +7,8 @@
 
 from endivesill.forwarding import streams
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
+from tests.standin_platform import StandinEngine
+from tests.test_forwarding_limits import CountedPermits
 from tests.test_forwarding_streams import numbers
 
 EVENTS = 60
@@ -14,12 +16,8 @@
 OVERLAP_S = 0.4
 
 
-class RunStopTest(ForwardingTestCase):
-    """Engines work on a run whose connection has closed, until they are told to stop.
-
-    Guards against runs that went on at two engines: a run was given up only by the end
-    of its connection, which not every engine sees or follows.
-    """
+class RunStopCase(ForwardingTestCase):
+    """Engines work on a run whose connection has closed, until ordered to stop."""
 
     async def start_run(self, *names: str):
         """Return engines that keep runs, the first with a run, and its response."""
@@ -56,19 +54,52 @@
         )
         self.table.update_engines()
 
-    async def silent_run(self, refusals=()):
-        """Return two engines; the connection of the run at the first went silent."""
-        engines = await self.add_engines("llm", "e1", "e2")
+    async def add_keepers(self, *names: str):
+        """Return engines that keep runs and resume from any copy."""
+        engines = await self.add_engines("llm", *names)
         for engine in engines:
             engine.keeps_runs = True
-            engine.silent_after = 3
             engine.copies = {"h1", "a1"}
             engine.events, engine.event_pause_s = EVENTS, 0.02
+        return engines
+
+    async def start_at_any(self, *names: str):
+        """Return the engine that runs a stream, the others, and its response."""
+        engines = await self.add_keepers(*names)
+        response_task = asyncio.ensure_future(
+            self.send_request("/stream/x", *STREAM_HEADERS)
+        )
+        await self.wait_until(lambda: any(engine.running for engine in engines))
+        (used,) = [engine for engine in engines if engine.running]
+        others = [engine for engine in engines if engine is not used]
+        await asyncio.sleep(0.1)
+        return used, others, response_task
+
+    def pause(self, engine, pause_s=60.0):
+        """Let an engine have asked for a pause of requests."""
+        target = self.target(engine.identity)
+        self.table.note_announcements(target, is_leaving=False, pause_s=pause_s)
+
+    async def silent_run(self, refusals=(), on_start=lambda engine: None):
+        """Return two engines; the connection of the run at the first went silent.
+
+        Args:
+          refusals: statuses of the orders that the engines refuse.
+          on_start: called with the engine as soon as it works on the run.
+        """
+        engines = await self.add_keepers("e1", "e2")
+        for engine in engines:
+            engine.silent_after = 3
             engine.stop_refusals = list(refusals)
-        overlaps = []
+        overlaps: list[bool] = []
+        started: list[StandinEngine] = []
 
         def is_working_twice():
             overlaps.append(all(engine.running for engine in engines))
+            if not started:
+                started.extend(engine for engine in engines if engine.running)
+                for engine in started:
+                    on_start(engine)
             return response_task.done()
 
         with mock.patch.object(streams, "MAX_SILENCE_S", 0.2):
@@ -80,6 +111,14 @@
         self.assertEqual(list(range(1, EVENTS + 1)), numbers(body))
         return engines, sum(overlaps)
 
+
+class RunStopTest(RunStopCase):
+    """Runs that are given up end at their engines.
+
+    Guards against runs that went on at two engines: a run was given up only by the end
+    of its connection, which not every engine sees or follows.
+    """
+
     async def test_a_run_on_a_silent_connection_ends_before_it_resumes(self):
         _, overlaps = await self.silent_run()
         # The stand-in stops a run only between two events.
@@ -156,3 +195,102 @@
         await response_task
         self.assertEqual([], self.outcomes_of_stops())
         self.assertEqual([], first.copy_releases)
+
+
+class HeldBackOrderTest(RunStopCase):
+    """Nothing that holds requests back keeps an order to stop a run back.
+
+    Guards against runs that went on at two engines: orders to stop a run waited for the
+    end of the pause, for room under the limit, and for an engine that accepts requests.
+    """
+
+    async def test_a_silent_run_ends_at_an_engine_that_wants_no_requests(self):
+        _, overlaps = await self.silent_run(on_start=self.pause)
+        self.assertLess(overlaps, 5)
+        self.assertEqual(["stopped"], self.outcomes_of_stops())
+
+    async def test_a_silent_run_ends_at_an_engine_whose_limit_is_used_up(self):
+        def use_up(engine):
+            permits = self.table.permits = CountedPermits()
+            permits.left.update({"e1@1": 5, "e2@1": 5})
+            permits.left[f"{engine.identity}@1"] = 0
+
+        _, overlaps = await self.silent_run(on_start=use_up)
+        self.assertLess(overlaps, 5)
+
+    async def test_an_order_counts_in_the_limit_of_requests(self):
+        permits = CountedPermits()
+        permits.left.update({"e1@1": 100, "e2@1": 100})
+        self.table.permits = permits
+        engines, _ = await self.silent_run()
+        orders = sum(len(engine.copy_orders) for engine in engines)
+        requests = sum(len(engine.requests) for engine in engines)
+        self.assertGreater(orders, 0)
+        self.assertEqual(orders + requests, sum(permits.taken.values()))
+
+    async def test_a_moved_run_ends_at_an_engine_that_wants_no_requests(self):
+        (first, second), response_task = await self.start_run("e2")
+        self.give_notice("e1")
+        await self.notify_until(lambda: first.copy_orders)
+        self.pause(first)
+        await self.notify_until(lambda: second.requests)
+        await asyncio.sleep(OVERLAP_S)
+        self.assertEqual({}, first.running)
+        await response_task
+
+    async def test_a_broken_run_ends_at_an_engine_that_wants_no_requests(self):
+        used, _, response_task = await self.start_at_any("e1", "e2")
+        self.pause(used)
+        for connection in list(used._listener.connections):
+            connection.abort()
+        await asyncio.sleep(OVERLAP_S)
+        self.assertEqual({}, used.running)
+        await response_task
+
+    async def test_a_cancelled_run_ends_where_no_engine_wants_requests(self):
+        engines = await self.add_keepers("e1", "e2")
+        for engine in engines:
+            engine.events = 10_000
+        connection = await self.connect()
+        connection.send(request("/stream/x", *STREAM_HEADERS))
+        await connection.head()
+        for engine in engines:
+            self.pause(engine)
+        connection.abort()
+        await asyncio.sleep(OVERLAP_S)
+        self.assertEqual([{}, {}], [engine.running for engine in engines])
+        # One order is enough, and the release of the copy waits like a request.
+        orders = [order for e in engines for order in self.orders_to_stop(e)]
+        self.assertEqual(1, len(orders))
+        self.assertEqual([], [path for e in engines for path in e.copy_releases])
+
+    async def test_a_cancelled_run_ends_at_the_only_engine_of_its_service(self):
+        await self.add_engines("app", "p1")
+        (engine,) = await self.add_keepers("e1")
+        engine.events = 10_000
+        connection = await self.connect()
+        connection.send(request("/stream/x", *STREAM_HEADERS))
+        await connection.head()
+        connection.abort()
+        await asyncio.sleep(OVERLAP_S)
+        self.assertEqual({}, engine.running)
+
+    async def test_a_copy_waits_where_the_engine_wants_no_requests(self):
+        (first, _), response_task = await self.start_run("e2")
+        self.pause(first)
+        self.give_notice("e1")
+        for _ in range(20):
+            self.table.notify()
+            await asyncio.sleep(0.01)
+        self.assertEqual([], first.copy_orders)
+        response_task.cancel()
+
+    async def test_a_replaced_engine_gets_no_order(self):
+        """Guards against an order to another engine, which may have a like run."""
+        used, _, response_task = await self.start_at_any("e1", "e2")
+        self.target(used.identity).is_replaced = True
+        for connection in list(used._listener.connections):
+            connection.abort()
+        await asyncio.sleep(OVERLAP_S)
+        self.assertEqual([], used.copy_orders)
+        response_task.cancel()
