Let a stream go on elsewhere only once its run has ended

Callers saw a stream go on at another engine while the engine before worked on the same run, also where that engine was reached and had just refused the order to stop it, for example because it was copying the run.

Cause: two parts decided. RunStopper learnt what became of the run; StreamRelay let the stream go on at once, or after 0.35 s on a silent connection, whatever the other had learnt. Orders ended after five in half a second, also where the engine could not be reached yet.

RunEnding now owns what is known of a run that was given up, and allows_resume is the only place that lets its stream go on: once the engine has stopped the run or has none, has ended, or cannot be reached. While an engine refuses, the stream waits for the next order; if the run is not stopped after six, the stream is broken off. An engine that cannot be reached is ordered to stop the run once it is reached again. Two metrics count the runs, and run-stopped names their state.

--- a/endivesill/forwarding/events.py
+++ b/endivesill/forwarding/events.py
@@ -51,7 +51,7 @@
 RUN_STOPPED = events.define(
     2113,
     "run-stopped",
-    "An engine that still worked on a run was ordered to stop it.",
+    "What has become of a run that was given up while its engine worked on it.",
 )
 PLACE_REFUSED = events.define(
     2108, "place-refused", "The leader refused an entry's request for a placement."
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -61,6 +61,7 @@
 
     Attributes:
       stop_deadline: when this process ends its requests.
+      run_stopper: ends the runs that were given up.
     """
 
     def __init__(
@@ -97,7 +98,7 @@
             self._record_failure,
         )
         self._copier = RunCopier(timer, client, table, protocol)
-        self._stopper = RunStopper(self._copier, table)
+        self.run_stopper = RunStopper(self._copier, table, client.links)
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
         self._running = RunningCalls(timer)
@@ -295,7 +296,7 @@
             self._table,
             self._placer,
             self._copier,
-            self._stopper,
+            self.run_stopper,
             self._guard,
             self._versions,
             call,
--- a/endivesill/forwarding/run_copy.py
+++ b/endivesill/forwarding/run_copy.py
@@ -295,7 +295,6 @@
         self._source = source
         self._task: asyncio.Task[None] | None = None
         self._handle = ""
-        self._claimed = False
         self.destination = destination
         self.has_failed = False
 
@@ -310,18 +309,22 @@
         """Start copying in the background."""
         self._task = asyncio.ensure_future(self._run())
 
-    def claim(self) -> str:
-        """Return the copy's name for a resume, so that `close` does not release it."""
-        self._claimed = True
-        return self.name
+    def halt(self) -> None:
+        """Stop copying and keep the copy; engines refuse a second order meanwhile."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def close(self, copy_in_use: str = "") -> None:
+        """Stop copying and release the copy, unless a run resumes from it.
 
-    def close(self) -> None:
-        """Stop copying and release the copy unless it was claimed."""
+        Args:
+          copy_in_use: name of the copy from which the run resumes; may be empty.
+        """
         if self._task is not None:
             self._task.cancel()
             self.destination.release_copy(self._call.demand)
             self._task = None
-        if self._handle and not self._claimed:
+        if self._handle and self.name != copy_in_use:
             asyncio.ensure_future(self._release())
 
     async def _run(self) -> None:
--- a/endivesill/forwarding/stream_run.py
+++ b/endivesill/forwarding/stream_run.py
@@ -7,9 +7,9 @@
 from endivesill.fleet.strain import PauseWatch
 from endivesill.forwarding.attempt import Attempt
 from endivesill.forwarding.call import Call
-from endivesill.forwarding.run_copy import RunCopy, StoppedRun
-from endivesill.forwarding.run_stop import AbandonedRun
-from endivesill.forwarding.targets import Target
+from endivesill.forwarding.run_copy import RunCopy
+from endivesill.forwarding.run_stop import AbandonedRun, RunEnding
+from endivesill.forwarding.targets import Target, TargetTable
 
 __all__ = ["StreamProgress", "StreamRun"]
 
@@ -31,8 +31,9 @@
       has_pace: whether the time per event was recorded.
       is_moving: whether it was stopped in order to resume from its copy.
       is_silent: whether it was given up because its engine sent nothing.
-      has_ended: whether its engine does not work on it any more, or is ordered not to.
-      stopped: what its engine has left of it when it was ordered to stop.
+      is_unreached: whether the engine could not be connected to then.
+      has_ended: whether its engine has said that it does not work on it any more.
+      ending: what becomes of it after it was given up; None before.
       successor: where it resumes; None unless it does.
       watch: tells its long pauses from the usual ones; None where any is allowed.
     """
@@ -49,28 +50,65 @@
     has_pace: bool = False
     is_moving: bool = False
     is_silent: bool = False
+    is_unreached: bool = False
     has_ended: bool = False
-    stopped: StoppedRun | None = None
+    ending: RunEnding | None = None
     successor: Target | None = None
 
     def head_age_s(self, now_s: float) -> float | None:
         """Return the time since the head of the response; None without one."""
         return None if self.head_s is None else round(now_s - self.head_s, 4)
 
-    def abandon(self, call: Call, copy_in_use: str) -> AbandonedRun:
+    def find_successor(self, table: TargetTable) -> Target | None:
+        """Return an engine with a copy of the run that accepts it; None without one."""
+        if self.backup is not None and table.accepts_requests(self.backup):
+            return self.backup
+        copy = self.copy
+        if copy is not None and copy.name and table.accepts_requests(copy.destination):
+            return copy.destination
+        return None
+
+    def find_copy(self, table: TargetTable, call: Call) -> tuple[Target | None, str]:
+        """Return the engine with the newest copy of the run, and the copy's name.
+
+        Args:
+          table: says which engines accept it.
+          call: the request.
+        """
+        backup = None
+        if self.backup is not None and table.accepts_requests(self.backup):
+            backup = self.backup, f"{self.backup.info.address}/{call.info.attempt_id}"
+        # A backup has all but the last moments of a run whose connection worked.
+        if backup is not None and not self.is_silent:
+            return backup
+        stopped = self.ending.stopped if self.ending is not None else None
+        destination = stopped.destination if stopped is not None else None
+        if destination is not None and table.accepts_requests(destination):
+            assert stopped is not None
+            return destination, stopped.copy_name
+        if backup is not None:
+            return backup
+        copy = self.copy
+        if copy is not None and copy.name and table.accepts_requests(copy.destination):
+            return copy.destination, copy.name
+        return None, ""
+
+    def abandon(self, call: Call, *, resumes: bool) -> AbandonedRun:
         """Return what is needed to stop the run, which is given up.
 
         Args:
           call: the request.
-          copy_in_use: name of the copy from which it resumes; may be empty.
+          resumes: whether another engine is to go on with it.
         """
         return AbandonedRun(
             call,
             self.target,
             self.successor or self.backup,
             is_silent=self.is_silent,
+            is_unreached=self.is_unreached,
+            was_closed=self.is_moving,
             is_proxied=self.attempt is not None and self.attempt.body.is_proxied,
-            copy_in_use=copy_in_use,
+            resumes=resumes,
         )
 
     watch: PauseWatch | None = None
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -121,6 +121,7 @@
         """Relay one run after another."""
         resume_from = ""
         while True:
+            was_resumed = bool(resume_from)
             try:
                 attempt = await self._send(run, resume_from)
                 if attempt.response.status != 200:
@@ -132,13 +133,11 @@
             except (AttemptError, UpstreamError) as error:
                 if isinstance(error, AttemptError):
                     run.has_ended = error.failure.not_run
-                if run.is_silent:
-                    await self._stop_silent(run)
-                next_run = self._next_run(run, error, was_resumed=bool(resume_from))
-                run.successor, resume_from = next_run[0].target, next_run[1]
+                resume_from = ""
+                next_run, resume_from = await self._next_run(run, error, was_resumed)
             finally:
                 self._release_run(run, resume_from)
-            run = self._run = next_run[0]
+            run = self._run = next_run
 
     async def _send(self, run: StreamRun, resume_from: str) -> Attempt:
         self.target = run.target
@@ -178,33 +177,28 @@
             raise StreamBrokenError(f"status {attempt.response.status} on a resume")
         return attempt
 
-    async def _stop_silent(self, run: StreamRun) -> None:
-        """Stop a run before it resumes, as its engine does not see that it is over."""
-        run.successor, copy = self._find_copy(run)
-        if run.successor is not None:
-            run.stopped = await self._stopper.stop(run.abandon(self._call, copy))
-            run.has_ended = True
-
     def _release_run(self, run: StreamRun, copy_in_use: str) -> None:
         demand = self._call.demand
         run.target.release(demand, prefill_done=run.prefill_done)
         if run.copy is not None:
-            run.copy.close()
+            run.copy.close(copy_in_use)
         if run.backup is not None:
             run.backup.release_copy(demand)
         if run.attempt is not None and run.attempt.response.status == 200:
             run.attempt.body.release()
-        if run.sent_s and not run.has_ended:
-            self._stopper.stop_later(run.abandon(self._call, copy_in_use))
+        if run.ending is None and run.sent_s and not run.has_ended:
+            run.ending = self._stopper.begin(run.abandon(self._call, resumes=False))
+        if run.ending is not None:
+            run.ending.conclude(copy_in_use)
 
-    def _next_run(
-        self, run: StreamRun, error: errors.EndivesillError, *, was_resumed: bool
+    async def _next_run(
+        self, run: StreamRun, error: errors.EndivesillError, was_resumed: bool
     ) -> tuple[StreamRun, str]:
         """Return the run that continues the stream and the copy it resumes from.
 
         Raises:
           AttemptError: the request was not run.
-          StreamBrokenError: there is no usable copy.
+          StreamBrokenError: there is no usable copy, or the engine works on the run.
         """
         call = self._call
         events.emit(
@@ -226,8 +220,16 @@
         is_own_end = run.is_moving or is_proxy_lost(error)
         if not is_own_end and not not_run:
             self._guard.note_broken(call, run.target)
-        target, copy = self._find_copy(run)
-        if target is None or not_run or call.is_suspect or self.resumes >= MAX_RESUMES:
+        run.successor = run.find_successor(self._table)
+        if run.successor is None or not_run or not self._may_resume():
+            raise StreamBrokenError(str(error)) from None
+        if run.copy is not None:
+            run.copy.halt()
+        run.ending = self._stopper.begin(run.abandon(call, resumes=True))
+        if not await run.ending.allows_resume():
+            raise StreamBrokenError("the engine works on the run") from None
+        target, copy = run.find_copy(self._table, call)
+        if target is None or not self._may_resume():
             raise StreamBrokenError(str(error)) from None
         self.resumes += 1
         if not is_own_end and self._table.accepts_requests(run.target):
@@ -243,20 +245,8 @@
         target.reserve(call.demand)
         return StreamRun(target, self._placer.reserve_backup(call, target)), copy
 
-    def _find_copy(self, run: StreamRun) -> tuple[Target | None, str]:
-        """Return the target that has a copy of an ended run, and the copy's name."""
-        stopped = run.stopped
-        if stopped is not None and stopped.destination is not None:
-            return stopped.destination, stopped.copy_name
-        if run.backup is not None and self._table.accepts_requests(run.backup):
-            address = run.backup.info.address
-            return run.backup, f"{address}/{self._call.info.attempt_id}"
-        copy = run.copy
-        if copy is None or not copy.name:
-            return None, ""
-        if not self._table.accepts_requests(copy.destination):
-            return None, ""
-        return copy.destination, copy.claim()
+    def _may_resume(self) -> bool:
+        return not self._call.is_suspect and self.resumes < MAX_RESUMES
 
     def _check_run(self) -> None:
         """Resume a stalled run elsewhere, or start, drop or use a copy of the run.
@@ -275,6 +265,7 @@
         idle_s = self._timer.now_s() - self.progress.last_event_s
         if (has_backup or has_copy) and self._is_stalled(run.attempt, idle_s):
             run.is_silent = True
+            run.is_unreached = self._sender.is_unreachable(run.attempt)
             run.attempt.body.abort()
         elif run.copy is not None and (
             run.copy.has_failed or not has_copy or not self._may_end_soon(run.target)
--- a/endivesill/platform/entry_process.py
+++ b/endivesill/platform/entry_process.py
@@ -200,6 +200,7 @@
         lines += self._budget.metric_lines()
         if self._even_load is not None:
             lines += self._even_load.metric_lines()
+        lines += self._forwarder.run_stopper.metric_lines()
         return lines + self._table.metric_lines() + self._statistics.lines()
 
     # Updates of the fleet view.
--- a/tests/test_forwarding_run_stops.py
+++ b/tests/test_forwarding_run_stops.py
@@ -6,6 +6,7 @@
 import attrs
 
 from endivesill.forwarding import streams
+from endivesill.http1 import UpstreamError
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 from tests.standin_platform import StandinEngine
 from tests.test_forwarding_limits import CountedPermits
@@ -54,18 +55,18 @@
         )
         self.table.update_engines()
 
-    async def add_keepers(self, *names: str):
+    async def add_keepers(self, *names: str, events=EVENTS):
         """Return engines that keep runs and resume from any copy."""
         engines = await self.add_engines("llm", *names)
         for engine in engines:
             engine.keeps_runs = True
             engine.copies = {"h1", "a1"}
-            engine.events, engine.event_pause_s = EVENTS, 0.02
+            engine.events, engine.event_pause_s = events, 0.02
         return engines
 
-    async def start_at_any(self, *names: str):
+    async def start_at_any(self, *names: str, events=EVENTS):
         """Return the engine that runs a stream, the others, and its response."""
-        engines = await self.add_keepers(*names)
+        engines = await self.add_keepers(*names, events=events)
         response_task = asyncio.ensure_future(
             self.send_request("/stream/x", *STREAM_HEADERS)
         )
@@ -197,6 +198,112 @@
         self.assertEqual([], first.copy_releases)
 
 
+class ResumeTest(RunStopCase):
+    """A stream goes on only once the engine before has stopped, ended or is lost.
+
+    Guards against runs that went on at two engines: a stream resumed at once, or after
+    0.35 s, whatever the engine before had answered.
+    """
+
+    # Refused by an engine that copies the run for some tenths of a second.
+    refusals = (409, 409, 409)
+
+    def end_connections(self, engine):
+        for connection in list(engine._listener.connections):
+            connection.abort()
+
+    async def count_overlaps(self, engines, until):
+        """Return how often all of some engines are seen at work."""
+        overlaps = 0
+        for _ in range(500):
+            if until():
+                return overlaps
+            overlaps += all(engine.running for engine in engines)
+            self.table.notify()
+            await asyncio.sleep(0.01)
+        raise AssertionError("condition not met within 5 s")
+
+    async def test_a_silent_stream_waits_until_its_run_has_stopped(self):
+        _, overlaps = await self.silent_run(refusals=[409] * 5)
+        self.assertLess(overlaps, 5)
+
+    async def test_a_broken_stream_waits_until_its_run_has_stopped(self):
+        used, others, response_task = await self.start_at_any("e1", "e2")
+        used.stop_refusals = list(self.refusals)
+        self.end_connections(used)
+        overlaps = await self.count_overlaps([used, *others], response_task.done)
+        self.assertLess(overlaps, 5)
+        _, body = await response_task
+        self.assertEqual(list(range(1, EVENTS + 1)), numbers(body))
+
+    async def test_a_moved_stream_waits_until_its_run_has_stopped(self):
+        (first, second), response_task = await self.start_run("e2")
+        first.stop_refusals = list(self.refusals)
+        self.give_notice("e1")
+        overlaps = await self.count_overlaps([first, second], response_task.done)
+        self.assertLess(overlaps, 5)
+        _, body = await response_task
+        self.assertEqual(list(range(1, EVENTS + 1)), numbers(body))
+
+    async def test_a_stream_whose_run_does_not_stop_is_broken(self):
+        used, (other,), response_task = await self.start_at_any(
+            "e1", "e2", events=10_000
+        )
+        used.stop_refusals = [409] * 20
+        self.end_connections(used)
+        with self.assertRaises(UpstreamError):
+            await response_task
+        self.assertEqual([], other.requests)
+        self.assertEqual(["status 409"], self.outcomes_of_stops())
+
+    async def test_a_run_ends_whose_caller_leaves_while_its_stream_waits(self):
+        engines = await self.add_keepers("e1", "e2", events=10_000)
+        connection = await self.connect()
+        connection.send(request("/stream/x", *STREAM_HEADERS))
+        await connection.head()
+        (used,) = [engine for engine in engines if engine.running]
+        await asyncio.sleep(0.1)
+        used.stop_refusals = list(self.refusals)
+        self.end_connections(used)
+        await self.wait_until(lambda: self.orders_to_stop(used))
+        connection.abort()
+        await self.wait_until(lambda: used.copy_releases and not used.running)
+        self.assertEqual(1, sum(len(engine.requests) for engine in engines))
+
+    async def test_a_stream_resumes_at_once_where_its_engine_has_ended(self):
+        used, (other,), response_task = await self.start_at_any("e1", "e2")
+        used._listener.stop_accepting()
+        self.end_connections(used)
+        await asyncio.sleep(0.1)
+        self.assertEqual(1, len(other.requests))
+        await response_task
+        self.assertEqual([], used.copy_orders)
+
+    async def test_a_run_ends_once_its_engine_is_reached_again(self):
+        used, (other,), response_task = await self.start_at_any(
+            "e1", "e2", events=10_000
+        )
+        is_cut = True
+        connect = self.pool._connect
+
+        async def connect_unless_cut(address, connect_timeout_s):
+            if is_cut and address == used.address:
+                raise UpstreamError("no route", sent=False)
+            return await connect(address, connect_timeout_s)
+
+        with mock.patch.object(self.pool, "_connect", connect_unless_cut):
+            self.end_connections(used)
+            await self.wait_until(lambda: other.requests)
+            await asyncio.sleep(1.0)
+            self.assertTrue(used.running)
+            is_cut = False
+            for _ in range(50):
+                self.links.check()
+                await asyncio.sleep(0.05)
+            self.assertEqual({}, used.running)
+        response_task.cancel()
+
+
 class HeldBackOrderTest(RunStopCase):
     """Nothing that holds requests back keeps an order to stop a run back.
 
@@ -248,9 +355,7 @@
         await response_task
 
     async def test_a_cancelled_run_ends_where_no_engine_wants_requests(self):
-        engines = await self.add_keepers("e1", "e2")
-        for engine in engines:
-            engine.events = 10_000
+        engines = await self.add_keepers("e1", "e2", events=10_000)
         connection = await self.connect()
         connection.send(request("/stream/x", *STREAM_HEADERS))
         await connection.head()
@@ -266,8 +371,7 @@
 
     async def test_a_cancelled_run_ends_at_the_only_engine_of_its_service(self):
         await self.add_engines("app", "p1")
-        (engine,) = await self.add_keepers("e1")
-        engine.events = 10_000
+        (engine,) = await self.add_keepers("e1", events=10_000)
         connection = await self.connect()
         connection.send(request("/stream/x", *STREAM_HEADERS))
         await connection.head()
