Do not stop a run that its engine takes up again

A stream whose engine could not be reached went on at its backup, and then back at the first engine, which was reached again by then. The order to stop the earlier run came after that: both runs have one id, so that it stopped the resumed one, and the caller's stream broke.

An ending is now superseded when its call resumes at the same engine, and sends no more orders.

Before: the new test failed (the stream broke off). After: it passed 3 of 3 times.

--- a/endivesill/forwarding/run_stop.py
+++ b/endivesill/forwarding/run_stop.py
@@ -120,6 +120,7 @@
         # Open connections may have gone silent together with that of the run.
         self._uses_new_connection = run.is_silent or run.resumes
         self._copy_in_use = ""
+        self._is_superseded = False
         self._settled = asyncio.Event()
         self._concluded = asyncio.Event()
 
@@ -151,6 +152,10 @@
         self._copy_in_use = copy_in_use
         self._concluded.set()
 
+    def supersede(self) -> None:
+        """Send no more orders, as the engine takes the same run up again."""
+        self._is_superseded = True
+
     async def end(self, delay_s: float) -> None:
         """Stop the run and release what it leaves.
 
@@ -184,6 +189,8 @@
             return
         outcome = ""
         while self._orders < MAX_ORDERS:
+            if self._is_superseded:
+                return
             if source.is_replaced:
                 self._settle(RunState.ENDED)
                 self._log("another target has its address")
@@ -246,14 +253,14 @@
         """Wait until an engine may be reached again, by this entry or another one.
 
         Returns:
-          False if it has left, or the caller's time is over, so that engines end the
-          run by themselves.
+          False if it has left or takes the run up again, or if the caller's time is
+          over, so that engines end the run by themselves.
         """
         source, info = self.run.source, self.run.source.info
         period_s = MIN_REACH_PERIOD_S
         while True:
             await self._timer.sleep(period_s)
-            if not source.listed or source.is_replaced:
+            if not source.listed or source.is_replaced or self._is_superseded:
                 return False
             if self._timer.now_s() >= self.run.call.caller_deadline_s:
                 return False
@@ -338,6 +345,15 @@
         task.add_done_callback(self._note_done)
         return ending
 
+    def supersede(self, call: Call, target: Target) -> None:
+        """Stop no earlier run of a call at an engine where it is resumed now.
+
+        Both have the same id, so that an order would stop the resumed run.
+        """
+        for ending in self._endings.values():
+            if ending.run.call is call and ending.run.source is target:
+                ending.supersede()
+
     def _note_done(self, task: asyncio.Task[None]) -> None:
         self._ended[self._endings.pop(task).state] += 1
 
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -242,6 +242,7 @@
             target=target.info.identity,
             after_event=self._sequence.last_id,
         )
+        self._stopper.supersede(call, target)
         target.reserve(call.demand)
         return StreamRun(target, self._placer.reserve_backup(call, target)), copy
 
--- a/tests/test_forwarding_run_stops.py
+++ b/tests/test_forwarding_run_stops.py
@@ -303,6 +303,31 @@
             self.assertEqual({}, used.running)
         response_task.cancel()
 
+    async def test_a_run_that_its_engine_takes_up_again_is_not_stopped(self):
+        """Guards against a late order, which would stop the resumed run."""
+        used, (other,), response_task = await self.start_at_any("e1", "e2", events=150)
+        is_cut = True
+        connect = self.pool._connect
+
+        async def connect_unless_cut(address, connect_timeout_s):
+            if is_cut and address == used.address:
+                raise UpstreamError("no route", sent=False)
+            return await connect(address, connect_timeout_s)
+
+        with mock.patch.object(self.pool, "_connect", connect_unless_cut):
+            self.end_connections(used)
+            await self.wait_until(lambda: other.running)
+            await asyncio.sleep(0.1)
+            is_cut = False
+            other._listener.stop_accepting()
+            self.end_connections(other)
+            while not response_task.done():
+                self.links.check()
+                await asyncio.sleep(0.05)
+        _, body = await response_task
+        self.assertEqual(list(range(1, 151)), numbers(body))
+        self.assertEqual([], self.orders_to_stop(used))
+
 
 class HeldBackOrderTest(RunStopCase):
     """Nothing that holds requests back keeps an order to stop a run back.
