Stop plain runs of model engines that are given up

Callers of other routes waited behind a generation without a stream whose caller had left, or whose second attempt was faster: an engine that works on when a connection closes kept it.

Cause: only StreamRelay told RunStopper of the runs it gave up. PlainSender now does so for services with model engines, unless the response was complete or the request did not run.

Before: the new test failed (the engine still had the run 0.4 s later). After: it passed, with one order, and a run that has ended gets none; 58 tests of run stops and plain requests passed.

--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -89,16 +89,17 @@
         self._log = log
         self._random = random_source
         self._sender = Sender(timer, client, table, protocol)
+        self._copier = RunCopier(timer, client, table, protocol)
+        self.run_stopper = RunStopper(self._copier, table, client.links)
         self._plain = PlainSender(
             timer,
             self._sender,
             table,
             self._retries,
+            self.run_stopper,
             self._place_again,
             self._record_failure,
         )
-        self._copier = RunCopier(timer, client, table, protocol)
-        self.run_stopper = RunStopper(self._copier, table, client.links)
         self._routes: RouteTable | None = None
         self._initial_sync = InitialSync(timer, table)
         self._running = RunningCalls(timer)
--- a/endivesill/forwarding/plain_sender.py
+++ b/endivesill/forwarding/plain_sender.py
@@ -12,6 +12,7 @@
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.proxy_messages import ProxyLostError
 from endivesill.forwarding.retry_policy import RetryPolicy
+from endivesill.forwarding.run_stop import AbandonedRun, RunStopper
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.http1 import UpstreamError
 from endivesill.timer import TimerService
@@ -55,6 +56,7 @@
       sender: sends requests.
       table: the targets; records responses that are overdue.
       retries: decides about second attempts.
+      stopper: stops the runs of model engines that were given up.
       place: places a request again, and logs it.
       on_failed: called with a request, a target and the error of a second attempt.
     """
@@ -65,6 +67,7 @@
         sender: Sender,
         table: TargetTable,
         retries: RetryPolicy,
+        stopper: RunStopper,
         place: Callable[[Call], Awaitable[Target]],
         on_failed: Callable[[Call, Target, AttemptError], None],
     ) -> None:
@@ -72,6 +75,7 @@
         self._sender = sender
         self._table = table
         self._retries = retries
+        self._stopper = stopper
         self._place = place
         self._on_failed = on_failed
 
@@ -129,17 +133,26 @@
             raise
 
     async def _exchange(self, call: Call, target: Target) -> PlainResponse:
-        """Send a request once; releases its demand at the target."""
+        """Send a request once; releases its demand at the target.
+
+        A run at a model engine is stopped unless its response is complete.
+        """
         overdue = self._timer.call_after(
             call.route.target_latency_s, lambda: self._table.note_overdue(target)
         )
         sent_s = self._timer.now_s()
+        has_ended = is_proxied = False
         try:
             attempt = await self._sender.send(call, target)
+            is_proxied = attempt.body.is_proxied
             try:
                 body = await _read_all(call, attempt)
+                has_ended = True
             finally:
                 attempt.body.release()
+        except AttemptError as error:
+            has_ended = error.failure.not_run
+            raise
         except ProxyLostError as error:
             raise AttemptError(Failure.PROXY_LOST, str(error)) from None
         except UpstreamError as error:
@@ -147,6 +160,9 @@
         finally:
             target.release(call.demand)
             overdue.cancel()
+            if not has_ended and call.service.model_engine is not None:
+                run = AbandonedRun(call, target, is_proxied=is_proxied)
+                self._stopper.begin(run).conclude()
         return PlainResponse(attempt, body, self._timer.now_s() - sent_s)
 
 
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -12,6 +12,7 @@
     FleetConfiguration,
     Organisation,
     RequestKind,
+    WeightedService,
 )
 from endivesill.fleet.shares import ShareLease
 from endivesill.fleet.sync_client import FleetSyncClient
@@ -43,6 +44,12 @@
     route(name="unsafe", path_prefix="/unsafe/"),
     route(RequestKind.SAFE, name="safe", path_prefix="/safe/"),
     route(RequestKind.STREAMING, name="stream", path_prefix="/stream/"),
+    route(
+        RequestKind.SAFE,
+        name="answer",
+        path_prefix="/answer/",
+        weighted_services=(WeightedService("llm", 1.0),),
+    ),
     route(name="keyed", path_prefix="/keyed/", is_public=False),
     route(name="short", path_prefix="/short/", timeout_s=0.2),
     route(RequestKind.SAFE, name="soon", path_prefix="/soon/", timeout_s=0.5),
--- a/tests/test_forwarding_run_stops.py
+++ b/tests/test_forwarding_run_stops.py
@@ -394,6 +394,27 @@
         self.assertEqual(1, len(orders))
         self.assertEqual([], [path for e in engines for path in e.copy_releases])
 
+    async def test_a_plain_run_ends_whose_caller_has_left(self):
+        """Guards against runs without a stream, which no order stopped."""
+        engines = await self.add_keepers("e1", "e2", events=10_000)
+        connection = await self.connect()
+        counts = (b"X-Endivesill-Token-Counts", b"1000,80")
+        connection.send(request("/answer/x", counts))
+        await self.wait_until(lambda: any(engine.running for engine in engines))
+        connection.abort()
+        await asyncio.sleep(OVERLAP_S)
+        self.assertEqual([{}, {}], [engine.running for engine in engines])
+        orders = [order for e in engines for order in self.orders_to_stop(e)]
+        self.assertEqual(1, len(orders))
+
+    async def test_a_plain_run_that_has_ended_gets_no_order(self):
+        engines = await self.add_keepers("e1", "e2", events=5)
+        counts = (b"X-Endivesill-Token-Counts", b"1000,80")
+        head, _ = await self.send_request("/answer/x", counts)
+        self.assertEqual(200, head.status)
+        await asyncio.sleep(OVERLAP_S)
+        self.assertEqual([], [order for e in engines for order in e.copy_orders])
+
     async def test_a_cancelled_run_ends_at_the_only_engine_of_its_service(self):
         await self.add_engines("app", "p1")
         (engine,) = await self.add_keepers("e1", events=10_000)
