Send the last orders to stop runs before an entry ends

An engine worked on after its entry had stopped, for a caller whose response the entry had ended at the end of its grace period.

Cause: the order to stop a run goes out 0.1 s after its connection was closed, and the process ended before that. stop_serving now waits for these orders as long as it waits for the last responses, at most.

Before: the new test failed (no order). After: it passed.

--- a/endivesill/forwarding/entry_stop.py
+++ b/endivesill/forwarding/entry_stop.py
@@ -17,7 +17,7 @@
 # served. The time between them is for the requests of the last connections.
 ACCEPTING_FRACTION = 2 / 3
 SERVING_FRACTION = 5 / 6
-# Fraction of the grace period for sending the last responses.
+# Fraction of the grace period for sending the last responses and orders to stop runs.
 FLUSH_FRACTION = 1 / 16
 STOP_POLL_PERIOD_S = 0.05
 
@@ -34,7 +34,7 @@
 
     Connections are accepted until shortly before the end, since callers may have no
     other entry. Requests that could not end in time are refused, and all that still
-    run at the end get a response.
+    run at the end get a response. Engines are ordered to stop what these gave up.
 
     Args:
       timer: the timer service.
@@ -67,4 +67,8 @@
         await timer.sleep(STOP_POLL_PERIOD_S)
     forwarder.end_all()
     await draining
-    return await close_listener(listener, FLUSH_FRACTION * grace_s)
+    flush_s = FLUSH_FRACTION * grace_s
+    cut, _ = await asyncio.gather(
+        close_listener(listener, flush_s), forwarder.run_stopper.settle(flush_s)
+    )
+    return cut
--- a/tests/test_forwarding_run_stops.py
+++ b/tests/test_forwarding_run_stops.py
@@ -5,8 +5,10 @@
 
 import attrs
 
-from endivesill.forwarding import streams
+from endivesill.forwarding import entry_stop, streams
+from endivesill.forwarding.proxy_service import ProxyService
 from endivesill.http1 import UpstreamError
+from endivesill.platform.engines import PlatformProtocol
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 from tests.standin_platform import StandinEngine
 from tests.test_forwarding_limits import CountedPermits
@@ -407,6 +409,31 @@
         orders = [order for e in engines for order in self.orders_to_stop(e)]
         self.assertEqual(1, len(orders))
 
+    async def test_a_run_ends_at_the_end_of_a_stopping_entry(self):
+        """Guards against a process that ended before its orders were sent."""
+        used, _, response_task = await self.start_at_any("e1", "e2", events=10_000)
+        proxy = ProxyService(
+            self.timer,
+            "127.0.0.1:0",
+            self.table,
+            self.pool,
+            self.links,
+            PlatformProtocol(),
+        )
+        await proxy.listener.start()
+        grace_s = 3.2
+        with mock.patch.object(entry_stop, "BALANCER_LAG_S", 0.0):
+            await entry_stop.stop_serving(
+                self.timer,
+                self.listener,
+                self.forwarder,
+                proxy,
+                self.timer.now_s(),
+                grace_s,
+            )
+        self.assertEqual(1, len(self.orders_to_stop(used)))
+        await asyncio.gather(response_task, return_exceptions=True)
+
     async def test_a_plain_run_that_has_ended_gets_no_order(self):
         engines = await self.add_keepers("e1", "e2", events=5)
         counts = (b"X-Endivesill-Token-Counts", b"1000,80")
