Soak engines that keep runs which entries give up

The profile `runs` has engines that work on until they are ordered to stop, with connections that go silent or end, engines that refuse orders while they copy, and pauses of requests; callers leave in the middle of streams, entries stop, engines drain, leaders are killed. It checks that no run is at two engines for over 0.4 s, that none goes on over 1.5 s after its caller has gone, and that no stopped run gets a second order.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -2,7 +2,7 @@
 
     python -m bench.platform_soak [--seed N] [--seeds COUNT] [--fault-s S] [--jobs J]
         [--profile standard|stops|crashes|requests|limits|cuts|mass-cuts|orders|entries|
-        rollouts|replacements]
+        rollouts|replacements|runs]
         [--entries N]
 
 Starts three control VMs and three entries, or N in each data centre, sends requests and
@@ -117,7 +117,9 @@
             self,
             self._profile.cuts,
         )
-        operator = Operator(self._timer, fleet, self._seed)
+        operator = Operator(
+            self._timer, fleet, self._seed, **self._profile.engine_features
+        )
         try:
             await fleet.start()
             callers = Callers(self._timer, fleet, self._seed)
--- a/bench/platform_soak_callers.py
+++ b/bench/platform_soak_callers.py
@@ -165,6 +165,7 @@
       timer: the timer service.
       fleet: the fleet whose control VMs are called.
       seed: seed of the choice of control VMs and versions.
+      features: further fields of the model engines in the configuration.
 
     Attributes:
       sent: the documents sent, by version.
@@ -172,9 +173,12 @@
       first_acknowledged: set once a version was acknowledged.
     """
 
-    def __init__(self, timer: TimerService, fleet: SoakFleet, seed: int) -> None:
+    def __init__(
+        self, timer: TimerService, fleet: SoakFleet, seed: int, **features: bool
+    ) -> None:
         self._timer = timer
         self._fleet = fleet
+        self._features = features
         self._random = random.Random(seed)
         self._pool = ConnectionPool(timer, CONNECT_TIMEOUT_S, 0.0)
         self.sent: dict[int, dict[str, Any]] = {}
@@ -185,7 +189,7 @@
         """Change the configuration until cancelled."""
         version = 1
         while True:
-            self.sent[version] = configuration(version)
+            self.sent[version] = configuration(version, **self._features)
             if await self._send(version):
                 self.acknowledged = max(self.acknowledged, version)
                 self.first_acknowledged.set()
--- a/bench/platform_soak_faults.py
+++ b/bench/platform_soak_faults.py
@@ -135,7 +135,7 @@
     return "crash_target", str(rng.randrange(100)), rng.uniform(0.5, 1.5), ""
 
 
-@_register
+@_register_for(STANDARD, "runs")
 def _drain_target(rng: random.Random) -> tuple[str, str, float, str]:
     return "drain_target", str(rng.randrange(100)), 3.0, ""
 
@@ -176,7 +176,9 @@
     _register(_replace_control, ("replacements",))
 
 
-@_register_for("stops", "crashes", "limits", "cuts", "mass-cuts", "replacements")
+@_register_for(
+    "stops", "crashes", "limits", "cuts", "mass-cuts", "replacements", "runs"
+)
 def _stop_entry(rng: random.Random) -> tuple[str, str, float, str]:
     subject = f"entry-{rng.choice(DATA_CENTRES)}"
     return "stop", subject, rng.uniform(0.1, 1.0), ""
@@ -188,7 +190,7 @@
     return "kill", subject, rng.uniform(0.2, 1.0), ""
 
 
-@_register_for("crashes", "limits", "cuts", "mass-cuts", "orders")
+@_register_for("crashes", "limits", "cuts", "mass-cuts", "orders", "runs")
 def _kill_leader(rng: random.Random) -> tuple[str, str, float, str]:
     return "kill_leader", "control", rng.uniform(0.5, 2.0), ""
 
--- a/bench/platform_soak_profile.py
+++ b/bench/platform_soak_profile.py
@@ -4,6 +4,7 @@
 
 import collections
 import random
+from collections.abc import Mapping
 from typing import Any
 
 from bench.platform_soak_callers import CallRecord
@@ -46,6 +47,8 @@
     targets_per_data_centre = 1
     # Further lines of the bounds in the processes' settings.
     further_bounds = ""
+    # Further fields of the model engines in the configuration.
+    engine_features: Mapping[str, bool] = {}
 
     def __init__(self, timer: TimerService, seed: int) -> None:
         self._timer = timer
--- a/bench/platform_soak_profiles.py
+++ b/bench/platform_soak_profiles.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import random
+from collections.abc import Mapping
 
 import attrs
 
@@ -21,6 +22,7 @@
 from bench.platform_soak_orders import OrderOperators
 from bench.platform_soak_profile import PROFILES, Profile, register
 from bench.platform_soak_rollouts import RolloutProfile
+from bench.platform_soak_runs import RunCallers, RunRecords, RunTarget
 from bench.platform_soak_stops import RecordingTarget, StopCallers, StopRecords
 from bench.platform_soak_targets import PlatformTargetList, SoakTarget
 from endivesill.timer import TimerService
@@ -292,6 +294,46 @@
         return self._list.findings()
 
 
+@register
+class RunProfile(Profile):
+    """Engines that keep runs until they are ordered to stop them."""
+
+    name = "runs"
+    grace_s = LONG_GRACE_S
+    targets_per_data_centre = 2
+    engine_features: Mapping[str, bool] = {"backups": True, "moves": True}
+
+    def __init__(self, timer: TimerService, seed: int) -> None:
+        super().__init__(timer, seed)
+        self._runs = RunRecords()
+
+    def make_faults(self, duration_s: float) -> list[Fault]:
+        """Return the faults in order of time; the engines' ones end with them."""
+        self._runs.until_s = self._timer.now_s() + duration_s
+        self.load_s = duration_s
+        return super().make_faults(duration_s)
+
+    def make_target(
+        self,
+        service: str,
+        data_centre: str,
+        run_counts: collections.Counter[str],
+        rng: random.Random,
+    ) -> SoakTarget:
+        """Return a target whose engine keeps runs."""
+        return RunTarget(self._timer, service, data_centre, run_counts, rng, self._runs)
+
+    async def run(self, fleet: SoakFleet) -> None:
+        """Call until cancelled."""
+        callers = RunCallers(self._timer, fleet, self._seed, self.records)
+        await callers.run()
+
+    def check(self) -> list[str]:
+        """Return the runs that went on where they should not."""
+        findings, self.figures = self._runs.check(self.records)
+        return findings
+
+
 @register
 class ReplacementProfile(Profile):
     """Control VMs that are replaced, several at a time, beside faults of others."""
--- a/bench/platform_soak_targets.py
+++ b/bench/platform_soak_targets.py
@@ -15,11 +15,13 @@
 __all__ = [
     "ATTEMPT_ID",
     "EVENTS_PER_STREAM",
+    "EVENT_INTERVAL_S",
     "PlatformTargetList",
     "ROUTE_TIMEOUT_S",
     "SEAL",
     "SoakTarget",
     "configuration",
+    "event",
     "expected_body",
     "list_page",
 ]
@@ -41,11 +43,12 @@
     if not is_stream:
         return f"answer to {attempt_id}".encode()
     return b"".join(
-        _event(attempt_id, number) for number in range(1, EVENTS_PER_STREAM + 1)
+        event(attempt_id, number) for number in range(1, EVENTS_PER_STREAM + 1)
     )
 
 
-def _event(attempt_id: str, number: int) -> bytes:
+def event(attempt_id: str, number: int) -> bytes:
+    """Return one event of the stream of an attempt."""
     return f"id: {number}\ndata: {attempt_id} {number}\n\n".encode()
 
 
@@ -188,7 +191,7 @@
         for number in range(1, EVENTS_PER_STREAM + 1):
             if exchange.disconnected.is_set():
                 return
-            exchange.send(_event(attempt, number))
+            exchange.send(event(attempt, number))
             await asyncio.sleep(interval_s)
         exchange.finish()
 
@@ -215,8 +218,13 @@
     return b'{"instances":[' + b",".join(rows) + b'],"next":null}'
 
 
-def configuration(version: int) -> dict[str, Any]:
-    """Return one version of the configuration, with a route named after it."""
+def configuration(version: int, **features: bool) -> dict[str, Any]:
+    """Return one version of the configuration, with a route named after it.
+
+    Args:
+      version: the version.
+      features: further fields of the model engines.
+    """
     kinds = (("unsafe", "app", 1), ("safe", "app", 2), ("streaming", "llm", 1))
     routes = [
         {
@@ -234,7 +242,7 @@
         for kind, service, attempts in kinds
     ]
     routes.append({**routes[1], "name": f"v{version}", "path_prefix": f"/v{version}/"})
-    engine = {"slots": 16, "kv_capacity_tokens": 100_000, "stride": 1}
+    engine = {"slots": 16, "kv_capacity_tokens": 100_000, "stride": 1, **features}
     return {
         "version": version,
         "routes": routes,
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -20,6 +20,7 @@
 from bench.platform_soak_orders import OrderRecord
 from bench.platform_soak_profiles import make_profile
 from bench.platform_soak_rollout_targets import RolloutRecord
+from bench.platform_soak_runs import RunRecords, Work
 from bench.platform_soak_stops import StopRecords
 from endivesill.timer import ManualTimer
 
@@ -32,6 +33,7 @@
 SHORT_ENTRY_S = 6.0
 SHORT_ROLLOUT_S = 16.0
 SHORT_REPLACEMENT_S = 8.0
+SHORT_RUN_S = 8.0
 # Above the numbers of manual runs; differs between test runs on one machine.
 FLEET_NUMBER = 30_000 + os.getpid() % 30_000
 
@@ -97,6 +99,30 @@
         self.assertEqual(1, len(record.findings(True)))
 
 
+class RunRecordTest(unittest.TestCase):
+    """The check of runs finds what it is for."""
+
+    def findings(self, *spans_s, ended_s=102.0, orders=1):
+        records = RunRecords()
+        for start_s, end_s in spans_s:
+            work = Work("a1", "llm-1", "silent", start_s, end_s, orders=orders)
+            records.works.append(work)
+        call = CallRecord("a1", "streaming", "entry-a", 100.0, ended_s)
+        return records.check([call])[0]
+
+    def test_a_run_at_two_engines(self):
+        self.assertEqual([], self.findings((100.0, 101.3), (101.0, 102.0)))
+        self.assertEqual(1, len(self.findings((100.0, 101.5), (101.0, 102.0))))
+
+    def test_a_run_after_its_caller_has_gone(self):
+        self.assertEqual([], self.findings((100.0, 103.4)))
+        self.assertEqual(1, len(self.findings((100.0, 103.6))))
+        self.assertEqual(1, len(self.findings((100.0, float("inf")))))
+
+    def test_a_second_order_to_a_stopped_run(self):
+        self.assertEqual(1, len(self.findings((100.0, 101.0), orders=2)))
+
+
 class MassCutScheduleTest(unittest.TestCase):
     """Cuts of groups of 60 entries."""
 
@@ -431,6 +457,13 @@
     async def test_engines_that_end_after_a_response_and_are_back_at_once(self):
         await self.assert_few_ends(910, "crashes", "after the response")
 
+    async def test_engines_that_keep_runs_are_told_to_stop_them(self):
+        report = await Soak(1, SHORT_RUN_S, FLEET_NUMBER, "runs").run()
+        self.assertGreater(report["silent_runs"], 0)
+        self.assertGreater(report["broken_runs"], 0)
+        self.assertGreater(report["resumed_streams"], 0)
+        self.assertEqual([], report["findings"])
+
     async def test_targets_that_limit_the_rate_of_requests(self):
         report = await Soak(3, SHORT_LIMIT_S, FLEET_NUMBER, "limits").run()
         self.assertGreater(report["limits"], 0)
