--- a/tests/test_forwarding_run_stops.py
+++ b/tests/test_forwarding_run_stops.py
@@ -1,6 +1,7 @@
 """Tests of stopping the runs that an entry gives up."""
 
 import asyncio
+import contextlib
 from unittest import mock
 
 import attrs
@@ -214,6 +215,24 @@
         for connection in list(engine._listener.connections):
             connection.abort()
 
+    @contextlib.contextmanager
+    def cut(self, engine):
+        """Let connecting to an engine fail, until the value is called."""
+        is_cut = True
+        connect = self.pool._connect
+
+        async def connect_unless_cut(address, connect_timeout_s):
+            if is_cut and address == engine.address:
+                raise UpstreamError("no route", sent=False)
+            return await connect(address, connect_timeout_s)
+
+        def heal():
+            nonlocal is_cut
+            is_cut = False
+
+        with mock.patch.object(self.pool, "_connect", connect_unless_cut):
+            yield heal
+
     async def count_overlaps(self, engines, until):
         """Return how often all of some engines are seen at work."""
         overlaps = 0
@@ -285,20 +304,12 @@
         used, (other,), response_task = await self.start_at_any(
             "e1", "e2", events=10_000
         )
-        is_cut = True
-        connect = self.pool._connect
-
-        async def connect_unless_cut(address, connect_timeout_s):
-            if is_cut and address == used.address:
-                raise UpstreamError("no route", sent=False)
-            return await connect(address, connect_timeout_s)
-
-        with mock.patch.object(self.pool, "_connect", connect_unless_cut):
+        with self.cut(used) as heal:
             self.end_connections(used)
             await self.wait_until(lambda: other.requests)
             await asyncio.sleep(1.0)
             self.assertTrue(used.running)
-            is_cut = False
+            heal()
             for _ in range(50):
                 self.links.check()
                 await asyncio.sleep(0.05)
@@ -308,19 +319,11 @@
     async def test_a_run_that_its_engine_takes_up_again_is_not_stopped(self):
         """Guards against a late order, which would stop the resumed run."""
         used, (other,), response_task = await self.start_at_any("e1", "e2", events=150)
-        is_cut = True
-        connect = self.pool._connect
-
-        async def connect_unless_cut(address, connect_timeout_s):
-            if is_cut and address == used.address:
-                raise UpstreamError("no route", sent=False)
-            return await connect(address, connect_timeout_s)
-
-        with mock.patch.object(self.pool, "_connect", connect_unless_cut):
+        with self.cut(used) as heal:
             self.end_connections(used)
             await self.wait_until(lambda: other.running)
             await asyncio.sleep(0.1)
-            is_cut = False
+            heal()
             other._listener.stop_accepting()
             self.end_connections(other)
             while not response_task.done():
