Shorten the pause of a stream that moves

Cause: after closing the connection, a moved stream waited 0.05 s before the order to stop its run. It waits 0.03 s now: engines that drop runs have seen the end of the connection by then.

--- a/endivesill/forwarding/run_stop.py
+++ b/endivesill/forwarding/run_stop.py
@@ -28,8 +28,8 @@
 # Time after which engines that drop runs have seen the end of a connection; they have
 # no run to copy then. It is a quarter of the time that two engines may work on a run.
 CLOSE_LAG_S = 0.1
-# The same for a stream that waits for it.
-MOVE_LAG_S = 0.05
+# The same for a stream that waits for it; routes allow pauses of less than 0.2 s.
+MOVE_LAG_S = 0.03
 # Pause before the second order to an engine that has not carried out the first, such as
 # one that still copies the run; doubled before each further one.
 RETRY_DELAY_S = 0.05
