Return to the wait before the order to stop a moved run

test_forwarding_streams.StreamTest.test_a_run_moves_before_its_engine_with_notice_stops failed 3 of 3 times without the wait: the order stopped a run that its engine would have dropped.

--- a/endivesill/forwarding/run_stop.py
+++ b/endivesill/forwarding/run_stop.py
@@ -28,6 +28,8 @@
 # Time after which engines that drop runs have seen the end of a connection; they have
 # no run to copy then. It is a quarter of the time that two engines may work on a run.
 CLOSE_LAG_S = 0.1
+# The same for a stream that waits for it; routes allow pauses of less than 0.2 s.
+MOVE_LAG_S = 0.03
 # Pause before the second order to an engine that has not carried out the first, such as
 # one that still copies the run; doubled before each further one.
 RETRY_DELAY_S = 0.05
@@ -70,8 +72,7 @@
       destination: the engine that is to receive the copy; None for any.
       is_silent: whether the connection has gone silent.
       is_unreached: whether no connection to the engine can be established.
-      was_closed: whether the entry has just closed the connection, which its engine may
-        not have seen at the first order.
+      was_closed: whether the entry has closed the connection.
       is_proxied: whether the run was sent through another entry.
       resumes: whether another engine is to go on with it.
     """
@@ -203,9 +204,7 @@
                     return
                 continue
             self._settle(RunState.STOPPED)
-            if self.stopped.was_running and not (
-                self.run.was_closed and self._orders == 1
-            ):
+            if self.stopped.was_running:
                 self._log("stopped")
             return
         if self.state is RunState.UNKNOWN:
@@ -337,8 +336,9 @@
 
     def begin(self, run: AbandonedRun) -> RunEnding:
         """Begin to end a run; the caller calls `RunEnding.conclude` later."""
-        # A stream that waits must not pause for longer than its route allows.
-        delay_s = 0.0 if run.resumes else CLOSE_LAG_S
+        delay_s = CLOSE_LAG_S
+        if run.resumes:
+            delay_s = MOVE_LAG_S if run.was_closed else 0.0
         ending = RunEnding(self._copier, self._table, self._links, run)
         task = asyncio.ensure_future(ending.end(delay_s))
         self._endings[task] = ending
