Need keys whenever a desired state contains tenants

Cause: decoding made an empty tuple of an absent, a null and an empty list, and RouteTable asked for the truth of that tuple. So a state that takes away the last key opened all routes.

Change: FleetConfiguration.needs_keys is decided where the document is decoded, by whether the field is there. Without the argument a configuration needs keys.

--- a/endivesill/document_reader.py
+++ b/endivesill/document_reader.py
@@ -153,6 +153,10 @@
         """Return a reader for a required object field."""
         return Reader(self._get(name, (dict,), MISSING), f"{self._location}.{name}")
 
+    def contains(self, name: str) -> bool:
+        """Return whether the field is present, also if it is null."""
+        return name in self._document
+
     def has(self, name: str) -> bool:
         """Return whether the field is present and not null."""
         return self._document.get(name) is not None
--- a/endivesill/fleet/model.py
+++ b/endivesill/fleet/model.py
@@ -118,7 +118,7 @@
 
     Attributes:
       name: unique name.
-      keys: its API keys.
+      keys: its API keys; it may have none.
       priority: overrides that of the route; None for no override.
     """
 
@@ -135,11 +135,13 @@
       version: increases with each change.
       routes: all routes.
       services: services by name.
-      organisations: all organisations; if empty, no request needs a key.
+      organisations: all organisations; there may be none.
       header_bytes: limit for the head of a request.
       body_bytes: limit for the body of a request.
       header_timeout_s: limit for the time until a head is complete.
       idle_timeout_s: how long idle connections of callers stay open.
+      needs_keys: whether requests to routes that are not public need the API key of an
+        organisation, also if no organisation has one.
     """
 
     version: int
@@ -150,6 +152,7 @@
     body_bytes: int
     header_timeout_s: float
     idle_timeout_s: float
+    needs_keys: bool = True
 
 
 @attrs.frozen
--- a/endivesill/forwarding/route_table.py
+++ b/endivesill/forwarding/route_table.py
@@ -30,7 +30,7 @@
     @property
     def needs_keys(self) -> bool:
         """Whether requests to routes that are not public need an API key."""
-        return bool(self.configuration.organisations)
+        return self.configuration.needs_keys
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
--- a/endivesill/platform/configuration.py
+++ b/endivesill/platform/configuration.py
@@ -57,6 +57,8 @@
         / MS_PER_S,
         idle_timeout_s=limits.number("idle_timeout_ms", DEFAULT_IDLE_TIMEOUT_MS)
         / MS_PER_S,
+        # The field itself makes keys necessary, whatever it contains.
+        needs_keys=reader.contains("tenants"),
     )
 
 
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import attrs
+
 from endivesill.fleet.load import EngineLoad
 from endivesill.forwarding.initial_sync import InitialSync
+from endivesill.forwarding.route_table import RouteTable
 from endivesill.forwarding.run_copy import CopyRefusedError, RunCopier
 from endivesill.platform.engines import PlatformProtocol
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
@@ -63,6 +66,27 @@
             self.assertEqual(401, head.status)
         self.assertEqual([], engine.requests)
 
+    async def test_without_held_keys_only_public_routes_are_served(self):
+        """Guards against requests that run with a key that nobody holds any more."""
+        (engine,) = await self.add_engines("app", "p1")
+        configuration = attrs.evolve(
+            self.forwarder.routes.configuration, organisations=()
+        )
+        self.forwarder.routes = RouteTable(configuration)
+        for keys in ([], [(b"Api-Key", b"k1")], [(b"Api-Key", b"")]):
+            head, _ = await self.send_request("/keyed/x", *keys)
+            self.assertEqual(401, head.status)
+        self.assertEqual([], engine.requests)
+        self.assertEqual(200, (await self.send_request("/unsafe/x"))[0].status)
+
+    async def test_without_need_of_keys_all_routes_are_served(self):
+        await self.add_engines("app", "p1")
+        configuration = attrs.evolve(
+            self.forwarder.routes.configuration, organisations=(), needs_keys=False
+        )
+        self.forwarder.routes = RouteTable(configuration)
+        self.assertEqual(200, (await self.send_request("/keyed/x"))[0].status)
+
     async def test_no_route_is_a_404_and_no_configuration_a_503(self):
         self.assertEqual(404, (await self.send_request("/none/x"))[0].status)
         self.forwarder.routes = None
--- a/tests/test_forwarding_routes.py
+++ b/tests/test_forwarding_routes.py
@@ -8,9 +8,10 @@
 from tests.forwarding_fakes import MODEL, PLAIN, route
 
 
-def configuration(*routes, organisations=()):
+def configuration(*routes, organisations=(), **fields):
+    services = {"app": PLAIN, "llm": MODEL}
     return FleetConfiguration(
-        1, routes, {"app": PLAIN, "llm": MODEL}, organisations, 1000, 1000, 3.0, 15.0
+        1, routes, services, organisations, 1000, 1000, 3.0, 15.0, **fields
     )
 
 
@@ -50,8 +51,9 @@
         self.assertIsNone(table.organisation_of("k3"))
         self.assertIsNone(table.organisation_of(""))
 
-    def test_without_organisations_no_key_is_needed(self):
-        self.assertFalse(RouteTable(configuration()).needs_keys)
+    def test_keys_are_needed_unless_the_configuration_says_otherwise(self):
+        self.assertTrue(RouteTable(configuration()).needs_keys)
+        self.assertFalse(RouteTable(configuration(needs_keys=False)).needs_keys)
 
 
 class WeightTest(unittest.TestCase):
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -5,6 +5,7 @@
 
 from endivesill import errors
 from endivesill.fleet.model import RequestKind
+from endivesill.forwarding.route_table import RouteTable
 from endivesill.platform.configuration import decode_configuration
 
 DOCUMENT = {
@@ -67,6 +68,26 @@
         self.assertEqual(100, configuration.header_bytes)
 
 
+class TenantsTest(unittest.TestCase):
+    """Which states need keys, and whose."""
+
+    def route_table(self, **fields):
+        document = copy.deepcopy(DOCUMENT)
+        del document["tenants"]
+        return RouteTable(decode_configuration({**document, **fields}))
+
+    def test_a_state_that_contains_tenants_needs_keys(self):
+        """Guards against an empty list of tenants that opens all routes."""
+        for tenants in ([], None, [{"name": "o"}], [{"name": "o", "api_keys": []}]):
+            table = self.route_table(tenants=tenants)
+            self.assertTrue(table.needs_keys, tenants)
+            for key in ("k1", ""):
+                self.assertIsNone(table.organisation_of(key), tenants)
+
+    def test_a_state_without_tenants_needs_no_keys(self):
+        self.assertFalse(self.route_table().needs_keys)
+
+
 class InvalidTest(unittest.TestCase):
     def assert_rejected(self, edit, text):
         document = copy.deepcopy(DOCUMENT)
