Check the content of configurations outside the adapter

The adapter for the platform holds names and calls. What makes a configuration invalid is decided in fleet/configuration_checks.py now, on the decoded configuration. No change for callers or operators but the wording of the error for a time-out of 0, which no longer names the platform's field; its test follows.

--- a/endivesill/platform/configuration.py
+++ b/endivesill/platform/configuration.py
@@ -6,6 +6,7 @@
 
 from endivesill import errors
 from endivesill.document_reader import Reader
+from endivesill.fleet.configuration_checks import check_configuration
 from endivesill.fleet.model import (
     FleetConfiguration,
     ModelEngineSpec,
@@ -41,16 +42,12 @@
         service.name: service
         for service in map(_decode_service, reader.objects("services"))
     }
-    routes = tuple(_decode_route(item, services) for item in reader.objects("routes"))
-    _check_unique_matches(routes)
-    organisations = tuple(map(_decode_organisation, reader.objects("tenants", [])))
-    _check_unique_keys(organisations)
     limits = Reader(document.get("limits") or {}, "state.limits")
-    return FleetConfiguration(
+    configuration = FleetConfiguration(
         version=reader.integer("version"),
-        routes=routes,
+        routes=tuple(map(_decode_route, reader.objects("routes"))),
         services=services,
-        organisations=organisations,
+        organisations=tuple(map(_decode_organisation, reader.objects("tenants", []))),
         header_bytes=limits.integer("max_header_bytes", DEFAULT_MAX_HEADER_BYTES),
         body_bytes=limits.integer("max_body_bytes", DEFAULT_MAX_BODY_BYTES),
         header_timeout_s=limits.number("header_timeout_ms", DEFAULT_HEADER_TIMEOUT_MS)
@@ -60,6 +57,8 @@
         # The field itself makes keys necessary, whatever it contains.
         needs_keys=reader.contains("tenants"),
     )
+    check_configuration(configuration)
+    return configuration
 
 
 def _decode_service(reader: Reader) -> Service:
@@ -85,11 +84,9 @@
     )
 
 
-def _decode_route(reader: Reader, services: dict[str, Service]) -> Route:
+def _decode_route(reader: Reader) -> Route:
     name = reader.text("name")
     timeout_ms = reader.number("timeout_ms")
-    if timeout_ms <= 0:
-        raise errors.DocumentError(f"route {name}: timeout_ms is not over 0")
     kind = reader.text("kind")
     if kind not in {item.value for item in RequestKind}:
         raise errors.DocumentError(f"route {name}: no kind {kind!r}")
@@ -101,34 +98,20 @@
         timeout_s=timeout_ms / MS_PER_S,
         target_latency_s=reader.number("target_latency_ms", timeout_ms) / MS_PER_S,
         priority=reader.integer("priority", 0),
-        weighted_services=_decode_weighted_services(reader, name, services),
+        weighted_services=_decode_weighted_services(reader),
         max_attempts=reader.integer("max_attempts", 1),
         is_public=reader.flag("public", False),
         gap_target_s=reader.number("gap_target_ms", 0.0) / MS_PER_S,
     )
 
 
-def _decode_weighted_services(
-    reader: Reader, route: str, services: dict[str, Service]
-) -> tuple[WeightedService, ...]:
-    if reader.has("traffic_split"):
-        items = reader.objects("traffic_split")
-        weighted_services = tuple(
-            WeightedService(item.text("service"), item.number("weight"))
-            for item in items
-        )
-    else:
-        weighted_services = (WeightedService(reader.text("service"), 1.0),)
-    for weighted in weighted_services:
-        if weighted.service not in services:
-            raise errors.DocumentError(
-                f"route {route}: no service {weighted.service!r}"
-            )
-    if any(weighted.weight < 0 for weighted in weighted_services) or not any(
-        s.weight for s in weighted_services
-    ):
-        raise errors.DocumentError(f"route {route}: the weights add up to 0")
-    return weighted_services
+def _decode_weighted_services(reader: Reader) -> tuple[WeightedService, ...]:
+    if not reader.has("traffic_split"):
+        return (WeightedService(reader.text("service"), 1.0),)
+    return tuple(
+        WeightedService(item.text("service"), item.number("weight"))
+        for item in reader.objects("traffic_split")
+    )
 
 
 def _decode_organisation(reader: Reader) -> Organisation:
@@ -137,23 +120,3 @@
         keys=tuple(reader.texts("api_keys", [])),
         priority=reader.integer("priority", None),
     )
-
-
-def _check_unique_matches(routes: tuple[Route, ...]) -> None:
-    matches = set()
-    for route in routes:
-        match_key = (route.host, route.path_prefix)
-        if match_key in matches:
-            raise errors.DocumentError(f"route {route.name}: the place is taken")
-        matches.add(match_key)
-
-
-def _check_unique_keys(organisations: tuple[Organisation, ...]) -> None:
-    owner_by_key: dict[str, str] = {}
-    for organisation in organisations:
-        for key in organisation.keys:
-            owner = owner_by_key.setdefault(key, organisation.name)
-            if owner != organisation.name:
-                raise errors.DocumentError(
-                    f"tenants {owner} and {organisation.name} share a key"
-                )
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -116,7 +116,7 @@
 
     def test_zero_timeout(self):
         self.assert_rejected(
-            lambda d: d["routes"][0].update(timeout_ms=0), "timeout_ms"
+            lambda d: d["routes"][0].update(timeout_ms=0), "the time-out is not over 0"
         )
 
     def test_key_shared_by_two_organisations(self):
