Let nobody in by an empty key

Callers saw: with a tenant that holds "" among its api_keys, a request without Api-Key, with an empty one or with two of them ran as that tenant's.

Cause: a request without exactly one key was decoded to the empty key, which was looked up like any other: a right that missing knowledge opened.

Change: RequestInfo.key is None unless there is exactly one key that is not empty.

Test: test_an_empty_key_lets_nobody_in failed before (the organisation was found for no key).

--- a/bench/worst_load_policies.py
+++ b/bench/worst_load_policies.py
@@ -312,7 +312,7 @@
     return RequestInfo(
         attempt_id=arrival.session,
         remaining_s=None,
-        key="",
+        key=None,
         prompt_tokens=arrival.prompt_tokens,
         maximum_output_tokens=0,
         expected_output_tokens=arrival.hint_tokens,
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -21,7 +21,7 @@
     Attributes:
       attempt_id: the caller's id of this attempt.
       remaining_s: time until the caller's deadline; None if not given.
-      key: the API key; empty unless there is exactly one.
+      key: the API key; None unless there is exactly one, and it is not empty.
       prompt_tokens: length of the prompt; 0 if this is no generation.
       maximum_output_tokens: longest output that the caller accepts; 0 if not given.
       expected_output_tokens: the caller's estimate; 0 without one.
@@ -30,7 +30,7 @@
 
     attempt_id: str
     remaining_s: float | None
-    key: str
+    key: str | None
     prompt_tokens: int
     maximum_output_tokens: int
     expected_output_tokens: int
--- a/endivesill/forwarding/route_table.py
+++ b/endivesill/forwarding/route_table.py
@@ -44,9 +44,9 @@
                 return route
         return None
 
-    def organisation_of(self, key: str) -> Organisation | None:
-        """Return the organisation of an API key, or None."""
-        return self._organisation_by_key.get(key)
+    def organisation_of(self, key: str | None) -> Organisation | None:
+        """Return the organisation of an API key; None without one that holds it."""
+        return None if key is None else self._organisation_by_key.get(key)
 
 
 def pick_service(route: Route, random_source: random.Random) -> str:
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -157,11 +157,11 @@
         counts = _parse_integers(header_value(headers, wire.TOKEN_COUNTS))
         length_hint = _parse_integers(header_value(headers, wire.LENGTH_HINT))
         deadline_ms = _parse_integers(header_value(headers, wire.DEADLINE))
-        keys = header_values(headers, wire.API_KEY)
+        keys = [key.decode("latin-1") for key in header_values(headers, wire.API_KEY)]
         return RequestInfo(
             attempt_id=header_value(headers, wire.ATTEMPT_ID).decode("latin-1"),
             remaining_s=deadline_ms[0] / MS_PER_S if deadline_ms else None,
-            key=keys[0].decode("latin-1") if len(keys) == 1 else "",
+            key=keys[0] if len(keys) == 1 and keys[0] else None,
             prompt_tokens=counts[0] if counts else 0,
             maximum_output_tokens=counts[1] if len(counts) > 1 else 0,
             expected_output_tokens=length_hint[0] if length_hint else 0,
--- a/tests/test_forwarding_placer.py
+++ b/tests/test_forwarding_placer.py
@@ -52,7 +52,7 @@
 
     def call(self, service=MODEL) -> Call:
         now_s = self.timer.now_s()
-        info = RequestInfo("a1", 5.0, "", 1_000, 80, 0, (("5c", 1_000),))
+        info = RequestInfo("a1", 5.0, None, 1_000, 80, 0, (("5c", 1_000),))
         return Call(
             exchange=None,
             info=info,
--- a/tests/test_forwarding_routes.py
+++ b/tests/test_forwarding_routes.py
@@ -50,6 +50,7 @@
         self.assertEqual(organisation, table.organisation_of("k2"))
         self.assertIsNone(table.organisation_of("k3"))
         self.assertIsNone(table.organisation_of(""))
+        self.assertIsNone(table.organisation_of(None))
 
     def test_keys_are_needed_unless_the_configuration_says_otherwise(self):
         self.assertTrue(RouteTable(configuration()).needs_keys)
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -7,6 +7,7 @@
 from endivesill.fleet.model import RequestKind
 from endivesill.forwarding.route_table import RouteTable
 from endivesill.platform.configuration import decode_configuration
+from endivesill.platform.engines import PlatformProtocol
 
 DOCUMENT = {
     "version": 7,
@@ -84,6 +85,17 @@
             for key in ("k1", ""):
                 self.assertIsNone(table.organisation_of(key), tenants)
 
+    def test_an_empty_key_lets_nobody_in(self):
+        """Guards against callers without a key that pass as holders of an empty one."""
+        tenants = [{"name": "o", "api_keys": ["", "k1"]}]
+        table = self.route_table(tenants=tenants)
+        protocol = PlatformProtocol()
+        for headers in ([], [(b"Api-Key", b"")], [(b"Api-Key", b"k1")] * 2):
+            key = protocol.decode_request(headers).key
+            self.assertIsNone(table.organisation_of(key), headers)
+        key = protocol.decode_request([(b"Api-Key", b"k1")]).key
+        self.assertIsNotNone(table.organisation_of(key))
+
     def test_a_state_without_tenants_needs_no_keys(self):
         self.assertFalse(self.route_table().needs_keys)
 
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -165,7 +165,7 @@
 
     def test_a_repeated_key_header_counts_as_no_key(self):
         info = self.protocol.decode_request([(b"Api-Key", b"a"), (b"Api-Key", b"b")])
-        self.assertEqual("", info.key)
+        self.assertIsNone(info.key)
 
     def test_a_resumed_run_has_one_last_event_id(self):
         dispatch = Dispatch("i-1", 1.0, resume_from="10.0.0.1:1/a1", last_event_id="3")
