Let entries of earlier builds need keys too

Callers saw: while VMs are replaced one after the other, entries of the build before served requests without held keys under a state with an empty list of tenants, whatever build leads.

Cause: these entries ask for the truth of the list that they receive.

Change: the leader sends entries a document in which an empty or null list has a placeholder without keys and empty keys are left out. Read back, the state is the one that was sent.

In the suite EarlierBuildTest applies the rule of the earlier builds to what is sent.

--- a/endivesill/fleet/packing.py
+++ b/endivesill/fleet/packing.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import zlib
+from collections.abc import Callable
 from typing import Any
 
 from endivesill import errors
@@ -40,9 +41,14 @@
 
 
 class PackedState:
-    """The packed configuration for entries, encoded once a version."""
+    """The packed configuration for entries, encoded once a version.
 
-    def __init__(self) -> None:
+    Args:
+      encode_document: returns a document in the form for entries.
+    """
+
+    def __init__(self, encode_document: Callable[[Any], Any]) -> None:
+        self._encode_document = encode_document
         self._version: int | None = None
         self._encoded = EncodedValue("")
 
@@ -50,7 +56,7 @@
         """Return `{"version", "packed"}` of the replicated configuration."""
         if self._version != state["version"]:
             self._version = state["version"]
-            packed = pack_document(state["document"])
+            packed = pack_document(self._encode_document(state["document"]))
             text = json.dumps({"version": state["version"], "packed": packed})
             self._encoded = EncodedValue(text)
         return self._encoded
--- a/endivesill/fleet/sync_service.py
+++ b/endivesill/fleet/sync_service.py
@@ -11,6 +11,7 @@
 import json
 import random
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from endivesill import errors
 from endivesill.control import Applied, ControlReplica, State
@@ -55,6 +56,7 @@
       replica: this VM's control replica.
       transport: the peer port.
       source: reads the platform's list.
+      encode_document: returns a configuration document in the form for entries.
 
     Attributes:
       reader: holds the newest snapshot of the list.
@@ -72,11 +74,12 @@
         replica: ControlReplica,
         transport: PeerTransport,
         source: EngineListSource,
+        encode_document: Callable[[Any], Any] = lambda document: document,
     ) -> None:
         self._timer = timer
         self._replica = replica
         self._updated = Signal()
-        self._packed_state = PackedState()
+        self._packed_state = PackedState(encode_document)
         self._list_updates = ListUpdates()
         self._entries = EntryDirectory(timer, random.Random())
         self._on_change: Callable[[], None] = lambda: None
--- a/endivesill/platform/configuration.py
+++ b/endivesill/platform/configuration.py
@@ -17,7 +17,7 @@
     WeightedService,
 )
 
-__all__ = ["decode_configuration"]
+__all__ = ["decode_configuration", "encode_for_entries"]
 
 MS_PER_S = 1_000.0
 # Limits that apply where a configuration omits them.
@@ -29,6 +29,8 @@
 DEFAULT_ENGINE_SLOTS = 1
 # Health check path of a service that does not set one.
 DEFAULT_HEALTH_PATH = "/health"
+# Stands for an empty list in what entries receive.
+PLACEHOLDER_TENANT = {"name": "none", "api_keys": []}
 
 
 def decode_configuration(document: Any) -> FleetConfiguration:
@@ -61,6 +63,21 @@
     return configuration
 
 
+def encode_for_entries(document: dict[str, Any]) -> dict[str, Any]:
+    """Return a document with which entries of earlier builds need the same keys.
+
+    They take an empty list of organisations for none, and the empty key for that of
+    callers without a key.
+    """
+    if "tenants" not in document:
+        return document
+    tenants = [
+        {**tenant, "api_keys": [key for key in tenant.get("api_keys") or [] if key]}
+        for tenant in document["tenants"] or [PLACEHOLDER_TENANT]
+    ]
+    return {**document, "tenants": tenants}
+
+
 def _decode_service(reader: Reader) -> Service:
     return Service(
         name=reader.text("name"),
--- a/endivesill/platform/control_process.py
+++ b/endivesill/platform/control_process.py
@@ -22,7 +22,7 @@
 from endivesill.link_peers import LinkPeerTransport
 from endivesill.metrics_port import PLACEMENT_PATH, MetricsListener
 from endivesill.platform.client import PlatformClient
-from endivesill.platform.configuration import decode_configuration
+from endivesill.platform.configuration import decode_configuration, encode_for_entries
 from endivesill.platform.engines import decode_notices
 from endivesill.platform.health import PlatformHealth
 from endivesill.platform.operators import RESPONSE_TIMEOUT_S, OperatorHandler
@@ -92,7 +92,9 @@
     source = PlatformEngineList(
         client, settings.engine_list_address, settings.engine_list_calls_per_s
     )
-    sync_service = FleetSyncService(timer, replica, transport, source)
+    sync_service = FleetSyncService(
+        timer, replica, transport, source, encode_for_entries
+    )
     bounds = settings.bounds
 
     def note_response(engine: EngineInfo, head: ResponseHead) -> None:
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -6,7 +6,7 @@
 from endivesill import errors
 from endivesill.fleet.model import RequestKind
 from endivesill.forwarding.route_table import RouteTable
-from endivesill.platform.configuration import decode_configuration
+from endivesill.platform.configuration import decode_configuration, encode_for_entries
 from endivesill.platform.engines import PlatformProtocol
 
 DOCUMENT = {
@@ -100,6 +100,44 @@
         self.assertFalse(self.route_table().needs_keys)
 
 
+class EarlierBuildTest(unittest.TestCase):
+    """What entries of builds that ask for the truth of the list make of a state."""
+
+    def organisation_of(self, key, document):
+        """Return the organisation's name, or None if the request is refused."""
+        received = encode_for_entries(document)
+        tenants = received.get("tenants")
+        if not tenants:
+            return "any"
+        names = {key: t["name"] for t in tenants for key in t.get("api_keys", [])}
+        return names.get(key)
+
+    def test_a_state_that_contains_tenants_lets_in_held_keys_only(self):
+        owners = {"name": "o", "api_keys": ["", "k1"], "priority": 1}
+        for tenants in ([], None, [{"name": "o", "api_keys": None}], [owners]):
+            document = {**DOCUMENT, "tenants": tenants}
+            self.assertIsNone(self.organisation_of("", document), tenants)
+            self.assertIsNone(self.organisation_of("k2", document), tenants)
+        self.assertEqual("o", self.organisation_of("k1", document))
+
+    def test_the_meaning_for_entries_of_this_build_is_the_same(self):
+        for tenants in ([], None, [{"name": "o"}], DOCUMENT["tenants"]):
+            document = {**DOCUMENT, "tenants": tenants}
+            table, received = (
+                RouteTable(decode_configuration(form))
+                for form in (document, encode_for_entries(document))
+            )
+            self.assertTrue(received.needs_keys)
+            for key in ("k1", "k2", "k3"):
+                organisation = table.organisation_of(key)
+                self.assertEqual(organisation, received.organisation_of(key))
+
+    def test_a_state_without_tenants_is_sent_as_it_is(self):
+        document = copy.deepcopy(DOCUMENT)
+        del document["tenants"]
+        self.assertIs(document, encode_for_entries(document))
+
+
 class InvalidTest(unittest.TestCase):
     def assert_rejected(self, edit, text):
         document = copy.deepcopy(DOCUMENT)
