Log skipped entries of the list outside the adapter

The adapter for the platform holds names and calls, and its size is limited. The choice of the reasons that are logged belongs to every reader of a list. No change in behaviour.

--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -7,7 +7,12 @@
 import attrs
 
 from endivesill import errors, events
-from endivesill.fleet.events import ENGINE_LIST_CHANGED, LIST_LOST, LIST_REGAINED
+from endivesill.fleet.events import (
+    ENGINE_LIST_CHANGED,
+    LIST_ENTRY_SKIPPED,
+    LIST_LOST,
+    LIST_REGAINED,
+)
 from endivesill.fleet.model import EngineInfo
 from endivesill.fleet.notices import EngineNotices
 from endivesill.peers import Message
@@ -25,6 +30,8 @@
 READ_PERIOD_S = 0.25
 # Upper bound of the backoff while the list cannot be read.
 MAX_BACKOFF_S = 2.0
+# Reasons for skipped entries in the log, for each read of the list.
+MAX_LOGGED_REASONS = 20
 
 
 @attrs.frozen
@@ -55,10 +62,23 @@
     Attributes:
       min_period_s: least interval between two reads that the platform's rate limit
         allows.
+      skipped_entries: number of entries that the last read has skipped.
     """
 
     min_period_s = 0.0
 
+    def __init__(self) -> None:
+        self._logged_reasons: set[str] = set()
+        self.skipped_entries = 0
+
+    def note_skipped(self, reasons: list[str]) -> None:
+        """Log the reasons for skipped entries, but for those of the read before."""
+        self.skipped_entries = len(reasons)
+        current = set(sorted(set(reasons))[:MAX_LOGGED_REASONS])
+        for reason in sorted(current - self._logged_reasons):
+            events.emit(LIST_ENTRY_SKIPPED, reason=reason, entries=len(reasons))
+        self._logged_reasons = current
+
     async def read(self) -> list[EngineInfo]:
         """Return all engines.
 
--- a/endivesill/platform/provider.py
+++ b/endivesill/platform/provider.py
@@ -4,9 +4,8 @@
 
 import urllib.parse
 
-from endivesill import errors, events
+from endivesill import errors
 from endivesill.fleet.engine_list import EngineListSource, merge_pages
-from endivesill.fleet.events import LIST_ENTRY_SKIPPED
 from endivesill.fleet.model import EngineInfo
 from endivesill.platform import wire
 from endivesill.platform.client import PlatformClient
@@ -19,8 +18,6 @@
 MAX_PAGE_BYTES = 8_388_608
 # Far above the pages of the largest fleets; ends a list that refers to itself.
 MAX_PAGES = 500
-# Reasons for skipped entries in the log, for each read of the list.
-MAX_LOGGED_REASONS = 20
 # Fraction of the permitted call rate that one reader uses. Two VMs may read for a
 # moment, until a replaced leader notices that it no longer leads.
 CALL_RATE_FRACTION = 0.4
@@ -33,18 +30,14 @@
       client: sends the calls.
       address: HOST:PORT that serves the engine list.
       calls_per_s: call rate that the platform permits to all VMs together.
-
-    Attributes:
-      skipped_entries: number of entries that the last read has skipped.
     """
 
     def __init__(
         self, client: PlatformClient, address: str, calls_per_s: float
     ) -> None:
+        super().__init__()
         self._client = client
         self._calls_per_s = calls_per_s
-        self._logged_reasons: set[str] = set()
-        self.skipped_entries = 0
         self._address = address
 
     async def read(self) -> list[EngineInfo]:
@@ -69,20 +62,12 @@
                 raise errors.UnavailableError("list of engines: too many pages")
             if not token:
                 engines = merge_pages(engines, skipped)
-                self._log_skipped(skipped)
+                self.note_skipped(skipped)
                 self.min_period_s = page_count / (
                     CALL_RATE_FRACTION * self._calls_per_s
                 )
                 return engines
 
-    def _log_skipped(self, reasons: list[str]) -> None:
-        """Log skipped entries; a reason of the previous read is not repeated."""
-        self.skipped_entries = len(reasons)
-        current = set(sorted(set(reasons))[:MAX_LOGGED_REASONS])
-        for reason in sorted(current - self._logged_reasons):
-            events.emit(LIST_ENTRY_SKIPPED, reason=reason, entries=len(reasons))
-        self._logged_reasons = current
-
 
 def _page_path(token: str) -> str:
     if not token:
