Refuse an unknown service beside a split and odd limits

Cause: the service was not read where a split is there, and the limits were read by their truth.

Change: both are refused when an operator sends them. What earlier builds have accepted stays readable at all VMs, and a state that is in force is acknowledged again.

--- a/endivesill/document_reader.py
+++ b/endivesill/document_reader.py
@@ -153,6 +153,12 @@
         """Return a reader for a required object field."""
         return Reader(self._get(name, (dict,), MISSING), f"{self._location}.{name}")
 
+    def object_or_empty(self, name: str) -> Reader:
+        """Return a reader for an object field; an empty one for all other values."""
+        value = self._document.get(name)
+        is_object = isinstance(value, dict)
+        return Reader(value if is_object else {}, f"{self._location}.{name}")
+
     def contains(self, name: str) -> bool:
         """Return whether the field is present, also if it is null."""
         return name in self._document
--- a/endivesill/fleet/changes.py
+++ b/endivesill/fleet/changes.py
@@ -59,6 +59,15 @@
             raise errors.UnavailableError("no configuration yet")
         return current["document"]
 
+    async def is_in_force(self, document: Any) -> bool:
+        """Return whether a document is the one in force.
+
+        Raises:
+          UnavailableError: it is not known which one is the newest.
+        """
+        current = await self._client.query(CURRENT, {}, self._timeout_s)
+        return bool(current) and current["digest"] == document_digest(document)
+
     async def set_evacuation(
         self, data_centre: str, evacuated: bool, known_index: int
     ) -> None:
--- a/endivesill/platform/configuration.py
+++ b/endivesill/platform/configuration.py
@@ -17,7 +17,7 @@
     WeightedService,
 )
 
-__all__ = ["decode_configuration", "encode_for_entries"]
+__all__ = ["check_new_document", "decode_configuration", "encode_for_entries"]
 
 MS_PER_S = 1_000.0
 # Limits that apply where a configuration omits them.
@@ -44,7 +44,8 @@
         service.name: service
         for service in map(_decode_service, reader.objects("services"))
     }
-    limits = Reader(document.get("limits") or {}, "state.limits")
+    # What earlier builds have accepted stays readable; see `check_new_document`.
+    limits = reader.object_or_empty("limits")
     configuration = FleetConfiguration(
         version=reader.integer("version"),
         routes=tuple(map(_decode_route, reader.objects("routes"))),
@@ -63,6 +64,22 @@
     return configuration
 
 
+def check_new_document(document: dict[str, Any]) -> None:
+    """Check a document for faults that earlier builds have accepted.
+
+    Raises:
+      DocumentError: a route names an unknown service beside its traffic split, or the
+        limits are no object.
+    """
+    reader = Reader(document, "state")
+    if reader.has("limits"):
+        reader.object("limits")
+    services = {service.text("name") for service in reader.objects("services")}
+    for route in reader.objects("routes"):
+        if route.has("service") and route.text("service") not in services:
+            raise errors.DocumentError(f"route {route.text('name')}: unknown service")
+
+
 def encode_for_entries(document: dict[str, Any]) -> dict[str, Any]:
     """Return a document with which entries of earlier builds need the same keys.
 
--- a/endivesill/platform/operators.py
+++ b/endivesill/platform/operators.py
@@ -14,7 +14,7 @@
 from endivesill.http1 import Exchange, Headers
 from endivesill.json_text import check_nesting, parse_document
 from endivesill.platform import wire
-from endivesill.platform.configuration import decode_configuration
+from endivesill.platform.configuration import check_new_document, decode_configuration
 from endivesill.platform.rollouts import RolloutCalls
 from endivesill.timer import TimerService
 
@@ -103,6 +103,11 @@
         except ValueError as error:
             raise errors.DocumentError(str(error)) from None
         version = decode_configuration(document).version
+        try:
+            check_new_document(document)
+        except errors.DocumentError:
+            if not await self._changes.is_in_force(document):
+                raise
         return {"version": await self._changes.replace_configuration(version, document)}
 
     async def _set_evacuation(
--- a/tests/test_platform_operators.py
+++ b/tests/test_platform_operators.py
@@ -1,10 +1,12 @@
 """Tests of the calls of operators, over real connections on loopback."""
 
 import asyncio
+import json
 import unittest
 
 from endivesill import errors
 from endivesill.http1 import ConnectionPool, HttpListener
+from endivesill.platform.configuration import decode_configuration
 from endivesill.platform.operators import OperatorHandler
 from endivesill.timer import SystemTimer
 
@@ -17,6 +19,7 @@
     def __init__(self):
         self.orders = []
         self.configurations = []
+        self.current = None
 
     async def replace_configuration(self, version, document):
         self.configurations.append(document)
@@ -27,6 +30,9 @@
         if known_index == 0:
             raise errors.OvertakenError(12)
 
+    async def is_in_force(self, document):
+        return document == self.current
+
     async def read_configuration(self):
         raise errors.UnavailableError("no configuration yet")
 
@@ -127,3 +133,45 @@
             nested = b"[" * depth + b"]" * depth
             self.assertEqual(400, await self.check(b"5", nested))
         self.assertEqual(200, await self.check(b"5", b"[" * 60 + b"]" * 60))
+
+
+class InvalidConfigurationTest(OperatorHandlerTestCase):
+    """Guards against states that the page calls invalid and that were accepted."""
+
+    async def replace(self, limits, **fields):
+        route = {
+            "name": "r",
+            "host": "h",
+            "path_prefix": "/",
+            "kind": "safe",
+            "timeout_ms": 5,
+            "traffic_split": [{"service": "s", "weight": 1}],
+            **fields,
+        }
+        services = [{"name": "s"}]
+        self.document = {"version": 1, "services": services, "routes": [route]}
+        self.document["limits"] = limits
+        body = json.dumps(self.document).encode()
+        return (await self.call("POST", "/Configuration.Replace", body))[0].status
+
+    async def test_an_unknown_service_beside_a_traffic_split(self):
+        for service in ("gone", ""):
+            self.assertEqual(400, await self.replace({}, service=service))
+        self.assertEqual([], self.changes.configurations)
+        for service in ("s", None):
+            self.assertEqual(200, await self.replace({}, service=service))
+
+    async def test_limits_that_are_no_object(self):
+        for limits in ([], "", 0, False):
+            self.assertEqual(400, await self.replace(limits))
+        self.assertEqual([], self.changes.configurations)
+        self.assertEqual(200, await self.replace(None))
+
+    async def test_a_state_in_force_is_acknowledged_again(self):
+        """An earlier build has accepted it, and its acknowledgement was lost."""
+        self.assertEqual(400, await self.replace({}, service="gone"))
+        self.changes.current = self.document
+        self.assertEqual(200, await self.replace({}, service="gone"))
+        self.assertIsNotNone(decode_configuration(self.document))
+        self.assertEqual(400, await self.replace([], service="gone"))
+        self.assertIsNotNone(decode_configuration(self.document))
