Bound the numbers in callers' headers

Callers saw: a request with 400 or more digits in X-Endivesill-Deadline-Remaining, or over 4,300 in X-Endivesill-Token-Counts, -Length-Hint or -Prompt-Prefix, ended with an error of the entry instead of an answer; shorter ones of the latter went on into sums with the loads of engines.

Cause: the digits were made a number of any size, and that a float.

Change: more than 15 significant digits count as 10**15, at the one place that decodes them. Such a request counts as larger than any engine's memory, not as one without demand.

Test: test_numbers_of_any_length failed before with OverflowError.

--- a/endivesill/http1/numbers.py
+++ b/endivesill/http1/numbers.py
@@ -7,10 +7,22 @@
 
 from endivesill.http1.head import Headers, header_values
 
-__all__ = ["lowest_decimal"]
+__all__ = ["LARGEST_INTEGER", "bounded_integer", "lowest_decimal"]
 
 # Digits beyond these would only make a number larger than any that bounds something.
 DECIMAL_PATTERN = re.compile(rb"[0-9]{1,64}(\.[0-9]{0,64})?")
+# Larger ones count as this one, so that sums and products with them are exact, and so
+# that nobody gets more by a number that cannot be computed with.
+MAX_INTEGER_DIGITS = 15
+LARGEST_INTEGER = 10**MAX_INTEGER_DIGITS
+
+
+def bounded_integer(digits: bytes) -> int:
+    """Return the number with some decimal digits, `LARGEST_INTEGER` at most."""
+    significant = digits.lstrip(b"0")
+    if len(significant) > MAX_INTEGER_DIGITS:
+        return LARGEST_INTEGER
+    return int(significant or b"0")
 
 
 def lowest_decimal(headers: Headers, name: bytes) -> float | None:
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -15,7 +15,7 @@
 from endivesill.forwarding.protocol import Dispatch, RequestInfo, ResponseInfo
 from endivesill.http1 import Headers, ResponseHead, header_value
 from endivesill.http1.head import encode_head, header_values, strip_hop_by_hop
-from endivesill.http1.numbers import lowest_decimal
+from endivesill.http1.numbers import bounded_integer, lowest_decimal
 from endivesill.json_array import decode_array_document
 from endivesill.json_text import parse_document
 from endivesill.platform import wire
@@ -101,7 +101,8 @@
 
 def _parse_integers(value: bytes, separator: bytes = b",") -> list[int]:
     parts = [part.strip() for part in value.split(separator)]
-    return [int(part) for part in parts] if all(p.isdigit() for p in parts) else []
+    is_valid = all(part.isdigit() for part in parts)
+    return list(map(bounded_integer, parts)) if is_valid else []
 
 
 def decode_leaving(head: ResponseHead) -> bool:
@@ -245,7 +246,7 @@
         identity, _, tokens = item.strip().partition(b":")
         if not tokens.isdigit():
             return tuple(parts)
-        parts.append((identity.decode("latin-1"), int(tokens)))
+        parts.append((identity.decode("latin-1"), bounded_integer(tokens)))
     return tuple(parts)
 
 
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -5,10 +5,13 @@
 import unittest
 
 from endivesill import errors
+from endivesill.forwarding.placement import estimate_demand
 from endivesill.forwarding.protocol import Dispatch
 from endivesill.http1 import ResponseHead
+from endivesill.http1.numbers import LARGEST_INTEGER
 from endivesill.platform.engines import PlatformProtocol, decode_list_page
 from endivesill.platform.reports import decode_report
+from tests.forwarding_fakes import MODEL
 
 ENTRY = {
     "id": "i-1",
@@ -163,6 +166,26 @@
         self.assertEqual(0, info.prompt_tokens)
         self.assertEqual((("5c", 800),), info.prefix)
 
+    def test_numbers_of_any_length(self):
+        """Guards against requests that end with an error for a long number."""
+        for digits in (b"9" * 400, b"9" * 5_000, b"0" * 5_000 + b"9" * 16):
+            info = self.protocol.decode_request(
+                [
+                    (b"X-Endivesill-Deadline-Remaining", digits),
+                    (b"X-Endivesill-Token-Counts", digits + b"," + digits),
+                    (b"X-Endivesill-Length-Hint", digits),
+                    (b"X-Endivesill-Prompt-Prefix", b"5c:" + digits),
+                ]
+            )
+            self.assertEqual(LARGEST_INTEGER / 1_000, info.remaining_s)
+            self.assertEqual((("5c", LARGEST_INTEGER),), info.prefix)
+            tokens = estimate_demand(info, MODEL).memory_tokens
+            self.assertTrue(LARGEST_INTEGER < tokens < 2**53)
+
+    def test_leading_zeros(self):
+        header = (b"X-Endivesill-Deadline-Remaining", b"0" * 40 + b"1500")
+        self.assertEqual(1.5, self.protocol.decode_request([header]).remaining_s)
+
     def test_a_repeated_key_header_counts_as_no_key(self):
         info = self.protocol.decode_request([(b"Api-Key", b"a"), (b"Api-Key", b"b")])
         self.assertIsNone(info.key)
