Send requests that name no attempt on new connections

Callers saw: the answer to another caller's request, where neither named its attempt and an engine wrote its earlier answer once more on a kept connection (MIXED).

Cause: a response without an attempt id passed for the answer to any request without one.

Change: such a request goes out on a new connection. Ruled out as enough: skipping such responses, since the engine's answer to a request without an id names none either.

Tests: both of UnnamedAttemptTest failed before (body 01 where 02 is due); 89 of 89 of the touched modules pass now.

--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -150,7 +150,7 @@
         options = SendOptions(
             deadline_s=call.deadline_s,
             attempt_id=call.info.attempt_id,
-            max_idle_s=None if call.is_idempotent else NON_IDEMPOTENT_MAX_IDLE_S,
+            max_idle_s=_max_idle_s(call),
             # The target may have left the list during connection set-up.
             may_start=lambda: self._table.accepts_requests(target),
             on_started=call.note_sent,
@@ -265,6 +265,14 @@
     return is_first or not attempt_id
 
 
+def _max_idle_s(call: Call) -> float | None:
+    """Return the longest idle time of the connection to use; None for any."""
+    if not call.info.attempt_id:
+        # Only on a new connection a response that names no attempt is its own for sure.
+        return 0.0
+    return None if call.is_idempotent else NON_IDEMPOTENT_MAX_IDLE_S
+
+
 def urgency(call: Call) -> int | None:
     """Return the engine's urgency of a generation, 0 highest; None for the default."""
     if call.service.model_engine is None:
--- a/tests/test_forwarding_faulty_engines.py
+++ b/tests/test_forwarding_faulty_engines.py
@@ -83,6 +83,37 @@
         return await connection.head(), await connection.read_all()
 
 
+class UnnamedAttemptTest(FaultyEngineTestCase):
+    """Guards against the answer to another caller where neither names its attempt.
+
+    On a kept connection, the engine writes its earlier response once more.
+    """
+
+    async def bodies(self, path):
+        def respond(number, attempt_id):
+            engine.runs.append(attempt_id)
+            responses = [
+                HEAD % (b"", b"Content-Length: 2\r\n") + b"%02d" % run
+                for run in range(1, len(engine.runs) + 1)
+            ]
+            return b"".join(responses[-number:])
+
+        engine = await self.add_scripted("app", respond)
+        bodies = []
+        for _ in range(3):
+            connection = await self.connect()
+            connection.send(request(path).replace(b"-Id: a1", b"-Id: "))
+            await connection.head()
+            bodies.append(await connection.read_all())
+        return bodies
+
+    async def test_an_unsafe_request(self):
+        self.assertEqual([b"01", b"02", b"03"], await self.bodies("/unsafe/x"))
+
+    async def test_a_safe_request(self):
+        self.assertEqual([b"01", b"02", b"03"], await self.bodies("/safe/x"))
+
+
 class RepeatedRefusalTest(FaultyEngineTestCase):
     """Guards against the refusal of an earlier request that is taken for a new one.
 
