Skip entries of the list whose start is no whole number

Callers saw: nothing known. Cause: an entry with "born": null was read like one of a list without starts, though the page says that the field is always a whole number and that an entry with fields of another type names no engine to use; two such entries of one id passed for one start.

Change: the field is a whole number or absent. A list without it is read as before.

Test: the new lines of test_invalid_entries_are_skipped failed before (two engines instead of one).

--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -81,7 +81,7 @@
         raise errors.DocumentError("entry.state: no known state")
     identity = reader.name("id")
     # A restarted engine keeps its identity; `born` distinguishes its incarnations.
-    born = reader.integer("born", 0, 0)
+    born = reader.integer("born", minimum=0) if reader.contains("born") else 0
     version = reader.name("version")
     reader.text("stage", "")
     reader.objects("models", ())
--- a/tests/test_platform_engines.py
+++ b/tests/test_platform_engines.py
@@ -51,11 +51,18 @@
             {**ENTRY, "address": "nowhere"},
             {**ENTRY, "slots": "24"},
             {**ENTRY, "id": 1},
+            {**ENTRY, "born": None},
+            {**ENTRY, "born": -1},
         ]
         page = self.page(*invalid, ENTRY)
         self.assertEqual(["i-1"], [engine.identity for engine in page.engines])
         self.assertEqual(len(invalid), len(page.skipped))
 
+    def test_a_list_without_starts(self):
+        entry = {name: value for name, value in ENTRY.items() if name != "born"}
+        (engine,) = self.page(entry).engines
+        self.assertEqual("i-1@0", engine.incarnation)
+
     def test_an_invalid_page_is_rejected(self):
         for body in (b"", b"[", b"[]", b"7", b"{}", b'{"instances": {}}'):
             with self.assertRaises(errors.DocumentError):
