Tell engines the organisation also if its name is empty

Callers saw: nothing known.

Cause: the empty name stood for "no key needed". Now None does.

Test: test_the_engine_learns_of_an_organisation_without_a_name failed before (no header).

--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -216,10 +216,11 @@
         last_event_id: str,
     ) -> bytes:
         """Return the head and body of the request for a target."""
+        organisation = call.organisation
         dispatch = Dispatch(
             identity=target.info.identity,
             remaining_s=max(0.0, call.caller_deadline_s - self._timer.now_s()),
-            organisation=call.organisation,
+            organisation=None if organisation is None else organisation.name,
             urgency=urgency(call),
             backup_address=backup.info.address if backup else "",
             resume_from=resume_from,
--- a/endivesill/forwarding/call.py
+++ b/endivesill/forwarding/call.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from endivesill.fleet.model import Route, Service
+from endivesill.fleet.model import Organisation, Route, Service
 from endivesill.forwarding.protocol import RequestInfo
 from endivesill.forwarding.targets import ResourceDemand, Target
 from endivesill.http1 import Exchange
@@ -21,7 +21,7 @@
       info: what routing needs of its head.
       route: the route that it matched.
       service: the service chosen for it.
-      organisation: who sent it; empty if no key is needed.
+      organisation: who sent it; None if no key is needed.
       priority: 0 is the most urgent.
       demand: resources that it takes at a target.
       received_s: when it was read.
@@ -42,7 +42,7 @@
     info: RequestInfo
     route: Route
     service: Service
-    organisation: str
+    organisation: Organisation | None
     priority: int
     demand: ResourceDemand
     received_s: float
@@ -63,6 +63,11 @@
         self.sends += 1
         self.may_have_run = True
 
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; empty without one."""
+        return self.organisation.name if self.organisation is not None else ""
+
     @property
     def connection_age_s(self) -> float:
         """Time from the start of the caller's connection to the whole request."""
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -172,7 +172,7 @@
             info=info,
             route=route,
             service=service,
-            organisation=name,
+            organisation=organisation,
             priority=priority,
             demand=estimate_demand(info, service, route.gap_target_s),
             received_s=received_s,
--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -125,7 +125,7 @@
             call.priority,
             compute_wait_until_s(call),
             call.excluded,
-            organisation=call.organisation,
+            organisation=call.organisation_name,
         )
         target = None
         pool = await self._table.versions.offer(call.service.name, call.route.name)
@@ -206,7 +206,7 @@
             "pause_limit_s": call.demand.pause_limit_s,
             "request_id": call.info.attempt_id,
             "session": call.info.session,
-            "organisation": call.organisation,
+            "organisation": call.organisation_name,
             "patience_s": max_wait_s,
             "return_patience_s": self._refused_max_wait_s(call),
             "excluded": self._excluded(call),
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -54,7 +54,7 @@
     Attributes:
       identity: the engine that must run it.
       remaining_s: time until the caller's deadline.
-      organisation: who sent it; empty if no key is needed.
+      organisation: name of who sent it; None if no key is needed.
       urgency: 0 to 9, 0 is the most urgent; None for the engine's default.
       backup_address: engine that receives a live copy of the run; may be empty.
       resume_from: HOST:PORT/ID of the copy to resume from; may be empty.
@@ -64,7 +64,7 @@
 
     identity: str
     remaining_s: float
-    organisation: str = ""
+    organisation: str | None = None
     urgency: int | None = None
     backup_address: str = ""
     resume_from: str = ""
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -255,7 +255,7 @@
         (wire.DEADLINE, b"%d" % int(dispatch.remaining_s * MS_PER_S)),
         (wire.EXPECTED_INSTANCE, dispatch.identity.encode()),
     ]
-    if dispatch.organisation:
+    if dispatch.organisation is not None:
         header_lines.append((wire.ORGANISATION, dispatch.organisation.encode()))
     if dispatch.urgency is not None:
         header_lines.append((wire.URGENCY, b"%d" % dispatch.urgency))
--- a/tests/test_forwarding_placer.py
+++ b/tests/test_forwarding_placer.py
@@ -58,7 +58,7 @@
             info=info,
             route=route(),
             service=service,
-            organisation="",
+            organisation=None,
             priority=1,
             demand=ResourceDemand(1_000, 1_040)
             if service is MODEL
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -5,6 +5,7 @@
 import attrs
 
 from endivesill.fleet.load import EngineLoad
+from endivesill.fleet.model import Organisation
 from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.route_table import RouteTable
 from endivesill.forwarding.run_copy import CopyRefusedError, RunCopier
@@ -59,6 +60,19 @@
         self.assertEqual(b"owners", headers[b"x-endivesill-tenant"])
         self.assertNotIn(b"api-key", headers)
 
+    async def test_the_engine_learns_of_an_organisation_without_a_name(self):
+        """Guards against requests that pass for ones that need no key."""
+        (engine,) = await self.add_engines("app", "p1")
+        nameless = Organisation("", ("k1",), None)
+        configuration = attrs.evolve(
+            self.forwarder.routes.configuration, organisations=(nameless,)
+        )
+        self.forwarder.routes = RouteTable(configuration)
+        for path, expected in (("/keyed/x", b""), ("/unsafe/x", None)):
+            await self.send_request(path, (b"Api-Key", b"k1"))
+            headers = engine.requests[-1][2]
+            self.assertEqual(expected, headers.get(b"x-endivesill-tenant"))
+
     async def test_an_unknown_key_is_refused_without_sending_the_request(self):
         (engine,) = await self.add_engines("app", "p1")
         for keys in ([], [(b"Api-Key", b"k9")], [(b"Api-Key", b"k1")] * 2):
