Decide what absent and zero figures of a desired state mean

Callers saw, by the figure that is odd in the desired state: - target_latency_ms 0: targets that answer are ejected as overdue, and requests wait for no place; - kv_capacity_tokens absent or null: no engine ever takes a generation ("its memory is reserved"); - max_attempts 0: the request is sent once all the same (BUDGET); - a priority below 0: an urgency below 0 is sent to engines, which take 0 to 9.

Cause: an absent figure was read as 0, and 0 was used as any other number.

Change: a target latency of 0 is no target, an unknown capacity bounds nothing (a known one of 0 takes nothing), a route that allows no attempt is refused at once with Retry-After, and the urgency stays in its range.

--- a/endivesill/fleet/model.py
+++ b/endivesill/fleet/model.py
@@ -78,14 +78,14 @@
 
     Attributes:
       slots: requests that run concurrently.
-      capacity_tokens: size of the KV cache.
+      capacity_tokens: size of the KV cache; infinite if it is not known.
       event_tokens: output tokens per event.
       has_backups: whether engines copy their runs to another engine as they go.
       has_moves: whether engines copy a run on request.
     """
 
     slots: int
-    capacity_tokens: int
+    capacity_tokens: float
     event_tokens: int
     has_backups: bool
     has_moves: bool
--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -278,4 +278,4 @@
     """Return the engine's urgency of a generation, 0 highest; None for the default."""
     if call.service.model_engine is None:
         return None
-    return min(9, 3 + 2 * call.priority)
+    return max(0, min(9, 3 + 2 * call.priority))
--- a/endivesill/forwarding/call.py
+++ b/endivesill/forwarding/call.py
@@ -9,7 +9,14 @@
 from endivesill.forwarding.targets import ResourceDemand, Target
 from endivesill.http1 import Exchange
 
-__all__ = ["Call"]
+__all__ = ["Call", "priority_of"]
+
+
+def priority_of(route: Route, organisation: Organisation | None) -> int:
+    """Return the priority of an organisation's requests to a route; 0 comes first."""
+    if organisation is None or organisation.priority is None:
+        return route.priority
+    return organisation.priority
 
 
 @attrs.define(eq=False)
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 from endivesill.fleet.crash_exchange import CrashExchange
 from endivesill.fleet.model import Organisation, RequestKind, Route
 from endivesill.forwarding.attempt import Attempt, AttemptError, Failure, Sender
-from endivesill.forwarding.call import Call
+from endivesill.forwarding.call import Call, priority_of
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.crash_causes import crash_causes
 from endivesill.forwarding.crash_guard import BLOCKED, CrashGuard
@@ -144,6 +144,9 @@
         if not self.stop_deadline.leaves_time_for(call):
             self._refuse(exchange, info, 503, STOPPING, 0.0, call)
             return
+        if route.max_attempts < 1:
+            self._finish_failed(call, 503, "the route allows no attempt")
+            return
         retry_after_s = await self._guard.check(call)
         if retry_after_s is not None:
             self._finish_failed(call, 503, BLOCKED, retry_after_s)
@@ -164,16 +167,13 @@
             info.remaining_s if info.remaining_s is not None else route.timeout_s
         )
         name = organisation.name if organisation is not None else ""
-        priority = route.priority
-        if organisation is not None and organisation.priority is not None:
-            priority = organisation.priority
         return Call(
             exchange=exchange,
             info=info,
             route=route,
             service=service,
             organisation=organisation,
-            priority=priority,
+            priority=priority_of(route, organisation),
             demand=estimate_demand(info, service, route.gap_target_s),
             received_s=received_s,
             deadline_s=received_s + min(caller_remaining_s, route.timeout_s),
@@ -283,8 +283,7 @@
 
     def _forward_response(self, call: Call, attempt: Attempt, body: bytes) -> None:
         status = attempt.response.status
-        headers = strip_hop_by_hop(attempt.head.headers)
-        call.exchange.respond(status, headers, body)
+        call.exchange.respond(status, strip_hop_by_hop(attempt.head.headers), body)
         self._log.ended(call, "answered", "", status=status, size_bytes=len(body))
 
     # Streams.
--- a/endivesill/platform/configuration.py
+++ b/endivesill/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from endivesill import errors
@@ -111,7 +112,7 @@
 def _decode_engine_spec(reader: Reader) -> ModelEngineSpec:
     return ModelEngineSpec(
         slots=reader.integer("slots", DEFAULT_ENGINE_SLOTS),
-        capacity_tokens=reader.integer("kv_capacity_tokens", 0),
+        capacity_tokens=reader.integer("kv_capacity_tokens", math.inf),
         event_tokens=reader.integer("stride", 1),
         has_backups=reader.flag("backups", False),
         has_moves=reader.flag("moves", False),
@@ -121,6 +122,10 @@
 def _decode_route(reader: Reader) -> Route:
     name = reader.text("name")
     timeout_ms = reader.number("timeout_ms")
+    target_latency_ms = reader.number("target_latency_ms", timeout_ms)
+    if target_latency_ms <= 0:
+        # No response can be on time, so it says as much as no target.
+        target_latency_ms = timeout_ms
     kind = reader.text("kind")
     if kind not in {item.value for item in RequestKind}:
         raise errors.DocumentError(f"route {name}: no kind {kind!r}")
@@ -130,7 +135,7 @@
         path_prefix=reader.text("path_prefix"),
         kind=RequestKind(kind),
         timeout_s=timeout_ms / MS_PER_S,
-        target_latency_s=reader.number("target_latency_ms", timeout_ms) / MS_PER_S,
+        target_latency_s=target_latency_ms / MS_PER_S,
         priority=reader.integer("priority", 0),
         weighted_services=_decode_weighted_services(reader),
         max_attempts=reader.integer("max_attempts", 1),
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -101,6 +101,19 @@
         self.forwarder.routes = RouteTable(configuration)
         self.assertEqual(200, (await self.send_request("/keyed/x"))[0].status)
 
+    async def test_a_route_that_allows_no_attempt_is_refused_at_once(self):
+        (engine,) = await self.add_engines("app", "p1")
+        configuration = self.forwarder.routes.configuration
+        routes = tuple(
+            attrs.evolve(route, max_attempts=0) for route in configuration.routes
+        )
+        self.forwarder.routes = RouteTable(attrs.evolve(configuration, routes=routes))
+        for path in ("/unsafe/x", "/safe/x", "/stream/x"):
+            head, _ = await self.send_request(path)
+            self.assertEqual(503, head.status)
+            self.assertTrue(head.header(b"retry-after"))
+        self.assertEqual([], engine.requests)
+
     async def test_no_route_is_a_404_and_no_configuration_a_503(self):
         self.assertEqual(404, (await self.send_request("/none/x"))[0].status)
         self.forwarder.routes = None
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -5,9 +5,14 @@
 
 from endivesill import errors
 from endivesill.fleet.model import RequestKind
+from endivesill.forwarding.placement import capacity_problem, engine_time_s
 from endivesill.forwarding.route_table import RouteTable
+from endivesill.forwarding.targets import ResourceDemand
 from endivesill.platform.configuration import decode_configuration, encode_for_entries
 from endivesill.platform.engines import PlatformProtocol
+from endivesill.timer import ManualTimer
+from tests.forwarding_fakes import engine as engine_info
+from tests.forwarding_fakes import make_table
 
 DOCUMENT = {
     "version": 7,
@@ -69,6 +74,43 @@
         self.assertEqual(100, configuration.header_bytes)
 
 
+class FigureTest(unittest.TestCase):
+    """Figures that are absent, null or zero."""
+
+    def decode(self, edit):
+        document = copy.deepcopy(DOCUMENT)
+        edit(document)
+        return decode_configuration(document)
+
+    def test_a_target_latency_of_zero_is_none(self):
+        """Guards against targets that are ejected since no response is on time."""
+        for value in (0, -5, None):
+            route = self.decode(
+                lambda d, value=value: d["routes"][0].update(target_latency_ms=value)
+            ).routes[0]
+            self.assertEqual(route.timeout_s, route.target_latency_s)
+
+    def test_an_unknown_capacity_bounds_nothing(self):
+        """Guards against generations that no engine gets."""
+        for engine in ({}, {"kv_capacity_tokens": None}):
+            configuration = self.decode(
+                lambda d, engine=engine: d["services"][0].update(engine=engine)
+            )
+            service = configuration.services["llm"]
+            target = make_table(ManualTimer(), engine_info("e1")).find_all(["e1@1"])[0]
+            demand = ResourceDemand(1_000, 2_000)
+            self.assertEqual("", capacity_problem(target, service, demand, 0))
+            self.assertEqual(0.0, engine_time_s(service, demand))
+
+    def test_an_engine_without_memory_takes_nothing(self):
+        configuration = self.decode(
+            lambda d: d["services"][0]["engine"].update(kv_capacity_tokens=0)
+        )
+        target = make_table(ManualTimer(), engine_info("e1")).find_all(["e1@1"])[0]
+        service, demand = configuration.services["llm"], ResourceDemand(1, 2)
+        self.assertTrue(capacity_problem(target, service, demand, 0))
+
+
 class TenantsTest(unittest.TestCase):
     """Which states need keys, and whose."""
 
