Bear settings with no seeds and with no calls to the list

Callers saw: an entry whose settings name no seeds yet (none serves control) failed its synchronisation task again and again with a ZeroDivisionError; a leader whose rate_per_s is 0 read the list and then failed, so that no entry learnt of any engine.

Cause: an empty list and a zero were divided by.

Change: an entry without any address waits for one; the list is read seldom at a rate of 0 or less.

Tests: SeedsTest failed before; the settings test cannot be read before the change, which adds the bound that it names.

--- a/endivesill/fleet/sync_client.py
+++ b/endivesill/fleet/sync_client.py
@@ -126,6 +126,9 @@
         retry_s = RETRY_S
         while True:
             address = self.leader or self._next_address()
+            if address is None:
+                await self._timer.sleep(RETRY_S)
+                continue
             sent_s = self._timer.now_s()
             request = {
                 **self._sync_request(),
@@ -245,8 +248,10 @@
     def _known_controls(self) -> list[str]:
         return list(dict.fromkeys([*self._control_addresses, *self._seeds]))
 
-    def _next_address(self) -> str:
+    def _next_address(self) -> str | None:
         addresses = self._known_controls()
+        if not addresses:
+            return None
         return addresses[next(self._attempts) % len(addresses)]
 
     def _sync_timeout_s(self) -> float:
--- a/endivesill/platform/settings.py
+++ b/endivesill/platform/settings.py
@@ -17,6 +17,8 @@
 # system's internal use.
 PEER_PORT_OFFSET = 0
 BYTES_PER_MB = 1_048_576
+# Without any read a leader would know no engines.
+MIN_LIST_CALLS_PER_S = 0.1
 
 
 @attrs.frozen
@@ -152,7 +154,9 @@
         readiness_address=listen.read("text", "ready", "", ""),
         control_address=control_address,
         engine_list_address=cloud.read("text", "address", ""),
-        engine_list_calls_per_s=cloud.read("number", "rate_per_s", 1.0, 1.0),
+        engine_list_calls_per_s=max(
+            cloud.read("number", "rate_per_s", 1.0, 1.0), MIN_LIST_CALLS_PER_S
+        ),
         bounds=_decode_bounds(fields.table("bounds")),
         memory_bytes=BYTES_PER_MB * limits.read("number", "memory_mb", 0.0, 0.0),
         file_descriptors=limits.read("integer", "file_descriptors", 0, 0),
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -1,5 +1,6 @@
 """Tests of the fleet synchronisation between entries and the leader."""
 
+from endivesill import events
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.shares import LEASE_DURATION_S
 from endivesill.fleet.state import (
@@ -79,6 +80,29 @@
         self.assertNotIn("e1@1", one.view.remote_loads)
 
 
+class SeedsTest(SyncTestCase):
+    async def test_an_entry_without_seeds_waits_for_them(self):
+        """Guards against an entry whose synchronisation ends with an error."""
+        cluster = await self.cluster(entries=0)
+        seeds = cluster.addresses[:1]
+        cluster.addresses, addresses = [], cluster.addresses
+        failed = []
+        self.addCleanup(
+            events.listen(
+                lambda kind, fields: (
+                    failed.append(fields) if kind is events.TASK_FAILED else None
+                )
+            )
+        )
+        entry = cluster.add_entry()
+        cluster.addresses = addresses
+        await cluster.timer.advance(3.0)
+        self.assertEqual([], failed)
+        entry.sync_client.use_seeds(tuple(seeds))
+        await cluster.timer.advance(1.0)
+        self.assertEqual(["e1@1"], list(entry.view.engines))
+
+
 class DepartureTest(SyncTestCase):
     async def announce(self, cluster, entry):
         entry.departures = ["e1@1"]
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -7,7 +7,12 @@
 
 from endivesill import errors, events
 from endivesill.platform.process import POLL_PERIOD_S, SettingsWatcher
-from endivesill.platform.settings import BYTES_PER_MB, check_settings, read_settings
+from endivesill.platform.settings import (
+    BYTES_PER_MB,
+    MIN_LIST_CALLS_PER_S,
+    check_settings,
+    read_settings,
+)
 from endivesill.platform.wire import SETTINGS_VARIABLE
 from endivesill.timer import ManualTimer
 
@@ -72,6 +77,13 @@
         exposure = read_settings(self.path).bounds.exposure
         self.assertEqual((0.1, 50), (exposure.share, exposure.slack_requests))
 
+    def test_a_list_that_may_be_read_never_is_read_seldom(self):
+        """Guards against a leader that fails at each read since the rate is 0."""
+        for rate in ("0", "0.0", "-1"):
+            self.write(CONTROL_VM.replace("rate_per_s = 42.0", f"rate_per_s = {rate}"))
+            settings = read_settings(self.path)
+            self.assertEqual(MIN_LIST_CALLS_PER_S, settings.engine_list_calls_per_s)
+
     def test_limits_of_the_process_are_optional(self):
         self.write(CONTROL_VM)
         settings = read_settings(self.path)
