Reserve no copy for generations that are not streamed

Cause: a backup was chosen and its memory reserved for every generation, and plain requests dropped the reservation; only streams go on from a copy.

Tests: after every test of forwarding nothing may be reserved any more.

--- a/endivesill/forwarding/placer.py
+++ b/endivesill/forwarding/placer.py
@@ -7,7 +7,7 @@
 import attrs
 
 from endivesill import errors
-from endivesill.fleet.model import EngineInfo
+from endivesill.fleet.model import EngineInfo, RequestKind
 from endivesill.fleet.sync_client import FleetSyncClient
 from endivesill.forwarding.call import Call
 from endivesill.forwarding.placement import (
@@ -138,7 +138,12 @@
         return Placement(target, backup, by_leader=False)
 
     def reserve_backup(self, call: Call, target: Target) -> Target | None:
-        """Choose a backup for a run and reserve its demand there; None without one."""
+        """Choose a backup for a run and reserve its demand there; None without one.
+
+        Only streams resume from a copy.
+        """
+        if call.route.kind is not RequestKind.STREAMING:
+            return None
         targets = self._table.candidates(call.service.name, ())
         is_congested = self._admission.is_congested(call.service.name)
         backup = choose_backup(
@@ -159,7 +164,8 @@
         target = self._table.get_or_add(EngineInfo(**reply["target"]))
         target.reserve(call.demand)
         backup = None
-        if reply["backup"] is not None:
+        is_stream = call.route.kind is RequestKind.STREAMING
+        if is_stream and reply["backup"] is not None:
             backup = self._table.get_or_add(EngineInfo(**reply["backup"]))
             backup.reserve_copy(call.demand)
         return Placement(target, backup, by_leader=True)
--- a/tests/forwarding_case.py
+++ b/tests/forwarding_case.py
@@ -6,6 +6,8 @@
 import random
 import unittest
 
+import attrs
+
 from endivesill import events
 from endivesill.fleet.model import (
     EngineInfo,
@@ -56,6 +58,9 @@
 )
 # Caller and listener share a process, which may not be scheduled for a second.
 CALLER_CONNECT_TIMEOUT_S = 10.0
+# Runs that were given up may be stopped for some seconds after the last answer.
+REST_TIMEOUT_S = 10.0
+REST_POLL_S = 0.02
 STREAM_HEADERS = [
     (b"X-Endivesill-Token-Counts", b"1000,80"),
     (b"X-Endivesill-Prompt-Prefix", b"5c:800,91:200"),
@@ -120,10 +125,29 @@
 
     async def _close(self):
         await self.listener.stop()
+        await self._check_reservations()
         self.pool.close()
         for engine in self.engines:
             await engine.stop()
 
+    async def _check_reservations(self):
+        """Check that nothing is reserved any more, once all requests have ended."""
+        for _ in range(int(REST_TIMEOUT_S / REST_POLL_S)):
+            if not self._reservations():
+                return
+            await asyncio.sleep(REST_POLL_S)
+        self.assertEqual({}, self._reservations())
+
+    def _reservations(self):
+        """Return what is reserved, by what it is reserved of."""
+        held = {
+            target.info.incarnation: attrs.astuple(target.load())
+            for target in self.table.find_all(self.view.engines)
+        }
+        held["queue"] = (self.forwarder._admission.queue_length(),)
+        held["peers"] = tuple(self.peers._in_flight.values())
+        return {name: counts for name, counts in held.items() if any(counts)}
+
     async def add_engines(self, service: str, *names: str) -> list[StandinEngine]:
         """Start engines and add them to the engine list."""
         added = []
