Release the place of a request that ends before its exchange

Cause: only the task of the exchange released the place, and a task that is cancelled before its first step runs none of its code.

Change: a reservation is released once, by the exchange or by the end of its task. A request that comes with no time left is refused at once, beside those that their route lets go nowhere.

--- a/endivesill/forwarding/call.py
+++ b/endivesill/forwarding/call.py
@@ -9,7 +9,7 @@
 from endivesill.forwarding.targets import ResourceDemand, Target
 from endivesill.http1 import Exchange
 
-__all__ = ["Call", "priority_of"]
+__all__ = ["Call", "hopeless_reason", "priority_of"]
 
 
 def priority_of(route: Route, organisation: Organisation | None) -> int:
@@ -89,3 +89,12 @@
     def latency_deadline_s(self) -> float:
         """Latest start of the response that meets the route's target latency."""
         return self.received_s + self.route.target_latency_s
+
+
+def hopeless_reason(call: Call, now_s: float) -> str | None:
+    """Return why a request cannot be served whatever happens; None if it may be."""
+    if call.route.max_attempts < 1:
+        return "the route allows no attempt"
+    if call.deadline_s <= now_s:
+        return "no time left"
+    return None
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 from endivesill.fleet.crash_exchange import CrashExchange
 from endivesill.fleet.model import Organisation, RequestKind, Route
 from endivesill.forwarding.attempt import Attempt, AttemptError, Failure, Sender
-from endivesill.forwarding.call import Call, priority_of
+from endivesill.forwarding.call import Call, hopeless_reason, priority_of
 from endivesill.forwarding.call_log import CallLog
 from endivesill.forwarding.crash_causes import crash_causes
 from endivesill.forwarding.crash_guard import BLOCKED, CrashGuard
@@ -144,8 +144,9 @@
         if not self.stop_deadline.leaves_time_for(call):
             self._refuse(exchange, info, 503, STOPPING, 0.0, call)
             return
-        if route.max_attempts < 1:
-            self._finish_failed(call, 503, "the route allows no attempt")
+        reason = hopeless_reason(call, self._timer.now_s())
+        if reason is not None:
+            self._finish_failed(call, 503, reason)
             return
         retry_after_s = await self._guard.check(call)
         if retry_after_s is not None:
--- a/endivesill/forwarding/plain_sender.py
+++ b/endivesill/forwarding/plain_sender.py
@@ -13,6 +13,7 @@
 from endivesill.forwarding.proxy_messages import ProxyLostError
 from endivesill.forwarding.retry_policy import RetryPolicy
 from endivesill.forwarding.run_stop import AbandonedRun, RunStopper
+from endivesill.forwarding.target import Reservation
 from endivesill.forwarding.targets import Target, TargetTable
 from endivesill.http1 import UpstreamError
 from endivesill.timer import TimerService
@@ -88,7 +89,10 @@
         Raises:
           AttemptError: there is no complete response.
         """
-        first = asyncio.ensure_future(self._exchange(call, target))
+        reservation = Reservation(target, call.demand)
+        first = asyncio.ensure_future(self._exchange(call, reservation))
+        # A task that is cancelled before its first step runs none of its code.
+        first.add_done_callback(lambda task: reservation.release())
         second: asyncio.Task[PlainResponse] | None = None
         try:
             if not await self._is_slow(call, first) or not self._retries.may_hedge(
@@ -127,16 +131,17 @@
         target = await self._place(call)
         call.excluded.append(target)
         try:
-            return await self._exchange(call, target)
+            return await self._exchange(call, Reservation(target, call.demand))
         except AttemptError as error:
             self._on_failed(call, target, error)
             raise
 
-    async def _exchange(self, call: Call, target: Target) -> PlainResponse:
+    async def _exchange(self, call: Call, reservation: Reservation) -> PlainResponse:
         """Send a request once; releases its demand at the target.
 
         A run at a model engine is stopped unless its response is complete.
         """
+        target = reservation.target
         overdue = self._timer.call_after(
             call.route.target_latency_s, lambda: self._table.note_overdue(target)
         )
@@ -158,7 +163,7 @@
         except UpstreamError as error:
             raise AttemptError(Failure.BROKEN, str(error)) from None
         finally:
-            target.release(call.demand)
+            reservation.release()
             overdue.cancel()
             if not has_ended and call.service.model_engine is not None:
                 run = AbandonedRun(call, target, is_proxied=is_proxied)
--- a/endivesill/forwarding/target.py
+++ b/endivesill/forwarding/target.py
@@ -12,7 +12,7 @@
 from endivesill.fleet.reports import EngineReport
 from endivesill.forwarding.health import BrokenRequests, HealthRecord
 
-__all__ = ["NO_LOAD", "ResourceDemand", "Target"]
+__all__ = ["NO_LOAD", "Reservation", "ResourceDemand", "Target"]
 
 # Largest age of an engine's report when it is read.
 REPORT_LAG_S = 0.6
@@ -163,3 +163,24 @@
         """Return this entry's own load; permits that hold a slot count as requests."""
         requests = self.requests + unused_permits
         return EngineLoad(requests, self.reserved_tokens, self.prefill_tokens)
+
+
+@attrs.define(eq=False)
+class Reservation:
+    """The demand of a request that is reserved at a target, to be released once.
+
+    Attributes:
+      target: the target.
+      demand: what is reserved.
+      is_held: whether it has not been released.
+    """
+
+    target: Target
+    demand: ResourceDemand
+    is_held: bool = True
+
+    def release(self) -> None:
+        """Release it unless that was done before."""
+        if self.is_held:
+            self.is_held = False
+            self.target.release(self.demand)
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -9,6 +9,7 @@
 from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.route_table import RouteTable
 from endivesill.forwarding.run_copy import CopyRefusedError, RunCopier
+from endivesill.http1 import UpstreamError
 from endivesill.platform.engines import PlatformProtocol
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 
@@ -101,19 +102,6 @@
         self.forwarder.routes = RouteTable(configuration)
         self.assertEqual(200, (await self.send_request("/keyed/x"))[0].status)
 
-    async def test_a_route_that_allows_no_attempt_is_refused_at_once(self):
-        (engine,) = await self.add_engines("app", "p1")
-        configuration = self.forwarder.routes.configuration
-        routes = tuple(
-            attrs.evolve(route, max_attempts=0) for route in configuration.routes
-        )
-        self.forwarder.routes = RouteTable(attrs.evolve(configuration, routes=routes))
-        for path in ("/unsafe/x", "/safe/x", "/stream/x"):
-            head, _ = await self.send_request(path)
-            self.assertEqual(503, head.status)
-            self.assertTrue(head.header(b"retry-after"))
-        self.assertEqual([], engine.requests)
-
     async def test_no_route_is_a_404_and_no_configuration_a_503(self):
         self.assertEqual(404, (await self.send_request("/none/x"))[0].status)
         self.forwarder.routes = None
@@ -404,3 +392,75 @@
         await self.wait_until(lambda: engine.cancelled_requests)
         self.assertEqual(["caller-gone"], self.outcomes())
         self.assertEqual(0, self.target("p1").requests)
+
+
+class ReservationTest(ForwardingTestCase):
+    """Guards against places that are kept for requests which have ended.
+
+    That nothing is reserved is checked after each test of forwarding.
+    """
+
+    async def send_and_cancel(self, path):
+        """Send requests that are cancelled in the turn in which they are placed."""
+        placer = self.forwarder._placer
+        place = placer.place
+
+        async def place_and_cancel(call):
+            placement = await place(call)
+            asyncio.current_task().cancel()
+            return placement
+
+        placer.place = place_and_cancel
+        for _ in range(3):
+            with self.assertRaises(UpstreamError):
+                await self.send_request(path, *STREAM_HEADERS)
+
+    async def test_an_unsafe_request_that_is_cancelled_before_it_is_sent(self):
+        (engine,) = await self.add_engines("app", "p1")
+        await self.send_and_cancel("/unsafe/x")
+        self.assertEqual([], engine.requests)
+
+    async def test_a_safe_request_that_is_cancelled_before_it_is_sent(self):
+        await self.add_engines("app", "p1", "p2")
+        await self.send_and_cancel("/safe/x")
+
+    async def test_a_generation_that_is_cancelled_before_it_is_sent(self):
+        await self.add_engines("llm", "e1", "e2")
+        await self.send_and_cancel("/answer/x")
+
+    async def test_a_stream_that_is_cancelled_before_it_is_sent(self):
+        await self.add_engines("llm", "e1", "e2")
+        await self.send_and_cancel("/stream/x")
+
+    async def test_a_generation_that_is_not_streamed_reserves_no_copy(self):
+        await self.add_engines("llm", "e1", "e2")
+        head, _ = await self.send_request("/answer/x", *STREAM_HEADERS)
+        self.assertEqual(200, head.status)
+
+
+class HopelessTest(ForwardingTestCase):
+    async def test_a_request_without_time_left_is_refused_at_once(self):
+        """Its turn would never come, and it would hold a place until then."""
+        (engine,) = await self.add_engines("app", "p1")
+        self.target("p1").requests = 1_000
+        for remaining in (b"0", b"000"):
+            connection = await self.connect()
+            connection.send(request("/unsafe/x").replace(b" 4000", b" " + remaining))
+            self.assertEqual(503, (await connection.head()).status)
+        self.target("p1").requests = 0
+        self.assertEqual([], engine.requests)
+        reasons = {f.get("reason") for kind, f in self.lines if "refused" in kind}
+        self.assertEqual({"no time left"}, reasons)
+
+    async def test_a_route_that_allows_no_attempt_is_refused_at_once(self):
+        (engine,) = await self.add_engines("app", "p1")
+        configuration = self.forwarder.routes.configuration
+        routes = tuple(
+            attrs.evolve(route, max_attempts=0) for route in configuration.routes
+        )
+        self.forwarder.routes = RouteTable(attrs.evolve(configuration, routes=routes))
+        for path in ("/unsafe/x", "/safe/x", "/stream/x"):
+            head, _ = await self.send_request(path)
+            self.assertEqual(503, head.status)
+            self.assertTrue(head.header(b"retry-after"))
+        self.assertEqual([], engine.requests)
