Close connections whose caller was cancelled meanwhile

Callers saw: nothing known. A connection that came in the same turn of the event loop as the end of its request stayed open until the target closed it, and an answer about a target kept its entry's count of requests up.

Cause: the result of a task is lost if the caller of wait_for is cancelled in the turn in which it comes.

Change: wait_for hands such a result to on_lost, which closes what was opened.

--- a/endivesill/forwarding/proxy_client.py
+++ b/endivesill/forwarding/proxy_client.py
@@ -259,7 +259,9 @@
         )
         sending = self._send_to(peer, request, bytes, lambda: True, lambda: None)
         try:
-            body, _ = await self._timer.wait_for(sending, CHECK_TIMEOUT_S)
+            body, _ = await self._timer.wait_for(
+                sending, CHECK_TIMEOUT_S, on_lost=lambda sent: sent[0].release()
+            )
         except SendError as error:
             return Answer.REFUSED if error.is_refused else Answer.UNREACHED
         except (UpstreamError, errors.DeadlineExceededError) as error:
--- a/endivesill/http1/pool.py
+++ b/endivesill/http1/pool.py
@@ -92,7 +92,9 @@
         )
         try:
             _, connection = await self._timer.wait_for(
-                connecting, connect_timeout_s or self.connect_timeout_s
+                connecting,
+                connect_timeout_s or self.connect_timeout_s,
+                on_lost=lambda connected: connected[1].abort(),
             )
         except (OSError, errors.DeadlineExceededError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
--- a/endivesill/timer.py
+++ b/endivesill/timer.py
@@ -84,12 +84,19 @@
         handle.on_cancel = self.call_after(period_s, fire).cancel
         return handle
 
-    async def wait_for(self, awaitable: Awaitable[T], timeout_s: float) -> T:
+    async def wait_for(
+        self,
+        awaitable: Awaitable[T],
+        timeout_s: float,
+        on_lost: Callable[[T], None] | None = None,
+    ) -> T:
         """Wait for a result with a time limit.
 
         Args:
           awaitable: the awaitable; it is cancelled at the time limit.
           timeout_s: the time limit.
+          on_lost: called with a result that came in the same turn of the event loop as
+            the cancellation of the caller, who does not get it.
 
         Returns:
           The awaitable's result.
@@ -114,6 +121,8 @@
                 raise errors.DeadlineExceededError(
                     f"no result within {timeout_s} s"
                 ) from None
+            if on_lost is not None and _has_result(task):
+                on_lost(task.result())
             raise
         finally:
             handle.cancel()
@@ -122,6 +131,10 @@
             del task, expire
 
 
+def _has_result(future: asyncio.Future[Any]) -> bool:
+    return future.done() and not future.cancelled() and future.exception() is None
+
+
 class SystemTimer(TimerService):
     """The timer of a running process."""
 
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import tracemalloc
 import unittest
+from unittest import mock
 
 from endivesill.http1 import (
     ConnectionPool,
@@ -237,6 +238,24 @@
         self.assertEqual(b"127.0.0.2", body)
 
 
+class LostConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_whose_caller_has_gone_is_closed(self):
+        """Guards against descriptors that stay open after a cancelled request."""
+        loop = asyncio.get_running_loop()
+        connected = loop.create_future()
+        connection = mock.Mock()
+        pool = ConnectionPool(SystemTimer(), 1.0, 1.0)
+        connect = mock.Mock(return_value=connected)
+        with mock.patch.object(loop, "create_connection", connect):
+            task = asyncio.ensure_future(pool.acquire("127.0.0.1:1"))
+            await asyncio.sleep(0)
+            connected.set_result((None, connection))
+            task.cancel()
+            await asyncio.wait({task})
+        self.assertTrue(task.cancelled())
+        connection.abort.assert_called_once_with()
+
+
 class BoundsTest(ClientTestCase):
     """Peers that send bytes without end."""
 
--- a/tests/test_timer.py
+++ b/tests/test_timer.py
@@ -24,6 +24,22 @@
         with self.assertRaises(errors.DeadlineExceededError):
             task.result()
 
+    async def test_a_result_whose_caller_is_cancelled_is_not_lost(self):
+        """Guards against connections that nobody closes."""
+        timer = ManualTimer()
+        lost = []
+        for is_cancelled, has_result in ((True, True), (False, True), (True, False)):
+            future = asyncio.get_running_loop().create_future()
+            task = asyncio.ensure_future(timer.wait_for(future, 1.0, lost.append))
+            await asyncio.sleep(0)
+            if has_result:
+                future.set_result(7)
+            if is_cancelled:
+                task.cancel()
+            await asyncio.wait({task})
+            self.assertEqual(is_cancelled, task.cancelled())
+        self.assertEqual([7], lost)
+
     async def test_periodic_calls_repeat_until_cancelled(self):
         timer = ManualTimer()
         calls = []
