Let the stand-in engine run one request twice at a time

Trace: the stream came back to an engine that still worked on its earlier run, which has the same id. When the earlier run ended, the stand-in dropped the id, and the resumed run ended at event 149 of 150 with a KeyError of the stand-in. The product did as it should; no check of the test is changed.

--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import json
 
 from endivesill.http1 import Exchange, HttpListener, encode_head
@@ -70,6 +71,7 @@
         self.silent_after: int | None = None
         self.stop_refusals: list[int] = []
         self.running: dict[str, bool] = {}
+        self._run_counts: collections.Counter[str] = collections.Counter()
         self.copies: set[str] = set()
         self.copy_orders: list[dict] = []
         self.copy_releases: list[bytes] = []
@@ -222,10 +224,14 @@
         exchange.start(200, headers_sent)
         attempt_id = attempt[1].decode()
         self.running[attempt_id] = False
+        # A run that was given up may go on beside the one that resumes it.
+        self._run_counts[attempt_id] += 1
         try:
             await self._send_events(exchange, headers, attempt_id, first)
         finally:
-            del self.running[attempt_id]
+            self._run_counts[attempt_id] -= 1
+            if not self._run_counts[attempt_id]:
+                del self.running[attempt_id]
 
     async def _send_events(
         self, exchange: Exchange, headers, attempt_id: str, first: int
