Take the caller's last event as the floor of its stream

Cause: the resume asked for what follows the last event that this entry had passed on, 0 before the first one, in place of the caller's header.

Change: EventSequence begins at the caller's last event. Also legal and broken off before: ids that grow by more than one and lines that end with CR LF. An id with over 4,300 digits ended the relay with a ValueError.

--- a/endivesill/forwarding/event_stream.py
+++ b/endivesill/forwarding/event_stream.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import re
+
 import attrs
 
 from endivesill.http1 import UpstreamError
+from endivesill.http1.numbers import bounded_integer
 
 __all__ = ["MAX_EVENT_BYTES", "EventSequence", "EventSplitter", "StreamEvent"]
 
-END = b"\n\n"
+# An empty line; lines may end with CR LF.
+END = re.compile(rb"\n\r?\n")
 # Longest event; engines send a few tokens with each.
 MAX_EVENT_BYTES = 262_144
 
@@ -42,46 +46,73 @@
         Raises:
           UpstreamError: an event is longer than `MAX_EVENT_BYTES`.
         """
-        *complete, self.remainder = (self.remainder + data).split(END)
+        buffer = self.remainder + data
+        start, complete = 0, []
+        for match in END.finditer(buffer):
+            block = buffer[start : match.end()]
+            complete.append(StreamEvent(_event_id(block), block))
+            start = match.end()
+        self.remainder = buffer[start:]
         if len(self.remainder) > MAX_EVENT_BYTES:
             raise UpstreamError("an event is too long", sent=True)
-        return [StreamEvent(_event_id(block), block + END) for block in complete]
+        return complete
 
 
 class EventSequence:
     """The events of one stream in order, over several runs.
 
+    Args:
+      floor: id of the last event that the caller has from before; None for none. Events
+        up to it are never passed on.
+
     Attributes:
       last_id: the id of the last event; None before the first one with an id.
     """
 
-    def __init__(self) -> None:
-        self.last_id: int | None = None
+    def __init__(self, floor: int | None) -> None:
+        self.last_id = floor
+        # Whether ids have grown by one so far; None until two of them are known.
+        self._is_consecutive: bool | None = None
+        self._begins_run = True
+        self._is_first_run = True
+
+    def begin_run(self) -> None:
+        """Continue with the events of another run."""
+        self._begins_run = True
+        self._is_first_run = False
 
     def take_new(self, events_read: list[StreamEvent]) -> list[StreamEvent]:
         """Return the events that have not been read before, and advance past them.
 
+        Ids increase, by more than one if the engine wants it so.
+
         Raises:
-          UpstreamError: an event is missing.
+          UpstreamError: a resumed run lacks an event.
         """
         new_events = []
         for event in events_read:
-            last = self.last_id
             if event.event_id is not None:
-                if last is not None and event.event_id <= last:
+                if self.last_id is not None and event.event_id <= self.last_id:
                     continue
-                if last is not None and event.event_id != last + 1:
-                    raise UpstreamError(
-                        f"event {event.event_id} follows {last}", sent=True
-                    )
+                self._note_step(event.event_id)
                 self.last_id = event.event_id
             new_events.append(event)
         return new_events
 
+    def _note_step(self, event_id: int) -> None:
+        begins_run, self._begins_run = self._begins_run, False
+        if self.last_id is None or (begins_run and self._is_first_run):
+            return
+        is_next = event_id == self.last_id + 1
+        if begins_run and self._is_consecutive and not is_next:
+            detail = f"event {event_id} follows {self.last_id}"
+            raise UpstreamError(detail, sent=True)
+        self._is_consecutive = is_next and self._is_consecutive is not False
+
 
 def _event_id(block: bytes) -> int | None:
     for line in block.split(b"\n"):
         name, colon, value = line.partition(b":")
         if colon and name == b"id" and value.strip().isdigit():
-            return int(value)
+            return bounded_integer(value.strip())
     return None
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -26,6 +26,7 @@
       maximum_output_tokens: longest output that the caller accepts; 0 if not given.
       expected_output_tokens: the caller's estimate; 0 without one.
       prefix: id and tokens of each part of the prompt, in order.
+      last_event_id: the last event that the caller has of the stream; None without one.
     """
 
     attempt_id: str
@@ -35,6 +36,7 @@
     maximum_output_tokens: int
     expected_output_tokens: int
     prefix: tuple[tuple[str, int], ...]
+    last_event_id: int | None = None
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/endivesill/forwarding/streams.py
+++ b/endivesill/forwarding/streams.py
@@ -93,7 +93,7 @@
         self._copy_task: asyncio.Task[None] | None = None
         self._call = call
         self._run: StreamRun | None = None
-        self._sequence = EventSequence()
+        self._sequence = EventSequence(call.info.last_event_id)
         self.progress = StreamProgress()
         self.resumes = 0
         self.target: Target | None = None
@@ -138,6 +138,7 @@
             finally:
                 self._release_run(run, resume_from)
             run = self._run = next_run
+            self._sequence.begin_run()
 
     async def _send(self, run: StreamRun, resume_from: str) -> Attempt:
         self.target = run.target
--- a/endivesill/http1/numbers.py
+++ b/endivesill/http1/numbers.py
@@ -7,7 +7,7 @@
 
 from endivesill.http1.head import Headers, header_values
 
-__all__ = ["LARGEST_INTEGER", "bounded_integer", "lowest_decimal"]
+__all__ = ["LARGEST_INTEGER", "bounded_integer", "bounded_integers", "lowest_decimal"]
 
 # Digits beyond these would only make a number larger than any that bounds something.
 DECIMAL_PATTERN = re.compile(rb"[0-9]{1,64}(\.[0-9]{0,64})?")
@@ -25,6 +25,13 @@
     return int(significant or b"0")
 
 
+def bounded_integers(value: bytes) -> list[int]:
+    """Return the numbers of a list with commas; empty if one part is no number."""
+    parts = [part.strip() for part in value.split(b",")]
+    is_valid = all(part.isdigit() for part in parts)
+    return list(map(bounded_integer, parts)) if is_valid else []
+
+
 def lowest_decimal(headers: Headers, name: bytes) -> float | None:
     """Return the lowest of the decimal numbers in the values of a field.
 
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -15,7 +15,7 @@
 from endivesill.forwarding.protocol import Dispatch, RequestInfo, ResponseInfo
 from endivesill.http1 import Headers, ResponseHead, header_value
 from endivesill.http1.head import encode_head, header_values, strip_hop_by_hop
-from endivesill.http1.numbers import bounded_integer, lowest_decimal
+from endivesill.http1.numbers import bounded_integer, bounded_integers, lowest_decimal
 from endivesill.json_array import decode_array_document
 from endivesill.json_text import parse_document
 from endivesill.platform import wire
@@ -99,12 +99,6 @@
     )
 
 
-def _parse_integers(value: bytes, separator: bytes = b",") -> list[int]:
-    parts = [part.strip() for part in value.split(separator)]
-    is_valid = all(part.isdigit() for part in parts)
-    return list(map(bounded_integer, parts)) if is_valid else []
-
-
 def decode_leaving(head: ResponseHead) -> bool:
     """Return whether a response says that its engine is about to leave."""
     return head.header(wire.SERVER_LEAVING).strip() not in (b"", b"0")
@@ -155,9 +149,10 @@
 
     def decode_request(self, headers: Headers) -> RequestInfo:
         """Return the properties that routing needs; invalid values count as absent."""
-        counts = _parse_integers(header_value(headers, wire.TOKEN_COUNTS))
-        length_hint = _parse_integers(header_value(headers, wire.LENGTH_HINT))
-        deadline_ms = _parse_integers(header_value(headers, wire.DEADLINE))
+        counts = bounded_integers(header_value(headers, wire.TOKEN_COUNTS))
+        length_hint = bounded_integers(header_value(headers, wire.LENGTH_HINT))
+        deadline_ms = bounded_integers(header_value(headers, wire.DEADLINE))
+        last_event_id = bounded_integers(header_value(headers, wire.LAST_EVENT_ID))
         keys = [key.decode("latin-1") for key in header_values(headers, wire.API_KEY)]
         return RequestInfo(
             attempt_id=header_value(headers, wire.ATTEMPT_ID).decode("latin-1"),
@@ -167,6 +162,7 @@
             maximum_output_tokens=counts[1] if len(counts) > 1 else 0,
             expected_output_tokens=length_hint[0] if length_hint else 0,
             prefix=_parse_prefix(header_value(headers, wire.PROMPT_PREFIX)),
+            last_event_id=last_event_id[0] if len(last_event_id) == 1 else None,
         )
 
     def encode_request(
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -37,6 +37,7 @@
         only resets them.
       requests: requests received, as (method, target, headers by lower-case name,
         body).
+      ignores_last_event_id: whether its runs begin with the first event always.
       keeps_runs: whether it works on a run whose connection has closed.
       silent_after: event after which the connection of a new stream goes silent while
         the run goes on; None for never.
@@ -71,6 +72,7 @@
         self.silent_after: int | None = None
         self.stop_refusals: list[int] = []
         self.running: dict[str, bool] = {}
+        self.ignores_last_event_id = False
         self._run_counts: collections.Counter[str] = collections.Counter()
         self.copies: set[str] = set()
         self.copy_orders: list[dict] = []
@@ -216,6 +218,10 @@
                 exchange.respond(503, [attempt, refused])
                 return
             first = int(headers[b"last-event-id"]) + 1
+        elif headers.get(b"last-event-id", b"").isdigit():
+            first = int(headers[b"last-event-id"]) + 1
+        if self.ignores_last_event_id:
+            first = 1
         content_type = (b"Content-Type", b"text/event-stream")
         headers_sent = [attempt, SEAL, content_type, *self.response_headers]
         if self.omits_length:
--- a/tests/test_forwarding_streams.py
+++ b/tests/test_forwarding_streams.py
@@ -281,3 +281,48 @@
         with mock.patch.object(streams, "MAX_SILENCE_S", 0.2, create=True):
             _, resumed, *_ = await self.stream_with_silence(0.5)
         self.assertIn(b"kv-from", resumed)
+
+
+class CallerResumeTest(ForwardingTestCase):
+    """Callers that ask for the rest of a stream."""
+
+    async def resume(self, last_event_id, break_after=None, **changes):
+        """Return the ids that a caller with some events gets.
+
+        The first engine breaks the stream off; a copy is at the other one.
+        """
+        engines = await self.add_engines("llm", "e1", "e2")
+        for engine in engines:
+            engine.copies, engine.break_after = {"a1"}, break_after
+            for name, value in changes.items():
+                setattr(engine, name, value)
+
+        async def stop_breaking():
+            await self.wait_until(lambda: any(e.requests for e in engines))
+            for engine in engines:
+                if not engine.requests:
+                    engine.break_after = None
+
+        task = asyncio.ensure_future(stop_breaking())
+        header = (b"Last-Event-Id", last_event_id)
+        _, body = await self.send_request("/stream/x", *STREAM_HEADERS, header)
+        await task
+        self.requests = [r[2] for e in engines for r in e.requests]
+        return numbers(body)
+
+    async def test_a_run_that_ends_before_its_first_event(self):
+        """Guards against pieces that come twice: the resume asked for all events."""
+        self.assertEqual([3, 4, 5], await self.resume(b"2", break_after=2))
+        resumed = [r for r in self.requests if b"kv-from" in r]
+        self.assertEqual([b"2"], [r[b"last-event-id"] for r in resumed])
+
+    async def test_a_run_that_ends_in_the_middle(self):
+        self.assertEqual([3, 4, 5], await self.resume(b"2", break_after=3))
+
+    async def test_an_engine_that_sends_all_events(self):
+        ids = await self.resume(b"2", ignores_last_event_id=True)
+        self.assertEqual([3, 4, 5], ids)
+
+    async def test_an_event_id_that_is_no_number(self):
+        self.assertEqual([1, 2, 3, 4, 5], await self.resume(b"x"))
+        self.assertEqual([b"x"], [r[b"last-event-id"] for r in self.requests])
