Take no engine away for what a caller asks of it

Cause: each 421 counted as another target at the address, and that ended only with the list.

Change: a 421 to a request with the caller's own X-Endivesill-Expected-Version says nothing of the target. A target that seems replaced is tried again after 10 s.

--- a/endivesill/forwarding/attempt.py
+++ b/endivesill/forwarding/attempt.py
@@ -37,11 +37,21 @@
     TARGET_LEFT = "target-left"
     REJECTED = "rejected"
     WRONG_TARGET = "wrong-target"
+    UNMET_EXPECTATION = "unmet-expectation"
     BROKEN = "broken"
     NO_ANSWER = "no-answer"
     FOREIGN_RESPONSE = "foreign-answer"
     PROXY_LOST = "proxy-lost"
 
+    @property
+    def says_of_target(self) -> bool:
+        """Whether it counts as an outcome of the target."""
+        return self not in (
+            Failure.TARGET_LEFT,
+            Failure.PROXY_LOST,
+            Failure.UNMET_EXPECTATION,
+        )
+
     @property
     def not_run(self) -> bool:
         """Whether the target certainly has not run the request and will not."""
@@ -184,8 +194,7 @@
             )
         if response.wrong_target or response.not_run:
             body.release()
-            is_wrong_target = response.wrong_target
-            failure = Failure.WRONG_TARGET if is_wrong_target else Failure.REJECTED
+            failure = _rejection(call, response)
             raise AttemptError(failure, str(response.status))
         return Attempt(target, body, head, response)
 
@@ -266,6 +275,16 @@
     return is_first or not attempt_id
 
 
+def _rejection(call: Call, response: ResponseInfo) -> Failure:
+    """Return why a target has rejected a request."""
+    if not response.wrong_target:
+        return Failure.REJECTED
+    # What follows from the caller's own header is no evidence about the target.
+    if call.info.expects_version:
+        return Failure.UNMET_EXPECTATION
+    return Failure.WRONG_TARGET
+
+
 def _max_idle_s(call: Call) -> float | None:
     """Return the longest idle time of the connection to use; None for any."""
     if not call.info.attempt_id:
--- a/endivesill/forwarding/forwarder.py
+++ b/endivesill/forwarding/forwarder.py
@@ -347,7 +347,7 @@
         elif failure is Failure.WRONG_TARGET:
             self._table.note_replaced(target)
             self._client.close_idle(target.info)
-        elif failure not in (Failure.TARGET_LEFT, Failure.PROXY_LOST):
+        elif failure.says_of_target:
             self._table.note_outcome(target, succeeded=False)
             if not failure.not_run:
                 self._versions.note_failed(call, target)
--- a/endivesill/forwarding/health_table.py
+++ b/endivesill/forwarding/health_table.py
@@ -11,7 +11,7 @@
 from endivesill.forwarding.target import Target
 from endivesill.timer import TimerService
 
-__all__ = ["CONNECT_EJECTION_S", "HealthTable"]
+__all__ = ["CONNECT_EJECTION_S", "REPLACED_S", "HealthTable"]
 
 # First ejection of a target that cannot be connected to or does not report its load;
 # about two reads of the platform's list.
@@ -19,6 +19,9 @@
 # The ejection doubles with each consecutive refused connection, up to this.
 MAX_CONNECT_EJECTION_S = 4.0
 MAX_CONNECT_DOUBLINGS = 3
+# How long a target counts as replaced after an answer that says so. A crashed one stays
+# in the platform's list for some seconds.
+REPLACED_S = 10.0
 # Largest fraction of a service's targets that may be ejected at a time.
 MAX_EJECTED_FRACTION = 0.5
 
@@ -73,10 +76,17 @@
         )
 
     def note_replaced(self, target: Target) -> None:
-        """Stop using a target whose address now belongs to another one."""
+        """Stop using a target whose address now belongs to another one, for a time.
+
+        The list names its new address or drops it sooner, unless the answer was wrong.
+        """
         target.is_replaced = True
+        self._timer.call_after(REPLACED_S, lambda: self._end_replacement(target))
         self._log_ejection(target, None, "another target has its address")
 
+    def _end_replacement(self, target: Target) -> None:
+        target.is_replaced = False
+
     def note_no_connection(self, target: Target, reason: str) -> None:
         """Eject a target that cannot be connected to."""
         doublings = min(target.refused_connections, MAX_CONNECT_DOUBLINGS)
--- a/endivesill/forwarding/protocol.py
+++ b/endivesill/forwarding/protocol.py
@@ -26,7 +26,8 @@
       maximum_output_tokens: longest output that the caller accepts; 0 if not given.
       expected_output_tokens: the caller's estimate; 0 without one.
       prefix: id and tokens of each part of the prompt, in order.
-      last_event_id: the last event that the caller has of the stream; None without one.
+      expects_version: whether targets reject it whose weights the caller does not want.
+      last_event_id: the last event of the stream that the caller has; None without one.
     """
 
     attempt_id: str
@@ -36,6 +37,7 @@
     maximum_output_tokens: int
     expected_output_tokens: int
     prefix: tuple[tuple[str, int], ...]
+    expects_version: bool = False
     last_event_id: int | None = None
 
     @property
--- a/endivesill/platform/engines.py
+++ b/endivesill/platform/engines.py
@@ -162,6 +162,7 @@
             maximum_output_tokens=counts[1] if len(counts) > 1 else 0,
             expected_output_tokens=length_hint[0] if length_hint else 0,
             prefix=_parse_prefix(header_value(headers, wire.PROMPT_PREFIX)),
+            expects_version=bool(header_values(headers, wire.EXPECTED_VERSION)),
             last_event_id=last_event_id[0] if len(last_event_id) == 1 else None,
         )
 
--- a/endivesill/platform/wire.py
+++ b/endivesill/platform/wire.py
@@ -18,6 +18,8 @@
 RESPONSE_SEAL = b"x-endivesill-response-seal"
 # Identity of the engine that must run the request; any other rejects it.
 EXPECTED_INSTANCE = b"x-endivesill-expected-instance"
+# Version of the weights that the caller wants; engines with others reject the request.
+EXPECTED_VERSION = b"x-endivesill-expected-version"
 # Name of the organisation to which the request's API key belongs.
 ORGANISATION = b"x-endivesill-tenant"
 API_KEY = b"api-key"
--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -37,6 +37,7 @@
         only resets them.
       requests: requests received, as (method, target, headers by lower-case name,
         body).
+      weights: version of its weights; a request that expects another is rejected.
       ignores_last_event_id: whether its runs begin with the first event always.
       keeps_runs: whether it works on a run whose connection has closed.
       silent_after: event after which the connection of a new stream goes silent while
@@ -72,6 +73,7 @@
         self.silent_after: int | None = None
         self.stop_refusals: list[int] = []
         self.running: dict[str, bool] = {}
+        self.weights = b"2"
         self.ignores_last_event_id = False
         self._run_counts: collections.Counter[str] = collections.Counter()
         self.copies: set[str] = set()
@@ -163,7 +165,9 @@
             headers.get(b"x-endivesill-request-attempt-id", b""),
         )
         expected = headers.get(b"x-endivesill-expected-instance")
-        if expected and expected != self.identity.encode():
+        if (expected and expected != self.identity.encode()) or self._lacks_weights(
+            headers
+        ):
             exchange.respond(421, [attempt])
         elif self.rejects:
             refused = (b"X-Endivesill-Not-Executed", b"1")
@@ -180,6 +184,10 @@
                 await asyncio.sleep(self.run_s)
             self._respond_plain(exchange, attempt)
 
+    def _lacks_weights(self, headers) -> bool:
+        expected = headers.get(b"x-endivesill-expected-version")
+        return expected not in (None, self.weights)
+
     def _respond_copy_order(self, exchange: Exchange, order: dict) -> None:
         self.copy_orders.append(order)
         if order.get("last"):
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -6,11 +6,13 @@
 
 from endivesill.fleet.load import EngineLoad
 from endivesill.fleet.model import Organisation
+from endivesill.forwarding.health_table import REPLACED_S
 from endivesill.forwarding.initial_sync import InitialSync
 from endivesill.forwarding.route_table import RouteTable
 from endivesill.forwarding.run_copy import CopyRefusedError, RunCopier
 from endivesill.http1 import UpstreamError
 from endivesill.platform.engines import PlatformProtocol
+from endivesill.timer import ManualTimer
 from tests.forwarding_case import STREAM_HEADERS, ForwardingTestCase, request
 
 
@@ -464,3 +466,49 @@
             self.assertEqual(503, head.status)
             self.assertTrue(head.header(b"retry-after"))
         self.assertEqual([], engine.requests)
+
+
+class ExpectedVersionTest(ForwardingTestCase):
+    """Guards against callers who take engines away by what they ask of them."""
+
+    VERSION = b"X-Endivesill-Expected-Version"
+
+    async def test_a_caller_that_asks_for_old_weights(self):
+        engines = await self.add_engines("llm", "e1", "e2", "e3")
+        for path in ("/answer/x", "/stream/x"):
+            for _ in range(4):
+                head, _ = await self.send_request(
+                    path, *STREAM_HEADERS, (self.VERSION, b"1")
+                )
+                self.assertEqual(503, head.status)
+            for _ in range(2 * len(engines)):
+                head, _ = await self.send_request(path, *STREAM_HEADERS)
+                self.assertEqual(200, head.status)
+        for engine in engines:
+            target = self.target(engine.identity)
+            self.assertFalse(target.is_replaced)
+            self.assertEqual(0.0, target.health.failure_rate)
+            self.assertEqual(0.0, target.ejected_until_s)
+
+    async def test_a_caller_that_asks_for_the_weights_of_one_engine(self):
+        engines = await self.add_engines("llm", "e1", "e2", "e3")
+        engines[0].weights = b"1"
+        statuses = {
+            (
+                await self.send_request(
+                    "/answer/x", *STREAM_HEADERS, (self.VERSION, b"1")
+                )
+            )[0].status
+            for _ in range(3)
+        }
+        self.assertEqual({200}, statuses)
+
+    async def test_another_target_at_an_address_is_tried_again_in_time(self):
+        """Guards against a target that is lost for good by a single answer."""
+        timer = self.table._timer = ManualTimer()
+        await self.add_engines("app", "p1")
+        target = self.target("p1")
+        self.table.note_replaced(target)
+        self.assertFalse(self.table.accepts_requests(target))
+        await timer.advance(REPLACED_S + 0.1)
+        self.assertTrue(self.table.accepts_requests(target))
