Bound the exponents of ejections, trials and backoffs

Cause: 2 to the number of ejections in a row, as a float: OverflowError after some thousand failures.

Change: the exponents are bounded before they are used, also in two other places.

Test: test_a_target_that_fails_for_hours failed before with the OverflowError.

--- a/endivesill/fleet/crash_verdict.py
+++ b/endivesill/fleet/crash_verdict.py
@@ -37,6 +37,8 @@
 SOUND_FIRST_TRIAL_S = 10.0
 TRIAL_FACTOR = 4
 MAX_TRIAL_S = 3_600.0
+# Beyond it, waits are longer than the longest one.
+MAX_TRIAL_POWER = 5
 # Start of the name of a report that stands for a trial.
 TRIAL_PREFIX = "trial:"
 
@@ -106,7 +108,7 @@
         """When one request may be let through."""
         is_weak = self.is_sound or self.is_doubtful
         first_s = SOUND_FIRST_TRIAL_S if is_weak else FIRST_TRIAL_S
-        wait_s = first_s * TRIAL_FACTOR**self.trials
+        wait_s = first_s * TRIAL_FACTOR ** min(self.trials, MAX_TRIAL_POWER)
         return self.newest_s + min(wait_s, MAX_TRIAL_S)
 
 
--- a/endivesill/fleet/engine_list.py
+++ b/endivesill/fleet/engine_list.py
@@ -30,6 +30,8 @@
 READ_PERIOD_S = 0.25
 # Upper bound of the backoff while the list cannot be read.
 MAX_BACKOFF_S = 2.0
+MAX_BACKOFF_FACTOR = MAX_BACKOFF_S / READ_PERIOD_S
+MAX_DOUBLINGS = 3
 # Reasons for skipped entries in the log, for each read of the list.
 MAX_LOGGED_REASONS = 20
 
@@ -198,7 +200,7 @@
 
     async def wait_until_due(self) -> None:
         """Sleep until the next read is due."""
-        factor = min(2**self._failures, MAX_BACKOFF_S / READ_PERIOD_S)
+        factor = min(2 ** min(self._failures, MAX_DOUBLINGS), MAX_BACKOFF_FACTOR)
         period_s = max(READ_PERIOD_S * factor, self._source.min_period_s)
         await self._timer.sleep(period_s)
 
--- a/endivesill/forwarding/health.py
+++ b/endivesill/forwarding/health.py
@@ -23,6 +23,7 @@
 # Duration of the first ejection; it doubles with each one that follows.
 BASE_EJECTION_S = 2.0
 MAX_EJECTION_S = 16.0
+MAX_DOUBLINGS = 3
 
 
 # Requests that a target breaks off within this time, before it is ejected; a single one
@@ -127,7 +128,8 @@
 
     def _next_ejection_s(self) -> float:
         ejection_s = min(MAX_EJECTION_S, BASE_EJECTION_S * 2**self._ejections)
-        self._ejections += 1
+        # Counted on, the power would exceed every float.
+        self._ejections = min(self._ejections + 1, MAX_DOUBLINGS)
         self.responses = 0
         self.overdue = 0
         self._on_probation = True
--- a/tests/test_forwarding_targets.py
+++ b/tests/test_forwarding_targets.py
@@ -4,6 +4,7 @@
 import unittest
 
 from endivesill.forwarding.health import (
+    MAX_EJECTION_S,
     MIN_RESPONSES,
     BrokenRequests,
     HealthRecord,
@@ -288,3 +289,15 @@
             if ejection_s:
                 ejections_s.append(ejection_s)
         self.assertEqual([2.0, 4.0, 8.0], ejections_s)
+
+    def test_a_target_that_fails_for_hours(self):
+        """Guards against an error in each poll while one service fails."""
+        self.table.apply_outcomes({"p1@1": [0, 50_000, 0]})
+        self.assertEqual(["p1"], self.ejected())
+        record, healthy = HealthRecord(), HealthRecord()
+        healthy.responses = MIN_RESPONSES
+        longest_s = 0.0
+        for _ in range(50_000):
+            record.record_response(succeeded=False)
+            longest_s = max(longest_s, record.ejection_s([healthy]))
+        self.assertEqual(MAX_EJECTION_S, longest_s)
