--- a/tests/standin_platform.py
+++ b/tests/standin_platform.py
@@ -20,7 +20,7 @@
       events: events of a stream.
       break_after: event within whose successor a stream breaks off; None for never.
       event_pause_s: time between two events.
-      rejects: whether requests are rejected as not run.
+      rejects: whether requests are rejected as not run, after `run_s`.
       sends_foreign_response: whether a response to another request comes first.
       omits_length: whether responses have no length and end with the connection.
       response_headers: further headers of all responses to requests and copy orders.
@@ -170,6 +170,7 @@
         ):
             exchange.respond(421, [attempt])
         elif self.rejects:
+            await asyncio.sleep(self.run_s)
             refused = (b"X-Endivesill-Not-Executed", b"1")
             exchange.respond(503, [attempt, refused, *self.response_headers])
         elif self.is_hanging:
--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -366,6 +366,19 @@
 
 
 class LeavingTest(ForwardingTestCase):
+    async def test_a_rejected_request_whose_caller_has_left_is_not_sent_on(self):
+        """Guards against engines that get requests for which nobody waits."""
+        engines = await self.add_engines("app", "p1", "p2", "p3")
+        for engine in engines:
+            engine.rejects, engine.run_s = True, 0.1
+        connection = await self.connect()
+        connection.send(request("/unsafe/x"))
+        await self.wait_until(lambda: any(engine.requests for engine in engines))
+        connection.abort()
+        await self.wait_until(lambda: any(k == "attempt-failed" for k, _ in self.lines))
+        await asyncio.sleep(0.3)
+        self.assertEqual(1, sum(len(engine.requests) for engine in engines))
+
     async def test_a_target_that_leaves_during_connection_setup_gets_no_request(self):
         one, two = await self.add_engines("app", "p1", "p2")
         acquire = self.pool.acquire
