Say why a request is not sent on

Callers saw: nothing; a comment only. Cause: the one before could be read as a claim about the end of a caller. Change: it says why the caller is looked at again there.

--- a/endivesill/forwarding/retry_policy.py
+++ b/endivesill/forwarding/retry_policy.py
@@ -69,7 +69,7 @@
             call.may_have_run = call.runs > 0
             if rejections > MAX_REJECTIONS or self._timer.now_s() >= call.deadline_s:
                 return False
-            # The end of a caller does not end a request that may run; now it does not.
+            # Its caller's end has not cancelled it as long as it might have run.
             if call.exchange.disconnected.is_set():
                 return False
             return not failure.reached_target or self._budget.try_acquire(
