--- a/tests/test_forwarding_plain.py
+++ b/tests/test_forwarding_plain.py
@@ -96,6 +96,20 @@
         self.assertEqual([], engine.requests)
         self.assertEqual(200, (await self.send_request("/unsafe/x"))[0].status)
 
+    async def test_the_urgency_stays_in_its_range(self):
+        """Guards against urgencies that engines do not know."""
+        (engine,) = await self.add_engines("llm", "e1")
+        configuration = self.forwarder.routes.configuration
+        for priority, urgency in ((-3, b"0"), (0, b"3"), (9, b"9")):
+            routes = tuple(
+                attrs.evolve(route, priority=priority) for route in configuration.routes
+            )
+            changed = attrs.evolve(configuration, routes=routes)
+            self.forwarder.routes = RouteTable(changed)
+            await self.send_request("/stream/x", *STREAM_HEADERS)
+            headers = engine.requests[-1][2]
+            self.assertEqual(urgency, headers[b"x-endivesill-request-urgency"])
+
     async def test_without_need_of_keys_all_routes_are_served(self):
         await self.add_engines("app", "p1")
         configuration = attrs.evolve(
